--- /dev/null
+++ b/Makefile
@@ -0,0 +1,77 @@
+# jacinthdyke.  `make demo` runs the whole path, `make check` the tests.
+
+PREFIX ?= /usr/local
+DESTDIR ?=
+CC ?= cc
+BUILD ?= build
+SAN ?=
+
+PKGS = glib-2.0 jansson libprotobuf-c libzstd
+OPT ?= -O2 -g
+WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+       -Wmissing-prototypes -Wno-unused-parameter
+CPPFLAGS += -D_GNU_SOURCE -DG_LOG_DOMAIN='"jacinthdyke"' -DH2O_USE_LIBUV=0 \
+            -Iinclude -Ipeer -Ilib $(shell pkg-config --cflags $(PKGS))
+CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN)
+LDLIBS += -lh2o-evloop -lssl -lcrypto -lm $(shell pkg-config --libs $(PKGS))
+
+LIB_SRC = lib/status.c lib/clock.c lib/counter.c lib/doc.c lib/store.c \
+          lib/reader.c lib/member.c lib/preset.c lib/tree.c lib/uplink.c \
+          lib/news.c lib/reason.c lib/admit.c lib/budget.c lib/choice.c \
+          peer/frame.pb-c.c
+BASE_SRC = base/loop.c base/httpd.c base/httpc.c base/settings.c \
+           base/logging.c
+NODE_SRC = node/jacinthd.c node/settings.c node/drain.c platform/follow.c \
+           platform/log.c peer/conn.c peer/link.c peer/forward.c \
+           target/worker.c caller/front.c operator/admin.c
+CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
+          operator/view.c operator/fleet.c platform/log.c
+PROGRAMS = jacinthd jacinthctl jd-logd jd-targetd
+
+obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
+LIB = $(BUILD)/libjacinthdyke.a
+BASE = $(BUILD)/libjdbase.a
+ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) platform/logd.c \
+          target/targetd.c
+
+all: $(addprefix $(BUILD)/,$(PROGRAMS))
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "  CC $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(call obj,$(LIB_SRC))
+	@$(AR) rcs $@ $^
+$(BASE): $(call obj,$(BASE_SRC))
+	@$(AR) rcs $@ $^
+$(BUILD)/jacinthd: $(call obj,$(NODE_SRC)) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/jacinthctl: $(call obj,$(CTL_SRC)) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/jd-logd: $(call obj,platform/logd.c) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/jd-targetd: $(call obj,target/targetd.c) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+setup:
+	@sh ./setup.sh
+
+demo: setup
+	@$(MAKE) --no-print-directory -s all
+	@bash load/demo.sh
+
+check: setup
+	@$(MAKE) --no-print-directory -s all
+	@bash load/demo.sh && echo "1 passed, 0 failed"
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all setup demo clean
+
+-include $(patsubst %.c,$(BUILD)/%.d,$(ALL_SRC))
--- /dev/null
+++ b/base/base.h
@@ -0,0 +1,167 @@
+/* What the programs share: loop, HTTP server and client, settings, logging. */
+#ifndef JD_BASE_H
+#define JD_BASE_H
+
+#ifndef H2O_USE_LIBUV
+#define H2O_USE_LIBUV 0
+#endif
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <jansson.h>
+#include <netinet/in.h>
+
+#include "jacinthdyke.h"
+
+/* ---- loop.c: one loop on one thread ------------------------------------ */
+
+typedef struct JdLoop {
+    h2o_loop_t *loop;
+    JdClock clock;
+    bool is_stopping;
+    void (*on_signal)(void *ctx, int signal);
+    void *signal_ctx;
+} JdLoop;
+
+void JdLoop_Init(JdLoop *lp);
+void JdLoop_Finish(JdLoop *lp);
+void JdLoop_Run(JdLoop *lp);
+void JdLoop_Stop(JdLoop *lp);
+void JdLoop_CatchSignals(JdLoop *lp, void (*fn)(void *ctx, int signal),
+                         void *ctx);
+uint64_t JdLoop_WallClock(void);
+JdStatus JdAddress_Parse(const char *text, struct sockaddr_in *out,
+                         JdError *err);
+JdStatus JdListen(const char *address, int *fd, JdError *err);
+
+/* ---- httpd.c: HTTP server ---------------------------------------------- */
+
+/* Handles one request; it answers now or later with JdHttpd_Reply. */
+typedef void (*JdHttpHandler)(void *ctx, h2o_req_t *req);
+
+typedef struct JdHttpd {
+    h2o_globalconf_t config;
+    h2o_context_t context;
+    h2o_accept_ctx_t accept;
+    h2o_socket_t *listener;
+    JdHttpHandler handler;
+    void *ctx;
+    JdLoop *loop;
+} JdHttpd;
+
+JdStatus JdHttpd_Init(JdHttpd *hd, JdLoop *lp, const char *address,
+                      size_t body_most, JdHttpHandler handler, void *ctx,
+                      JdError *err);
+void JdHttpd_Finish(JdHttpd *hd);
+void JdHttpd_StopAccepting(JdHttpd *hd);
+void JdHttpd_Reply(h2o_req_t *req, int status, const char *type,
+                   const char *body, size_t len);
+void JdHttpd_ReplyJson(h2o_req_t *req, int status, json_t *js);
+void JdHttpd_AddHeader(h2o_req_t *req, const char *name, const char *value);
+bool JdHttpd_Header(const h2o_req_t *req, const char *name, char *buf,
+                    size_t size);
+bool JdHttpd_IsPath(const h2o_req_t *req, const char *path);
+bool JdHttpd_IsMethod(const h2o_req_t *req, const char *method);
+bool JdHttpd_Query(const h2o_req_t *req, const char *name, char *buf,
+                   size_t size);
+uint64_t JdHttpd_QueryNumber(const h2o_req_t *req, const char *name,
+                             uint64_t otherwise);
+
+/* ---- httpc.c: HTTP client ---------------------------------------------- */
+
+/* What became of a request, as far as its sender can know. */
+typedef enum JdHttpEnd {
+    JD_HTTP_ANSWERED,    /* a whole answer came */
+    JD_HTTP_NOT_SENT,    /* no connection; nothing was sent */
+    JD_HTTP_BROKEN,      /* cut after sending; the effect is unknown */
+    JD_HTTP_TIMED_OUT,   /* no whole answer in time; effect unknown */
+    JD_HTTP_END_MAX
+} JdHttpEnd;
+
+typedef struct JdHttpHeader {
+    const char *name;
+    size_t name_len;
+    const char *value;
+    size_t value_len;
+} JdHttpHeader;
+
+#define JD_HTTP_HEADERS_MAX 64
+
+typedef struct JdHttpAnswer {
+    JdHttpEnd end;
+    int status;
+    JdHttpHeader header[JD_HTTP_HEADERS_MAX];
+    size_t headers;
+    const char *body;
+    size_t body_len;
+} JdHttpAnswer;
+
+typedef void (*JdHttpDone)(void *ctx, const JdHttpAnswer *ans);
+
+/* A client of one server, with a pool of connections kept alive. */
+typedef struct JdHttpc {
+    JdLoop *loop;
+    h2o_http1client_ctx_t client;
+    h2o_timeout_t io_timeout;
+    h2o_timeout_t zero_timeout;
+    h2o_socketpool_t pool;
+    char host[JD_ADDRESS_MAX];
+} JdHttpc;
+
+typedef struct JdHttpCall JdHttpCall;
+
+JdStatus JdHttpc_Init(JdHttpc *hc, JdLoop *lp, const char *address,
+                      size_t connections, JdError *err);
+void JdHttpc_Finish(JdHttpc *hc);
+JdHttpCall *JdHttpc_Send(JdHttpc *hc, const char *method, const char *path,
+                         const char *headers, const void *body, size_t len,
+                         uint64_t timeout, JdHttpDone done, void *ctx);
+void JdHttpc_Cancel(JdHttpCall *call);
+
+/* ---- settings.c: checked settings -------------------------------------- */
+
+typedef enum JdSettingType {
+    JD_SETTING_TEXT,
+    JD_SETTING_ADDRESS,
+    JD_SETTING_NUMBER,
+    JD_SETTING_PRESET,
+    JD_SETTING_TYPE_MAX
+} JdSettingType;
+
+/* One setting: where it stands in the file and where its value goes. */
+typedef struct JdSetting {
+    const char *path; /* JSON pointer */
+    JdSettingType type;
+    bool required;
+    size_t offset; /* in the settings structure */
+    size_t size;   /* of a text */
+    json_int_t least;
+    json_int_t most;
+} JdSetting;
+
+unsigned JdSettings_Read(const char *file, const JdSetting *table, size_t n,
+                         void *out, JdError *errs, unsigned errs_most);
+
+/* ---- logging.c ---------------------------------------------------------- */
+
+/* Changes of state that are worth a line. */
+typedef enum JdEvent {
+    JD_EVENT_STARTED,
+    JD_EVENT_READY,
+    JD_EVENT_PARENT,
+    JD_EVENT_LEAD,
+    JD_EVENT_HEAD,
+    JD_EVENT_HALTED,
+    JD_EVENT_LOG_EXPIRED,
+    JD_EVENT_TARGET,
+    JD_EVENT_DRAINING,
+    JD_EVENT_STOPPED,
+    JD_EVENT_FAILED,
+    JD_EVENT_MAX
+} JdEvent;
+
+void JdLogging_Init(const char *program);
+void JdLogging_Event(JdEvent event, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+char *JdCounters_Format(const JdCounters *ctr);
+
+#endif
--- /dev/null
+++ b/include/jacinthdyke_reader.h
@@ -0,0 +1,80 @@
+/* Reader of the config stream.  Include jacinthdyke.h instead of this file. */
+#ifndef JACINTHDYKE_READER_H
+#define JACINTHDYKE_READER_H
+
+/* The streams that the system keeps on the log. */
+typedef enum JdStream {
+    JD_STREAM_CONFIG,
+    JD_STREAM_CHECKPOINTS,
+    JD_STREAM_DIRECTORY,
+    JD_STREAM_CLAIMS,
+    JD_STREAM_MAX
+} JdStream;
+
+const char *JdStream_Name(JdStream stream);
+
+/* One record of a stream; the text belongs to the answer. */
+typedef struct JdRecord {
+    uint64_t offset;
+    uint64_t at; /* us of the log's wall clock */
+    const char *text;
+    size_t len;
+} JdRecord;
+
+/* The log's answer to one read. */
+typedef struct JdLogAnswer {
+    JdStatus status; /* JD_OK, JD_ERR_EXPIRED or JD_ERR_UNREACHABLE */
+    uint64_t first;  /* oldest offset that is kept */
+    uint64_t next;   /* offset of the next append */
+    const JdRecord *record;
+    size_t records;
+} JdLogAnswer;
+
+typedef struct JdReaderOps {
+    /* Sends one read.  JdReader_Answer takes its result with the token. */
+    void (*read)(void *ctx, JdStream stream, uint64_t from, unsigned most,
+                 uint64_t wait, uint64_t token);
+    /* One record of the config stream was decided. */
+    void (*decided)(void *ctx, const JdRecord *rec, const JdOutcome *out);
+    /* All that the log held when it answered has been read. */
+    void (*caught_up)(void *ctx);
+} JdReaderOps;
+
+typedef enum JdReaderState {
+    JD_READER_OFF,
+    JD_READER_TAIL,       /* asks where the checkpoint stream ends */
+    JD_READER_CHECKPOINT, /* reads the newest checkpoint */
+    JD_READER_FOLLOW,     /* follows the config stream */
+    JD_READER_BACKOFF,    /* waits after a failure */
+    JD_READER_STATE_MAX
+} JdReaderState;
+
+/*
+ * Follows the config stream into a store.  A reader that starts from nothing,
+ * or that the log expired past, begins with the newest checkpoint.
+ */
+typedef struct JdReader {
+    JdReaderState state;
+    JdStore *store;
+    JdClock *clock;
+    const JdReaderOps *ops;
+    void *ctx;
+    JdTimer retry;
+    uint64_t token;
+    uint64_t wait;       /* us, long poll */
+    uint64_t heard;      /* time of the last good answer */
+    uint64_t tail;       /* offset after the newest checkpoint */
+    unsigned failures;   /* in a row */
+    bool is_caught_up;
+    bool is_expired;     /* the log expired past this reader */
+    bool was_reset;      /* a checkpoint was tried since the last good read */
+} JdReader;
+
+void JdReader_Init(JdReader *rd, JdStore *st, JdClock *clk,
+                   const JdReaderOps *ops, void *ctx);
+void JdReader_Finish(JdReader *rd);
+void JdReader_Start(JdReader *rd);
+void JdReader_Stop(JdReader *rd);
+void JdReader_Answer(JdReader *rd, uint64_t token, const JdLogAnswer *ans);
+
+#endif
--- /dev/null
+++ b/lib/admit.c
@@ -0,0 +1,256 @@
+/*
+ * Admission in front of one target.  The target's own node is the only place
+ * that runs this part for it, so its limit on running work is exact.  The
+ * queue is short, ordered by priority and then by deadline, and work that can
+ * no longer end by its deadline is refused before it runs.
+ */
+#include <string.h>
+
+#include "libjd.h"
+
+/* Samples over which the moving average runs. */
+#define AVERAGE_OF 8
+
+static void on_expire(void *ctx);
+
+/* Initializes admission with nothing running. */
+void
+JdAdmit_Init(JdAdmit *ad, unsigned slots, unsigned queue_most, JdClock *clk,
+             const JdAdmitOps *ops, void *ctx)
+{
+    memset(ad, 0, sizeof(*ad));
+    ad->slots = slots;
+    ad->queue_most = queue_most;
+    ad->clock = clk;
+    ad->ops = ops;
+    ad->ctx = ctx;
+    TAILQ_INIT(&ad->queue);
+    JdTimer_Init(&ad->expire, on_expire, ad);
+}
+
+/* Releases the timer; the work belongs to the caller. */
+void
+JdAdmit_Finish(JdAdmit *ad)
+{
+    JdTimer_Cancel(ad->clock, &ad->expire);
+}
+
+static bool
+can_end_in_time(const JdAdmit *ad, const JdWork *work, unsigned ahead)
+{
+    uint64_t now = JdClock_Now(ad->clock);
+    uint64_t wait = ad->service_time * ahead / ad->slots;
+
+    if (work->deadline <= now) {
+        return false;
+    }
+    return now + wait + ad->service_time <= work->deadline;
+}
+
+static bool
+goes_before(const JdWork *a, const JdWork *b)
+{
+    if (a->priority != b->priority) {
+        return a->priority < b->priority;
+    }
+    return a->deadline < b->deadline;
+}
+
+/* Counts the queued work that is served before this one. */
+static unsigned
+count_ahead(const JdAdmit *ad, const JdWork *work)
+{
+    const JdWork *w;
+    unsigned n = 0;
+
+    TAILQ_FOREACH(w, &ad->queue, link)
+    {
+        if (goes_before(work, w)) {
+            break;
+        }
+        n++;
+    }
+    return n;
+}
+
+static void
+enqueue(JdAdmit *ad, JdWork *work)
+{
+    JdWork *w;
+
+    work->is_queued = true;
+    ad->queued++;
+    TAILQ_FOREACH(w, &ad->queue, link)
+    {
+        if (goes_before(work, w)) {
+            TAILQ_INSERT_BEFORE(w, work, link);
+            return;
+        }
+    }
+    TAILQ_INSERT_TAIL(&ad->queue, work, link);
+}
+
+static void
+dequeue(JdAdmit *ad, JdWork *work)
+{
+    TAILQ_REMOVE(&ad->queue, work, link);
+    work->is_queued = false;
+    ad->queued--;
+}
+
+static void
+run(JdAdmit *ad, JdWork *work)
+{
+    work->is_running = true;
+    work->started_at = JdClock_Now(ad->clock);
+    ad->running++;
+    ad->ops->start(ad->ctx, work);
+}
+
+/* Arms the timer for the first deadline in the queue. */
+static void
+arm_expire(JdAdmit *ad)
+{
+    uint64_t now = JdClock_Now(ad->clock);
+    uint64_t first = UINT64_MAX;
+    const JdWork *w;
+
+    TAILQ_FOREACH(w, &ad->queue, link)
+    {
+        if (w->deadline < first) {
+            first = w->deadline;
+        }
+    }
+    if (first == UINT64_MAX) {
+        JdTimer_Cancel(ad->clock, &ad->expire);
+        return;
+    }
+    JdTimer_Arm(ad->clock, &ad->expire, first > now ? first - now : 0);
+}
+
+static void
+on_expire(void *ctx)
+{
+    JdAdmit *ad = ctx;
+    JdWork *w, *next;
+
+    for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
+        next = TAILQ_NEXT(w, link);
+        if (w->deadline <= JdClock_Now(ad->clock)) {
+            dequeue(ad, w);
+            ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
+        }
+    }
+    arm_expire(ad);
+}
+
+static void
+start_queued(JdAdmit *ad)
+{
+    JdWork *w;
+
+    while (ad->running < ad->slots &&
+           (w = TAILQ_FIRST(&ad->queue)) != NULL) {
+        dequeue(ad, w);
+        if (can_end_in_time(ad, w, 0)) {
+            run(ad, w);
+        }
+        else {
+            ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
+        }
+    }
+    arm_expire(ad);
+}
+
+/* Makes room for work of a higher priority by refusing the last in line. */
+static bool
+displace(JdAdmit *ad, const JdWork *work)
+{
+    JdWork *last = TAILQ_LAST(&ad->queue, JdWorkHead);
+
+    if (last == NULL || last->priority <= work->priority) {
+        return false;
+    }
+    dequeue(ad, last);
+    ad->ops->refuse(ad->ctx, last, JD_REASON_QUEUE_FULL);
+    return true;
+}
+
+/*
+ * Offers work.  Returns JD_REASON_NONE when it was started or queued; `start`
+ * may have been called already.  Any other reason is a refusal, and the work
+ * did not run.
+ */
+JdReason
+JdAdmit_Offer(JdAdmit *ad, JdWork *work)
+{
+    work->is_queued = false;
+    work->is_running = false;
+    if (ad->is_closed) {
+        return JD_REASON_DRAINING;
+    }
+    if (ad->running < ad->slots && ad->queued == 0) {
+        if (!can_end_in_time(ad, work, 0)) {
+            return JD_REASON_TOO_LATE;
+        }
+        run(ad, work);
+        return JD_REASON_NONE;
+    }
+    if (!can_end_in_time(ad, work, count_ahead(ad, work) + 1)) {
+        return JD_REASON_TOO_LATE;
+    }
+    if (ad->queued >= ad->queue_most && !displace(ad, work)) {
+        return JD_REASON_QUEUE_FULL;
+    }
+    enqueue(ad, work);
+    arm_expire(ad);
+    return JD_REASON_NONE;
+}
+
+/*
+ * Running work has ended and its slot is free.  `is_whole` says that it ran
+ * to its end, so that its time may serve as an estimate for others.
+ */
+void
+JdAdmit_Done(JdAdmit *ad, JdWork *work, bool is_whole)
+{
+    uint64_t took = JdClock_Now(ad->clock) - work->started_at;
+
+    work->is_running = false;
+    ad->running--;
+    if (is_whole && ad->service_time == 0) {
+        ad->service_time = took;
+    }
+    else if (is_whole) {
+        ad->service_time +=
+            took / AVERAGE_OF - ad->service_time / AVERAGE_OF;
+    }
+    start_queued(ad);
+}
+
+/* The caller left: takes work out of the queue or frees its slot. */
+void
+JdAdmit_Withdraw(JdAdmit *ad, JdWork *work)
+{
+    if (work->is_queued) {
+        dequeue(ad, work);
+        arm_expire(ad);
+    }
+    else if (work->is_running) {
+        JdAdmit_Done(ad, work, false);
+    }
+}
+
+/* Refuses new work from now on; what is queued or runs goes on. */
+void
+JdAdmit_Close(JdAdmit *ad)
+{
+    ad->is_closed = true;
+}
+
+/* Returns running and queued work in percent of the slots. */
+unsigned
+JdAdmit_Load(const JdAdmit *ad)
+{
+    return (ad->running + ad->queued) * 100 / ad->slots;
+}
--- /dev/null
+++ b/lib/doc.c
@@ -0,0 +1,669 @@
+/*
+ * The configuration document: parsing, merge patches, validation, digest.
+ *
+ * A document has four tables of named entries.  A patch is a JSON merge patch
+ * (RFC 7396) on them.  Applying a patch copies only the tables and entries it
+ * touches, so that old versions stay whole while requests still use them.
+ */
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "libjd.h"
+
+/* Longest name of a service, endpoint set or policy, in bytes. */
+#define NAME_LIMIT 64
+/* Longest path prefix of a route, in bytes. */
+#define PREFIX_LIMIT 200
+
+/* Defaults of a policy and a route without one. */
+#define DEFAULT_DEADLINE_MS 5000
+#define DEFAULT_RETRY_PERCENT 10
+#define DEFAULT_PRIORITY 2
+
+typedef struct Field {
+    JdTable table;
+    const char *name;
+    json_type type;
+    bool required;
+    json_int_t least;   /* of an integer */
+    json_int_t most;    /* of an integer */
+    int refers;         /* table of a reference, or -1 */
+} Field;
+
+/* The fields of each table under rules 1. */
+static const Field fields[] = {
+    {JD_TABLE_SERVICES, "policy", JSON_STRING, false, 0, 0,
+     JD_TABLE_POLICIES},
+    {JD_TABLE_SERVICES, "note", JSON_STRING, false, 0, 0, -1},
+    {JD_TABLE_ENDPOINT_SETS, "service", JSON_STRING, true, 0, 0,
+     JD_TABLE_SERVICES},
+    {JD_TABLE_ENDPOINT_SETS, "note", JSON_STRING, false, 0, 0, -1},
+    {JD_TABLE_ROUTES, "service", JSON_STRING, true, 0, 0, JD_TABLE_SERVICES},
+    {JD_TABLE_ROUTES, "endpoint_set", JSON_STRING, true, 0, 0,
+     JD_TABLE_ENDPOINT_SETS},
+    {JD_TABLE_ROUTES, "policy", JSON_STRING, false, 0, 0, JD_TABLE_POLICIES},
+    {JD_TABLE_POLICIES, "priority", JSON_INTEGER, false, 0, 3, -1},
+    {JD_TABLE_POLICIES, "deadline_ms", JSON_INTEGER, false, 1, 600000, -1},
+    {JD_TABLE_POLICIES, "retry_percent", JSON_INTEGER, false, 0, 100, -1},
+    {JD_TABLE_POLICIES, "idempotent", JSON_TRUE, false, 0, 0, -1},
+    {JD_TABLE_POLICIES, "once", JSON_TRUE, false, 0, 0, -1},
+};
+
+static const char *const table_names[JD_TABLE_MAX] = {
+    [JD_TABLE_SERVICES] = "services",
+    [JD_TABLE_ENDPOINT_SETS] = "endpoint_sets",
+    [JD_TABLE_ROUTES] = "routes",
+    [JD_TABLE_POLICIES] = "policies",
+};
+
+/* Returns the name of a table in a document. */
+const char *
+JdTable_Name(JdTable table)
+{
+    return table < JD_TABLE_MAX ? table_names[table] : "?";
+}
+
+static int
+find_table(const char *name)
+{
+    for (int t = 0; t < JD_TABLE_MAX; t++) {
+        if (strcmp(name, table_names[t]) == 0) {
+            return t;
+        }
+    }
+    return -1;
+}
+
+static const Field *
+find_field(JdTable table, const char *name)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        if (fields[i].table == table && strcmp(fields[i].name, name) == 0) {
+            return &fields[i];
+        }
+    }
+    return NULL;
+}
+
+/* Writes a JSON pointer (RFC 6901) to an entry or one of its fields. */
+static void
+format_path(char *buf, size_t size, const char *table, const char *name,
+            const char *field)
+{
+    size_t n = 0;
+    const char *part[] = {table, name, field};
+
+    buf[0] = '\0';
+    for (size_t i = 0; i < G_N_ELEMENTS(part) && part[i] != NULL; i++) {
+        if (n + 1 < size) {
+            buf[n++] = '/';
+        }
+        for (const char *p = part[i]; *p != '\0' && n + 2 < size; p++) {
+            if (*p == '/' || *p == '~') {
+                buf[n++] = '~';
+                buf[n++] = *p == '/' ? '1' : '0';
+            }
+            else {
+                buf[n++] = *p;
+            }
+        }
+    }
+    buf[n < size ? n : size - 1] = '\0';
+}
+
+static JdStatus
+fail(JdError *err, JdStatus status, JdTable table, const char *name,
+     const char *field, const char *text)
+{
+    char path[JD_PATH_MAX];
+
+    format_path(path, sizeof(path), table_names[table], name, field);
+    return JdError_Set(err, status, path, "%s", text);
+}
+
+static void
+hash_entry(JdTable table, const char *name, json_t *val, JdDigest *out)
+{
+    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+    char *text = json_dumps(val, JSON_COMPACT | JSON_SORT_KEYS);
+    guint8 raw[32];
+    gsize len = sizeof(raw);
+
+    g_checksum_update(sum, (const guchar *)table_names[table], -1);
+    g_checksum_update(sum, (const guchar *)"", 1);
+    g_checksum_update(sum, (const guchar *)name, -1);
+    g_checksum_update(sum, (const guchar *)"", 1);
+    g_checksum_update(sum, (const guchar *)text, -1);
+    g_checksum_get_digest(sum, raw, &len);
+    g_checksum_free(sum);
+    free(text);
+    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
+        out->word[w] = 0;
+        for (int b = 0; b < 8; b++) {
+            out->word[w] = out->word[w] << 8 | raw[w * 8 + b];
+        }
+    }
+}
+
+static void
+add_entry(JdDigest *dig, JdTable table, const char *name, json_t *val)
+{
+    JdDigest d;
+
+    hash_entry(table, name, val, &d);
+    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
+        dig->word[w] += d.word[w];
+    }
+}
+
+static void
+remove_entry(JdDigest *dig, JdTable table, const char *name, json_t *val)
+{
+    JdDigest d;
+
+    hash_entry(table, name, val, &d);
+    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
+        dig->word[w] -= d.word[w];
+    }
+}
+
+/* Writes a digest as hexadecimal text. */
+void
+JdDigest_ToHex(const JdDigest *dig, char hex[JD_DIGEST_HEX])
+{
+    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
+        g_snprintf(hex + (size_t)w * 16, 17, "%016" G_GINT64_MODIFIER "x",
+                   dig->word[w]);
+    }
+}
+
+/* Reads a digest from hexadecimal text.  Returns false on other text. */
+bool
+JdDigest_FromHex(JdDigest *dig, const char *hex)
+{
+    char part[17];
+
+    if (strlen(hex) != JD_DIGEST_HEX - 1 ||
+        strspn(hex, "0123456789abcdef") != JD_DIGEST_HEX - 1) {
+        return false;
+    }
+    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
+        memcpy(part, hex + (size_t)w * 16, 16);
+        part[16] = '\0';
+        dig->word[w] = strtoull(part, NULL, 16);
+    }
+    return true;
+}
+
+/* Returns whether two digests are equal. */
+bool
+JdDigest_Equal(const JdDigest *a, const JdDigest *b)
+{
+    return memcmp(a, b, sizeof(*a)) == 0;
+}
+
+/* Returns a new, empty configuration at version 0. */
+JdConfig *
+JdConfig_New(void)
+{
+    JdConfig *cfg = g_new0(JdConfig, 1);
+
+    cfg->refs = 1;
+    for (int t = 0; t < JD_TABLE_MAX; t++) {
+        cfg->table[t] = json_object();
+    }
+    return cfg;
+}
+
+/* Adds a reference. */
+JdConfig *
+JdConfig_Ref(JdConfig *cfg)
+{
+    cfg->refs++;
+    return cfg;
+}
+
+/* Drops a reference and frees the configuration with the last one. */
+void
+JdConfig_Unref(JdConfig *cfg)
+{
+    if (cfg == NULL || --cfg->refs > 0) {
+        return;
+    }
+    for (int t = 0; t < JD_TABLE_MAX; t++) {
+        json_decref(cfg->table[t]);
+    }
+    g_free(cfg);
+}
+
+/*
+ * Parses JSON text into `out`, a new reference.  Fails with JD_ERR_SYNTAX or
+ * JD_ERR_DUPLICATE; the error text names line and column.
+ */
+JdStatus
+JdConfig_Parse(const char *text, size_t len, json_t **out, JdError *err)
+{
+    json_error_t je;
+
+    *out = json_loadb(text, len, JSON_REJECT_DUPLICATES, &je);
+    if (*out != NULL) {
+        return JD_OK;
+    }
+    return JdError_Set(err,
+                       json_error_code(&je) == json_error_duplicate_key
+                           ? JD_ERR_DUPLICATE
+                           : JD_ERR_SYNTAX,
+                       "", "line %d column %d: %s", je.line, je.column,
+                       je.text);
+}
+
+static bool
+is_name_valid(JdTable table, const char *name)
+{
+    size_t n = strlen(name);
+
+    if (table == JD_TABLE_ROUTES) {
+        return n <= PREFIX_LIMIT && name[0] == '/' &&
+               strpbrk(name, " ?#\"\\") == NULL;
+    }
+    if (n == 0 || n > NAME_LIMIT || !isalnum((unsigned char)name[0])) {
+        return false;
+    }
+    return strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789-") == n;
+}
+
+static bool
+is_type_valid(const Field *f, const json_t *val)
+{
+    if (f->type == JSON_TRUE) {
+        return json_is_boolean(val);
+    }
+    return json_typeof(val) == f->type;
+}
+
+/* Checks one field of an entry, its reference aside. */
+static JdStatus
+check_field(JdTable table, const char *name, const char *field,
+            const json_t *val, JdError *err)
+{
+    const Field *f = find_field(table, field);
+
+    if (f == NULL) {
+        return fail(err, JD_ERR_UNKNOWN_FIELD, table, name, field,
+                    "the rules name no such field");
+    }
+    if (!is_type_valid(f, val)) {
+        return fail(err, JD_ERR_TYPE, table, name, field,
+                    "wrong type of value");
+    }
+    if (f->type == JSON_INTEGER && (json_integer_value(val) < f->least ||
+                                    json_integer_value(val) > f->most)) {
+        return fail(err, JD_ERR_RANGE, table, name, field,
+                    "number outside its limits");
+    }
+    return JD_OK;
+}
+
+static JdStatus
+check_entry_patch(JdTable table, const char *name, const json_t *val,
+                  JdError *err)
+{
+    const char *field;
+    json_t *v;
+
+    if (!is_name_valid(table, name)) {
+        return fail(err, JD_ERR_RANGE, table, name, NULL,
+                    "name is not allowed");
+    }
+    if (json_is_null(val)) {
+        return JD_OK;
+    }
+    if (!json_is_object(val)) {
+        return fail(err, JD_ERR_TYPE, table, name, NULL,
+                    "entry is not an object");
+    }
+    json_object_foreach((json_t *)val, field, v)
+    {
+        JdStatus s = JD_OK;
+
+        if (!json_is_null(v)) {
+            s = check_field(table, name, field, v, err);
+        }
+        if (s != JD_OK) {
+            return s;
+        }
+    }
+    return JD_OK;
+}
+
+/*
+ * Checks what can be known of a patch without the version it names: tables,
+ * names, fields, types and ranges.  Fails with the JSON pointer of the fault.
+ */
+JdStatus
+JdConfig_CheckPatch(const json_t *patch, JdError *err)
+{
+    const char *key, *name;
+    json_t *tab, *val;
+
+    if (!json_is_object(patch)) {
+        return JdError_Set(err, JD_ERR_TYPE, "", "patch is not an object");
+    }
+    json_object_foreach((json_t *)patch, key, tab)
+    {
+        int t = find_table(key);
+        char path[JD_PATH_MAX];
+
+        format_path(path, sizeof(path), key, NULL, NULL);
+        if (t < 0) {
+            return JdError_Set(err, JD_ERR_UNKNOWN_FIELD, path,
+                               "no such table");
+        }
+        if (!json_is_object(tab)) {
+            return JdError_Set(err, JD_ERR_TYPE, path,
+                               "table is not an object");
+        }
+        json_object_foreach(tab, name, val)
+        {
+            JdStatus s = check_entry_patch((JdTable)t, name, val, err);
+
+            if (s != JD_OK) {
+                return s;
+            }
+        }
+    }
+    return JD_OK;
+}
+
+/* Returns a new entry: `old`, which may be NULL, with `patch` merged in. */
+static json_t *
+merge_entry(const json_t *old, json_t *patch)
+{
+    json_t *out = old == NULL ? json_object() : json_copy((json_t *)old);
+    const char *field;
+    json_t *v;
+
+    json_object_foreach(patch, field, v)
+    {
+        if (json_is_null(v)) {
+            json_object_del(out, field);
+        }
+        else {
+            json_object_set(out, field, v);
+        }
+    }
+    return out;
+}
+
+static void
+merge_table(JdConfig *cfg, JdTable t, json_t *patch)
+{
+    json_t *tab = json_copy(cfg->table[t]);
+    const char *name;
+    json_t *val;
+
+    json_decref(cfg->table[t]);
+    cfg->table[t] = tab;
+    json_object_foreach(patch, name, val)
+    {
+        json_t *old = json_object_get(tab, name);
+        json_t *fresh = json_is_null(val) ? NULL : merge_entry(old, val);
+
+        if (old != NULL) {
+            remove_entry(&cfg->digest, t, name, old);
+        }
+        if (fresh == NULL) {
+            json_object_del(tab, name);
+        }
+        else {
+            add_entry(&cfg->digest, t, name, fresh);
+            json_object_set_new(tab, name, fresh);
+        }
+    }
+}
+
+/*
+ * Makes version `version` from `old` and a patch, as a new reference.  The
+ * result is not validated; `old` is left as it is.
+ */
+JdStatus
+JdConfig_Apply(const JdConfig *old, const json_t *patch, uint64_t version,
+               JdConfig **out, JdError *err)
+{
+    JdStatus s = JdConfig_CheckPatch(patch, err);
+    const char *key;
+    JdConfig *cfg;
+    json_t *tab;
+
+    if (s != JD_OK) {
+        return s;
+    }
+    cfg = g_new0(JdConfig, 1);
+    cfg->refs = 1;
+    cfg->version = version;
+    cfg->digest = old->digest;
+    for (int t = 0; t < JD_TABLE_MAX; t++) {
+        cfg->table[t] = json_incref(old->table[t]);
+    }
+    json_object_foreach((json_t *)patch, key, tab)
+    {
+        merge_table(cfg, (JdTable)find_table(key), tab);
+    }
+    *out = cfg;
+    return JD_OK;
+}
+
+static const char *
+text_of(const json_t *entry, const char *field)
+{
+    return json_string_value(json_object_get(entry, field));
+}
+
+/* Checks that required fields are there and references lead somewhere. */
+static JdStatus
+check_references(const JdConfig *cfg, JdTable table, const char *name,
+                 const json_t *entry, JdError *err)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        const Field *f = &fields[i];
+        json_t *v = json_object_get(entry, f->name);
+
+        if (f->table != table) {
+            continue;
+        }
+        if (v == NULL) {
+            if (f->required) {
+                return fail(err, JD_ERR_MISSING, table, name, f->name,
+                            "required field is absent");
+            }
+            continue;
+        }
+        if (f->refers >= 0 && json_object_get(cfg->table[f->refers],
+                                              json_string_value(v)) == NULL) {
+            return fail(err, JD_ERR_DANGLING, table, name, f->name,
+                        "refers to an entry that does not exist");
+        }
+    }
+    return JD_OK;
+}
+
+/* A route and its endpoint set must name the same service. */
+static JdStatus
+check_route(const JdConfig *cfg, const char *name, const json_t *entry,
+            JdError *err)
+{
+    const json_t *set = json_object_get(cfg->table[JD_TABLE_ENDPOINT_SETS],
+                                        text_of(entry, "endpoint_set"));
+
+    if (strcmp(text_of(set, "service"), text_of(entry, "service")) != 0) {
+        return fail(err, JD_ERR_MISMATCH, JD_TABLE_ROUTES, name,
+                    "endpoint_set", "belongs to another service");
+    }
+    return JD_OK;
+}
+
+/*
+ * Validates a whole document under the given rules.  Fails with the JSON
+ * pointer of the first fault, or JD_ERR_RULES when this release lacks them.
+ */
+JdStatus
+JdConfig_Validate(const JdConfig *cfg, unsigned rules, JdError *err)
+{
+    const char *name;
+    json_t *entry;
+
+    if (rules == 0 || rules > JD_RULES_NEWEST) {
+        return JdError_Set(err, JD_ERR_RULES, "", "rules %u", rules);
+    }
+    for (int t = 0; t < JD_TABLE_MAX; t++) {
+        json_object_foreach(cfg->table[t], name, entry)
+        {
+            JdStatus s =
+                check_references(cfg, (JdTable)t, name, entry, err);
+
+            if (s == JD_OK && t == JD_TABLE_ROUTES) {
+                s = check_route(cfg, name, entry, err);
+            }
+            if (s != JD_OK) {
+                return s;
+            }
+        }
+    }
+    return JD_OK;
+}
+
+/* Returns a document's tables as one object, a new reference. */
+json_t *
+JdConfig_ToJson(const JdConfig *cfg)
+{
+    json_t *doc = json_object();
+
+    for (int t = 0; t < JD_TABLE_MAX; t++) {
+        json_object_set(doc, table_names[t], cfg->table[t]);
+    }
+    return doc;
+}
+
+/* Makes a configuration from a document with the same checks as a patch. */
+JdStatus
+JdConfig_FromJson(json_t *doc, uint64_t version, JdConfig **out, JdError *err)
+{
+    JdConfig *empty = JdConfig_New();
+    JdStatus s = JdConfig_Apply(empty, doc, version, out, err);
+
+    JdConfig_Unref(empty);
+    return s;
+}
+
+/*
+ * Composes two patches into one with the same effect, a new reference.
+ * Returns false where none exists: an entry that `first` deletes and `second`
+ * creates again would be merged into the old entry instead of replacing it.
+ */
+bool
+JdPatch_Compose(json_t *first, json_t *second, json_t **out)
+{
+    json_t *res = json_deep_copy(first);
+    const char *key, *name;
+    json_t *tab, *val;
+
+    json_object_foreach(second, key, tab)
+    {
+        json_t *into = json_object_get(res, key);
+
+        if (into == NULL) {
+            json_object_set_new(res, key, json_deep_copy(tab));
+            continue;
+        }
+        json_object_foreach(tab, name, val)
+        {
+            json_t *old = json_object_get(into, name);
+
+            if (old == NULL || json_is_null(val)) {
+                json_object_set_new(into, name, json_deep_copy(val));
+            }
+            else if (json_is_null(old)) {
+                json_decref(res);
+                return false;
+            }
+            else {
+                json_object_update(old, val);
+            }
+        }
+    }
+    *out = res;
+    return true;
+}
+
+static json_int_t
+number_of(const json_t *policy, const char *field, json_int_t otherwise)
+{
+    const json_t *v = json_object_get(policy, field);
+
+    return v == NULL ? otherwise : json_integer_value(v);
+}
+
+static void
+fill_route(const JdConfig *cfg, const json_t *route, JdRoute *out)
+{
+    const json_t *svc, *pol;
+    const char *name = text_of(route, "policy");
+
+    out->service = text_of(route, "service");
+    out->endpoint_set = text_of(route, "endpoint_set");
+    if (name == NULL) {
+        svc = json_object_get(cfg->table[JD_TABLE_SERVICES], out->service);
+        name = text_of(svc, "policy");
+    }
+    pol = name == NULL
+              ? NULL
+              : json_object_get(cfg->table[JD_TABLE_POLICIES], name);
+    out->priority = (unsigned)number_of(pol, "priority", DEFAULT_PRIORITY);
+    out->deadline =
+        (uint64_t)number_of(pol, "deadline_ms", DEFAULT_DEADLINE_MS) *
+        JD_US_PER_MS;
+    out->retry_percent =
+        (unsigned)number_of(pol, "retry_percent", DEFAULT_RETRY_PERCENT);
+    out->idempotent = json_is_true(json_object_get(pol, "idempotent"));
+    out->once = json_is_true(json_object_get(pol, "once"));
+}
+
+/*
+ * Finds the route with the longest prefix of a path that ends at a segment.
+ * The strings in `out` live as long as the configuration.
+ */
+bool
+JdConfig_Route(const JdConfig *cfg, const char *path, size_t len,
+               JdRoute *out)
+{
+    char key[PREFIX_LIMIT + 1];
+    size_t n = len < PREFIX_LIMIT ? len : PREFIX_LIMIT;
+    const char *query = memchr(path, '?', n);
+
+    if (query != NULL) {
+        n = (size_t)(query - path);
+    }
+    memcpy(key, path, n);
+    while (n > 0) {
+        const json_t *route;
+
+        key[n] = '\0';
+        route = json_object_get(cfg->table[JD_TABLE_ROUTES], key);
+        if (route != NULL) {
+            out->prefix = json_object_iter_key(json_object_iter_at(
+                cfg->table[JD_TABLE_ROUTES], key));
+            fill_route(cfg, route, out);
+            return true;
+        }
+        if (n == 1) {
+            break;
+        }
+        do {
+            n--;
+        } while (n > 1 && key[n] != '/');
+    }
+    return false;
+}
--- /dev/null
+++ b/lib/libjd.h
@@ -0,0 +1,14 @@
+/* Insides of libjacinthdyke, shared by its files only. */
+#ifndef LIBJD_H
+#define LIBJD_H
+
+#include "jacinthdyke.h"
+
+/* 64-bit FNV-1a hash, for rendezvous order and table buckets. */
+uint64_t _Jd_Hash(const void *data, size_t len, uint64_t seed);
+uint64_t _Jd_HashText(const char *text, uint64_t seed);
+
+/* Copies a name, cutting it at the size of the destination. */
+void _Jd_CopyText(char *dst, size_t size, const char *src);
+
+#endif
--- /dev/null
+++ b/lib/libtree.h
@@ -0,0 +1,32 @@
+/* Insides of the tree part: tree.c, uplink.c and news.c. */
+#ifndef LIBTREE_H
+#define LIBTREE_H
+
+#include "jacinthdyke.h"
+
+/* tree.c */
+void _JdTree_Send(JdTree *tr, void *peer, Jd__Frame *frame);
+void _JdTree_CheckReady(JdTree *tr);
+void _JdTree_CheckReading(JdTree *tr);
+void _JdTree_TellPath(JdTree *tr);
+JdChild *_JdTree_FindChild(const JdTree *tr, const void *peer);
+
+/* uplink.c */
+void _JdTree_InitUplinks(JdTree *tr);
+void _JdTree_OnAccept(JdTree *tr, void *peer, const Jd__Accept *msg);
+void _JdTree_OnRedirect(JdTree *tr, void *peer, const Jd__Redirect *msg);
+void _JdTree_OnBeatDown(JdTree *tr, void *peer, const Jd__Beat *msg);
+void _JdTree_UplinkClosed(JdTree *tr, void *peer);
+void _JdTree_CheckUplink(JdTree *tr);
+void _JdTree_CheckHeads(JdTree *tr);
+void _JdTree_Volunteer(JdTree *tr);
+
+/* news.c */
+void _JdTree_InitNews(JdTree *tr);
+void _JdTree_AnnounceSelf(JdTree *tr);
+void _JdTree_OnMembers(JdTree *tr, void *peer, const Jd__Members *msg);
+void _JdTree_SendMembers(JdTree *tr, void *peer, const uint64_t *bucket,
+                         size_t buckets);
+void _JdTree_FlushNews(JdTree *tr);
+
+#endif
--- /dev/null
+++ b/lib/member.c
@@ -0,0 +1,333 @@
+/*
+ * The table of members.  The newest word about a member wins: first by
+ * incarnation, then by sequence.  At the same sequence the word that it is
+ * lost wins, which a member that lives refutes with a higher sequence.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "libjd.h"
+
+static const char *const state_names[JD_MEMBER_STATE_MAX] = {
+    [JD_MEMBER_STARTING] = "starting", [JD_MEMBER_READY] = "ready",
+    [JD_MEMBER_DRAINING] = "draining", [JD_MEMBER_DOWN] = "target-down",
+    [JD_MEMBER_LEFT] = "left",         [JD_MEMBER_LOST] = "lost",
+};
+
+/* Returns the name of a member's state. */
+const char *
+JdMemberState_Name(JdMemberState state)
+{
+    return state < JD_MEMBER_STATE_MAX ? state_names[state] : "?";
+}
+
+/* Initializes an empty table. */
+void
+JdMembers_Init(JdMembers *ms, JdClock *clk, JdCounters *ctr)
+{
+    memset(ms, 0, sizeof(*ms));
+    TAILQ_INIT(&ms->all);
+    TAILQ_INIT(&ms->news);
+    TAILQ_INIT(&ms->suspects);
+    ms->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    ms->by_set = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                       g_free);
+    ms->clock = clk;
+    ms->counters = ctr;
+}
+
+/* Releases all members. */
+void
+JdMembers_Finish(JdMembers *ms)
+{
+    JdMember *mb;
+
+    while ((mb = TAILQ_FIRST(&ms->all)) != NULL) {
+        TAILQ_REMOVE(&ms->all, mb, link);
+        g_free(mb->user);
+        g_free(mb);
+    }
+    g_hash_table_destroy(ms->by_id);
+    g_hash_table_destroy(ms->by_set);
+}
+
+/* Returns a member, or NULL. */
+JdMember *
+JdMembers_Find(const JdMembers *ms, const char *id)
+{
+    return g_hash_table_lookup(ms->by_id, id);
+}
+
+/* Returns the members of an endpoint set, or NULL when it never had any. */
+JdMemberSet *
+JdMembers_Set(const JdMembers *ms, const char *endpoint_set)
+{
+    return g_hash_table_lookup(ms->by_set, endpoint_set);
+}
+
+/* Returns the bucket of a member's id. */
+size_t
+JdMembers_BucketOf(const char *id)
+{
+    return _Jd_HashText(id, 0) % JD_BUCKETS;
+}
+
+static uint64_t
+hash_member(const JdMember *mb)
+{
+    uint64_t part[3] = {mb->incarnation, mb->seq, mb->state};
+
+    return _Jd_Hash(part, sizeof(part), _Jd_HashText(mb->id, 0));
+}
+
+static void
+leave_set(JdMember *mb)
+{
+    if (mb->set != NULL) {
+        TAILQ_REMOVE(&mb->set->members, mb, set_link);
+        mb->set->count--;
+        mb->set = NULL;
+    }
+}
+
+static void
+enter_set(JdMembers *ms, JdMember *mb)
+{
+    JdMemberSet *set;
+
+    if (mb->endpoint_set[0] == '\0' || mb->state == JD_MEMBER_LEFT) {
+        return;
+    }
+    set = JdMembers_Set(ms, mb->endpoint_set);
+    if (set == NULL) {
+        set = g_new0(JdMemberSet, 1);
+        TAILQ_INIT(&set->members);
+        g_hash_table_insert(ms->by_set, g_strdup(mb->endpoint_set), set);
+    }
+    TAILQ_INSERT_TAIL(&set->members, mb, set_link);
+    set->count++;
+    mb->set = set;
+}
+
+/* Takes a member's word out of the sums before it changes. */
+static void
+begin_change(JdMembers *ms, JdMember *mb)
+{
+    ms->bucket[JdMembers_BucketOf(mb->id)] ^= hash_member(mb);
+    ms->count_in[mb->state]--;
+    leave_set(mb);
+}
+
+static void
+end_change(JdMembers *ms, JdMember *mb, const void *source)
+{
+    ms->bucket[JdMembers_BucketOf(mb->id)] ^= hash_member(mb);
+    ms->count_in[mb->state]++;
+    enter_set(ms, mb);
+    mb->changed = JdClock_Now(ms->clock);
+    mb->source = source;
+    if (!mb->is_news) {
+        mb->is_news = true;
+        TAILQ_INSERT_TAIL(&ms->news, mb, news_link);
+    }
+    ms->counters->value[JD_C_MEMBER_UPDATES]++;
+}
+
+static JdMember *
+add_member(JdMembers *ms, const char *id)
+{
+    JdMember *mb = g_new0(JdMember, 1);
+
+    _Jd_CopyText(mb->id, sizeof(mb->id), id);
+    TAILQ_INSERT_TAIL(&ms->all, mb, link);
+    g_hash_table_insert(ms->by_id, mb->id, mb);
+    ms->count++;
+    ms->count_in[mb->state]++;
+    ms->bucket[JdMembers_BucketOf(mb->id)] ^= hash_member(mb);
+    return mb;
+}
+
+static bool
+is_newer(const JdMember *mb, const Jd__Member *msg)
+{
+    if (msg->incarnation != mb->incarnation) {
+        return msg->incarnation > mb->incarnation;
+    }
+    /* Leaving is final for its incarnation. */
+    if (mb->state == JD_MEMBER_LEFT) {
+        return false;
+    }
+    if (msg->seq != mb->seq) {
+        return msg->seq > mb->seq;
+    }
+    return msg->state == JD_MEMBER_LOST && mb->state != JD_MEMBER_LOST;
+}
+
+static void
+clear_suspect(JdMembers *ms, JdMember *mb)
+{
+    if (mb->is_suspect) {
+        TAILQ_REMOVE(&ms->suspects, mb, suspect_link);
+        mb->is_suspect = false;
+    }
+}
+
+/*
+ * Takes in one announcement.  Returns the member when this was news, NULL
+ * when the table already held it or something newer.  `source` is the link
+ * that it came over, which does not need to be told.
+ */
+JdMember *
+JdMembers_Update(JdMembers *ms, const Jd__Member *msg, const void *source)
+{
+    JdMember *mb;
+
+    if (msg->id[0] == '\0' || msg->state >= JD_MEMBER_STATE_MAX) {
+        return NULL;
+    }
+    mb = JdMembers_Find(ms, msg->id);
+    if (mb != NULL && !is_newer(mb, msg)) {
+        return NULL;
+    }
+    if (mb == NULL) {
+        mb = add_member(ms, msg->id);
+    }
+    begin_change(ms, mb);
+    mb->incarnation = msg->incarnation;
+    mb->seq = msg->seq;
+    mb->state = (JdMemberState)msg->state;
+    _Jd_CopyText(mb->region, sizeof(mb->region), msg->region);
+    _Jd_CopyText(mb->domain, sizeof(mb->domain), msg->domain);
+    _Jd_CopyText(mb->peer, sizeof(mb->peer), msg->peer);
+    _Jd_CopyText(mb->admin, sizeof(mb->admin), msg->admin);
+    _Jd_CopyText(mb->via, sizeof(mb->via), msg->via);
+    mb->head_rank = msg->head_rank;
+    _Jd_CopyText(mb->service, sizeof(mb->service), msg->service);
+    _Jd_CopyText(mb->endpoint_set, sizeof(mb->endpoint_set),
+                 msg->endpoint_set);
+    mb->slots = msg->slots;
+    end_change(ms, mb, source);
+    clear_suspect(ms, mb);
+    return mb;
+}
+
+/* Fills a message that points into the member. */
+void
+JdMembers_Encode(const JdMember *mb, Jd__Member *msg)
+{
+    jd__member__init(msg);
+    msg->id = (char *)mb->id;
+    msg->incarnation = mb->incarnation;
+    msg->seq = mb->seq;
+    msg->state = mb->state;
+    msg->region = (char *)mb->region;
+    msg->domain = (char *)mb->domain;
+    msg->peer = (char *)mb->peer;
+    msg->admin = (char *)mb->admin;
+    msg->via = (char *)mb->via;
+    msg->head_rank = mb->head_rank;
+    msg->service = (char *)mb->service;
+    msg->endpoint_set = (char *)mb->endpoint_set;
+    msg->slots = mb->slots;
+}
+
+/* Marks a member as lost after `grace` us, unless newer word of it comes. */
+void
+JdMembers_Suspect(JdMembers *ms, JdMember *mb, uint64_t grace)
+{
+    if (mb->is_suspect || mb->state == JD_MEMBER_LOST ||
+        mb->state == JD_MEMBER_LEFT) {
+        return;
+    }
+    mb->is_suspect = true;
+    mb->suspect_at = JdClock_Now(ms->clock) + grace;
+    TAILQ_INSERT_TAIL(&ms->suspects, mb, suspect_link);
+}
+
+/* Suspects all members whose parent is lost or gone. */
+static void
+suspect_orphans(JdMembers *ms, uint64_t grace)
+{
+    JdMember *mb;
+
+    TAILQ_FOREACH(mb, &ms->all, link)
+    {
+        const JdMember *up =
+            mb->via[0] == '\0' ? NULL : JdMembers_Find(ms, mb->via);
+
+        if (up != NULL && (up->state == JD_MEMBER_LOST ||
+                           up->state == JD_MEMBER_LEFT)) {
+            JdMembers_Suspect(ms, mb, grace);
+        }
+    }
+}
+
+static void
+mark_lost(JdMembers *ms, JdMember *mb)
+{
+    begin_change(ms, mb);
+    mb->state = JD_MEMBER_LOST;
+    end_change(ms, mb, NULL);
+    ms->counters->value[JD_C_MEMBER_LOST]++;
+}
+
+/*
+ * Marks the suspects whose time has come as lost, and suspects those that
+ * were behind them.  Returns how many were marked.
+ */
+unsigned
+JdMembers_Expire(JdMembers *ms, uint64_t grace)
+{
+    uint64_t now = JdClock_Now(ms->clock);
+    unsigned n = 0;
+    JdMember *mb, *next;
+
+    for (mb = TAILQ_FIRST(&ms->suspects); mb != NULL; mb = next) {
+        next = TAILQ_NEXT(mb, suspect_link);
+        if (mb->suspect_at > now) {
+            continue;
+        }
+        clear_suspect(ms, mb);
+        mark_lost(ms, mb);
+        n++;
+    }
+    if (n > 0) {
+        suspect_orphans(ms, grace);
+    }
+    return n;
+}
+
+/* Removes a member from the news. */
+void
+JdMembers_TakeNews(JdMembers *ms, JdMember *mb)
+{
+    if (mb->is_news) {
+        mb->is_news = false;
+        TAILQ_REMOVE(&ms->news, mb, news_link);
+    }
+}
+
+/* Forgets members that have been lost or gone for longer than `age` us. */
+void
+JdMembers_Forget(JdMembers *ms, uint64_t age)
+{
+    uint64_t now = JdClock_Now(ms->clock);
+    JdMember *mb, *next;
+
+    for (mb = TAILQ_FIRST(&ms->all); mb != NULL; mb = next) {
+        next = TAILQ_NEXT(mb, link);
+        if ((mb->state != JD_MEMBER_LOST && mb->state != JD_MEMBER_LEFT) ||
+            now - mb->changed < age) {
+            continue;
+        }
+        JdMembers_TakeNews(ms, mb);
+        clear_suspect(ms, mb);
+        begin_change(ms, mb);
+        TAILQ_REMOVE(&ms->all, mb, link);
+        g_hash_table_remove(ms->by_id, mb->id);
+        ms->count--;
+        g_free(mb->user);
+        g_free(mb);
+    }
+}
--- /dev/null
+++ b/lib/news.c
@@ -0,0 +1,181 @@
+/* Member news: what this node says of itself, and what it passes on. */
+#include <string.h>
+
+#include <glib.h>
+
+#include "libjd.h"
+#include "libtree.h"
+
+/* Members in one frame. */
+#define MEMBERS_PER_FRAME 256
+
+static void
+on_news(void *ctx)
+{
+    _JdTree_FlushNews(ctx);
+}
+
+void
+_JdTree_InitNews(JdTree *tr)
+{
+    JdTimer_Init(&tr->news, on_news, tr);
+}
+
+static void
+arm_news(JdTree *tr)
+{
+    if (!tr->news.armed) {
+        JdTimer_Arm(tr->clock, &tr->news, tr->tune.news_delay);
+    }
+}
+
+/* Announces this node and its target with a new sequence number. */
+void
+_JdTree_AnnounceSelf(JdTree *tr)
+{
+    Jd__Member msg = JD__MEMBER__INIT;
+
+    tr->seq++;
+    msg.id = tr->self.id;
+    msg.incarnation = tr->self.incarnation;
+    msg.seq = tr->seq;
+    msg.state = tr->state;
+    msg.region = tr->self.region;
+    msg.domain = tr->self.domain;
+    msg.peer = tr->self.peer;
+    msg.admin = tr->self.admin;
+    msg.via = tr->parent.state == JD_LINK_ATTACHED ? tr->parent.id : "";
+    msg.head_rank = tr->head_rank;
+    msg.service = tr->self.service;
+    msg.endpoint_set = tr->self.endpoint_set;
+    msg.slots = tr->self.slots;
+    JdMembers_Update(&tr->members, &msg, NULL);
+    arm_news(tr);
+}
+
+/* The frame under way to one link. */
+typedef struct Batch {
+    Jd__Member member[MEMBERS_PER_FRAME];
+    Jd__Member *list[MEMBERS_PER_FRAME];
+    size_t count;
+} Batch;
+
+static void
+send_batch(JdTree *tr, void *peer, Batch *b)
+{
+    Jd__Members msg = JD__MEMBERS__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    if (b->count == 0) {
+        return;
+    }
+    msg.n_member = b->count;
+    msg.member = b->list;
+    frame.body_case = JD__FRAME__BODY_MEMBERS;
+    frame.members = &msg;
+    _JdTree_Send(tr, peer, &frame);
+    b->count = 0;
+}
+
+static void
+add_to_batch(JdTree *tr, void *peer, Batch *b, const JdMember *mb)
+{
+    JdMembers_Encode(mb, &b->member[b->count]);
+    b->list[b->count] = &b->member[b->count];
+    b->count++;
+    if (b->count == MEMBERS_PER_FRAME) {
+        send_batch(tr, peer, b);
+    }
+}
+
+/*
+ * Sends the members of all buckets whose digest differs from the other
+ * side's, or of all buckets when it sent none.
+ */
+void
+_JdTree_SendMembers(JdTree *tr, void *peer, const uint64_t *bucket,
+                    size_t buckets)
+{
+    Batch *b = g_new0(Batch, 1);
+    const JdMember *mb;
+
+    TAILQ_FOREACH(mb, &tr->members.all, link)
+    {
+        size_t i = JdMembers_BucketOf(mb->id);
+
+        if (buckets != JD_BUCKETS || bucket[i] != tr->members.bucket[i]) {
+            add_to_batch(tr, peer, b, mb);
+        }
+    }
+    send_batch(tr, peer, b);
+    g_free(b);
+}
+
+/* Another node says that this one is lost, or knows a later word of it. */
+static void
+refute(JdTree *tr, const Jd__Member *msg)
+{
+    if (msg->incarnation != tr->self.incarnation) {
+        return;
+    }
+    if (msg->seq > tr->seq ||
+        (msg->seq == tr->seq && msg->state == JD_MEMBER_LOST &&
+         tr->state != JD_MEMBER_LOST)) {
+        tr->seq = msg->seq;
+        _JdTree_AnnounceSelf(tr);
+    }
+}
+
+void
+_JdTree_OnMembers(JdTree *tr, void *peer, const Jd__Members *msg)
+{
+    for (size_t i = 0; i < msg->n_member; i++) {
+        if (strcmp(msg->member[i]->id, tr->self.id) == 0) {
+            refute(tr, msg->member[i]);
+            continue;
+        }
+        if (JdMembers_Update(&tr->members, msg->member[i], peer) != NULL) {
+            arm_news(tr);
+        }
+    }
+}
+
+static void
+send_news(JdTree *tr, void *peer, Batch *b)
+{
+    const JdMember *mb;
+
+    TAILQ_FOREACH(mb, &tr->members.news, news_link)
+    {
+        if (mb->source != peer) {
+            add_to_batch(tr, peer, b, mb);
+        }
+    }
+    send_batch(tr, peer, b);
+}
+
+/* Passes the gathered news on to every link but the one they came from. */
+void
+_JdTree_FlushNews(JdTree *tr)
+{
+    Batch *b;
+    JdMember *mb;
+    JdChild *ch;
+
+    JdTimer_Cancel(tr->clock, &tr->news);
+    if (TAILQ_EMPTY(&tr->members.news)) {
+        return;
+    }
+    b = g_new0(Batch, 1);
+    if (tr->parent.state == JD_LINK_ATTACHED) {
+        send_news(tr, tr->parent.peer, b);
+    }
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        send_news(tr, ch->peer, b);
+    }
+    g_free(b);
+    while ((mb = TAILQ_FIRST(&tr->members.news)) != NULL) {
+        JdMembers_TakeNews(&tr->members, mb);
+    }
+}
--- /dev/null
+++ b/lib/reason.c
@@ -0,0 +1,41 @@
+/* Reasons of refusals and what each one means to a caller. */
+#include "libjd.h"
+
+static const JdReasonInfo infos[JD_REASON_MAX] = {
+    [JD_REASON_NONE] = {"none", 200, false, false, 0, JD_C_ANSWERED},
+    [JD_REASON_NOT_READY] = {"not-ready", 503, true, false, 1,
+                             JD_C_R_NOT_READY},
+    [JD_REASON_NO_ROUTE] = {"no-route", 404, true, false, 0,
+                            JD_C_R_NO_ROUTE},
+    [JD_REASON_NO_TARGET] = {"no-target", 503, true, false, 2,
+                             JD_C_R_NO_TARGET},
+    [JD_REASON_QUEUE_FULL] = {"queue-full", 503, true, true, 1,
+                              JD_C_R_QUEUE_FULL},
+    [JD_REASON_TOO_LATE] = {"too-late", 503, true, true, 1,
+                            JD_C_R_TOO_LATE},
+    [JD_REASON_DRAINING] = {"draining", 503, true, true, 1,
+                            JD_C_R_DRAINING},
+    [JD_REASON_TARGET_DOWN] = {"target-down", 503, true, true, 1,
+                               JD_C_R_TARGET_DOWN},
+    [JD_REASON_SHED] = {"shed", 503, true, true, 1, JD_C_R_SHED},
+    [JD_REASON_DEADLINE] = {"deadline", 504, false, false, 0,
+                            JD_C_R_DEADLINE},
+    [JD_REASON_BROKEN] = {"broken", 502, false, true, 0, JD_C_R_BROKEN},
+    [JD_REASON_CANCELLED] = {"cancelled", 499, false, false, 0,
+                             JD_C_R_CANCELLED},
+    [JD_REASON_BAD_REQUEST] = {"bad-request", 400, true, false, 0,
+                               JD_C_R_BAD_REQUEST},
+    [JD_REASON_KEY_MISSING] = {"key-missing", 400, true, false, 0,
+                               JD_C_R_KEY_MISSING},
+    [JD_REASON_KEY_TAKEN] = {"key-taken", 409, false, false, 0,
+                             JD_C_R_KEY_TAKEN},
+    [JD_REASON_CLAIM_FAILED] = {"claim-failed", 503, true, false, 2,
+                                JD_C_R_CLAIM_FAILED},
+};
+
+/* Returns what is fixed about a reason. */
+const JdReasonInfo *
+JdReason_Info(JdReason reason)
+{
+    return &infos[reason < JD_REASON_MAX ? reason : JD_REASON_BROKEN];
+}
--- /dev/null
+++ b/lib/tree.c
@@ -0,0 +1,731 @@
+/*
+ * Distribution: the tree through which versions and member news travel.
+ *
+ * Each node has one parent.  A failure domain has a few heads, ordered by the
+ * offset of their record in the directory stream.  A head joins an earlier
+ * head of its region, the first head of a region joins a head of the log's
+ * region, and the first head there has nobody above it: it leads, which means
+ * that it reads the log.  Others join a head of their domain, which sends
+ * them down to its children once it has enough.  A node that finds no parent
+ * leads as well; two that lead cost bytes but no safety, since versions are
+ * decided by the log alone and no node ever applies one that is not newer.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "libjd.h"
+#include "libtree.h"
+
+/* Children that wait for more than this many bytes get no new delta. */
+#define BACKLOG_LIMIT (256U << 10)
+/* A parent that stays ahead for this long is asked for its state. */
+#define PULL_AFTER (2 * JD_US_PER_S)
+/* Time for which lost and departed members are remembered. */
+#define FORGET_AFTER (3600 * JD_US_PER_S)
+
+static void on_beat(void *ctx);
+static void on_batch(void *ctx);
+
+/* Initializes a tree part.  It does nothing until JdTree_Start. */
+void
+JdTree_Init(JdTree *tr, const JdTreeIdentity *self, const JdTreeTuning *tune,
+            JdStore *st, JdClock *clk, JdCounters *ctr, const JdTreeOps *ops,
+            void *ctx)
+{
+    memset(tr, 0, sizeof(*tr));
+    tr->self = *self;
+    tr->tune = *tune;
+    tr->store = st;
+    tr->clock = clk;
+    tr->counters = ctr;
+    tr->ops = ops;
+    tr->ctx = ctx;
+    tr->state = JD_MEMBER_STARTING;
+    TAILQ_INIT(&tr->children);
+    JdMembers_Init(&tr->members, clk, ctr);
+    JdRandom_Init(&tr->random, _Jd_HashText(self->id, self->incarnation));
+    JdTimer_Init(&tr->beat, on_beat, tr);
+    JdTimer_Init(&tr->batch, on_batch, tr);
+    _JdTree_InitUplinks(tr);
+    _JdTree_InitNews(tr);
+}
+
+/* Releases all that a tree part holds; connections stay with the program. */
+void
+JdTree_Finish(JdTree *tr)
+{
+    JdChild *ch;
+
+    JdTimer_Cancel(tr->clock, &tr->beat);
+    JdTimer_Cancel(tr->clock, &tr->seek);
+    JdTimer_Cancel(tr->clock, &tr->batch);
+    JdTimer_Cancel(tr->clock, &tr->news);
+    JdTimer_Cancel(tr->clock, &tr->volunteer);
+    JdTimer_Cancel(tr->clock, &tr->parent.timeout);
+    JdTimer_Cancel(tr->clock, &tr->trial.timeout);
+    while ((ch = TAILQ_FIRST(&tr->children)) != NULL) {
+        TAILQ_REMOVE(&tr->children, ch, link);
+        g_free(ch);
+    }
+    JdMembers_Finish(&tr->members);
+}
+
+/* Starts to look for a parent. */
+void
+JdTree_Start(JdTree *tr)
+{
+    _JdTree_AnnounceSelf(tr);
+    JdTimer_Arm(tr->clock, &tr->beat, tr->tune.beat);
+    tr->ops->read_directory(tr->ctx);
+}
+
+/* Sends a frame with the version in force on it. */
+void
+_JdTree_Send(JdTree *tr, void *peer, Jd__Frame *frame)
+{
+    frame->version = tr->store->config->version;
+    tr->ops->send(tr->ctx, peer, frame);
+}
+
+/* ---- readiness --------------------------------------------------------- */
+
+static void
+set_ready(JdTree *tr)
+{
+    if (tr->is_ready) {
+        return;
+    }
+    tr->is_ready = true;
+    tr->ops->changed(tr->ctx);
+}
+
+/* A node is ready once it is not behind a parent that is ready. */
+void
+_JdTree_CheckReady(JdTree *tr)
+{
+    if (tr->parent.state == JD_LINK_ATTACHED && tr->parent.is_ready &&
+        tr->store->config->version >= tr->parent.version) {
+        set_ready(tr);
+    }
+}
+
+/* Returns the us since the log last spoke, as far as this node knows. */
+uint64_t
+JdTree_SourceAge(const JdTree *tr)
+{
+    uint64_t last = tr->log_heard;
+
+    if (tr->parent.state == JD_LINK_ATTACHED &&
+        tr->parent.source_at > last) {
+        last = tr->parent.source_at;
+    }
+    return JdClock_Now(tr->clock) - last;
+}
+
+/* The log answered this node's reader. */
+void
+JdTree_LogHeard(JdTree *tr, bool caught_up)
+{
+    tr->log_heard = JdClock_Now(tr->clock);
+    if (caught_up && tr->is_lead) {
+        set_ready(tr);
+    }
+}
+
+/* Reads the log while leading, or as a head whose source has gone stale. */
+void
+_JdTree_CheckReading(JdTree *tr)
+{
+    bool is_stale = tr->head_rank != 0 &&
+                    tr->parent.state == JD_LINK_ATTACHED &&
+                    JdClock_Now(tr->clock) - tr->parent.source_at >
+                        tr->tune.stale;
+    bool want = (tr->is_lead || is_stale) && !tr->is_leaving;
+
+    if (want != tr->is_reading) {
+        tr->is_reading = want;
+        tr->ops->read_log(tr->ctx, want);
+    }
+}
+
+/* ---- versions downwards ------------------------------------------------ */
+
+static void
+send_delta(JdTree *tr, void *peer, const JdDelta *dlt)
+{
+    Jd__Delta msg = JD__DELTA__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    uint64_t digest[JD_DIGEST_WORDS];
+
+    memcpy(digest, dlt->digest.word, sizeof(digest));
+    msg.from = dlt->from;
+    msg.to = dlt->to;
+    msg.next_offset = dlt->next_offset;
+    msg.rules = dlt->rules;
+    msg.n_digest = JD_DIGEST_WORDS;
+    msg.digest = digest;
+    msg.body.data = (uint8_t *)dlt->body;
+    msg.body.len = dlt->body_len;
+    msg.raw_len = dlt->raw_len;
+    frame.body_case = JD__FRAME__BODY_DELTA;
+    frame.delta = &msg;
+    _JdTree_Send(tr, peer, &frame);
+    tr->counters->value[dlt->from == 0 ? JD_C_SNAPSHOTS_SENT
+                                       : JD_C_DELTAS_SENT]++;
+}
+
+/* Sends what a child lacks, unless it is slow to take what it was sent. */
+static void
+push(JdTree *tr, JdChild *ch)
+{
+    JdDelta dlt;
+
+    if (tr->ops->backlog(tr->ctx, ch->peer) > BACKLOG_LIMIT) {
+        return;
+    }
+    if (JdStore_MakeDelta(tr->store, ch->have, &dlt) == JD_OK) {
+        send_delta(tr, ch->peer, &dlt);
+        ch->have = dlt.to;
+    }
+}
+
+static void
+push_all(JdTree *tr)
+{
+    JdChild *ch;
+
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        push(tr, ch);
+    }
+}
+
+static void
+on_batch(void *ctx)
+{
+    push_all(ctx);
+}
+
+/* A version came into force: passes it on, at once or with the next batch. */
+void
+JdTree_Changed(JdTree *tr)
+{
+    _JdTree_CheckReady(tr);
+    tr->ops->changed(tr->ctx);
+    if (tr->tune.batch == 0) {
+        push_all(tr);
+    }
+    else if (!tr->batch.armed) {
+        JdTimer_Arm(tr->clock, &tr->batch, tr->tune.batch);
+    }
+}
+
+static void
+send_pull(JdTree *tr, void *peer, uint64_t have)
+{
+    Jd__Pull msg = JD__PULL__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    msg.have = have;
+    frame.body_case = JD__FRAME__BODY_PULL;
+    frame.pull = &msg;
+    _JdTree_Send(tr, peer, &frame);
+    tr->counters->value[JD_C_PULLS]++;
+}
+
+static void
+on_pull(JdTree *tr, void *peer, const Jd__Pull *msg)
+{
+    JdChild *ch = _JdTree_FindChild(tr, peer);
+    JdDelta dlt;
+
+    if (JdStore_MakeDelta(tr->store, msg->have, &dlt) != JD_OK) {
+        return;
+    }
+    send_delta(tr, peer, &dlt);
+    if (ch != NULL) {
+        ch->have = dlt.to;
+    }
+}
+
+static void
+on_delta(JdTree *tr, void *peer, const Jd__Delta *msg)
+{
+    JdDelta dlt = {0};
+    JdError err;
+    JdStatus s;
+
+    if (msg->n_digest != JD_DIGEST_WORDS) {
+        tr->counters->value[JD_C_BAD_FRAME]++;
+        return;
+    }
+    dlt.from = msg->from;
+    dlt.to = msg->to;
+    dlt.next_offset = msg->next_offset;
+    dlt.rules = msg->rules;
+    memcpy(dlt.digest.word, msg->digest, sizeof(dlt.digest.word));
+    dlt.body = msg->body.data;
+    dlt.body_len = msg->body.len;
+    dlt.raw_len = msg->raw_len;
+    s = JdStore_ApplyDelta(tr->store, &dlt, &err);
+    if (s == JD_OK) {
+        JdTree_Changed(tr);
+    }
+    else if (s != JD_ERR_OLDER && s != JD_ERR_RULES && dlt.from != 0) {
+        send_pull(tr, peer, 0);
+    }
+}
+
+/*
+ * Every frame carries the sender's version.  A node that is behind a peer
+ * other than its parent pulls at once; its parent pushes by itself, and is
+ * asked only when it fails to.
+ */
+static void
+check_version(JdTree *tr, void *peer, uint64_t version)
+{
+    uint64_t now = JdClock_Now(tr->clock);
+    uint64_t own = tr->store->config->version;
+
+    if (peer != tr->parent.peer) {
+        if (version > own) {
+            send_pull(tr, peer, own);
+        }
+        return;
+    }
+    if (version > tr->parent.version) {
+        tr->parent.version = version;
+    }
+    if (version <= own) {
+        tr->parent.behind_at = 0;
+    }
+    else if (tr->parent.behind_at == 0) {
+        tr->parent.behind_at = now;
+    }
+    else if (now - tr->parent.behind_at > PULL_AFTER) {
+        tr->parent.behind_at = now;
+        send_pull(tr, peer, own);
+    }
+}
+
+/* ---- children ---------------------------------------------------------- */
+
+/* Returns the child on a connection, or NULL. */
+JdChild *
+_JdTree_FindChild(const JdTree *tr, const void *peer)
+{
+    JdChild *ch;
+
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        if (ch->peer == peer) {
+            return ch;
+        }
+    }
+    return NULL;
+}
+
+static void
+remove_child(JdTree *tr, JdChild *ch)
+{
+    TAILQ_REMOVE(&tr->children, ch, link);
+    if (!ch->is_head) {
+        tr->child_count--;
+    }
+    g_free(ch);
+}
+
+/* A child fell silent or closed: it is suspect until it shows elsewhere. */
+static void
+lose_child(JdTree *tr, JdChild *ch)
+{
+    JdMember *mb = JdMembers_Find(&tr->members, ch->id);
+
+    tr->counters->value[JD_C_CHILD_LOST]++;
+    if (mb != NULL && strcmp(mb->via, tr->self.id) == 0) {
+        JdMembers_Suspect(&tr->members, mb, tr->tune.silence);
+    }
+    remove_child(tr, ch);
+}
+
+static void
+send_redirect(JdTree *tr, void *peer)
+{
+    Jd__Candidate cand[JD_CANDIDATES_MAX];
+    Jd__Candidate *list[JD_CANDIDATES_MAX];
+    Jd__Redirect msg = JD__REDIRECT__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    JdChild *ch;
+
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        const JdMember *mb = JdMembers_Find(&tr->members, ch->id);
+
+        if (ch->is_head || mb == NULL ||
+            msg.n_candidate == JD_CANDIDATES_MAX) {
+            continue;
+        }
+        jd__candidate__init(&cand[msg.n_candidate]);
+        cand[msg.n_candidate].id = ch->id;
+        cand[msg.n_candidate].peer = (char *)mb->peer;
+        list[msg.n_candidate] = &cand[msg.n_candidate];
+        msg.n_candidate++;
+    }
+    msg.candidate = list;
+    frame.body_case = JD__FRAME__BODY_REDIRECT;
+    frame.redirect = &msg;
+    _JdTree_Send(tr, peer, &frame);
+    tr->counters->value[JD_C_REDIRECTS]++;
+}
+
+/* Returns the node's path from the root, itself last. */
+static size_t
+list_path(JdTree *tr, char **out)
+{
+    for (unsigned i = 0; i < tr->path_len; i++) {
+        out[i] = tr->path[i];
+    }
+    out[tr->path_len] = tr->self.id;
+    return tr->path_len + 1;
+}
+
+static const char *
+root_admin(const JdTree *tr)
+{
+    return tr->path_len == 0 ? tr->self.admin : tr->root_admin;
+}
+
+static void
+send_accept(JdTree *tr, JdChild *ch)
+{
+    Jd__Accept msg = JD__ACCEPT__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    char *path[JD_TREE_PATH_MAX + 1];
+
+    msg.id = tr->self.id;
+    msg.domain = tr->self.domain;
+    msg.n_path = list_path(tr, path);
+    msg.path = path;
+    msg.n_bucket = JD_BUCKETS;
+    msg.bucket = tr->members.bucket;
+    msg.ready = tr->is_ready;
+    msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
+    msg.root_admin = (char *)root_admin(tr);
+    frame.body_case = JD__FRAME__BODY_ACCEPT;
+    frame.accept = &msg;
+    _JdTree_Send(tr, ch->peer, &frame);
+}
+
+static bool
+is_own_ancestor(const JdTree *tr, const char *id)
+{
+    for (unsigned i = 0; i < tr->path_len; i++) {
+        if (strcmp(tr->path[i], id) == 0) {
+            return true;
+        }
+    }
+    return strcmp(tr->self.id, id) == 0;
+}
+
+/* Whether this node may take a child: it must lead or have a parent. */
+static bool
+can_take(const JdTree *tr, const Jd__Join *msg)
+{
+    bool is_attached =
+        tr->is_lead || tr->parent.state == JD_LINK_ATTACHED;
+
+    return is_attached && !tr->is_leaving &&
+           tr->path_len + 1 < JD_TREE_PATH_MAX &&
+           !is_own_ancestor(tr, msg->id);
+}
+
+static void
+add_child(JdTree *tr, void *peer, const Jd__Join *msg)
+{
+    JdChild *ch = g_new0(JdChild, 1);
+
+    ch->peer = peer;
+    _Jd_CopyText(ch->id, sizeof(ch->id), msg->id);
+    ch->is_head = msg->head;
+    ch->have = msg->version;
+    ch->heard = JdClock_Now(tr->clock);
+    ch->count = 1;
+    ch->min_version = msg->version;
+    if (ch->is_head) {
+        /* Heads come first: more nodes wait behind them. */
+        TAILQ_INSERT_HEAD(&tr->children, ch, link);
+    }
+    else {
+        TAILQ_INSERT_TAIL(&tr->children, ch, link);
+        tr->child_count++;
+    }
+    send_accept(tr, ch);
+    _JdTree_SendMembers(tr, peer, msg->bucket, msg->n_bucket);
+    push(tr, ch);
+}
+
+static void
+on_join(JdTree *tr, void *peer, const Jd__Join *msg)
+{
+    JdChild *ch;
+
+    if (!can_take(tr, msg)) {
+        Jd__Redirect none = JD__REDIRECT__INIT;
+        Jd__Frame frame = JD__FRAME__INIT;
+
+        frame.body_case = JD__FRAME__BODY_REDIRECT;
+        frame.redirect = &none;
+        _JdTree_Send(tr, peer, &frame);
+        return;
+    }
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        /* The same node on a new connection; the old one is stale. */
+        if (strcmp(ch->id, msg->id) == 0) {
+            tr->ops->close(tr->ctx, ch->peer);
+            remove_child(tr, ch);
+            break;
+        }
+    }
+    if (!msg->head && tr->child_count >= tr->tune.fan_out) {
+        send_redirect(tr, peer);
+        return;
+    }
+    add_child(tr, peer, msg);
+}
+
+/* ---- beats ------------------------------------------------------------- */
+
+static void
+note_laggard(JdTreeReport *out, const char *id)
+{
+    if (out->laggards < JD_LAGGARDS_MAX) {
+        _Jd_CopyText(out->laggard[out->laggards], JD_NAME_MAX, id);
+        out->laggards++;
+    }
+}
+
+/* Sums up this node and all below it. */
+void
+JdTree_Report(const JdTree *tr, JdTreeReport *out)
+{
+    uint64_t own = tr->store->config->version;
+    const JdChild *ch;
+
+    memset(out, 0, sizeof(*out));
+    out->count = 1;
+    out->min_version = own;
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        out->count += ch->count;
+        if (ch->min_version < out->min_version) {
+            out->min_version = ch->min_version;
+        }
+        if (ch->laggards == 0 && ch->min_version < own) {
+            note_laggard(out, ch->id);
+        }
+        for (unsigned i = 0; i < ch->laggards; i++) {
+            note_laggard(out, ch->laggard[i]);
+        }
+    }
+}
+
+static void
+send_beat_up(JdTree *tr)
+{
+    Jd__Beat msg = JD__BEAT__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    char *list[JD_LAGGARDS_MAX];
+    JdTreeReport rep;
+
+    JdTree_Report(tr, &rep);
+    for (unsigned i = 0; i < rep.laggards; i++) {
+        list[i] = rep.laggard[i];
+    }
+    msg.count = rep.count;
+    msg.min_version = rep.min_version;
+    msg.n_laggard = rep.laggards;
+    msg.laggard = list;
+    frame.body_case = JD__FRAME__BODY_BEAT;
+    frame.beat = &msg;
+    _JdTree_Send(tr, tr->parent.peer, &frame);
+}
+
+/* Tells a child that this node lives; with the path when it changed. */
+static void
+send_beat_down(JdTree *tr, JdChild *ch, bool with_path)
+{
+    Jd__Beat msg = JD__BEAT__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    char *path[JD_TREE_PATH_MAX + 1];
+
+    msg.ready = tr->is_ready;
+    msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
+    if (with_path) {
+        msg.has_path = true;
+        msg.n_path = list_path(tr, path);
+        msg.path = path;
+        msg.root_admin = (char *)root_admin(tr);
+    }
+    frame.body_case = JD__FRAME__BODY_BEAT;
+    frame.beat = &msg;
+    _JdTree_Send(tr, ch->peer, &frame);
+}
+
+/* Tells all children a changed path. */
+void
+_JdTree_TellPath(JdTree *tr)
+{
+    JdChild *ch;
+
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        send_beat_down(tr, ch, true);
+    }
+}
+
+static void
+on_beat_up(JdChild *ch, const Jd__Beat *msg)
+{
+    ch->count = msg->count;
+    ch->min_version = msg->min_version;
+    ch->laggards = 0;
+    for (size_t i = 0; i < msg->n_laggard && i < JD_LAGGARDS_MAX; i++) {
+        _Jd_CopyText(ch->laggard[ch->laggards], JD_NAME_MAX,
+                     msg->laggard[i]);
+        ch->laggards++;
+    }
+}
+
+static void
+beat_children(JdTree *tr)
+{
+    uint64_t now = JdClock_Now(tr->clock);
+    JdChild *ch, *next;
+
+    for (ch = TAILQ_FIRST(&tr->children); ch != NULL; ch = next) {
+        next = TAILQ_NEXT(ch, link);
+        if (now - ch->heard > tr->tune.silence) {
+            tr->ops->close(tr->ctx, ch->peer);
+            lose_child(tr, ch);
+            continue;
+        }
+        if (ch->have < tr->store->config->version && !tr->batch.armed) {
+            push(tr, ch);
+        }
+        send_beat_down(tr, ch, false);
+    }
+}
+
+static void
+on_beat(void *ctx)
+{
+    JdTree *tr = ctx;
+
+    JdTimer_Arm(tr->clock, &tr->beat, tr->tune.beat);
+    beat_children(tr);
+    if (tr->parent.state == JD_LINK_ATTACHED) {
+        send_beat_up(tr);
+    }
+    JdMembers_Expire(&tr->members, tr->tune.silence);
+    JdMembers_Forget(&tr->members, FORGET_AFTER);
+    _JdTree_CheckUplink(tr);
+    _JdTree_CheckReading(tr);
+    _JdTree_CheckHeads(tr);
+    _JdTree_FlushNews(tr);
+}
+
+/* ---- frames ------------------------------------------------------------ */
+
+static void
+dispatch(JdTree *tr, void *peer, JdChild *ch, const Jd__Frame *frame)
+{
+    switch (frame->body_case) {
+    case JD__FRAME__BODY_JOIN:
+        on_join(tr, peer, frame->join);
+        break;
+    case JD__FRAME__BODY_ACCEPT:
+        _JdTree_OnAccept(tr, peer, frame->accept);
+        break;
+    case JD__FRAME__BODY_REDIRECT:
+        _JdTree_OnRedirect(tr, peer, frame->redirect);
+        break;
+    case JD__FRAME__BODY_BEAT:
+        if (ch != NULL) {
+            on_beat_up(ch, frame->beat);
+        }
+        else {
+            _JdTree_OnBeatDown(tr, peer, frame->beat);
+        }
+        break;
+    case JD__FRAME__BODY_DELTA:
+        on_delta(tr, peer, frame->delta);
+        break;
+    case JD__FRAME__BODY_PULL:
+        on_pull(tr, peer, frame->pull);
+        break;
+    case JD__FRAME__BODY_MEMBERS:
+        _JdTree_OnMembers(tr, peer, frame->members);
+        break;
+    case JD__FRAME__BODY_PROMOTE:
+        _JdTree_Volunteer(tr);
+        break;
+    default:
+        tr->counters->value[JD_C_BAD_FRAME]++;
+        break;
+    }
+}
+
+/* Takes one frame of the tree from a connection. */
+void
+JdTree_Frame(JdTree *tr, void *peer, const Jd__Frame *frame)
+{
+    JdChild *ch = _JdTree_FindChild(tr, peer);
+
+    if (ch != NULL) {
+        ch->heard = JdClock_Now(tr->clock);
+    }
+    if (tr->parent.peer == peer) {
+        tr->parent.heard = JdClock_Now(tr->clock);
+    }
+    dispatch(tr, peer, ch, frame);
+    check_version(tr, peer, frame->version);
+    _JdTree_CheckReady(tr);
+}
+
+/* A connection closed, or a dial failed. */
+void
+JdTree_Closed(JdTree *tr, void *peer)
+{
+    JdChild *ch = _JdTree_FindChild(tr, peer);
+
+    if (ch != NULL) {
+        lose_child(tr, ch);
+        return;
+    }
+    _JdTree_UplinkClosed(tr, peer);
+}
+
+/* Announces that this node leaves and takes no more children. */
+void
+JdTree_Leave(JdTree *tr)
+{
+    tr->is_leaving = true;
+    tr->state = JD_MEMBER_LEFT;
+    _JdTree_AnnounceSelf(tr);
+    _JdTree_FlushNews(tr);
+    _JdTree_CheckReading(tr);
+}
+
+/* Sets the state of the target beside this node and announces a change. */
+void
+JdTree_SetState(JdTree *tr, JdMemberState state)
+{
+    if (tr->state == state || tr->is_leaving) {
+        return;
+    }
+    tr->state = state;
+    _JdTree_AnnounceSelf(tr);
+}
--- /dev/null
+++ b/load/fleet.sh
@@ -0,0 +1,116 @@
+# Functions that run a fleet of real processes on the loopback network.
+# Source this file; set FLEET_DIR first.  Node I of failure domain D has the
+# address 127.0.D.I, and the log has 127.0.200.1.
+
+FLEET_BIN=${FLEET_BIN:-build}
+FLEET_LOG=127.0.200.1:6000
+FLEET_PRESET=${FLEET_PRESET:-convergence}
+FLEET_EXTRA=${FLEET_EXTRA:-}
+FLEET_DOMAINS=(none klang penang kuching kota-kinabalu)
+FLEET_REGIONS=(none semenanjung semenanjung borneo borneo)
+FLEET_LINKS=${FLEET_LINKS:-}
+declare -A FLEET_PID
+
+# Ends every process that this shell started, at once.
+fleet_end() {
+	local name
+	{
+		for name in "${!FLEET_PID[@]}"; do
+			kill -KILL "${FLEET_PID[$name]}"
+		done
+		wait
+	} 2>/dev/null
+	FLEET_PID=()
+}
+
+fleet_kill() { # NAME [SIGNAL]
+	{
+		kill "-${2:-KILL}" "${FLEET_PID[$1]}"
+		[ "${2:-KILL}" != KILL ] || wait "${FLEET_PID[$1]}"
+	} 2>/dev/null
+	if [ "${2:-KILL}" = KILL ]; then
+		unset "FLEET_PID[$1]"
+	fi
+	return 0
+}
+
+fleet_start_log() {
+	"$FLEET_BIN/jd-logd" --listen $FLEET_LOG "$@" \
+	    2>>"$FLEET_DIR/log.err" &
+	FLEET_PID[log]=$!
+	fleet_until 100 fleet_get http://$FLEET_LOG/stats
+}
+
+# Repeats a command, 50 ms apart, until it succeeds or TIMES are over.
+fleet_until() { # TIMES COMMAND...
+	local n=$1
+	shift
+	while ! "$@" >/dev/null 2>&1; do
+		n=$((n - 1))
+		[ $n -gt 0 ] || return 1
+		sleep 0.05
+	done
+}
+
+fleet_get() { # URL
+	curl -sf -m 3 "$1"
+}
+
+# Rules by which nodes of domain D dial others through the link emulator.
+fleet_translate() { # D
+	local e out=""
+	for e in 1 2 3 4; do
+		[ "$e" = "$1" ] || out="$out,127.0.$e=127.$((10 + $1)).$e:7001"
+	done
+	[ "$1" = 1 ] || out="$out,127.0.200=127.$((10 + $1)).200:6001"
+	echo "${out#,}"
+}
+
+fleet_settings() { # D I [SERVICE SET SLOTS CONNECTIONS]
+	local ip=127.0.$1.$2 translate=""
+	[ -z "$FLEET_LINKS" ] ||
+	    translate="\"translate\": \"$(fleet_translate "$1")\","
+	cat >"$FLEET_DIR/$1-$2.json" <<EOF
+{"node": "${FLEET_DOMAINS[$1]}-$2", "region": "${FLEET_REGIONS[$1]}",
+ "failure_domain": "${FLEET_DOMAINS[$1]}", "peer": "$ip:7000",
+ "caller": "$ip:8000", "admin": "$ip:8100", $translate $FLEET_EXTRA
+ "preset": "$FLEET_PRESET",
+ "log": {"address": "$FLEET_LOG", "region": "semenanjung"}
+EOF
+	if [ -n "$3" ]; then
+		cat >>"$FLEET_DIR/$1-$2.json" <<EOF
+, "target": {"address": "$ip:9000", "service": "$3", "endpoint_set": "$4",
+ "slots": $5, "connections": $6}
+EOF
+	fi
+	echo "}" >>"$FLEET_DIR/$1-$2.json"
+}
+
+fleet_start_node() { # D I
+	"$FLEET_BIN/jacinthd" --settings "$FLEET_DIR/$1-$2.json" \
+	    2>>"$FLEET_DIR/$1-$2.err" &
+	FLEET_PID[$1-$2]=$!
+}
+
+fleet_start_target() { # D I [SERVICE_US]
+	"$FLEET_BIN/jd-targetd" --listen "127.0.$1.$2:9000" \
+	    --name "${FLEET_DOMAINS[$1]}-$2" --service-us "${3:-0}" \
+	    2>>"$FLEET_DIR/$1-$2.target.err" &
+	FLEET_PID[target-$1-$2]=$!
+}
+
+fleet_ctl() {
+	"$FLEET_BIN/jacinthctl" --log $FLEET_LOG "$@"
+}
+
+# Sum of a counter over the nodes "D-I".
+fleet_sum() { # COUNTER NODE...
+	local name=$1 n sum=0 v
+	shift
+	for n in "$@"; do
+		v=$(fleet_get "http://127.0.${n%-*}.${n#*-}:8100/metrics" |
+		    awk -v c="jacinthd_$name" '$1 == c { print $2 }')
+		sum=$((sum + ${v:-0}))
+	done
+	echo $sum
+}
--- /dev/null
+++ b/node/drain.c
@@ -0,0 +1,81 @@
+/*
+ * Planned stops.  A leaving node announces it, takes what still arrives for a
+ * short time, then refuses new work as not run, finishes what runs and exits.
+ */
+#include "node.h"
+
+/* Period in which a drain looks whether it is over. */
+#define LOOK_EVERY (20 * JD_US_PER_MS)
+/* Time for the last announcement to leave this node. */
+#define FAREWELL (100 * JD_US_PER_MS)
+
+static void
+stop(void *ctx)
+{
+    JdNode *nd = ctx;
+
+    JdLogging_Event(JD_EVENT_STOPPED, "calls=%u running=%u", nd->call_count,
+                    nd->admit.running);
+    JdLoop_Stop(&nd->loop);
+}
+
+static void
+say_farewell(JdNode *nd)
+{
+    JdTree_Leave(&nd->tree);
+    nd->drain.fire = stop;
+    JdTimer_Arm(&nd->loop.clock, &nd->drain, FAREWELL);
+}
+
+static void
+look(void *ctx)
+{
+    JdNode *nd = ctx;
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+    bool is_idle = nd->call_count == 0 && nd->admit.running == 0 &&
+                   nd->admit.queued == 0;
+
+    if (now >= nd->linger_until) {
+        JdAdmit_Close(&nd->admit);
+    }
+    if (now >= nd->drain_until) {
+        if (!is_idle) {
+            nd->counters.value[JD_C_DRAIN_FORCED]++;
+        }
+        say_farewell(nd);
+        return;
+    }
+    if (is_idle && now >= nd->linger_until) {
+        say_farewell(nd);
+        return;
+    }
+    JdTimer_Arm(&nd->loop.clock, &nd->drain, LOOK_EVERY);
+}
+
+/*
+ * Begins a drain; `signal` is 0 when an operator asked for it.  A second
+ * signal ends the node at once.
+ */
+void
+JdDrain_OnSignal(void *ctx, int signal)
+{
+    JdNode *nd = ctx;
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    if (nd->is_draining) {
+        if (signal != 0) {
+            nd->counters.value[JD_C_DRAIN_FORCED]++;
+            stop(nd);
+        }
+        return;
+    }
+    nd->is_draining = true;
+    JdLogging_Event(JD_EVENT_DRAINING, "calls=%u running=%u", nd->call_count,
+                    nd->admit.running);
+    JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
+    JdHttpd_StopAccepting(&nd->caller);
+    nd->linger_until = now + nd->settings.linger_ms * JD_US_PER_MS;
+    nd->drain_until = now + nd->settings.drain_ms * JD_US_PER_MS;
+    JdTimer_Init(&nd->drain, look, nd);
+    JdTimer_Arm(&nd->loop.clock, &nd->drain, 0);
+}
--- /dev/null
+++ b/node/jacinthd.c
@@ -0,0 +1,123 @@
+/* The node's program. */
+#include <locale.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "node.h"
+
+/* Faults of a settings file that are listed at once. */
+#define FAULTS_MOST 32
+
+static JdNode node;
+
+static int
+list_faults(const char *file, const JdError *errs, unsigned n)
+{
+    for (unsigned i = 0; i < n && i < FAULTS_MOST; i++) {
+        fprintf(stderr, "jacinthd: %s: %s: %s: %s\n", file,
+                errs[i].path[0] == '\0' ? "/" : errs[i].path,
+                JdStatus_Name(errs[i].status), errs[i].text);
+    }
+    return 2;
+}
+
+static JdStatus
+start(JdNode *nd, JdError *err)
+{
+    char log[JD_ADDRESS_MAX];
+    JdStatus s;
+
+    JdStore_Init(&nd->store, &nd->counters);
+    JdTranslate(nd->settings.translate, nd->settings.log_address, log,
+                sizeof(log));
+    s = JdLog_Init(&nd->log, &nd->loop, log, &nd->counters, err);
+    if (s == JD_OK) {
+        s = JdLink_Init(nd, err);
+    }
+    if (s == JD_OK) {
+        s = JdWorker_Init(nd, err);
+    }
+    if (s == JD_OK) {
+        JdForward_Init(nd);
+        s = JdFront_Init(nd, err);
+    }
+    if (s == JD_OK) {
+        s = JdAdmin_Init(nd, err);
+    }
+    if (s != JD_OK) {
+        return s;
+    }
+    JdFollow_Init(nd);
+    if (nd->settings.poll_ms == 0) {
+        JdTree_Start(&nd->tree);
+    }
+    else {
+        nd->tree.is_lead = true;
+    }
+    return JD_OK;
+}
+
+static int
+run(const char *file)
+{
+    JdError err = {0};
+
+    JdLogging_Init(node.settings.node);
+    JdLoop_Init(&node.loop);
+    JdLoop_CatchSignals(&node.loop, JdDrain_OnSignal, &node);
+    if (start(&node, &err) != JD_OK) {
+        JdLogging_Event(JD_EVENT_FAILED, "settings=%s status=%s text=%s",
+                        file, JdStatus_Name(err.status), err.text);
+        return 1;
+    }
+    JdLogging_Event(JD_EVENT_STARTED, "preset=%s",
+                    JdPreset_Name(node.settings.preset));
+    JdLoop_Run(&node.loop);
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    gchar *file = NULL;
+    gboolean check = FALSE;
+    gboolean version = FALSE;
+    GOptionEntry entries[] = {
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &file, "settings file",
+         "FILE"},
+        {"check", 'c', 0, G_OPTION_ARG_NONE, &check,
+         "check the settings and exit", NULL},
+        {"version", 'V', 0, G_OPTION_ARG_NONE, &version, "print the version",
+         NULL},
+        {NULL, 0, 0, 0, NULL, NULL, NULL},
+    };
+    GOptionContext *oc = g_option_context_new("- node beside one target");
+    JdError errs[FAULTS_MOST];
+    GError *ge = NULL;
+    unsigned n;
+
+    setlocale(LC_ALL, "C");
+    g_option_context_add_main_entries(oc, entries, NULL);
+    if (!g_option_context_parse(oc, &argc, &argv, &ge)) {
+        fprintf(stderr, "jacinthd: %s\n", ge->message);
+        return 2;
+    }
+    g_option_context_free(oc);
+    if (version) {
+        puts("jacinthd " JD_VERSION_TEXT);
+        return 0;
+    }
+    if (file == NULL) {
+        fputs("jacinthd: --settings is required\n", stderr);
+        return 2;
+    }
+    n = JdSettings_Load(file, &node.settings, errs, FAULTS_MOST);
+    if (n > 0) {
+        return list_faults(file, errs, n);
+    }
+    if (check) {
+        puts("settings are valid");
+        return 0;
+    }
+    return run(file);
+}
--- /dev/null
+++ b/node/node.h
@@ -0,0 +1,130 @@
+/* The node: one small process beside each target, in all its roles. */
+#ifndef JD_NODE_H
+#define JD_NODE_H
+
+#include <glib.h>
+
+#include "../base/base.h"
+#include "../peer/conn.h"
+#include "../platform/log.h"
+
+#define JD_TRANSLATE_MAX 512
+
+/* Checked settings of a node. */
+typedef struct JdSettings {
+    char node[JD_NAME_MAX];
+    char region[JD_NAME_MAX];
+    char domain[JD_NAME_MAX];
+    char peer_address[JD_ADDRESS_MAX];
+    char caller_address[JD_ADDRESS_MAX];
+    char admin_address[JD_ADDRESS_MAX];
+    char log_address[JD_ADDRESS_MAX];
+    char log_region[JD_NAME_MAX];
+    char target_address[JD_ADDRESS_MAX];
+    char service[JD_NAME_MAX];
+    char endpoint_set[JD_NAME_MAX];
+    char translate[JD_TRANSLATE_MAX];
+    JdPreset preset;
+    uint64_t slots;
+    uint64_t connections;
+    uint64_t queue;
+    uint64_t health_ms;
+    uint64_t linger_ms;
+    uint64_t drain_ms;
+    uint64_t checkpoint_versions;
+    uint64_t checkpoint_s;
+    uint64_t body_most;
+    uint64_t poll_ms;
+} JdSettings;
+
+unsigned JdSettings_Load(const char *file, JdSettings *out, JdError *errs,
+                         unsigned errs_most);
+void JdTranslate(const char *rules, const char *address, char *out,
+                 size_t size);
+
+/* One version and the wall-clock time at which it came into force here. */
+typedef struct JdApplied {
+    uint64_t version;
+    uint64_t at;
+} JdApplied;
+
+#define JD_APPLIED_MAX 4096
+
+typedef struct JdCall JdCall;
+typedef struct JdItem JdItem;
+
+typedef struct JdNode {
+    JdLoop loop;
+    JdSettings settings;
+    JdCounters counters;
+    JdStore store;
+    JdTree tree;
+    JdReader reader;
+    JdLog log;
+    JdConnSet conns;
+    JdHttpd caller;
+    JdHttpd admin;
+    JdApplied applied[JD_APPLIED_MAX];
+    unsigned applied_len; /* counts on past the size of the ring */
+
+    /* platform/follow.c */
+    uint64_t checkpoint_version;
+    uint64_t checkpoint_at;
+    bool is_checkpointing;
+    JdTimer poll;
+
+    /* target/worker.c */
+    bool has_target;
+    JdHttpc target;
+    JdAdmit admit;
+    TAILQ_HEAD(JdItemHead, JdItem) items;
+    JdTimer health;
+    bool is_health_pending;
+
+    /* peer/forward.c */
+    JdChooser chooser;
+    GHashTable *budgets;
+    GHashTable *request_conns; /* by address */
+    TAILQ_HEAD(JdCallHead, JdCall) calls;
+    unsigned call_count;
+    uint64_t next_call;
+    JdTimer tend;
+
+    /* node/drain.c */
+    bool is_draining;
+    JdTimer drain;
+    uint64_t drain_until;
+    uint64_t linger_until;
+} JdNode;
+
+/* platform/follow.c: the log's side of a node */
+void JdFollow_Init(JdNode *nd);
+void JdFollow_ReadLog(void *ctx, bool on);
+void JdFollow_ReadDirectory(void *ctx);
+void JdFollow_Announce(void *ctx);
+void JdFollow_Changed(JdNode *nd);
+
+/* peer/link.c: the tree's connections */
+JdStatus JdLink_Init(JdNode *nd, JdError *err);
+
+/* peer/forward.c: requests to the target's node, and their answers */
+void JdForward_Init(JdNode *nd);
+void JdForward_Start(JdNode *nd, h2o_req_t *req);
+void JdForward_Respond(JdNode *nd, const Jd__Response *msg);
+
+/* target/worker.c: work for the target beside this node */
+JdStatus JdWorker_Init(JdNode *nd, JdError *err);
+void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
+void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
+void JdWorker_ConnClosed(JdNode *nd, const JdConn *origin);
+
+/* caller/front.c: callers */
+JdStatus JdFront_Init(JdNode *nd, JdError *err);
+
+/* operator/admin.c: counters and state over HTTP */
+JdStatus JdAdmin_Init(JdNode *nd, JdError *err);
+
+/* node/drain.c: planned stops */
+void JdDrain_OnSignal(void *ctx, int signal);
+
+#endif
--- /dev/null
+++ b/node/settings.c
@@ -0,0 +1,124 @@
+/* The settings of a node, with defaults and checks. */
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "node.h"
+
+#define TEXT(path, req, field)                                               \
+    {                                                                        \
+        path, JD_SETTING_TEXT, req, offsetof(JdSettings, field),             \
+            sizeof(((JdSettings *)0)->field), 0, 0                           \
+    }
+#define ADDRESS(path, req, field)                                            \
+    {                                                                        \
+        path, JD_SETTING_ADDRESS, req, offsetof(JdSettings, field), 0, 0, 0  \
+    }
+#define NUMBER(path, field, least, most)                                     \
+    {                                                                        \
+        path, JD_SETTING_NUMBER, false, offsetof(JdSettings, field), 0,      \
+            least, most                                                      \
+    }
+
+static const JdSetting table[] = {
+    TEXT("/node", true, node),
+    TEXT("/region", true, region),
+    TEXT("/failure_domain", true, domain),
+    ADDRESS("/peer", true, peer_address),
+    ADDRESS("/caller", true, caller_address),
+    ADDRESS("/admin", true, admin_address),
+    ADDRESS("/log/address", true, log_address),
+    TEXT("/log/region", true, log_region),
+    TEXT("/translate", false, translate),
+    {"/preset", JD_SETTING_PRESET, false, offsetof(JdSettings, preset), 0, 0,
+     0},
+    ADDRESS("/target/address", false, target_address),
+    TEXT("/target/service", false, service),
+    TEXT("/target/endpoint_set", false, endpoint_set),
+    NUMBER("/target/slots", slots, 1, 10000),
+    NUMBER("/target/connections", connections, 1, 100000),
+    NUMBER("/target/queue", queue, 0, 100000),
+    NUMBER("/target/health_ms", health_ms, 10, 60000),
+    NUMBER("/drain/linger_ms", linger_ms, 0, 60000),
+    NUMBER("/drain/deadline_ms", drain_ms, 0, 600000),
+    NUMBER("/checkpoint/versions", checkpoint_versions, 1, 1000000),
+    NUMBER("/checkpoint/seconds", checkpoint_s, 1, 86400),
+    NUMBER("/body_bytes", body_most, 1, 8 << 20),
+    NUMBER("/baseline_poll_ms", poll_ms, 1, 60000),
+};
+
+static void
+set_defaults(JdSettings *s)
+{
+    memset(s, 0, sizeof(*s));
+    s->slots = 16;
+    s->connections = 120;
+    s->queue = 32;
+    s->health_ms = 500;
+    s->linger_ms = 2000;
+    s->drain_ms = 30000;
+    s->checkpoint_versions = 256;
+    s->checkpoint_s = 300;
+    s->body_most = 1 << 20;
+}
+
+/* Checks that depend on more than one setting. */
+static unsigned
+check_whole(const JdSettings *s, JdError *err)
+{
+    if (s->target_address[0] != '\0' &&
+        (s->service[0] == '\0' || s->endpoint_set[0] == '\0')) {
+        JdError_Set(err, JD_ERR_MISSING, "/target",
+                    "a target needs service and endpoint_set");
+        return 1;
+    }
+    if (s->slots > s->connections) {
+        JdError_Set(err, JD_ERR_RANGE, "/target/slots",
+                    "more slots than connections");
+        return 1;
+    }
+    return 0;
+}
+
+/* Reads a node's settings.  Returns the number of faults. */
+unsigned
+JdSettings_Load(const char *file, JdSettings *out, JdError *errs,
+                unsigned errs_most)
+{
+    unsigned n;
+
+    set_defaults(out);
+    n = JdSettings_Read(file, table, G_N_ELEMENTS(table), out, errs,
+                        errs_most);
+    return n > 0 ? n : check_whole(out, errs);
+}
+
+/*
+ * Translates an address by rules "A.B.C=D.E.F:PORT,...": an address in the
+ * network A.B.C is dialled at the same host of D.E.F and at PORT.  This is how
+ * a node reaches others through address translation between regions.
+ */
+void
+JdTranslate(const char *rules, const char *address, char *out, size_t size)
+{
+    const char *host = strrchr(address, '.');
+    const char *colon = strrchr(address, ':');
+    const char *p = rules;
+
+    while (host != NULL && colon != NULL && *p != '\0') {
+        size_t n = strcspn(p, "=");
+        size_t end = strcspn(p, ",");
+        const char *to = p + n + 1;
+        const char *port = strchr(p, ':');
+
+        if (n < end && port != NULL && port < p + end &&
+            (size_t)(host - address) == n && memcmp(p, address, n) == 0) {
+            snprintf(out, size, "%.*s%.*s%.*s", (int)(port - to), to,
+                     (int)(colon - host), host, (int)(p + end - port), port);
+            return;
+        }
+        p += end;
+        p += *p == ',';
+    }
+    g_strlcpy(out, address, size);
+}
--- /dev/null
+++ b/operator/admin.c
@@ -0,0 +1,189 @@
+/* Counters and state of a node, over HTTP, for operators and monitoring. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../node/node.h"
+
+#define BODY_MOST 4096
+
+static void
+on_metrics(JdNode *nd, h2o_req_t *req)
+{
+    char *text = JdCounters_Format(&nd->counters);
+
+    JdHttpd_Reply(req, 200, "text/plain; version=0.0.4", text, strlen(text));
+    g_free(text);
+}
+
+static json_t *
+list_laggards(const JdTreeReport *rep)
+{
+    json_t *list = json_array();
+
+    for (unsigned i = 0; i < rep->laggards; i++) {
+        json_array_append_new(list, json_string(rep->laggard[i]));
+    }
+    return list;
+}
+
+static json_t *
+list_children(const JdNode *nd)
+{
+    json_t *list = json_array();
+    const JdChild *ch;
+
+    TAILQ_FOREACH(ch, &nd->tree.children, link)
+    {
+        json_array_append_new(list, json_string(ch->id));
+    }
+    return list;
+}
+
+static json_t *
+list_lost(const JdNode *nd)
+{
+    json_t *list = json_array();
+    const JdMember *mb;
+
+    TAILQ_FOREACH(mb, &nd->tree.members.all, link)
+    {
+        if (mb->state == JD_MEMBER_LOST) {
+            json_array_append_new(list, json_string(mb->id));
+        }
+    }
+    return list;
+}
+
+static json_t *
+make_status(const JdNode *nd)
+{
+    const JdTree *tr = &nd->tree;
+    bool is_attached = tr->parent.state == JD_LINK_ATTACHED;
+    char hex[JD_DIGEST_HEX];
+    JdTreeReport rep;
+    json_t *js;
+
+    JdTree_Report(tr, &rep);
+    JdDigest_ToHex(&nd->store.config->digest, hex);
+    js = json_pack(
+        "{s:s, s:I, s:s, s:i, s:b, s:b, s:b, s:s, s:I, s:I}", "node",
+        nd->settings.node, "version", (json_int_t)nd->store.config->version,
+        "digest", hex, "rules", (int)nd->store.rules, "ready", tr->is_ready,
+        "lead", tr->is_lead, "halted", nd->store.halted, "parent",
+        is_attached ? tr->parent.id : "", "head_rank",
+        (json_int_t)tr->head_rank, "source_age_ms",
+        (json_int_t)(JdTree_SourceAge(tr) / JD_US_PER_MS));
+    json_object_set_new(js, "state",
+                        json_string(JdMemberState_Name(tr->state)));
+    json_object_set_new(js, "depth", json_integer(tr->path_len));
+    json_object_set_new(
+        js, "root_admin",
+        json_string(tr->path_len == 0 ? tr->self.admin : tr->root_admin));
+    json_object_set_new(js, "count", json_integer(rep.count));
+    json_object_set_new(js, "min_version",
+                        json_integer((json_int_t)rep.min_version));
+    json_object_set_new(js, "laggards", list_laggards(&rep));
+    json_object_set_new(js, "lost", list_lost(nd));
+    json_object_set_new(js, "children", list_children(nd));
+    json_object_set_new(js, "members", json_integer(tr->members.count));
+    json_object_set_new(
+        js, "live",
+        json_integer(tr->members.count -
+                     tr->members.count_in[JD_MEMBER_LOST] -
+                     tr->members.count_in[JD_MEMBER_LEFT]));
+    json_object_set_new(js, "log_expired",
+                        json_boolean(nd->reader.is_expired));
+    json_object_set_new(js, "running", json_integer(nd->admit.running));
+    json_object_set_new(js, "queued", json_integer(nd->admit.queued));
+    json_object_set_new(js, "calls", json_integer(nd->call_count));
+    return js;
+}
+
+static void
+on_config(JdNode *nd, h2o_req_t *req)
+{
+    JdHttpd_ReplyJson(req, 200,
+                      json_pack("{s:I, s:i, s:o}", "version",
+                                (json_int_t)nd->store.config->version,
+                                "rules", (int)nd->store.rules, "doc",
+                                JdConfig_ToJson(nd->store.config)));
+}
+
+static void
+on_members(JdNode *nd, h2o_req_t *req)
+{
+    json_t *list = json_array();
+    const JdMember *mb;
+
+    TAILQ_FOREACH(mb, &nd->tree.members.all, link)
+    {
+        json_array_append_new(
+            list,
+            json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:s, s:s}", "id",
+                      mb->id, "state", JdMemberState_Name(mb->state),
+                      "region", mb->region, "failure_domain", mb->domain,
+                      "admin", mb->admin, "parent", mb->via, "head_rank",
+                      (json_int_t)mb->head_rank, "service", mb->service,
+                      "endpoint_set", mb->endpoint_set));
+    }
+    JdHttpd_ReplyJson(req, 200, list);
+}
+
+/* The versions put in force here and when, for measurements and audits. */
+static void
+on_applied(JdNode *nd, h2o_req_t *req)
+{
+    json_t *list = json_array();
+    unsigned n = nd->applied_len < JD_APPLIED_MAX ? nd->applied_len
+                                                  : JD_APPLIED_MAX;
+    unsigned from = nd->applied_len - n;
+
+    for (unsigned i = 0; i < n; i++) {
+        const JdApplied *ap = &nd->applied[(from + i) % JD_APPLIED_MAX];
+
+        json_array_append_new(list,
+                              json_pack("[I, I]", (json_int_t)ap->version,
+                                        (json_int_t)ap->at));
+    }
+    JdHttpd_ReplyJson(req, 200, list);
+}
+
+static void
+on_request(void *ctx, h2o_req_t *req)
+{
+    JdNode *nd = ctx;
+
+    if (JdHttpd_IsPath(req, "/metrics")) {
+        on_metrics(nd, req);
+    }
+    else if (JdHttpd_IsPath(req, "/status")) {
+        JdHttpd_ReplyJson(req, 200, make_status(nd));
+    }
+    else if (JdHttpd_IsPath(req, "/config")) {
+        on_config(nd, req);
+    }
+    else if (JdHttpd_IsPath(req, "/members")) {
+        on_members(nd, req);
+    }
+    else if (JdHttpd_IsPath(req, "/applied")) {
+        on_applied(nd, req);
+    }
+    else if (JdHttpd_IsPath(req, "/drain") &&
+             JdHttpd_IsMethod(req, "POST")) {
+        JdDrain_OnSignal(nd, 0);
+        JdHttpd_ReplyJson(req, 200, make_status(nd));
+    }
+    else {
+        JdHttpd_Reply(req, 404, "text/plain", "no such page\n", 13);
+    }
+}
+
+/* Serves operators. */
+JdStatus
+JdAdmin_Init(JdNode *nd, JdError *err)
+{
+    return JdHttpd_Init(&nd->admin, &nd->loop, nd->settings.admin_address,
+                        BODY_MOST, on_request, nd, err);
+}
--- /dev/null
+++ b/operator/ctl.c
@@ -0,0 +1,204 @@
+/* The operators' command. */
+#include <locale.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+
+/* Time for which a command waits by default, in s. */
+#define TIMEOUT_S 10
+
+static const struct {
+    const char *name;
+    CtlExit (*run)(Ctl *ctl, int argc, char **args);
+    int least; /* arguments */
+    int most;
+    const char *help;
+} commands[] = {
+    {"check", CtlSubmit_Check, 1, 1,
+     "FILE              check a patch file without the log"},
+    {"submit", CtlSubmit_Submit, 1, 1,
+     "FILE             submit a patch against its base version"},
+    {"show", CtlView_Show, 0, 1,
+     "[VERSION]          print a version of the configuration"},
+    {"diff", CtlView_Diff, 2, 2,
+     "VERSION VERSION    print what changed between two versions"},
+    {"history", CtlView_History, 0, 0,
+     "                list the decided records of the log"},
+    {"status", CtlFleet_Status, 0, 0,
+     "                 print the state of the fleet"},
+    {"wait", CtlFleet_Wait, 1, 1,
+     "VERSION            wait until a version is in force everywhere"},
+    {"drain", CtlFleet_Drain, 1, 1,
+     "NODE              make a node and its target leave"},
+};
+
+/* Returns the exit code for a status. */
+CtlExit
+Ctl_Exit(JdStatus status)
+{
+    switch (JdStatus_Severity(status)) {
+    case JD_SEVERITY_OK:
+        return CTL_EXIT_OK;
+    case JD_SEVERITY_INPUT:
+        return CTL_EXIT_INPUT;
+    case JD_SEVERITY_CONFLICT:
+        return CTL_EXIT_CONFLICT;
+    case JD_SEVERITY_RETRY:
+        return CTL_EXIT_RETRY;
+    default:
+        return CTL_EXIT_FATAL;
+    }
+}
+
+/* Prints a failure and returns its exit code. */
+CtlExit
+Ctl_Fail(const Ctl *ctl, const JdError *err)
+{
+    if (ctl->json) {
+        json_t *js = json_pack("{s:s, s:s, s:s}", "error",
+                               JdStatus_Name(err->status), "path", err->path,
+                               "text", err->text);
+
+        json_dumpf(js, stdout, JSON_COMPACT);
+        putchar('\n');
+        json_decref(js);
+    }
+    else {
+        fprintf(stderr, "jacinthctl: %s: %s%s%s\n",
+                JdStatus_Name(err->status), err->path,
+                err->path[0] == '\0' ? "" : ": ", err->text);
+    }
+    return Ctl_Exit(err->status);
+}
+
+/* Prints a result, as JSON or as a line of text; drops the reference. */
+void
+Ctl_Print(const Ctl *ctl, json_t *js, const char *fmt, ...)
+{
+    va_list ap;
+
+    if (ctl->json) {
+        json_dumpf(js, stdout, JSON_COMPACT);
+    }
+    else {
+        va_start(ap, fmt);
+        vprintf(fmt, ap);
+        va_end(ap);
+    }
+    putchar('\n');
+    json_decref(js);
+}
+
+static void
+on_time(void *ctx)
+{
+    Ctl *ctl = ctx;
+
+    ctl->is_late = true;
+    JdLoop_Stop(&ctl->loop);
+}
+
+/* Runs the loop until JdLoop_Stop, or for `us` at the most. */
+void
+Ctl_RunFor(Ctl *ctl, uint64_t us)
+{
+    ctl->loop.is_stopping = false;
+    ctl->is_late = false;
+    JdTimer_Arm(&ctl->loop.clock, &ctl->timer, us);
+    JdLoop_Run(&ctl->loop);
+    JdTimer_Cancel(&ctl->loop.clock, &ctl->timer);
+}
+
+static char *
+describe(void)
+{
+    GString *out = g_string_new("Commands:\n");
+
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        g_string_append_printf(out, "  %s %s\n", commands[i].name,
+                               commands[i].help);
+    }
+    g_string_append(out,
+                    "\nExit codes: 0 done, 2 wrong input, 3 lost to another "
+                    "patch, 4 try again, 5 needs an operator.\n");
+    return g_string_free(out, FALSE);
+}
+
+static CtlExit
+usage(const char *text)
+{
+    fprintf(stderr, "jacinthctl: usage: %s; see --help\n", text);
+    return CTL_EXIT_INPUT;
+}
+
+static CtlExit
+dispatch(Ctl *ctl, int argc, char **argv)
+{
+    if (argc < 2) {
+        return usage("a command is required");
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+        if (strcmp(argv[1], commands[i].name) != 0) {
+            continue;
+        }
+        if (argc - 2 < commands[i].least || argc - 2 > commands[i].most) {
+            return usage("wrong number of arguments");
+        }
+        return commands[i].run(ctl, argc - 2, argv + 2);
+    }
+    return usage("no such command");
+}
+
+int
+main(int argc, char **argv)
+{
+    static Ctl ctl;
+    gboolean version = FALSE;
+    GOptionEntry entries[] = {
+        {"log", 'l', 0, G_OPTION_ARG_STRING, &ctl.log_address,
+         "address of the log", "IP:PORT"},
+        {"node", 'n', 0, G_OPTION_ARG_STRING, &ctl.node_address,
+         "admin address of any node", "IP:PORT"},
+        {"base", 'b', 0, G_OPTION_ARG_INT64, &ctl.base,
+         "base version, instead of the file's", "N"},
+        {"id", 'i', 0, G_OPTION_ARG_STRING, &ctl.id,
+         "id of the patch, to repeat a submission", "ID"},
+        {"author", 'a', 0, G_OPTION_ARG_STRING, &ctl.author,
+         "author of the patch", "NAME"},
+        {"timeout", 't', 0, G_OPTION_ARG_INT, &ctl.timeout_s,
+         "longest wait", "S"},
+        {"reachable", 0, 0, G_OPTION_ARG_NONE, &ctl.reachable,
+         "wait: do not wait for lost nodes", NULL},
+        {"json", 'j', 0, G_OPTION_ARG_NONE, &ctl.json, "print JSON", NULL},
+        {"version", 'V', 0, G_OPTION_ARG_NONE, &version,
+         "print the version of the program", NULL},
+        {NULL, 0, 0, 0, NULL, NULL, NULL},
+    };
+    GOptionContext *oc =
+        g_option_context_new("COMMAND [ARGUMENTS] - operate jacinthdyke");
+    char *text = describe();
+    GError *ge = NULL;
+
+    setlocale(LC_ALL, "C");
+    ctl.base = -1;
+    ctl.timeout_s = TIMEOUT_S;
+    g_option_context_set_description(oc, text);
+    g_option_context_add_main_entries(oc, entries, NULL);
+    if (!g_option_context_parse(oc, &argc, &argv, &ge)) {
+        return usage(ge->message);
+    }
+    g_free(text);
+    g_option_context_free(oc);
+    if (version) {
+        puts("jacinthctl " JD_VERSION_TEXT);
+        return 0;
+    }
+    JdLogging_Init("jacinthctl");
+    JdLoop_Init(&ctl.loop);
+    JdTimer_Init(&ctl.timer, on_time, &ctl);
+    JdStore_Init(&ctl.store, &ctl.counters);
+    return dispatch(&ctl, argc, argv);
+}
--- /dev/null
+++ b/operator/logview.c
@@ -0,0 +1,115 @@
+/* The log as the operators' command sees it: replayed, and appended to. */
+#include "ctl.h"
+
+/* Time for one append, in us. */
+#define APPEND_TIME (3 * JD_US_PER_S)
+
+static void
+on_answer(void *ctx, uint64_t token, const JdLogAnswer *ans)
+{
+    Ctl *ctl = ctx;
+
+    JdReader_Answer(&ctl->reader, token, ans);
+}
+
+static void
+on_read(void *ctx, JdStream stream, uint64_t from, unsigned most,
+        uint64_t wait, uint64_t token)
+{
+    Ctl *ctl = ctx;
+
+    JdLog_Read(&ctl->log, stream, from, most, wait, token, on_answer, ctl);
+}
+
+static void
+on_decided(void *ctx, const JdRecord *rec, const JdOutcome *out)
+{
+    Ctl *ctl = ctx;
+
+    if (ctl->decided != NULL) {
+        ctl->decided(ctl->decided_ctx, rec, out);
+    }
+}
+
+static void
+on_caught_up(void *ctx)
+{
+    Ctl *ctl = ctx;
+
+    JdReader_Stop(&ctl->reader);
+    JdLoop_Stop(&ctl->loop);
+}
+
+static const JdReaderOps ops = {on_read, on_decided, on_caught_up};
+
+/* Makes the log usable by this command.  Fails with JD_ERR_USAGE. */
+JdStatus
+CtlLog_Open(Ctl *ctl, JdError *err)
+{
+    if (ctl->log_address == NULL) {
+        return JdError_Set(err, JD_ERR_USAGE, "", "--log is required");
+    }
+    if (JdLog_Init(&ctl->log, &ctl->loop, ctl->log_address, &ctl->counters,
+                   err) != JD_OK) {
+        return JdError_Set(err, JD_ERR_USAGE, "", "--log is no IP:PORT");
+    }
+    JdReader_Init(&ctl->reader, &ctl->store, &ctl->loop.clock, &ops, ctl);
+    ctl->has_log = true;
+    return JD_OK;
+}
+
+/* Reads to the end of the config stream. */
+JdStatus
+CtlLog_CatchUp(Ctl *ctl, JdError *err)
+{
+    JdReader_Start(&ctl->reader);
+    Ctl_RunFor(ctl, (uint64_t)ctl->timeout_s * JD_US_PER_S);
+    JdReader_Stop(&ctl->reader);
+    if (ctl->store.halted) {
+        return JdError_Set(err, JD_ERR_RULES, "",
+                           "the log asks for newer rules; use a newer "
+                           "release");
+    }
+    if (ctl->is_late && ctl->reader.is_expired) {
+        return JdError_Set(err, JD_ERR_EXPIRED, "",
+                           "no checkpoint reaches the records that are left");
+    }
+    if (ctl->is_late) {
+        return JdError_Set(err, JD_ERR_UNREACHABLE, "",
+                           "no answer of the log in %d s", ctl->timeout_s);
+    }
+    return JD_OK;
+}
+
+typedef struct Append {
+    Ctl *ctl;
+    JdStatus status;
+    uint64_t offset;
+} Append;
+
+static void
+on_appended(void *ctx, JdStatus status, uint64_t offset, uint64_t at)
+{
+    Append *ap = ctx;
+
+    (void)at;
+    ap->status = status;
+    ap->offset = offset;
+    JdLoop_Stop(&ap->ctl->loop);
+}
+
+/*
+ * Appends one record and waits for the answer.  Returns JD_OK,
+ * JD_ERR_REFUSED or JD_ERR_UNREACHABLE (not appended), or
+ * JD_ERR_UNKNOWN_RESULT.
+ */
+JdStatus
+CtlLog_Append(Ctl *ctl, JdStream stream, const char *text, uint64_t *offset)
+{
+    Append ap = {ctl, JD_ERR_UNKNOWN_RESULT, 0};
+
+    JdLog_Append(&ctl->log, stream, text, on_appended, &ap);
+    Ctl_RunFor(ctl, APPEND_TIME);
+    *offset = ap.offset;
+    return ap.status;
+}
--- /dev/null
+++ b/peer/conn.c
@@ -0,0 +1,324 @@
+/* Connections between nodes. */
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <glib.h>
+
+#include "conn.h"
+
+#define PREFIX 4
+
+static void on_written(h2o_socket_t *sock, const char *err);
+
+/* Initializes a set without connections. */
+void
+JdConnSet_Init(JdConnSet *cs, JdLoop *lp, JdCounters *ctr)
+{
+    memset(cs, 0, sizeof(*cs));
+    TAILQ_INIT(&cs->conns);
+    cs->loop = lp;
+    cs->counters = ctr;
+}
+
+static void
+reap(void *ctx)
+{
+    JdConn *conn = ctx;
+
+    TAILQ_REMOVE(&conn->set->conns, conn, link);
+    h2o_buffer_dispose(&conn->out);
+    h2o_buffer_dispose(&conn->sending);
+    g_free(conn);
+}
+
+/*
+ * Closes a connection without a report.  Its memory stays until the next
+ * round of the loop, so that callers up the stack can still look at it.
+ */
+void
+JdConn_Close(JdConn *conn)
+{
+    if (conn->is_closing) {
+        return;
+    }
+    conn->is_closing = true;
+    conn->is_open = false;
+    if (conn->sock != NULL) {
+        h2o_socket_close(conn->sock);
+        conn->sock = NULL;
+    }
+    JdTimer_Arm(&conn->set->loop->clock, &conn->reap, 0);
+}
+
+/* Closes the listener and all connections without a report. */
+void
+JdConnSet_Finish(JdConnSet *cs)
+{
+    JdConn *conn;
+
+    if (cs->listener != NULL) {
+        h2o_socket_close(cs->listener);
+        cs->listener = NULL;
+    }
+    while ((conn = TAILQ_FIRST(&cs->conns)) != NULL) {
+        JdConn_Close(conn);
+        JdTimer_Cancel(&cs->loop->clock, &conn->reap);
+        reap(conn);
+    }
+}
+
+static void
+fail(JdConn *conn)
+{
+    if (conn->is_closing) {
+        return;
+    }
+    JdConn_Close(conn);
+    conn->ops->closed(conn->ctx, conn);
+}
+
+static uint32_t
+read_prefix(const char *p)
+{
+    const uint8_t *b = (const uint8_t *)p;
+
+    return (uint32_t)b[0] << 24 | (uint32_t)b[1] << 16 |
+           (uint32_t)b[2] << 8 | b[3];
+}
+
+static bool
+is_control(const Jd__Frame *frame)
+{
+    switch (frame->body_case) {
+    case JD__FRAME__BODY_REQUEST:
+    case JD__FRAME__BODY_RESPONSE:
+    case JD__FRAME__BODY_CANCEL:
+    case JD__FRAME__BODY_PING:
+        return false;
+    default:
+        return true;
+    }
+}
+
+/* Takes one frame out of the input; returns false when none is whole. */
+static bool
+take_frame(JdConn *conn)
+{
+    h2o_buffer_t *in = conn->sock->input;
+    Jd__Frame *frame;
+    uint32_t n;
+
+    if (in->size < PREFIX) {
+        return false;
+    }
+    n = read_prefix(in->bytes);
+    if (n > JD_FRAME_MOST) {
+        conn->set->counters->value[JD_C_BAD_FRAME]++;
+        fail(conn);
+        return false;
+    }
+    if (in->size < PREFIX + n) {
+        return false;
+    }
+    frame = jd__frame__unpack(NULL, n, (uint8_t *)in->bytes + PREFIX);
+    h2o_buffer_consume(&conn->sock->input, PREFIX + n);
+    if (frame == NULL) {
+        conn->set->counters->value[JD_C_BAD_FRAME]++;
+        fail(conn);
+        return false;
+    }
+    if (is_control(frame)) {
+        conn->set->counters->value[JD_C_CONTROL_RX] += PREFIX + n;
+    }
+    conn->ops->frame(conn->ctx, conn, frame);
+    jd__frame__free_unpacked(frame, NULL);
+    return !conn->is_closing;
+}
+
+static void
+on_read(h2o_socket_t *sock, const char *err)
+{
+    JdConn *conn = sock->data;
+
+    if (err != NULL) {
+        fail(conn);
+        return;
+    }
+    conn->heard = JdClock_Now(&conn->set->loop->clock);
+    while (take_frame(conn)) {
+    }
+}
+
+static void
+start_write(JdConn *conn)
+{
+    h2o_buffer_t *b = conn->sending;
+    h2o_iovec_t iov;
+
+    if (conn->is_writing || !conn->is_open || conn->out->size == 0) {
+        return;
+    }
+    conn->sending = conn->out;
+    conn->out = b;
+    iov = h2o_iovec_init(conn->sending->bytes, conn->sending->size);
+    conn->is_writing = true;
+    h2o_socket_write(conn->sock, &iov, 1, on_written);
+}
+
+static void
+on_written(h2o_socket_t *sock, const char *err)
+{
+    JdConn *conn = sock->data;
+
+    conn->is_writing = false;
+    h2o_buffer_consume(&conn->sending, conn->sending->size);
+    if (err != NULL) {
+        fail(conn);
+        return;
+    }
+    start_write(conn);
+}
+
+static void
+set_open(JdConn *conn)
+{
+    int on = 1;
+
+    setsockopt(h2o_socket_get_fd(conn->sock), IPPROTO_TCP, TCP_NODELAY, &on,
+               sizeof(on));
+    conn->is_open = true;
+    conn->heard = JdClock_Now(&conn->set->loop->clock);
+    h2o_socket_read_start(conn->sock, on_read);
+}
+
+static void
+on_connect(h2o_socket_t *sock, const char *err)
+{
+    JdConn *conn = sock->data;
+
+    if (err != NULL) {
+        fail(conn);
+        return;
+    }
+    set_open(conn);
+    conn->ops->opened(conn->ctx, conn);
+    if (!conn->is_closing) {
+        start_write(conn);
+    }
+}
+
+static JdConn *
+add_conn(JdConnSet *cs, h2o_socket_t *sock, const JdConnOps *ops, void *ctx)
+{
+    JdConn *conn = g_new0(JdConn, 1);
+
+    conn->set = cs;
+    conn->sock = sock;
+    conn->ops = ops;
+    conn->ctx = ctx;
+    conn->counters = cs->counters;
+    h2o_buffer_init(&conn->out, &h2o_socket_buffer_prototype);
+    h2o_buffer_init(&conn->sending, &h2o_socket_buffer_prototype);
+    JdTimer_Init(&conn->reap, reap, conn);
+    sock->data = conn;
+    TAILQ_INSERT_TAIL(&cs->conns, conn, link);
+    return conn;
+}
+
+static void
+on_accept(h2o_socket_t *listener, const char *err)
+{
+    JdConnSet *cs = listener->data;
+    h2o_socket_t *sock;
+
+    if (err != NULL) {
+        return;
+    }
+    while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
+        JdConn *conn =
+            add_conn(cs, sock, cs->accept_ops, cs->accept_ctx);
+
+        set_open(conn);
+        conn->ops->opened(conn->ctx, conn);
+    }
+}
+
+/* Takes connections on an address. */
+JdStatus
+JdConnSet_Listen(JdConnSet *cs, const char *address, const JdConnOps *ops,
+                 void *ctx, JdError *err)
+{
+    int fd;
+    JdStatus s = JdListen(address, &fd, err);
+
+    if (s != JD_OK) {
+        return s;
+    }
+    cs->accept_ops = ops;
+    cs->accept_ctx = ctx;
+    cs->listener = h2o_evloop_socket_create(cs->loop->loop, fd,
+                                            H2O_SOCKET_FLAG_DONT_READ);
+    cs->listener->data = cs;
+    h2o_socket_read_start(cs->listener, on_accept);
+    return JD_OK;
+}
+
+/*
+ * Starts a connection.  `opened` or `closed` follows.  Returns NULL when none
+ * could be started.
+ */
+JdConn *
+JdConn_Dial(JdConnSet *cs, const char *address, const JdConnOps *ops,
+            void *ctx)
+{
+    struct sockaddr_in sin;
+    h2o_socket_t *sock;
+
+    if (JdAddress_Parse(address, &sin, NULL) != JD_OK) {
+        return NULL;
+    }
+    sock = h2o_socket_connect(cs->loop->loop, (struct sockaddr *)&sin,
+                              sizeof(sin), on_connect);
+    if (sock == NULL) {
+        return NULL;
+    }
+    return add_conn(cs, sock, ops, ctx);
+}
+
+/* Returns the bytes that wait to be written. */
+size_t
+JdConn_Backlog(const JdConn *conn)
+{
+    return conn->out->size + conn->sending->size;
+}
+
+/*
+ * Sends a frame; on a connection that is closing it is dropped.  Returns the
+ * bytes it takes on the wire.
+ */
+size_t
+JdConn_Send(JdConn *conn, const Jd__Frame *frame)
+{
+    size_t n = jd__frame__get_packed_size(frame);
+    h2o_iovec_t at;
+
+    if (conn->is_closing) {
+        return 0;
+    }
+    at = h2o_buffer_reserve(&conn->out, PREFIX + n);
+    at.base[0] = (char)(n >> 24);
+    at.base[1] = (char)(n >> 16);
+    at.base[2] = (char)(n >> 8);
+    at.base[3] = (char)n;
+    jd__frame__pack(frame, (uint8_t *)at.base + PREFIX);
+    conn->out->size += PREFIX + n;
+    if (is_control(frame)) {
+        conn->counters->value[JD_C_CONTROL_TX] += PREFIX + n;
+        if (conn->is_cross_region) {
+            conn->counters->value[JD_C_CONTROL_REGION_TX] += PREFIX + n;
+        }
+    }
+    start_write(conn);
+    return PREFIX + n;
+}
--- /dev/null
+++ b/peer/link.c
@@ -0,0 +1,209 @@
+/* Binds the tree to connections: its frames come and go here. */
+#include <string.h>
+
+#include "../node/node.h"
+
+static void
+on_opened(void *ctx, JdConn *conn)
+{
+    JdNode *nd = ctx;
+
+    JdTree_Connected(&nd->tree, conn);
+}
+
+static void
+take_request(JdNode *nd, JdConn *conn, Jd__Frame *frame)
+{
+    Jd__Request *msg = frame->request;
+
+    /* The worker keeps the message. */
+    frame->request = NULL;
+    frame->body_case = JD__FRAME__BODY__NOT_SET;
+    JdWorker_Submit(nd, msg, conn);
+}
+
+static void
+answer_ping(JdNode *nd, JdConn *conn, const Jd__Ping *msg)
+{
+    Jd__Ping pong = JD__PING__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    if (msg->answer) {
+        return;
+    }
+    pong.answer = true;
+    frame.version = nd->store.config->version;
+    frame.body_case = JD__FRAME__BODY_PING;
+    frame.ping = &pong;
+    JdConn_Send(conn, &frame);
+}
+
+/* A frame on a connection that another node opened, or that the tree did. */
+static void
+on_frame(void *ctx, JdConn *conn, Jd__Frame *frame)
+{
+    JdNode *nd = ctx;
+
+    switch (frame->body_case) {
+    case JD__FRAME__BODY_REQUEST:
+        take_request(nd, conn, frame);
+        break;
+    case JD__FRAME__BODY_CANCEL:
+        JdWorker_Cancel(nd, frame->cancel->id, conn);
+        break;
+    case JD__FRAME__BODY_PING:
+        answer_ping(nd, conn, frame->ping);
+        break;
+    case JD__FRAME__BODY_JOIN:
+        conn->is_cross_region =
+            strcmp(frame->join->region, nd->settings.region) != 0;
+        JdTree_Frame(&nd->tree, conn, frame);
+        break;
+    default:
+        JdTree_Frame(&nd->tree, conn, frame);
+        break;
+    }
+}
+
+static void
+on_closed(void *ctx, JdConn *conn)
+{
+    JdNode *nd = ctx;
+
+    JdWorker_ConnClosed(nd, conn);
+    JdTree_Closed(&nd->tree, conn);
+}
+
+static const JdConnOps conn_ops = {on_opened, on_frame, on_closed};
+
+static bool
+is_in_other_region(const JdNode *nd, const char *address)
+{
+    const JdMember *mb;
+
+    TAILQ_FOREACH(mb, &nd->tree.members.all, link)
+    {
+        if (strcmp(mb->peer, address) == 0) {
+            return strcmp(mb->region, nd->settings.region) != 0;
+        }
+    }
+    for (unsigned i = 0; i < nd->tree.directory_len; i++) {
+        const JdDirectoryEntry *de = &nd->tree.directory[i];
+
+        if (strcmp(de->address, address) == 0) {
+            return strcmp(de->region, nd->settings.region) != 0;
+        }
+    }
+    return false;
+}
+
+static void *
+dial(void *ctx, const char *address)
+{
+    JdNode *nd = ctx;
+    char to[JD_ADDRESS_MAX];
+    JdConn *conn;
+
+    JdTranslate(nd->settings.translate, address, to, sizeof(to));
+    conn = JdConn_Dial(&nd->conns, to, &conn_ops, nd);
+    if (conn != NULL) {
+        conn->is_cross_region = is_in_other_region(nd, address);
+    }
+    return conn;
+}
+
+static void
+send_frame(void *ctx, void *peer, Jd__Frame *frame)
+{
+    (void)ctx;
+    JdConn_Send(peer, frame);
+}
+
+static void
+close_conn(void *ctx, void *peer)
+{
+    (void)ctx;
+    JdConn_Close(peer);
+}
+
+static size_t
+backlog(void *ctx, void *peer)
+{
+    (void)ctx;
+    return JdConn_Backlog(peer);
+}
+
+static void
+note_applied(JdNode *nd)
+{
+    uint64_t version = nd->store.config->version;
+    unsigned last = (nd->applied_len + JD_APPLIED_MAX - 1) % JD_APPLIED_MAX;
+    JdApplied *ap;
+
+    if (nd->applied_len > 0 && nd->applied[last].version == version) {
+        return;
+    }
+    ap = &nd->applied[nd->applied_len % JD_APPLIED_MAX];
+    ap->version = version;
+    ap->at = JdLoop_WallClock();
+    nd->applied_len++;
+}
+
+static void
+on_changed(void *ctx)
+{
+    JdNode *nd = ctx;
+    bool is_starting = nd->tree.state == JD_MEMBER_STARTING;
+
+    note_applied(nd);
+    JdFollow_Changed(nd);
+    if (nd->tree.is_ready && is_starting) {
+        JdLogging_Event(JD_EVENT_READY, "version=%" G_GUINT64_FORMAT,
+                        nd->store.config->version);
+        JdTree_SetState(&nd->tree, nd->has_target ? JD_MEMBER_DOWN
+                                                  : JD_MEMBER_READY);
+    }
+}
+
+static const JdTreeOps tree_ops = {
+    .dial = dial,
+    .send = send_frame,
+    .close = close_conn,
+    .backlog = backlog,
+    .read_directory = JdFollow_ReadDirectory,
+    .announce = JdFollow_Announce,
+    .read_log = JdFollow_ReadLog,
+    .changed = on_changed,
+};
+
+static void
+fill_identity(const JdNode *nd, JdTreeIdentity *id)
+{
+    const JdSettings *s = &nd->settings;
+
+    memset(id, 0, sizeof(*id));
+    id->incarnation = JdLoop_WallClock();
+    g_strlcpy(id->id, s->node, sizeof(id->id));
+    g_strlcpy(id->region, s->region, sizeof(id->region));
+    g_strlcpy(id->domain, s->domain, sizeof(id->domain));
+    g_strlcpy(id->peer, s->peer_address, sizeof(id->peer));
+    g_strlcpy(id->admin, s->admin_address, sizeof(id->admin));
+    g_strlcpy(id->log_region, s->log_region, sizeof(id->log_region));
+    g_strlcpy(id->service, s->service, sizeof(id->service));
+    g_strlcpy(id->endpoint_set, s->endpoint_set, sizeof(id->endpoint_set));
+    id->slots = (unsigned)s->slots;
+}
+
+/* Initializes the tree and takes connections of other nodes. */
+JdStatus
+JdLink_Init(JdNode *nd, JdError *err)
+{
+    JdTreeIdentity id;
+
+    fill_identity(nd, &id);
+    JdTree_Init(&nd->tree, &id, JdPreset_Tuning(nd->settings.preset),
+                &nd->store, &nd->loop.clock, &nd->counters, &tree_ops, nd);
+    JdConnSet_Init(&nd->conns, &nd->loop, &nd->counters);
+    return JdConnSet_Listen(&nd->conns, nd->settings.peer_address, &conn_ops,
+                            nd, err);
+}
--- /dev/null
+++ b/target/targetd.c
@@ -0,0 +1,245 @@
+/*
+ * Stand-in for a target: answers after a service time, records what ran under
+ * which key, and misbehaves on command.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "../base/base.h"
+
+#define BODY_MOST (8U << 20)
+
+/* How the stand-in behaves. */
+typedef enum Mode {
+    MODE_UP,
+    MODE_SHED,  /* 503 with "x-outcome: not-run" */
+    MODE_ERROR, /* 500 after running */
+    MODE_STALL, /* never answers */
+    MODE_MAX
+} Mode;
+
+static const char *const mode_names[MODE_MAX] = {
+    [MODE_UP] = "up",
+    [MODE_SHED] = "shed",
+    [MODE_ERROR] = "error",
+    [MODE_STALL] = "stall",
+};
+
+typedef struct Job {
+    h2o_req_t *req;
+    struct Job **gone;
+    JdTimer timer;
+} Job;
+
+typedef struct Targetd {
+    JdLoop loop;
+    JdHttpd httpd;
+    gchar *name;
+    Mode mode;
+    uint64_t service_us;
+    uint64_t ran;
+    uint64_t cancelled;
+    uint64_t running;
+    uint64_t running_most;
+    GHashTable *keys; /* how often each key ran */
+} Targetd;
+
+static Targetd targetd;
+
+static void
+end_job(Job *job)
+{
+    targetd.running--;
+    if (job->gone != NULL) {
+        *job->gone = NULL;
+    }
+    JdTimer_Cancel(&targetd.loop.clock, &job->timer);
+    g_free(job);
+}
+
+static void
+on_done(void *ctx)
+{
+    Job *job = ctx;
+    h2o_req_t *req = job->req;
+    char id[JD_NAME_MAX] = "";
+    char *path = g_strndup(req->path.base, req->path.len);
+
+    end_job(job);
+    JdHttpd_Header(req, "x-request-id", id, sizeof(id));
+    if (id[0] != '\0') {
+        JdHttpd_AddHeader(req, "x-request-id", id);
+    }
+    JdHttpd_ReplyJson(req, targetd.mode == MODE_ERROR ? 500 : 200,
+                      json_pack("{s:s, s:s, s:s, s:I}", "target",
+                                targetd.name, "path", path, "id", id,
+                                "body_bytes", (json_int_t)req->entity.len));
+    g_free(path);
+}
+
+static void
+on_request_gone(void *data)
+{
+    Job **slot = data;
+
+    if (*slot != NULL) {
+        (*slot)->gone = NULL;
+        targetd.cancelled++;
+        end_job(*slot);
+    }
+}
+
+static void
+note_key(const h2o_req_t *req)
+{
+    char key[JD_NAME_MAX];
+    gpointer n;
+
+    if (!JdHttpd_Header(req, "idempotency-key", key, sizeof(key))) {
+        return;
+    }
+    n = g_hash_table_lookup(targetd.keys, key);
+    g_hash_table_insert(targetd.keys, g_strdup(key),
+                        GUINT_TO_POINTER(GPOINTER_TO_UINT(n) + 1));
+}
+
+static void
+start_job(h2o_req_t *req)
+{
+    Job *job;
+    char text[16];
+    uint64_t us = targetd.service_us;
+
+    targetd.ran++;
+    note_key(req);
+    if (JdHttpd_Header(req, "x-work-us", text, sizeof(text))) {
+        us = strtoull(text, NULL, 10);
+    }
+    job = g_new0(Job, 1);
+    job->req = req;
+    job->gone = h2o_mem_alloc_shared(&req->pool, sizeof(*job->gone),
+                                     on_request_gone);
+    *job->gone = job;
+    targetd.running++;
+    if (targetd.running > targetd.running_most) {
+        targetd.running_most = targetd.running;
+    }
+    JdTimer_Init(&job->timer, on_done, job);
+    if (targetd.mode == MODE_STALL) {
+        return;
+    }
+    if (us == 0) {
+        on_done(job);
+        return;
+    }
+    JdTimer_Arm(&targetd.loop.clock, &job->timer, us);
+}
+
+static void
+on_stats(h2o_req_t *req)
+{
+    json_t *keys = json_object();
+    GHashTableIter it;
+    gpointer key, n;
+
+    g_hash_table_iter_init(&it, targetd.keys);
+    while (g_hash_table_iter_next(&it, &key, &n)) {
+        json_object_set_new(keys, key, json_integer(GPOINTER_TO_UINT(n)));
+    }
+    JdHttpd_ReplyJson(
+        req, 200,
+        json_pack("{s:s, s:I, s:I, s:I, s:I, s:o}", "target", targetd.name,
+                  "ran", (json_int_t)targetd.ran, "cancelled",
+                  (json_int_t)targetd.cancelled, "running",
+                  (json_int_t)targetd.running, "running_most",
+                  (json_int_t)targetd.running_most, "keys", keys));
+}
+
+static void
+on_control(h2o_req_t *req)
+{
+    char mode[16];
+
+    if (JdHttpd_Query(req, "mode", mode, sizeof(mode))) {
+        for (int m = 0; m < MODE_MAX; m++) {
+            if (strcmp(mode, mode_names[m]) == 0) {
+                targetd.mode = (Mode)m;
+            }
+        }
+    }
+    targetd.service_us =
+        JdHttpd_QueryNumber(req, "service_us", targetd.service_us);
+    JdHttpd_ReplyJson(req, 200, json_pack("{s:s}", "mode",
+                                          mode_names[targetd.mode]));
+}
+
+static void
+on_request(void *ctx, h2o_req_t *req)
+{
+    (void)ctx;
+    if (JdHttpd_IsPath(req, "/health")) {
+        JdHttpd_ReplyJson(req, 200, json_pack("{s:s}", "health", "ok"));
+    }
+    else if (JdHttpd_IsPath(req, "/-/stats")) {
+        on_stats(req);
+    }
+    else if (JdHttpd_IsPath(req, "/-/control")) {
+        on_control(req);
+    }
+    else if (targetd.mode == MODE_SHED) {
+        JdHttpd_AddHeader(req, "x-outcome", "not-run");
+        JdHttpd_Reply(req, 503, "text/plain", "shed\n", 5);
+    }
+    else {
+        start_job(req);
+    }
+}
+
+static void
+on_signal(void *ctx, int signal)
+{
+    (void)signal;
+    JdLoop_Stop(ctx);
+}
+
+int
+main(int argc, char **argv)
+{
+    gchar *listen = NULL;
+    gint service = 0;
+    GOptionEntry entries[] = {
+        {"listen", 'l', 0, G_OPTION_ARG_STRING, &listen, "address", "IP:PORT"},
+        {"name", 'n', 0, G_OPTION_ARG_STRING, &targetd.name, "name", "NAME"},
+        {"service-us", 0, 0, G_OPTION_ARG_INT, &service, "time of a request",
+         "US"},
+        {NULL, 0, 0, 0, NULL, NULL, NULL},
+    };
+    GOptionContext *oc = g_option_context_new("- stand-in of a target");
+    GError *ge = NULL;
+    JdError err;
+
+    g_option_context_add_main_entries(oc, entries, NULL);
+    if (!g_option_context_parse(oc, &argc, &argv, &ge) || listen == NULL ||
+        targetd.name == NULL) {
+        fprintf(stderr, "jd-targetd: %s\n",
+                ge != NULL ? ge->message : "--listen and --name are needed");
+        return 2;
+    }
+    g_option_context_free(oc);
+    JdLogging_Init("jd-targetd");
+    JdLoop_Init(&targetd.loop);
+    targetd.keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                         NULL);
+    targetd.service_us = (uint64_t)service;
+    if (JdHttpd_Init(&targetd.httpd, &targetd.loop, listen, BODY_MOST,
+                     on_request, NULL, &err) != JD_OK) {
+        fprintf(stderr, "jd-targetd: %s\n", err.text);
+        return 1;
+    }
+    JdLoop_CatchSignals(&targetd.loop, on_signal, &targetd.loop);
+    JdLoop_Run(&targetd.loop);
+    return 0;
+}
--- /dev/null
+++ b/target/worker.c
@@ -0,0 +1,340 @@
+/*
+ * Work for the target beside this node.  Only this node sends to the target,
+ * so what it has not sent has not run.
+ */
+#include <string.h>
+
+#include "../node/node.h"
+
+/* One request at the target's node, from admission to its answer. */
+struct JdItem {
+    TAILQ_ENTRY(JdItem) link;
+    JdWork work; /* first, so that work and item are the same address */
+    JdNode *node;
+    Jd__Request *msg;
+    JdConn *origin; /* NULL: a caller of this node */
+    JdHttpCall *call;
+};
+
+static JdItem *
+item_of(JdWork *work)
+{
+    return (JdItem *)((char *)work - offsetof(JdItem, work));
+}
+
+static void
+free_item(JdItem *it)
+{
+    TAILQ_REMOVE(&it->node->items, it, link);
+    jd__request__free_unpacked(it->msg, NULL);
+    g_free(it);
+}
+
+static void
+send_response(JdNode *nd, JdConn *origin, Jd__Response *msg)
+{
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    msg->load = JdAdmit_Load(&nd->admit);
+    if (origin == NULL) {
+        JdForward_Respond(nd, msg);
+        return;
+    }
+    frame.version = nd->store.config->version;
+    frame.body_case = JD__FRAME__BODY_RESPONSE;
+    frame.response = msg;
+    JdConn_Send(origin, &frame);
+}
+
+static void
+refuse(JdNode *nd, uint64_t id, JdConn *origin, JdReason reason)
+{
+    Jd__Response msg = JD__RESPONSE__INIT;
+
+    msg.id = id;
+    msg.reason = reason;
+    msg.retry_after_ms = JdReason_Info(reason)->retry_after * 1000;
+    nd->counters.value[JdReason_Info(reason)->counter]++;
+    send_response(nd, origin, &msg);
+}
+
+static bool
+is_passed_back(const JdHttpHeader *h)
+{
+    static const char *const dropped[] = {
+        "connection", "content-length", "transfer-encoding", "keep-alive",
+        "server",     "date",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
+        if (strlen(dropped[i]) == h->name_len &&
+            g_ascii_strncasecmp(dropped[i], h->name, h->name_len) == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The target says itself that it shed the request without running it. */
+static bool
+is_shed(const JdHttpAnswer *ans)
+{
+    for (size_t i = 0; ans->status == 503 && i < ans->headers; i++) {
+        const JdHttpHeader *h = &ans->header[i];
+
+        if (h->name_len == 9 && memcmp(h->name, "x-outcome", 9) == 0 &&
+            h->value_len == 7 && memcmp(h->value, "not-run", 7) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+pass_answer(JdItem *it, const JdHttpAnswer *ans)
+{
+    Jd__Header header[JD_HTTP_HEADERS_MAX];
+    Jd__Header *list[JD_HTTP_HEADERS_MAX];
+    char *names[JD_HTTP_HEADERS_MAX];
+    Jd__Response msg = JD__RESPONSE__INIT;
+
+    msg.id = it->msg->id;
+    msg.status = (uint32_t)ans->status;
+    msg.body.data = (uint8_t *)ans->body;
+    msg.body.len = ans->body_len;
+    for (size_t i = 0; i < ans->headers; i++) {
+        const JdHttpHeader *h = &ans->header[i];
+        size_t n = msg.n_header;
+
+        if (!is_passed_back(h)) {
+            continue;
+        }
+        jd__header__init(&header[n]);
+        names[n] = g_strndup(h->name, h->name_len);
+        header[n].name = names[n];
+        header[n].value.data = (uint8_t *)h->value;
+        header[n].value.len = h->value_len;
+        list[n] = &header[n];
+        msg.n_header++;
+    }
+    msg.header = list;
+    send_response(it->node, it->origin, &msg);
+    for (size_t i = 0; i < msg.n_header; i++) {
+        g_free(names[i]);
+    }
+}
+
+static JdReason
+reason_of(const JdHttpAnswer *ans)
+{
+    switch (ans->end) {
+    case JD_HTTP_ANSWERED:
+        return is_shed(ans) ? JD_REASON_SHED : JD_REASON_NONE;
+    case JD_HTTP_NOT_SENT:
+        return JD_REASON_TARGET_DOWN;
+    case JD_HTTP_TIMED_OUT:
+        return JD_REASON_DEADLINE;
+    default:
+        return JD_REASON_BROKEN;
+    }
+}
+
+static void
+on_answer(void *ctx, const JdHttpAnswer *ans)
+{
+    JdItem *it = ctx;
+    JdNode *nd = it->node;
+    JdReason reason = reason_of(ans);
+
+    it->call = NULL;
+    if (reason == JD_REASON_TARGET_DOWN) {
+        JdTree_SetState(&nd->tree, JD_MEMBER_DOWN);
+    }
+    JdAdmit_Done(&nd->admit, &it->work, reason == JD_REASON_NONE);
+    if (reason == JD_REASON_NONE) {
+        pass_answer(it, ans);
+    }
+    else {
+        refuse(nd, it->msg->id, it->origin, reason);
+    }
+    free_item(it);
+}
+
+static char *
+format_headers(const Jd__Request *msg, uint64_t left)
+{
+    GString *out = g_string_new(NULL);
+
+    for (size_t i = 0; i < msg->n_header; i++) {
+        const Jd__Header *h = msg->header[i];
+
+        g_string_append_printf(out, "%s: %.*s\r\n", h->name,
+                               (int)h->value.len,
+                               (const char *)h->value.data);
+    }
+    g_string_append_printf(out, "x-timeout-ms: %" G_GUINT64_FORMAT "\r\n",
+                           left / JD_US_PER_MS);
+    return g_string_free(out, FALSE);
+}
+
+/* The work has a slot: sends it to the target. */
+static void
+on_start(void *ctx, JdWork *work)
+{
+    JdNode *nd = ctx;
+    JdItem *it = item_of(work);
+    uint64_t left = work->deadline - JdClock_Now(&nd->loop.clock);
+    char *headers = format_headers(it->msg, left);
+
+    it->call = JdHttpc_Send(&nd->target, it->msg->method, it->msg->path,
+                            headers, it->msg->body.data, it->msg->body.len,
+                            left, on_answer, it);
+    g_free(headers);
+}
+
+static void
+on_refuse(void *ctx, JdWork *work, JdReason reason)
+{
+    JdItem *it = item_of(work);
+
+    refuse(ctx, it->msg->id, it->origin, reason);
+    free_item(it);
+}
+
+static const JdAdmitOps admit_ops = {on_start, on_refuse};
+
+/*
+ * Takes a request for the target; the message is the worker's from here on.
+ * `origin` is the connection it came over, or NULL for a caller of this node.
+ */
+void
+JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin)
+{
+    JdItem *it;
+    JdReason reason;
+
+    if (!nd->has_target || strcmp(msg->service, nd->settings.service) != 0) {
+        refuse(nd, msg->id, origin, JD_REASON_NO_TARGET);
+        jd__request__free_unpacked(msg, NULL);
+        return;
+    }
+    it = g_new0(JdItem, 1);
+    it->node = nd;
+    it->msg = msg;
+    it->origin = origin;
+    it->work.priority =
+        msg->priority < JD_PRIORITIES ? msg->priority : JD_PRIORITIES - 1;
+    it->work.deadline =
+        JdClock_Now(&nd->loop.clock) + msg->left_ms * JD_US_PER_MS;
+    TAILQ_INSERT_TAIL(&nd->items, it, link);
+    reason = JdAdmit_Offer(&nd->admit, &it->work);
+    if (reason != JD_REASON_NONE) {
+        refuse(nd, msg->id, origin, reason);
+        free_item(it);
+    }
+}
+
+/* Ends work that nobody waits for any more. */
+static void
+drop(JdItem *it)
+{
+    if (it->call != NULL) {
+        JdHttpc_Cancel(it->call);
+        it->call = NULL;
+    }
+    it->node->counters.value[JD_C_R_CANCELLED]++;
+    JdAdmit_Withdraw(&it->node->admit, &it->work);
+    free_item(it);
+}
+
+/* The caller left or gave up: cancels its work and frees its slot. */
+void
+JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin)
+{
+    JdItem *it;
+
+    TAILQ_FOREACH(it, &nd->items, link)
+    {
+        if (it->msg->id == id && it->origin == origin) {
+            drop(it);
+            return;
+        }
+    }
+}
+
+/* A connection closed: cancels all work that came over it. */
+void
+JdWorker_ConnClosed(JdNode *nd, const JdConn *origin)
+{
+    bool is_found = true;
+    JdItem *it;
+
+    /* Dropping one item can start others, so the list is read anew. */
+    while (is_found) {
+        is_found = false;
+        TAILQ_FOREACH(it, &nd->items, link)
+        {
+            if (it->origin == origin) {
+                drop(it);
+                is_found = true;
+                break;
+            }
+        }
+    }
+}
+
+/* Health is a weak hint: only its absence counts. */
+static void
+on_health(void *ctx, const JdHttpAnswer *ans)
+{
+    JdNode *nd = ctx;
+    bool is_up = ans->end != JD_HTTP_NOT_SENT;
+
+    nd->is_health_pending = false;
+    if (!nd->tree.is_ready || nd->is_draining) {
+        return;
+    }
+    if (ans->end == JD_HTTP_ANSWERED && ans->status == 410) {
+        JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
+        return;
+    }
+    JdTree_SetState(&nd->tree, is_up ? JD_MEMBER_READY : JD_MEMBER_DOWN);
+}
+
+static void
+on_health_due(void *ctx)
+{
+    JdNode *nd = ctx;
+
+    JdTimer_Arm(&nd->loop.clock, &nd->health,
+                nd->settings.health_ms * JD_US_PER_MS);
+    if (!nd->is_health_pending) {
+        nd->is_health_pending = true;
+        JdHttpc_Send(&nd->target, "GET", "/health", NULL, NULL, 0,
+                     nd->settings.health_ms * JD_US_PER_MS * 2, on_health,
+                     nd);
+    }
+}
+
+/* Initializes admission and the client of the target, if there is one. */
+JdStatus
+JdWorker_Init(JdNode *nd, JdError *err)
+{
+    JdStatus s;
+
+    TAILQ_INIT(&nd->items);
+    JdAdmit_Init(&nd->admit, (unsigned)nd->settings.slots,
+                 (unsigned)nd->settings.queue, &nd->loop.clock, &admit_ops,
+                 nd);
+    JdTimer_Init(&nd->health, on_health_due, nd);
+    nd->has_target = nd->settings.target_address[0] != '\0';
+    if (!nd->has_target) {
+        return JD_OK;
+    }
+    s = JdHttpc_Init(&nd->target, &nd->loop, nd->settings.target_address,
+                     nd->settings.connections, err);
+    if (s == JD_OK) {
+        JdTimer_Arm(&nd->loop.clock, &nd->health, 0);
+    }
+    return s;
+}
