Link emulator, load tool: convergence and cost of the parts at 200 nodes

Cause: no way yet to measure with the users' distances. Added the fault-injecting proxy (delay, shared bandwidth, cut, silence, truncate, duplicate), and jd-load with spread, run and apply.

--- a/Makefile
+++ b/Makefile
@@ -26,13 +26,15 @@
            target/worker.c caller/front.c operator/admin.c
 CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
           operator/view.c operator/fleet.c platform/log.c
-PROGRAMS = jacinthd jacinthctl jd-logd jd-targetd
+LOAD_SRC = load/load.c load/histogram.c load/experiment.c load/spread.c \
+           load/apply.c operator/logview.c platform/log.c
+PROGRAMS = jacinthd jacinthctl jd-logd jd-targetd jd-faultd jd-load
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIB = $(BUILD)/libjacinthdyke.a
 BASE = $(BUILD)/libjdbase.a
-ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) platform/logd.c \
-          target/targetd.c
+ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) platform/logd.c \
+          target/targetd.c fault/faultd.c
 
 all: $(addprefix $(BUILD)/,$(PROGRAMS))
 
@@ -54,6 +56,12 @@
 $(BUILD)/jd-logd: $(call obj,platform/logd.c) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/jd-faultd: $(call obj,fault/faultd.c) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/jd-load: $(call obj,$(LOAD_SRC)) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 $(BUILD)/jd-targetd: $(call obj,target/targetd.c) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
--- a/load/fleet.sh
+++ b/load/fleet.sh
@@ -11,24 +11,32 @@
 FLEET_LINKS=${FLEET_LINKS:-}
 declare -A FLEET_PID
 
+# Remembers the process started last; the shell reports nothing about it.
+fleet_note() { # NAME
+	FLEET_PID[$1]=$!
+	disown $!
+}
+
+fleet_is_gone() { # NAME
+	! kill -0 "${FLEET_PID[$1]}" 2>/dev/null
+}
+
 # Ends every process that this shell started, at once.
 fleet_end() {
 	local name
-	{
-		for name in "${!FLEET_PID[@]}"; do
-			kill -KILL "${FLEET_PID[$name]}"
-		done
-		wait
-	} 2>/dev/null
+	for name in "${!FLEET_PID[@]}"; do
+		kill -KILL "${FLEET_PID[$name]}" 2>/dev/null
+	done
+	for name in "${!FLEET_PID[@]}"; do
+		fleet_until 100 fleet_is_gone "$name"
+	done
 	FLEET_PID=()
 }
 
 fleet_kill() { # NAME [SIGNAL]
-	{
-		kill "-${2:-KILL}" "${FLEET_PID[$1]}"
-		[ "${2:-KILL}" != KILL ] || wait "${FLEET_PID[$1]}"
-	} 2>/dev/null
+	kill "-${2:-KILL}" "${FLEET_PID[$1]}" 2>/dev/null
 	if [ "${2:-KILL}" = KILL ]; then
+		fleet_until 100 fleet_is_gone "$1"
 		unset "FLEET_PID[$1]"
 	fi
 	return 0
@@ -37,7 +45,7 @@
 fleet_start_log() {
 	"$FLEET_BIN/jd-logd" --listen $FLEET_LOG "$@" \
 	    2>>"$FLEET_DIR/log.err" &
-	FLEET_PID[log]=$!
+	fleet_note log
 	fleet_until 100 fleet_get http://$FLEET_LOG/stats
 }
 
@@ -66,6 +74,20 @@
 	echo "${out#,}"
 }
 
+# Starts the link emulator with the distances of both users.
+fleet_start_links() {
+	"$FLEET_BIN/jd-faultd" --admin 127.0.250.1:7500 --port 7001=7000 \
+	    --port 6001=6000 --regions 1,2/3,4 --domain-us 1000 \
+	    --region-us 20000 --region-bits 30000000 \
+	    2>>"$FLEET_DIR/fault.err" &
+	fleet_note links
+	fleet_until 100 fleet_get http://127.0.250.1:7500/stats
+}
+
+fleet_fault() { # QUERY
+	curl -sf -m 3 -X POST "http://127.0.250.1:7500/fault?$1" >/dev/null
+}
+
 fleet_settings() { # D I [SERVICE SET SLOTS CONNECTIONS]
 	local ip=127.0.$1.$2 translate=""
 	[ -z "$FLEET_LINKS" ] ||
@@ -89,14 +111,14 @@
 fleet_start_node() { # D I
 	"$FLEET_BIN/jacinthd" --settings "$FLEET_DIR/$1-$2.json" \
 	    2>>"$FLEET_DIR/$1-$2.err" &
-	FLEET_PID[$1-$2]=$!
+	fleet_note $1-$2
 }
 
 fleet_start_target() { # D I [SERVICE_US]
 	"$FLEET_BIN/jd-targetd" --listen "127.0.$1.$2:9000" \
 	    --name "${FLEET_DOMAINS[$1]}-$2" --service-us "${3:-0}" \
 	    2>>"$FLEET_DIR/$1-$2.target.err" &
-	FLEET_PID[target-$1-$2]=$!
+	fleet_note target-$1-$2
 }
 
 fleet_ctl() {
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -1,6 +1,7 @@
 /* Counters and state of a node, over HTTP, for operators and monitoring. */
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <glib.h>
 
@@ -56,6 +57,21 @@
     return list;
 }
 
+/* Adds what this process has used of the machine. */
+static void
+add_usage(json_t *js)
+{
+    struct rusage ru;
+
+    getrusage(RUSAGE_SELF, &ru);
+    json_object_set_new(
+        js, "cpu_us",
+        json_integer((json_int_t)(ru.ru_utime.tv_sec + ru.ru_stime.tv_sec) *
+                         1000000 +
+                     ru.ru_utime.tv_usec + ru.ru_stime.tv_usec));
+    json_object_set_new(js, "rss_kb", json_integer(ru.ru_maxrss));
+}
+
 static json_t *
 make_status(const JdNode *nd)
 {
@@ -95,6 +111,7 @@
                      tr->members.count_in[JD_MEMBER_LEFT]));
     json_object_set_new(js, "log_expired",
                         json_boolean(nd->reader.is_expired));
+    add_usage(js);
     json_object_set_new(js, "running", json_integer(nd->admit.running));
     json_object_set_new(js, "queued", json_integer(nd->admit.queued));
     json_object_set_new(js, "calls", json_integer(nd->call_count));
--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -35,24 +35,6 @@
      "NODE              make a node and its target leave"},
 };
 
-/* Returns the exit code for a status. */
-CtlExit
-Ctl_Exit(JdStatus status)
-{
-    switch (JdStatus_Severity(status)) {
-    case JD_SEVERITY_OK:
-        return CTL_EXIT_OK;
-    case JD_SEVERITY_INPUT:
-        return CTL_EXIT_INPUT;
-    case JD_SEVERITY_CONFLICT:
-        return CTL_EXIT_CONFLICT;
-    case JD_SEVERITY_RETRY:
-        return CTL_EXIT_RETRY;
-    default:
-        return CTL_EXIT_FATAL;
-    }
-}
-
 /* Prints a failure and returns its exit code. */
 CtlExit
 Ctl_Fail(const Ctl *ctl, const JdError *err)
@@ -92,26 +74,6 @@
     json_decref(js);
 }
 
-static void
-on_time(void *ctx)
-{
-    Ctl *ctl = ctx;
-
-    ctl->is_late = true;
-    JdLoop_Stop(&ctl->loop);
-}
-
-/* Runs the loop until JdLoop_Stop, or for `us` at the most. */
-void
-Ctl_RunFor(Ctl *ctl, uint64_t us)
-{
-    ctl->loop.is_stopping = false;
-    ctl->is_late = false;
-    JdTimer_Arm(&ctl->loop.clock, &ctl->timer, us);
-    JdLoop_Run(&ctl->loop);
-    JdTimer_Cancel(&ctl->loop.clock, &ctl->timer);
-}
-
 static char *
 describe(void)
 {
@@ -197,8 +159,6 @@
         return 0;
     }
     JdLogging_Init("jacinthctl");
-    JdLoop_Init(&ctl.loop);
-    JdTimer_Init(&ctl.timer, on_time, &ctl);
-    JdStore_Init(&ctl.store, &ctl.counters);
+    Ctl_Init(&ctl);
     return dispatch(&ctl, argc, argv);
 }
--- a/operator/ctl.h
+++ b/operator/ctl.h
@@ -46,9 +46,10 @@
 CtlExit Ctl_Fail(const Ctl *ctl, const JdError *err);
 void Ctl_Print(const Ctl *ctl, json_t *js, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
-void Ctl_RunFor(Ctl *ctl, uint64_t us);
 
-/* logview.c: the log replayed on this side */
+/* logview.c: the loop, and the log replayed on this side */
+void Ctl_Init(Ctl *ctl);
+void Ctl_RunFor(Ctl *ctl, uint64_t us);
 JdStatus CtlLog_Open(Ctl *ctl, JdError *err);
 JdStatus CtlLog_CatchUp(Ctl *ctl, JdError *err);
 JdStatus CtlLog_Append(Ctl *ctl, JdStream stream, const char *text,
--- a/operator/logview.c
+++ b/operator/logview.c
@@ -4,6 +4,53 @@
 /* Time for one append, in us. */
 #define APPEND_TIME (3 * JD_US_PER_S)
 
+/* Returns the exit code for a status. */
+CtlExit
+Ctl_Exit(JdStatus status)
+{
+    switch (JdStatus_Severity(status)) {
+    case JD_SEVERITY_OK:
+        return CTL_EXIT_OK;
+    case JD_SEVERITY_INPUT:
+        return CTL_EXIT_INPUT;
+    case JD_SEVERITY_CONFLICT:
+        return CTL_EXIT_CONFLICT;
+    case JD_SEVERITY_RETRY:
+        return CTL_EXIT_RETRY;
+    default:
+        return CTL_EXIT_FATAL;
+    }
+}
+
+static void
+on_time(void *ctx)
+{
+    Ctl *ctl = ctx;
+
+    ctl->is_late = true;
+    JdLoop_Stop(&ctl->loop);
+}
+
+/* Runs the loop until JdLoop_Stop, or for `us` at the most. */
+void
+Ctl_RunFor(Ctl *ctl, uint64_t us)
+{
+    ctl->loop.is_stopping = false;
+    ctl->is_late = false;
+    JdTimer_Arm(&ctl->loop.clock, &ctl->timer, us);
+    JdLoop_Run(&ctl->loop);
+    JdTimer_Cancel(&ctl->loop.clock, &ctl->timer);
+}
+
+/* Initializes the loop and an empty store. */
+void
+Ctl_Init(Ctl *ctl)
+{
+    JdLoop_Init(&ctl->loop);
+    JdTimer_Init(&ctl->timer, on_time, ctl);
+    JdStore_Init(&ctl->store, &ctl->counters);
+}
+
 static void
 on_answer(void *ctx, uint64_t token, const JdLogAnswer *ans)
 {
