Members: news of gone links, and a node that suspected itself

Ruled out: the bucket digests (tables differed by one entry that both sides had announced).

Change: pending news are flushed before a link is added; a table knows its own node and never suspects it.

--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -59,6 +59,7 @@
     struct JdMemberList all;
     struct JdMemberList news;
     struct JdMemberList suspects;
+    const char *self; /* a member that is never suspected, or NULL */
     void *by_id;  /* hash tables of the implementation */
     void *by_set;
     uint64_t bucket[JD_BUCKETS];
--- a/lib/member.c
+++ b/lib/member.c
@@ -236,7 +236,9 @@
 void
 JdMembers_Suspect(JdMembers *ms, JdMember *mb, uint64_t grace)
 {
-    if (mb->is_suspect || mb->state == JD_MEMBER_LOST ||
+    bool is_self = ms->self != NULL && strcmp(ms->self, mb->id) == 0;
+
+    if (is_self || mb->is_suspect || mb->state == JD_MEMBER_LOST ||
         mb->state == JD_MEMBER_LEFT) {
         return;
     }
--- a/lib/tree.c
+++ b/lib/tree.c
@@ -45,6 +45,7 @@
     tr->state = JD_MEMBER_STARTING;
     TAILQ_INIT(&tr->children);
     JdMembers_Init(&tr->members, clk, ctr);
+    tr->members.self = tr->self.id;
     JdRandom_Init(&tr->random, _Jd_HashText(self->id, self->incarnation));
     JdTimer_Init(&tr->beat, on_beat, tr);
     JdTimer_Init(&tr->batch, on_batch, tr);
@@ -446,6 +447,8 @@
 {
     JdChild *ch = g_new0(JdChild, 1);
 
+    /* The address of this connection may stand in pending news. */
+    _JdTree_FlushNews(tr);
     ch->peer = peer;
     _Jd_CopyText(ch->id, sizeof(ch->id), msg->id);
     ch->is_head = msg->head;
--- a/lib/uplink.c
+++ b/lib/uplink.c
@@ -468,6 +468,9 @@
         tr->parent.state == JD_LINK_ATTACHED ? tr->parent.peer : NULL;
     JdTimer timeout = tr->parent.timeout;
 
+    /* Pending news name the links they came from by address, and a new
+     * connection may have the address of one that is gone. */
+    _JdTree_FlushNews(tr);
     JdTimer_Cancel(tr->clock, &tr->trial.timeout);
     tr->parent = tr->trial;
     tr->parent.timeout = timeout;
--- a/regress/sim/sim.c
+++ b/regress/sim/sim.c
@@ -432,6 +432,19 @@
                (unsigned long long)seed, (double)sim.now / 1e6, nd->index,
                sim.failure);
         if (is_verbose) {
+            const JdMember *mb;
+
+            TAILQ_FOREACH(mb, &nd->tree.members.all, link)
+            {
+                if (mb->state != JD_MEMBER_READY) {
+                    printf("  at n%02u: %s %s seq %llu (own %llu) via %s\n",
+                           nd->index, mb->id, JdMemberState_Name(mb->state),
+                           (unsigned long long)mb->seq,
+                           (unsigned long long)
+                               sim.node[atoi(mb->id + 1)].tree.seq,
+                           mb->via);
+                }
+            }
             for (unsigned i = 0; i < sim.nodes; i++) {
                 nd = &sim.node[i];
                 printf("  n%02u v%llu of %llu parent %s(%d) trial %s(%d) "
