At most once: idempotency keys claimed on the log

Cause: no design yet kept a keyed order from running twice through different nodes.

Ways weighed: a lease per key owner (a paused owner does not know that it lapsed); one stream a key with the first offset winning (one append a request, no batches: several hundred orders a second is the end); batched claims on a stream per service, first in log order wins.

--- a/include/jacinthdyke_reader.h
+++ b/include/jacinthdyke_reader.h
@@ -7,7 +7,6 @@
     JD_STREAM_CONFIG,
     JD_STREAM_CHECKPOINTS,
     JD_STREAM_DIRECTORY,
-    JD_STREAM_CLAIMS,
     JD_STREAM_MAX
 } JdStream;
 
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -77,6 +77,7 @@
 void JdAdmit_Withdraw(JdAdmit *ad, JdWork *work);
 void JdAdmit_Close(JdAdmit *ad);
 unsigned JdAdmit_Load(const JdAdmit *ad);
+bool JdAdmit_IsFull(const JdAdmit *ad);
 
 /* ---- budget.c: retries as a share of first tries ----------------------- */
 
@@ -88,6 +89,81 @@
 void JdBudget_First(JdBudget *bg, unsigned percent);
 bool JdBudget_Take(JdBudget *bg);
 
+/* ---- claim.c: idempotency keys, claimed on the log --------------------- */
+
+/* Bytes of an idempotency key with its NUL. */
+#define JD_KEY_MAX JD_NAME_MAX
+
+typedef enum JdClaimState {
+    JD_CLAIM_IDLE,
+    JD_CLAIM_PENDING,   /* waits for the next batch */
+    JD_CLAIM_SENDING,   /* its batch is under way */
+    JD_CLAIM_HELD,      /* won */
+    JD_CLAIM_RELEASING, /* waits until its release is on the log */
+    JD_CLAIM_STATE_MAX
+} JdClaimState;
+
+/* One claim of a key, on memory that its user owns. */
+typedef struct JdClaim {
+    TAILQ_ENTRY(JdClaim) link;
+    JdClaimState state;
+    char key[JD_KEY_MAX];
+    uint64_t asked_at; /* own clock, before anything was sent */
+} JdClaim;
+
+typedef struct JdClaimsOps {
+    /* Appends a record; JdClaims_Appended takes the result. */
+    void (*append)(void *ctx, const char *text, uint64_t token);
+    /* Reads the stream; JdClaims_Answer takes the result. */
+    void (*read)(void *ctx, uint64_t from, unsigned most, uint64_t token);
+    /* The key is this claim's: the work may be sent. */
+    void (*won)(void *ctx, JdClaim *claim);
+    /* The work must not be sent: JD_REASON_KEY_TAKEN or _CLAIM_FAILED. */
+    void (*lost)(void *ctx, JdClaim *claim, JdReason reason);
+    /* The key is free again, or its release could not be recorded. */
+    void (*released)(void *ctx, JdClaim *claim);
+} JdClaimsOps;
+
+/* The claims of one node on the stream of its service. */
+typedef struct JdClaims {
+    char node[JD_NAME_MAX];
+    uint64_t incarnation;
+    uint64_t hold;   /* us for which a key stays claimed */
+    uint64_t gap;    /* us between two appends */
+    uint64_t retention; /* us for which the log keeps records, 0: unknown */
+    JdClock *clock;
+    JdCounters *counters;
+    const JdClaimsOps *ops;
+    void *ctx;
+    TAILQ_HEAD(JdClaimHead, JdClaim) pending;
+    struct JdClaimHead sending;
+    void *taken;     /* hash tables of the implementation */
+    void *voided;
+    uint64_t next;   /* offset after the last record that was applied */
+    uint64_t oldest; /* time of the oldest record that was read, 0: all */
+    uint64_t batch;
+    uint64_t token;
+    uint64_t void_batch; /* a batch that must be voided, 0: none */
+    bool is_sending;
+    bool is_unsure;  /* the answer to the append was lost */
+    unsigned reads;  /* of the settling of an unsure batch */
+    uint64_t offset; /* of the batch, once known */
+    uint64_t sent_at;
+    JdTimer timer;
+} JdClaims;
+
+void JdClaims_Init(JdClaims *cl, const char *node, uint64_t incarnation,
+                   uint64_t hold, JdClock *clk, JdCounters *ctr,
+                   const JdClaimsOps *ops, void *ctx);
+void JdClaims_Finish(JdClaims *cl);
+void JdClaims_Take(JdClaims *cl, JdClaim *claim, const char *key);
+void JdClaims_Release(JdClaims *cl, JdClaim *claim);
+void JdClaims_Abandon(JdClaims *cl, JdClaim *claim);
+bool JdClaims_IsUsable(const JdClaims *cl, const JdClaim *claim);
+void JdClaims_Appended(JdClaims *cl, uint64_t token, JdStatus status,
+                       uint64_t offset);
+void JdClaims_Answer(JdClaims *cl, uint64_t token, const JdLogAnswer *ans);
+
 /* ---- choice.c: which target takes a request ---------------------------- */
 
 /* What this node has seen of one target. */
--- a/lib/admit.c
+++ b/lib/admit.c
@@ -254,3 +254,10 @@
 {
     return (ad->running + ad->queued) * 100 / ad->slots;
 }
+
+/* Returns whether work of the lowest priority would find no place now. */
+bool
+JdAdmit_IsFull(const JdAdmit *ad)
+{
+    return ad->running >= ad->slots && ad->queued >= ad->queue_most;
+}
--- a/lib/reader.c
+++ b/lib/reader.c
@@ -17,7 +17,6 @@
     [JD_STREAM_CONFIG] = "config",
     [JD_STREAM_CHECKPOINTS] = "checkpoints",
     [JD_STREAM_DIRECTORY] = "directory",
-    [JD_STREAM_CLAIMS] = "claims",
 };
 
 /* Returns the name of a stream on the log. */
--- a/node/node.h
+++ b/node/node.h
@@ -35,6 +35,9 @@
     uint64_t checkpoint_s;
     uint64_t body_most;
     uint64_t poll_ms;
+    uint64_t hold_s;
+    uint64_t retention_s;
+    uint64_t claim_gap_ms;
 } JdSettings;
 
 unsigned JdSettings_Load(const char *file, JdSettings *out, JdError *errs,
@@ -78,6 +81,8 @@
     JdHttpc target;
     JdAdmit admit;
     TAILQ_HEAD(JdItemHead, JdItem) items;
+    JdClaims claims;
+    char claim_stream[JD_PATH_MAX];
     JdTimer health;
     bool is_health_pending;
 
@@ -118,6 +123,9 @@
 void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdWorker_ConnClosed(JdNode *nd, const JdConn *origin);
 
+/* target/once.c: claims of the target's service on the log */
+void JdOnce_Init(JdNode *nd, const JdClaimsOps *decided);
+
 /* caller/front.c: callers */
 JdStatus JdFront_Init(JdNode *nd, JdError *err);
 
--- a/node/settings.c
+++ b/node/settings.c
@@ -43,6 +43,9 @@
     NUMBER("/drain/deadline_ms", drain_ms, 0, 600000),
     NUMBER("/checkpoint/versions", checkpoint_versions, 1, 1000000),
     NUMBER("/checkpoint/seconds", checkpoint_s, 1, 86400),
+    NUMBER("/once/hold_s", hold_s, 1, 86400),
+    NUMBER("/once/gap_ms", claim_gap_ms, 1, 10000),
+    NUMBER("/log/retention_s", retention_s, 1, 31536000),
     NUMBER("/body_bytes", body_most, 1, 8 << 20),
     NUMBER("/baseline_poll_ms", poll_ms, 1, 60000),
 };
@@ -60,6 +63,8 @@
     s->checkpoint_versions = 256;
     s->checkpoint_s = 300;
     s->body_most = 1 << 20;
+    s->hold_s = 600;
+    s->claim_gap_ms = 5;
 }
 
 /* Checks that depend on more than one setting. */
--- a/operator/logview.c
+++ b/operator/logview.c
@@ -65,7 +65,7 @@
 {
     Ctl *ctl = ctx;
 
-    JdLog_Read(&ctl->log, stream, from, most, wait, token, on_answer, ctl);
+    JdLog_Read(&ctl->log, JdStream_Name(stream), from, most, wait, token, on_answer, ctl);
 }
 
 static void
@@ -155,7 +155,7 @@
 {
     Append ap = {ctl, JD_ERR_UNKNOWN_RESULT, 0};
 
-    JdLog_Append(&ctl->log, stream, text, on_appended, &ap);
+    JdLog_Append(&ctl->log, JdStream_Name(stream), text, on_appended, &ap);
     Ctl_RunFor(ctl, APPEND_TIME);
     *offset = ap.offset;
     return ap.status;
--- a/target/worker.c
+++ b/target/worker.c
@@ -14,8 +14,18 @@
     Jd__Request *msg;
     JdConn *origin; /* NULL: a caller of this node */
     JdHttpCall *call;
+    JdClaim claim;   /* of the request's key, where it needs one */
+    JdReason reason; /* given once the claim is released */
+    JdTimer lapse;   /* ends an item whose claim lapsed before sending */
+    bool is_orphan;  /* nobody waits for the answer any more */
 };
 
+static JdItem *
+item_of_claim(JdClaim *claim)
+{
+    return (JdItem *)((char *)claim - offsetof(JdItem, claim));
+}
+
 static JdItem *
 item_of(JdWork *work)
 {
@@ -58,6 +68,31 @@
     send_response(nd, origin, &msg);
 }
 
+/* Gives the final answer to an item whose work is over or was never sent. */
+static void
+end_refused(JdItem *it, JdReason reason)
+{
+    if (!it->is_orphan) {
+        refuse(it->node, it->msg->id, it->origin, reason);
+    }
+    free_item(it);
+}
+
+/*
+ * Refuses work that was not sent.  A key that it holds is given back first,
+ * so that another try with the key finds it free.
+ */
+static void
+refuse_unsent(JdItem *it, JdReason reason)
+{
+    if (it->claim.state == JD_CLAIM_HELD) {
+        it->reason = reason;
+        JdClaims_Release(&it->node->claims, &it->claim);
+        return;
+    }
+    end_refused(it, reason);
+}
+
 static bool
 is_passed_back(const JdHttpHeader *h)
 {
@@ -153,11 +188,14 @@
     JdAdmit_Done(&nd->admit, &it->work, reason == JD_REASON_NONE);
     if (reason == JD_REASON_NONE) {
         pass_answer(it, ans);
+        free_item(it);
+    }
+    else if (JdReason_Info(reason)->is_not_run) {
+        refuse_unsent(it, reason);
     }
     else {
-        refuse(nd, it->msg->id, it->origin, reason);
+        end_refused(it, reason);
     }
-    free_item(it);
 }
 
 static char *
@@ -184,8 +222,15 @@
     JdNode *nd = ctx;
     JdItem *it = item_of(work);
     uint64_t left = work->deadline - JdClock_Now(&nd->loop.clock);
-    char *headers = format_headers(it->msg, left);
+    char *headers;
 
+    if (it->claim.key[0] != '\0' &&
+        !JdClaims_IsUsable(&nd->claims, &it->claim)) {
+        it->reason = JD_REASON_CLAIM_FAILED;
+        JdTimer_Arm(&nd->loop.clock, &it->lapse, 0);
+        return;
+    }
+    headers = format_headers(it->msg, left);
     it->call = JdHttpc_Send(&nd->target, it->msg->method, it->msg->path,
                             headers, it->msg->body.data, it->msg->body.len,
                             left, on_answer, it);
@@ -195,14 +240,86 @@
 static void
 on_refuse(void *ctx, JdWork *work, JdReason reason)
 {
-    JdItem *it = item_of(work);
+    (void)ctx;
+    refuse_unsent(item_of(work), reason);
+}
 
-    refuse(ctx, it->msg->id, it->origin, reason);
-    free_item(it);
+/* The claim lapsed while this process was paused: nothing was sent. */
+static void
+on_lapse(void *ctx)
+{
+    JdItem *it = ctx;
+
+    JdAdmit_Done(&it->node->admit, &it->work, false);
+    end_refused(it, it->reason);
 }
 
 static const JdAdmitOps admit_ops = {on_start, on_refuse};
 
+static void
+offer(JdItem *it)
+{
+    JdReason reason = JdAdmit_Offer(&it->node->admit, &it->work);
+
+    if (reason != JD_REASON_NONE) {
+        refuse_unsent(it, reason);
+    }
+}
+
+/* The key is won: the work may run, if somebody still waits for it. */
+static void
+on_won(void *ctx, JdClaim *claim)
+{
+    JdItem *it = item_of_claim(claim);
+
+    (void)ctx;
+    if (it->is_orphan) {
+        refuse_unsent(it, JD_REASON_CANCELLED);
+        return;
+    }
+    offer(it);
+}
+
+static void
+on_lost(void *ctx, JdClaim *claim, JdReason reason)
+{
+    (void)ctx;
+    end_refused(item_of_claim(claim), reason);
+}
+
+static void
+on_released(void *ctx, JdClaim *claim)
+{
+    JdItem *it = item_of_claim(claim);
+
+    (void)ctx;
+    end_refused(it, it->reason);
+}
+
+static const JdClaimsOps claim_ops = {
+    .won = on_won, .lost = on_lost, .released = on_released};
+
+static bool
+needs_claim(const Jd__Request *msg)
+{
+    return msg->once && strcmp(msg->method, "GET") != 0 &&
+           strcmp(msg->method, "HEAD") != 0;
+}
+
+/* Claims the key of a request before it is offered to the target. */
+static void
+claim_key(JdItem *it)
+{
+    JdNode *nd = it->node;
+
+    if (nd->admit.is_closed || JdAdmit_IsFull(&nd->admit)) {
+        end_refused(it, nd->admit.is_closed ? JD_REASON_DRAINING
+                                            : JD_REASON_QUEUE_FULL);
+        return;
+    }
+    JdClaims_Take(&nd->claims, &it->claim, it->msg->key);
+}
+
 /*
  * Takes a request for the target; the message is the worker's from here on.
  * `origin` is the connection it came over, or NULL for a caller of this node.
@@ -211,7 +328,6 @@
 JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin)
 {
     JdItem *it;
-    JdReason reason;
 
     if (!nd->has_target || strcmp(msg->service, nd->settings.service) != 0) {
         refuse(nd, msg->id, origin, JD_REASON_NO_TARGET);
@@ -226,11 +342,13 @@
         msg->priority < JD_PRIORITIES ? msg->priority : JD_PRIORITIES - 1;
     it->work.deadline =
         JdClock_Now(&nd->loop.clock) + msg->left_ms * JD_US_PER_MS;
+    JdTimer_Init(&it->lapse, on_lapse, it);
     TAILQ_INSERT_TAIL(&nd->items, it, link);
-    reason = JdAdmit_Offer(&nd->admit, &it->work);
-    if (reason != JD_REASON_NONE) {
-        refuse(nd, msg->id, origin, reason);
-        free_item(it);
+    if (needs_claim(msg)) {
+        claim_key(it);
+    }
+    else {
+        offer(it);
     }
 }
 
@@ -238,12 +356,31 @@
 static void
 drop(JdItem *it)
 {
+    bool was_queued = it->work.is_queued;
+
     if (it->call != NULL) {
         JdHttpc_Cancel(it->call);
         it->call = NULL;
     }
     it->node->counters.value[JD_C_R_CANCELLED]++;
+    if (it->claim.state == JD_CLAIM_PENDING ||
+        it->claim.state == JD_CLAIM_SENDING ||
+        it->claim.state == JD_CLAIM_RELEASING) {
+        /* It ends when the log has settled its claim. */
+        it->is_orphan = true;
+        it->origin = NULL;
+        it->msg->id = 0;
+        return;
+    }
     JdAdmit_Withdraw(&it->node->admit, &it->work);
+    if (was_queued && it->claim.state == JD_CLAIM_HELD) {
+        it->is_orphan = true;
+        it->origin = NULL;
+        it->msg->id = 0;
+        refuse_unsent(it, JD_REASON_CANCELLED);
+        return;
+    }
+    JdTimer_Cancel(&it->node->loop.clock, &it->lapse);
     free_item(it);
 }
 
@@ -255,7 +392,7 @@
 
     TAILQ_FOREACH(it, &nd->items, link)
     {
-        if (it->msg->id == id && it->origin == origin) {
+        if (it->msg->id == id && it->origin == origin && !it->is_orphan) {
             drop(it);
             return;
         }
@@ -274,7 +411,7 @@
         is_found = false;
         TAILQ_FOREACH(it, &nd->items, link)
         {
-            if (it->origin == origin) {
+            if (it->origin == origin && !it->is_orphan) {
                 drop(it);
                 is_found = true;
                 break;
@@ -326,6 +463,7 @@
     JdAdmit_Init(&nd->admit, (unsigned)nd->settings.slots,
                  (unsigned)nd->settings.queue, &nd->loop.clock, &admit_ops,
                  nd);
+    JdOnce_Init(nd, &claim_ops);
     JdTimer_Init(&nd->health, on_health_due, nd);
     nd->has_target = nd->settings.target_address[0] != '\0';
     if (!nd->has_target) {
