--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,6 @@
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 LIB = $(BUILD)/libjacinthdyke.a
 BASE = $(BUILD)/libjdbase.a
-ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) platform/logd.c \
-          target/targetd.c fault/faultd.c
 
 all: $(addprefix $(BUILD)/,$(PROGRAMS))
 
@@ -73,9 +71,23 @@
 	@$(MAKE) --no-print-directory -s all
 	@bash load/demo.sh
 
+UNIT_SRC = regress/unit/unit.c load/histogram.c node/settings.c
+$(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
+
+tests: all $(BUILD)/unit $(BUILD)/script $(BUILD)/sim
+
 check: setup
-	@$(MAKE) --no-print-directory -s all
-	@bash load/demo.sh && echo "1 passed, 0 failed"
+	@$(MAKE) --no-print-directory -s tests
+	@bash regress/run.sh
+
+SCRIPT_SRC = regress/script.c regress/script_store.c \
+             regress/script_request.c regress/script_claim.c \
+             regress/script_reader.c
+$(BUILD)/script: $(call obj,$(SCRIPT_SRC)) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 SIM_SRC = regress/sim/sim.c regress/sim/net.c regress/sim/fakelog.c
 $(BUILD)/sim: $(call obj,$(SIM_SRC)) $(LIB)
@@ -85,6 +97,8 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all setup demo clean
+.PHONY: all tests check setup demo clean
 
+ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) platform/logd.c \
+          target/targetd.c fault/faultd.c
 -include $(patsubst %.c,$(BUILD)/%.d,$(ALL_SRC))
--- a/base/base.h
+++ b/base/base.h
@@ -59,6 +59,7 @@
 void JdHttpd_AddHeader(h2o_req_t *req, const char *name, const char *value);
 bool JdHttpd_Header(const h2o_req_t *req, const char *name, char *buf,
                     size_t size);
+bool JdHttpd_HasCallerLeft(const h2o_req_t *req);
 bool JdHttpd_IsPath(const h2o_req_t *req, const char *path);
 bool JdHttpd_IsMethod(const h2o_req_t *req, const char *method);
 bool JdHttpd_Query(const h2o_req_t *req, const char *name, char *buf,
--- a/base/httpd.c
+++ b/base/httpd.c
@@ -1,9 +1,13 @@
 /* HTTP server: one listener with one handler. */
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "base.h"
 
+/* The library's number for HTTP/2. */
+#define HTTP_2 0x200
+
 typedef struct Handler {
     h2o_handler_t super;
     JdHttpd *httpd;
@@ -214,3 +218,24 @@
                ? strtoull(buf, NULL, 10)
                : otherwise;
 }
+
+/*
+ * Returns whether the caller of a request that is not answered yet has left.
+ * On HTTP/1 the library does not read the connection meanwhile, so the end of
+ * its stream is looked for; a caller that closes only its sending side counts
+ * as gone.  On HTTP/2 the library itself drops the request.
+ */
+bool
+JdHttpd_HasCallerLeft(const h2o_req_t *req)
+{
+    h2o_socket_t *sock;
+    char byte;
+
+    if (req->version >= HTTP_2) {
+        return false;
+    }
+    sock = req->conn->callbacks->get_socket(req->conn);
+    return sock != NULL && sock->ssl == NULL &&
+           recv(h2o_socket_get_fd(sock), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
--- a/base/settings.c
+++ b/base/settings.c
@@ -159,8 +159,8 @@
     char text[JD_TEXT_MAX];
 
     if (js == NULL) {
-        snprintf(text, sizeof(text), "%s: line %d column %d: %.120s", file,
-                 je.line, je.column, je.text);
+        snprintf(text, sizeof(text), "line %d column %d: %.120s", je.line,
+                 je.column, je.text);
         add_fault(&f, JD_ERR_SYNTAX, "", text);
         return f.count;
     }
--- a/lib/choice.c
+++ b/lib/choice.c
@@ -25,6 +25,8 @@
 /* Load at which a target is full, in percent of its slots. */
 #define LOAD_FULL 200
 #define CANDIDATES_MOST 256
+/* Draws before a target that is still cold is taken all the same. */
+#define DRAWS_MOST 8
 
 static JdTargetStat *
 stat_of(const JdChooser *ch, JdMember *mb)
@@ -91,7 +93,7 @@
     double work = 1 + ts->outstanding +
                   reported_load(ch, ts) * slots / 100.0;
 
-    return work / (slots * warmth(ch, ts) / 100.0);
+    return work / slots;
 }
 
 static JdTier
@@ -159,19 +161,31 @@
     }
 }
 
+/*
+ * Draws a target at random; one that warms up is often passed over, so that
+ * its share of the traffic grows with its warmth at any load.
+ */
+static unsigned
+draw(const JdChooser *ch, JdMember **list, unsigned n)
+{
+    unsigned i = 0;
+
+    for (int tries = 0; tries < DRAWS_MOST; tries++) {
+        i = (unsigned)JdRandom_Below(ch->random, n);
+        if (JdRandom_Below(ch->random, 100) <
+            warmth(ch, stat_of(ch, list[i]))) {
+            break;
+        }
+    }
+    return i;
+}
+
 static JdMember *
 pick_of_two(const JdChooser *ch, JdMember **list, unsigned n)
 {
-    unsigned i = (unsigned)JdRandom_Below(ch->random, n);
-    unsigned j;
+    unsigned i = draw(ch, list, n);
+    unsigned j = draw(ch, list, n);
 
-    if (n == 1) {
-        return list[0];
-    }
-    j = (unsigned)JdRandom_Below(ch->random, n - 1);
-    if (j >= i) {
-        j++;
-    }
     return cost(ch, list[i]) <= cost(ch, list[j]) ? list[i] : list[j];
 }
 
--- a/lib/uplink.c
+++ b/lib/uplink.c
@@ -254,7 +254,7 @@
     up->peer = tr->ops->dial(tr->ctx, c->address);
     if (up->peer == NULL) {
         end_trial(tr);
-        arm_seek(tr);
+        try_next(tr);
     }
 }
 
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -3,7 +3,6 @@
  * retries.  A request keeps the configuration version it began with.
  */
 #include <string.h>
-#include <sys/socket.h>
 
 #include "../node/node.h"
 
@@ -21,9 +20,6 @@
  * a new connection. */
 #define PROVED_WITHIN (1000 * JD_US_PER_MS)
 
-/* The library's number for HTTP/2. */
-#define HTTP_2 0x200
-
 /* A connection to another node that carries requests. */
 typedef struct Lane {
     char address[JD_ADDRESS_MAX]; /* as members announce it */
@@ -688,23 +684,6 @@
     }
 }
 
-/*
- * The server library does not read a connection while it waits for an
- * answer, so a caller that left is seen by looking for the end of its stream.
- * A caller that closes only its sending side counts as gone.
- */
-static bool
-has_caller_left(const JdCall *call)
-{
-    h2o_conn_t *conn = call->req->conn;
-    h2o_socket_t *sock = conn->callbacks->get_socket(conn);
-    char byte;
-
-    return sock != NULL && sock->ssl == NULL &&
-           recv(h2o_socket_get_fd(sock), &byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* Ends one call whose caller left; ending it can end others as well. */
 static bool
 drop_one_caller(JdNode *nd)
@@ -715,7 +694,7 @@
     {
         h2o_req_t *req = call->req;
 
-        if (req != NULL && req->version < HTTP_2 && has_caller_left(call)) {
+        if (req != NULL && JdHttpd_HasCallerLeft(req)) {
             abandon(call);
             /* The library closes the connection once it writes to it. */
             reply_refusal(nd, req, JD_REASON_CANCELLED);
--- /dev/null
+++ b/regress/run.sh
@@ -0,0 +1,95 @@
+#!/usr/bin/env bash
+# Runs the tests named by the arguments, or all of them: unit tests, scripted
+# runs of the parts, seeded random runs, and runs of real processes.  Tests
+# that KNOWN-RED.txt lists at a line's start are printed but do not count.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BUILD=${BUILD:-build}
+passed=0
+failed=0
+red=0
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+
+is_known_red() { # NAME
+	[ -f KNOWN-RED.txt ] && grep -q "^$1:" KNOWN-RED.txt
+}
+
+verdict() { # NAME RESULT
+	if [ "$2" -eq 0 ]; then
+		passed=$((passed + 1))
+		echo "ok      $1"
+	elif is_known_red "$1"; then
+		red=$((red + 1))
+		echo "RED     $1 (known, see KNOWN-RED.txt)"
+	else
+		failed=$((failed + 1))
+		echo "FAILED  $1"
+	fi
+}
+
+# Compares what a command prints with an expected file.
+compare() { # NAME EXPECTED COMMAND...
+	local name=$1 expected=$2
+	shift 2
+	timeout 300 "$@" >"$out/got" 2>"$out/err"
+	local rc=$?
+	if diff -u "$expected" "$out/got" >"$out/diff" && [ $rc -eq 0 ]; then
+		verdict "$name" 0
+	else
+		verdict "$name" 1
+		head -n 40 "$out/diff"
+		tail -n 20 "$out/err"
+	fi
+}
+
+run_one() { # NAME
+	local kind=${1%%/*} test=${1#*/}
+	case $kind in
+	unit)
+		"$BUILD/unit" >"$out/got" 2>&1
+		verdict "$1" $? && tail -n 3 "$out/got" | grep failed
+		;;
+	parts)
+		compare "$1" "regress/parts/$test.out" \
+		    "$BUILD/script" <"regress/parts/$test.in"
+		;;
+	sim)
+		timeout 300 "$BUILD/sim" -p "${test%-seeds*}" ${SIM_SEEDS:-1 40} \
+		    >"$out/got" 2>&1
+		verdict "$1" $?
+		grep -v passed "$out/got" | head -n 10
+		;;
+	e2e)
+		compare "$1" "regress/e2e/$test.out" \
+		    bash "regress/e2e/$test.sh"
+		;;
+	*)
+		echo "no such test: $1"
+		failed=$((failed + 1))
+		;;
+	esac
+}
+
+list() {
+	local f
+	echo unit/all
+	for f in regress/parts/*.in; do
+		f=${f##*/}
+		echo "parts/${f%.in}"
+	done
+	echo sim/convergence-seeds
+	echo sim/control-bytes-seeds
+	for f in regress/e2e/*.sh; do
+		f=${f##*/}
+		[ "$f" = lib.sh ] || echo "e2e/${f%.sh}"
+	done
+}
+
+[ $# -gt 0 ] || set -- $(list)
+for t in "$@"; do
+	run_one "$t"
+done
+[ $red -eq 0 ] || echo "known red: $red"
+echo "$passed passed, $failed failed"
+[ $failed -eq 0 ]
--- /dev/null
+++ b/regress/script_store.c
@@ -0,0 +1,152 @@
+/* Scripted runs of the store: "log" replays records, "node" gets deltas. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "script.h"
+
+static JdStore log_store, node_store;
+static char *checkpoint;
+static bool is_ready;
+
+static void
+print_status(JdStatus s, const JdError *err)
+{
+    printf("%s%s%s\n", JdStatus_Name(s),
+           s == JD_OK || err->path[0] == '\0' ? "" : " at ",
+           s == JD_OK ? "" : err->path);
+}
+
+static void
+replay(const char *rec)
+{
+    JdOutcome out;
+
+    JdStore_Replay(&log_store, log_store.next_offset, rec, strlen(rec), &out);
+    printf("version %llu: ", (unsigned long long)out.version);
+    print_status(out.status, &out.err);
+}
+
+static void
+send_delta(uint64_t from, const char *spoil)
+{
+    JdDelta dlt;
+    JdError err = {0};
+    JdStatus s = JdStore_MakeDelta(&log_store, from, &dlt);
+    uint8_t *body = NULL;
+
+    if (s != JD_OK) {
+        printf("no delta: %s\n", JdStatus_Name(s));
+        return;
+    }
+    if (spoil != NULL && strcmp(spoil, "digest") == 0) {
+        dlt.digest.word[0]++;
+    }
+    if (spoil != NULL && strcmp(spoil, "cut") == 0) {
+        dlt.body_len /= 2;
+    }
+    if (spoil != NULL && strcmp(spoil, "bits") == 0) {
+        body = g_memdup2(dlt.body, dlt.body_len);
+        body[dlt.body_len / 2] ^= 0x20;
+        dlt.body = body;
+    }
+    printf("delta %llu to %llu: ", (unsigned long long)dlt.from,
+           (unsigned long long)dlt.to);
+    s = JdStore_ApplyDelta(&node_store, &dlt, &err);
+    err.path[0] = '\0';
+    print_status(s, &err);
+    g_free(body);
+}
+
+static void
+show(const JdStore *st)
+{
+    json_t *js = JdConfig_ToJson(st->config);
+    char *text = json_dumps(js, JSON_COMPACT | JSON_SORT_KEYS);
+
+    printf("version %llu %s\n", (unsigned long long)st->config->version,
+           text);
+    free(text);
+    json_decref(js);
+}
+
+static void
+show_route(const char *path)
+{
+    JdRoute r;
+
+    if (!JdConfig_Route(log_store.config, path, strlen(path), &r)) {
+        printf("%s: no route\n", path);
+        return;
+    }
+    printf("%s: prefix %s service %s set %s priority %u deadline %llu us "
+           "retry %u%%%s%s\n",
+           path, r.prefix, r.service, r.endpoint_set, r.priority,
+           (unsigned long long)r.deadline, r.retry_percent,
+           r.idempotent ? " idempotent" : "", r.once ? " once" : "");
+}
+
+static void
+check_text(const char *text)
+{
+    JdError err = {0};
+    json_t *js;
+    JdStatus s = JdConfig_Parse(text, strlen(text), &js, &err);
+
+    if (s == JD_OK) {
+        s = JdConfig_CheckPatch(js, &err);
+        json_decref(js);
+    }
+    print_status(s, &err);
+}
+
+static void
+restore(void)
+{
+    JdError err = {0};
+    JdStatus s =
+        JdStore_Restore(&node_store, checkpoint, strlen(checkpoint), &err);
+
+    print_status(s, &err);
+}
+
+void
+ScriptStore_Run(const Line *ln)
+{
+    const char *cmd = ln->word[1];
+
+    if (!is_ready) {
+        JdStore_Init(&log_store, &script_counters);
+        JdStore_Init(&node_store, &script_counters);
+        is_ready = true;
+    }
+    if (strcmp(cmd, "replay") == 0) {
+        replay(ln->rest);
+    }
+    else if (strcmp(cmd, "check") == 0) {
+        check_text(ln->rest);
+    }
+    else if (strcmp(cmd, "delta") == 0) {
+        send_delta(strtoull(ln->word[2], NULL, 10),
+                   ln->words > 3 ? ln->word[3] : NULL);
+    }
+    else if (strcmp(cmd, "route") == 0) {
+        show_route(ln->word[2]);
+    }
+    else if (strcmp(cmd, "checkpoint") == 0) {
+        free(checkpoint);
+        checkpoint = JdStore_Checkpoint(&log_store);
+    }
+    else if (strcmp(cmd, "restore") == 0) {
+        restore();
+    }
+    else if (strcmp(cmd, "same") == 0) {
+        printf("%s\n", JdDigest_Equal(&log_store.config->digest,
+                                      &node_store.config->digest)
+                           ? "same digest"
+                           : "other digest");
+    }
+    else {
+        show(strcmp(cmd, "node") == 0 ? &node_store : &log_store);
+    }
+}
--- /dev/null
+++ b/regress/unit/unit.c
@@ -0,0 +1,206 @@
+/* Unit tests of small pieces, by CUnit. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <CUnit/Basic.h>
+
+#include "../../load/load.h"
+#include "../../node/node.h"
+
+static int fired[4];
+
+static void
+on_fire(void *ctx)
+{
+    fired[*(int *)ctx]++;
+}
+
+static void
+test_clock(void)
+{
+    static int index[4] = {0, 1, 2, 3};
+    JdTimer tm[3];
+    JdClock clk;
+
+    memset(fired, 0, sizeof(fired));
+    JdClock_Init(&clk, NULL, NULL);
+    for (int i = 0; i < 3; i++) {
+        JdTimer_Init(&tm[i], on_fire, &index[i]);
+    }
+    JdTimer_Arm(&clk, &tm[0], 300);
+    JdTimer_Arm(&clk, &tm[1], 100);
+    JdTimer_Arm(&clk, &tm[2], 200);
+    CU_ASSERT_EQUAL(JdClock_UntilNext(&clk, 1000), 100);
+    JdClock_Advance(&clk, 150);
+    CU_ASSERT(fired[1] == 1 && fired[2] == 0 && fired[0] == 0);
+    JdTimer_Cancel(&clk, &tm[2]);
+    JdTimer_Arm(&clk, &tm[0], 1000);
+    JdClock_Advance(&clk, 500);
+    CU_ASSERT(fired[2] == 0 && fired[0] == 0);
+    JdClock_Advance(&clk, 500);
+    CU_ASSERT_EQUAL(fired[0], 1);
+    CU_ASSERT_EQUAL(JdClock_UntilNext(&clk, 77), 77);
+}
+
+static void
+test_tables(void)
+{
+    for (int s = 0; s < JD_STATUS_MAX; s++) {
+        CU_ASSERT_PTR_NOT_NULL(JdStatus_Name((JdStatus)s));
+        CU_ASSERT_PTR_NOT_NULL(JdStatus_Text((JdStatus)s));
+    }
+    for (int r = 0; r < JD_REASON_MAX; r++) {
+        const JdReasonInfo *info = JdReason_Info((JdReason)r);
+
+        CU_ASSERT_PTR_NOT_NULL(info->name);
+        /* A retry without proof is for idempotent work alone, and each
+         * reason has a counter of its own. */
+        for (int o = 0; o < r; o++) {
+            CU_ASSERT_NOT_EQUAL(JdReason_Info((JdReason)o)->counter,
+                                info->counter);
+        }
+    }
+    for (int c = 0; c < JD_COUNTER_MAX; c++) {
+        CU_ASSERT(strlen(JdCounter_Name((JdCounter)c)) > 1);
+        CU_ASSERT(strlen(JdCounter_Help((JdCounter)c)) > 1);
+    }
+    for (int p = 0; p < JD_PRESET_MAX; p++) {
+        const JdTreeTuning *t = JdPreset_Tuning((JdPreset)p);
+
+        CU_ASSERT(t->silence > 2 * t->beat);
+        CU_ASSERT(t->fan_out > 1 && t->heads > 0);
+    }
+}
+
+static void
+test_digest(void)
+{
+    JdDigest a = {{1, 2, UINT64_MAX, 0}};
+    JdDigest b;
+    char hex[JD_DIGEST_HEX];
+
+    JdDigest_ToHex(&a, hex);
+    CU_ASSERT(JdDigest_FromHex(&b, hex));
+    CU_ASSERT(JdDigest_Equal(&a, &b));
+    CU_ASSERT_FALSE(JdDigest_FromHex(&b, "12"));
+    hex[5] = 'x';
+    CU_ASSERT_FALSE(JdDigest_FromHex(&b, hex));
+}
+
+static void
+test_translate(void)
+{
+    static const char rules[] = "127.0.2=127.11.2:7001,127.0.200=127.11.9:80";
+    char out[JD_ADDRESS_MAX];
+
+    JdTranslate(rules, "127.0.2.7:7000", out, sizeof(out));
+    CU_ASSERT_STRING_EQUAL(out, "127.11.2.7:7001");
+    JdTranslate(rules, "127.0.200.1:6000", out, sizeof(out));
+    CU_ASSERT_STRING_EQUAL(out, "127.11.9.1:80");
+    JdTranslate(rules, "127.0.20.1:6000", out, sizeof(out));
+    CU_ASSERT_STRING_EQUAL(out, "127.0.20.1:6000");
+    JdTranslate("", "127.0.2.7:7000", out, sizeof(out));
+    CU_ASSERT_STRING_EQUAL(out, "127.0.2.7:7000");
+    JdTranslate("nonsense", "127.0.2.7:7000", out, sizeof(out));
+    CU_ASSERT_STRING_EQUAL(out, "127.0.2.7:7000");
+}
+
+static void
+test_address(void)
+{
+    struct sockaddr_in sin;
+
+    CU_ASSERT_EQUAL(JdAddress_Parse("127.0.0.1:80", &sin, NULL), JD_OK);
+    CU_ASSERT_EQUAL(ntohs(sin.sin_port), 80);
+    CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1", &sin, NULL), JD_OK);
+    CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1:", &sin, NULL), JD_OK);
+    CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1:0", &sin, NULL), JD_OK);
+    CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1:70000", &sin, NULL),
+                        JD_OK);
+    CU_ASSERT_NOT_EQUAL(JdAddress_Parse("localhost:80", &sin, NULL), JD_OK);
+}
+
+static void
+test_histogram(void)
+{
+    static Histogram h;
+
+    Histogram_Init(&h);
+    for (uint64_t v = 1; v <= 10000; v++) {
+        Histogram_Add(&h, v);
+    }
+    CU_ASSERT(Histogram_Quantile(&h, 0.5) >= 5000);
+    CU_ASSERT(Histogram_Quantile(&h, 0.5) <= 5000 + 5000 / 32);
+    CU_ASSERT(Histogram_Quantile(&h, 0.99) >= 9900);
+    CU_ASSERT_EQUAL(Histogram_Quantile(&h, 1), 10000);
+}
+
+/* Everything read from outside survives random bytes. */
+static void
+test_noise(void)
+{
+    static const char seedling[] =
+        "{\"type\":\"patch\",\"base\":0,\"id\":\"a\",\"author\":\"x\","
+        "\"patch\":{\"services\":{\"kiln\":{}},\"routes\":{\"/k\":{}}}}";
+    static JdStore st;
+    JdCounters ctr = {0};
+    JdRandom rnd;
+
+    JdStore_Init(&st, &ctr);
+    JdRandom_Init(&rnd, 7);
+    for (int i = 0; i < 3000; i++) {
+        char text[sizeof(seedling)];
+        JdDelta dlt = {0};
+        JdError err;
+        JdOutcome out;
+        Jd__Frame *frame;
+
+        memcpy(text, seedling, sizeof(text));
+        for (int n = (int)JdRandom_Below(&rnd, 4); n >= 0; n--) {
+            text[JdRandom_Below(&rnd, sizeof(text) - 1)] =
+                (char)JdRandom_Below(&rnd, 256);
+        }
+        JdStore_Replay(&st, st.next_offset, text, sizeof(text) - 1, &out);
+        dlt.from = 0;
+        dlt.to = 1000000;
+        dlt.rules = 1;
+        dlt.body = (const uint8_t *)text;
+        dlt.body_len = sizeof(text) - 1;
+        dlt.raw_len = JdRandom_Below(&rnd, 2) * 500;
+        CU_ASSERT_NOT_EQUAL(JdStore_ApplyDelta(&st, &dlt, &err), JD_OK);
+        CU_ASSERT_NOT_EQUAL(
+            JdStore_Restore(&st, text, sizeof(text) - 1, &err), JD_OK);
+        frame = jd__frame__unpack(NULL, JdRandom_Below(&rnd, sizeof(text)),
+                                  (uint8_t *)text);
+        if (frame != NULL) {
+            jd__frame__free_unpacked(frame, NULL);
+        }
+    }
+    JdStore_Finish(&st);
+}
+
+int
+main(void)
+{
+    CU_pSuite suite;
+    unsigned failed;
+
+    CU_initialize_registry();
+    suite = CU_add_suite("unit", NULL, NULL);
+    CU_add_test(suite, "clock", test_clock);
+    CU_add_test(suite, "tables", test_tables);
+    CU_add_test(suite, "digest", test_digest);
+    CU_add_test(suite, "translate", test_translate);
+    CU_add_test(suite, "address", test_address);
+    CU_add_test(suite, "histogram", test_histogram);
+    CU_add_test(suite, "noise", test_noise);
+    CU_basic_set_mode(CU_BRM_SILENT);
+    CU_basic_run_tests();
+    CU_basic_show_failures(CU_get_failure_list());
+    failed = CU_get_number_of_tests_failed();
+    printf("%u of %u unit tests failed\n", failed,
+           CU_get_number_of_tests_run());
+    CU_cleanup_registry();
+    return failed > 0;
+}
--- a/target/targetd.c
+++ b/target/targetd.c
@@ -11,6 +11,8 @@
 #include "../base/base.h"
 
 #define BODY_MOST (8U << 20)
+/* Period in which callers that left are looked for. */
+#define LOOK_EVERY (50 * JD_US_PER_MS)
 
 /* How the stand-in behaves. */
 typedef enum Mode {
@@ -29,6 +31,7 @@
 };
 
 typedef struct Job {
+    TAILQ_ENTRY(Job) link;
     h2o_req_t *req;
     struct Job **gone;
     JdTimer timer;
@@ -45,6 +48,8 @@
     uint64_t running;
     uint64_t running_most;
     GHashTable *keys; /* how often each key ran */
+    TAILQ_HEAD(, Job) jobs;
+    JdTimer look;
 } Targetd;
 
 static Targetd targetd;
@@ -53,6 +58,7 @@
 end_job(Job *job)
 {
     targetd.running--;
+    TAILQ_REMOVE(&targetd.jobs, job, link);
     if (job->gone != NULL) {
         *job->gone = NULL;
     }
@@ -92,6 +98,27 @@
     }
 }
 
+/* Cancels the jobs whose callers have left. */
+static void
+on_look(void *ctx)
+{
+    Job *job, *next;
+
+    (void)ctx;
+    JdTimer_Arm(&targetd.loop.clock, &targetd.look, LOOK_EVERY);
+    for (job = TAILQ_FIRST(&targetd.jobs); job != NULL; job = next) {
+        h2o_req_t *req = job->req;
+
+        next = TAILQ_NEXT(job, link);
+        if (JdHttpd_HasCallerLeft(req)) {
+            targetd.cancelled++;
+            end_job(job);
+            /* The library closes the connection once it writes to it. */
+            JdHttpd_Reply(req, 499, NULL, "", 0);
+        }
+    }
+}
+
 static void
 note_key(const h2o_req_t *req)
 {
@@ -123,6 +150,7 @@
     job->gone = h2o_mem_alloc_shared(&req->pool, sizeof(*job->gone),
                                      on_request_gone);
     *job->gone = job;
+    TAILQ_INSERT_TAIL(&targetd.jobs, job, link);
     targetd.running++;
     if (targetd.running > targetd.running_most) {
         targetd.running_most = targetd.running;
@@ -239,6 +267,9 @@
         fprintf(stderr, "jd-targetd: %s\n", err.text);
         return 1;
     }
+    TAILQ_INIT(&targetd.jobs);
+    JdTimer_Init(&targetd.look, on_look, NULL);
+    JdTimer_Arm(&targetd.loop.clock, &targetd.look, LOOK_EVERY);
     JdLoop_CatchSignals(&targetd.loop, on_signal, &targetd.loop);
     JdLoop_Run(&targetd.loop);
     return 0;
