--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,8 @@
        -Wmissing-prototypes -Wno-unused-parameter
 CPPFLAGS += -D_GNU_SOURCE -DG_LOG_DOMAIN='"jacinthdyke"' -DH2O_USE_LIBUV=0 \
             -Iinclude -Ipeer -Ilib $(shell pkg-config --cflags $(PKGS))
+TIDY_FLAGS = -std=gnu11 -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Iinclude -Ipeer \
+             -Ilib $(shell pkg-config --cflags $(PKGS))
 CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN)
 LDLIBS += -lh2o-evloop -lssl -lcrypto -lm $(shell pkg-config --libs $(PKGS))
 
@@ -94,10 +96,42 @@
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
+OWN = $(filter-out %.pb-c.c,$(sort $(ALL_SRC))) examples/embed.c
+HEADERS = $(filter-out %.pb-c.h,$(wildcard */*.h regress/*/*.h))
+
+lint:
+	clang-format --dry-run --Werror $(OWN) $(HEADERS)
+	cppcheck -q --std=c11 --enable=warning,portability --inline-suppr \
+	    --error-exitcode=1 --suppress=missingInclude -Iinclude -Ipeer \
+	    -Ilib -j4 $(OWN)
+	@for f in $(OWN); do echo $$f; done | xargs -P8 -n6 sh -c \
+	    'clang-tidy --quiet "$$@" -- $(TIDY_FLAGS) >$(BUILD)/tidy.$$$$ 2>&1 || \
+	    { cat $(BUILD)/tidy.$$$$; exit 1; }' clang-tidy
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+	    $(DESTDIR)$(PREFIX)/include $(DESTDIR)$(PREFIX)/share/man/man1 \
+	    $(DESTDIR)$(PREFIX)/share/man/man3 \
+	    $(DESTDIR)$(PREFIX)/share/man/man5 \
+	    $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 755 $(addprefix $(BUILD)/,$(PROGRAMS)) \
+	    $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 include/*.h include/counters.def peer/frame.pb-c.h \
+	    $(DESTDIR)$(PREFIX)/include
+	for s in 1 3 5 8; do install -m 644 man/*.$$s \
+	    $(DESTDIR)$(PREFIX)/share/man/man$$s; done
+	sed 's|@PREFIX@|$(PREFIX)|; s|@VERSION@|0.1.0|' jacinthdyke.pc.in \
+	    >$(DESTDIR)$(PREFIX)/lib/pkgconfig/jacinthdyke.pc
+
+bench: setup
+	@$(MAKE) --no-print-directory -s all
+	@bash load/bench.sh
+
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all tests check setup demo clean
+.PHONY: all tests check lint install bench setup demo clean
 
 ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) platform/logd.c \
           target/targetd.c fault/faultd.c
--- a/base/base.h
+++ b/base/base.h
@@ -71,10 +71,10 @@
 
 /* What became of a request, as far as its sender can know. */
 typedef enum JdHttpEnd {
-    JD_HTTP_ANSWERED,    /* a whole answer came */
-    JD_HTTP_NOT_SENT,    /* no connection; nothing was sent */
-    JD_HTTP_BROKEN,      /* cut after sending; the effect is unknown */
-    JD_HTTP_TIMED_OUT,   /* no whole answer in time; effect unknown */
+    JD_HTTP_ANSWERED,  /* a whole answer came */
+    JD_HTTP_NOT_SENT,  /* no connection; nothing was sent */
+    JD_HTTP_BROKEN,    /* cut after sending; the effect is unknown */
+    JD_HTTP_TIMED_OUT, /* no whole answer in time; effect unknown */
     JD_HTTP_END_MAX
 } JdHttpEnd;
 
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -156,8 +156,7 @@
         h->value = (const char *)at;
         h->value_len = headers[i].value.len;
         used += h->name_len + h->value_len;
-        if (h->name_len == 14 &&
-            memcmp(h->name, "content-length", 14) == 0) {
+        if (h->name_len == 14 && memcmp(h->name, "content-length", 14) == 0) {
             char *text = g_strndup(h->value, h->value_len);
 
             call->expect = strtoull(text, NULL, 10);
@@ -184,10 +183,10 @@
     copy_headers(call, headers, n);
     if (err == h2o_http1client_error_is_eos) {
         call->client = NULL;
-        finish(call, call->is_head || call->expect == SIZE_MAX ||
-                             call->expect == 0
-                         ? JD_HTTP_ANSWERED
-                         : JD_HTTP_BROKEN);
+        finish(call,
+               call->is_head || call->expect == SIZE_MAX || call->expect == 0
+                   ? JD_HTTP_ANSWERED
+                   : JD_HTTP_BROKEN);
         return NULL;
     }
     return on_body;
--- a/base/httpd.c
+++ b/base/httpd.c
@@ -135,10 +135,9 @@
 JdHttpd_Header(const h2o_req_t *req, const char *name, char *buf, size_t size)
 {
     const h2o_token_t *token = h2o_lookup_token(name, strlen(name));
-    ssize_t i = token != NULL
-                    ? h2o_find_header(&req->headers, token, -1)
-                    : h2o_find_header_by_str(&req->headers, name,
-                                             strlen(name), -1);
+    ssize_t i = token != NULL ? h2o_find_header(&req->headers, token, -1)
+                              : h2o_find_header_by_str(&req->headers, name,
+                                                       strlen(name), -1);
     h2o_iovec_t v;
 
     if (i < 0) {
@@ -191,8 +190,7 @@
         const char *amp = memchr(p, '&', (size_t)(end - p));
         const char *stop = amp == NULL ? end : amp;
 
-        if ((size_t)(stop - p) > n && memcmp(p, name, n) == 0 &&
-            p[n] == '=') {
+        if ((size_t)(stop - p) > n && memcmp(p, name, n) == 0 && p[n] == '=') {
             size_t len = (size_t)(stop - p) - n - 1;
 
             if (len >= size) {
@@ -209,14 +207,12 @@
 
 /* Returns a query parameter as a number. */
 uint64_t
-JdHttpd_QueryNumber(const h2o_req_t *req, const char *name,
-                    uint64_t otherwise)
+JdHttpd_QueryNumber(const h2o_req_t *req, const char *name, uint64_t otherwise)
 {
     char buf[24];
 
-    return JdHttpd_Query(req, name, buf, sizeof(buf))
-               ? strtoull(buf, NULL, 10)
-               : otherwise;
+    return JdHttpd_Query(req, name, buf, sizeof(buf)) ? strtoull(buf, NULL, 10)
+                                                      : otherwise;
 }
 
 /*
@@ -236,6 +232,6 @@
     }
     sock = req->conn->callbacks->get_socket(req->conn);
     return sock != NULL && sock->ssl == NULL &&
-           recv(h2o_socket_get_fd(sock), &byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) == 0;
+           recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
+               0;
 }
--- a/base/settings.c
+++ b/base/settings.c
@@ -121,8 +121,8 @@
 }
 
 static void
-check_unknown(json_t *js, const char *prefix, const JdSetting *table,
-              size_t n, Faults *f)
+check_unknown(json_t *js, const char *prefix, const JdSetting *table, size_t n,
+              Faults *f)
 {
     const char *key;
     json_t *v;
--- /dev/null
+++ b/examples/embed.c
@@ -0,0 +1,43 @@
+/*
+ * Embeds one part: admission in front of a worker with two slots, driven on a
+ * paused clock.  Build: cc embed.c $(pkg-config --cflags --libs jacinthdyke)
+ */
+#include <stdio.h>
+
+#include <jacinthdyke.h>
+
+static void
+on_start(void *ctx, JdWork *work)
+{
+    (void)ctx;
+    printf("start, priority %u\n", work->priority);
+}
+
+static void
+on_refuse(void *ctx, JdWork *work, JdReason reason)
+{
+    (void)ctx;
+    printf("refuse, priority %u: %s\n", work->priority,
+           JdReason_Info(reason)->name);
+}
+
+int
+main(void)
+{
+    static const JdAdmitOps ops = {on_start, on_refuse};
+    JdWork work[4] = {
+        {.priority = 2}, {.priority = 2}, {.priority = 2}, {.priority = 0}};
+    JdClock clk;
+    JdAdmit ad;
+
+    JdClock_Init(&clk, NULL, NULL);
+    JdAdmit_Init(&ad, 2, 1, &clk, &ops, NULL);
+    for (int i = 0; i < 4; i++) {
+        work[i].deadline = JdClock_Now(&clk) + JD_US_PER_S;
+        JdAdmit_Offer(&ad, &work[i]);
+    }
+    JdClock_Advance(&clk, 100 * JD_US_PER_MS);
+    JdAdmit_Done(&ad, &work[0], true);
+    JdAdmit_Finish(&ad);
+    return 0;
+}
--- a/fault/faultd.c
+++ b/fault/faultd.c
@@ -35,12 +35,9 @@
 } Fault;
 
 static const char *const fault_names[FAULT_MAX] = {
-    [FAULT_NONE] = "none",
-    [FAULT_CUT] = "cut",
-    [FAULT_SILENCE] = "silence",
-    [FAULT_SILENCE_OLD] = "silence-old",
-    [FAULT_TRUNCATE] = "truncate",
-    [FAULT_DUPLICATE] = "duplicate",
+    [FAULT_NONE] = "none",         [FAULT_CUT] = "cut",
+    [FAULT_SILENCE] = "silence",   [FAULT_SILENCE_OLD] = "silence-old",
+    [FAULT_TRUNCATE] = "truncate", [FAULT_DUPLICATE] = "duplicate",
 };
 
 /* The link from one domain to another, in one direction. */
@@ -462,9 +459,9 @@
         on_fault(req);
     }
     else if (JdHttpd_IsPath(req, "/stats")) {
-        JdHttpd_ReplyJson(req, 200,
-                          json_pack("{s:I}", "region_bytes",
-                                    (json_int_t)fd.region_bytes));
+        JdHttpd_ReplyJson(
+            req, 200,
+            json_pack("{s:I}", "region_bytes", (json_int_t)fd.region_bytes));
     }
     else {
         JdHttpd_Reply(req, 404, "text/plain", "no such path\n", 13);
@@ -569,8 +566,7 @@
     fd.region_us = (uint64_t)region_us;
     fd.region_bits = (uint64_t)bits;
     read_regions(regions == NULL ? "" : regions);
-    s = JdHttpd_Init(&fd.httpd, &fd.loop, admin, 1024, on_request, NULL,
-                     &err);
+    s = JdHttpd_Init(&fd.httpd, &fd.loop, admin, 1024, on_request, NULL, &err);
     for (int i = 0; s == JD_OK && ports[i] != NULL; i++) {
         s = add_port(ports[i], &err);
     }
--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -38,29 +38,29 @@
 /* Every failure that a part or a program can report. */
 typedef enum JdStatus {
     JD_OK,
-    JD_ERR_SYNTAX,        /* not well-formed JSON */
-    JD_ERR_DUPLICATE,     /* a name stands twice in one object */
-    JD_ERR_TYPE,          /* a value has the wrong JSON type */
-    JD_ERR_UNKNOWN_FIELD, /* a field or table that the rules do not name */
-    JD_ERR_MISSING,       /* a required field is absent */
-    JD_ERR_RANGE,         /* a number or name outside its limits */
-    JD_ERR_DANGLING,      /* a reference to an entry that does not exist */
-    JD_ERR_MISMATCH,      /* a route and its endpoint set differ in service */
-    JD_ERR_BASE_LOST,     /* another patch took the version after the base */
-    JD_ERR_BASE_AHEAD,    /* the base is a version that does not exist yet */
-    JD_ERR_RULES,         /* the log asks for rules this release lacks */
-    JD_ERR_RECORD,        /* a log record that is not one of ours */
-    JD_ERR_DIGEST,        /* the state does not match the sender's digest */
-    JD_ERR_OLDER,         /* a version at or below the one in force */
-    JD_ERR_GAP,           /* history between two versions is not available */
-    JD_ERR_EXPIRED,       /* the log expired past every usable checkpoint */
-    JD_ERR_UNREACHABLE,   /* no connection, or no answer in time */
-    JD_ERR_REFUSED,       /* the other side answered with a refusal */
+    JD_ERR_SYNTAX,         /* not well-formed JSON */
+    JD_ERR_DUPLICATE,      /* a name stands twice in one object */
+    JD_ERR_TYPE,           /* a value has the wrong JSON type */
+    JD_ERR_UNKNOWN_FIELD,  /* a field or table that the rules do not name */
+    JD_ERR_MISSING,        /* a required field is absent */
+    JD_ERR_RANGE,          /* a number or name outside its limits */
+    JD_ERR_DANGLING,       /* a reference to an entry that does not exist */
+    JD_ERR_MISMATCH,       /* a route and its endpoint set differ in service */
+    JD_ERR_BASE_LOST,      /* another patch took the version after the base */
+    JD_ERR_BASE_AHEAD,     /* the base is a version that does not exist yet */
+    JD_ERR_RULES,          /* the log asks for rules this release lacks */
+    JD_ERR_RECORD,         /* a log record that is not one of ours */
+    JD_ERR_DIGEST,         /* the state does not match the sender's digest */
+    JD_ERR_OLDER,          /* a version at or below the one in force */
+    JD_ERR_GAP,            /* history between two versions is not available */
+    JD_ERR_EXPIRED,        /* the log expired past every usable checkpoint */
+    JD_ERR_UNREACHABLE,    /* no connection, or no answer in time */
+    JD_ERR_REFUSED,        /* the other side answered with a refusal */
     JD_ERR_UNKNOWN_RESULT, /* the effect of an action could not be learned */
-    JD_ERR_TIMEOUT,       /* the stated time passed first */
-    JD_ERR_USAGE,         /* the command line is wrong */
-    JD_ERR_SETTINGS,      /* the settings file is wrong */
-    JD_ERR_SYSTEM,        /* a system call failed */
+    JD_ERR_TIMEOUT,        /* the stated time passed first */
+    JD_ERR_USAGE,          /* the command line is wrong */
+    JD_ERR_SETTINGS,       /* the settings file is wrong */
+    JD_ERR_SYSTEM,         /* a system call failed */
     JD_STATUS_MAX
 } JdStatus;
 
@@ -202,11 +202,11 @@
     const char *prefix;
     const char *service;
     const char *endpoint_set;
-    unsigned priority;       /* 0 is served first */
-    uint64_t deadline;       /* us, the most a request may take */
-    unsigned retry_percent;  /* retries per 100 first tries */
-    bool idempotent;         /* every method may be sent again */
-    bool once;               /* needs an idempotency key */
+    unsigned priority;      /* 0 is served first */
+    uint64_t deadline;      /* us, the most a request may take */
+    unsigned retry_percent; /* retries per 100 first tries */
+    bool idempotent;        /* every method may be sent again */
+    bool once;              /* needs an idempotency key */
 } JdRoute;
 
 bool JdConfig_Route(const JdConfig *cfg, const char *path, size_t len,
--- a/include/jacinthdyke_reader.h
+++ b/include/jacinthdyke_reader.h
@@ -60,13 +60,13 @@
     void *ctx;
     JdTimer retry;
     uint64_t token;
-    uint64_t wait;       /* us, long poll */
-    uint64_t heard;      /* time of the last good answer */
-    uint64_t tail;       /* offset after the newest checkpoint */
-    unsigned failures;   /* in a row */
+    uint64_t wait;     /* us, long poll */
+    uint64_t heard;    /* time of the last good answer */
+    uint64_t tail;     /* offset after the newest checkpoint */
+    unsigned failures; /* in a row */
     bool is_caught_up;
-    bool is_expired;     /* the log expired past this reader */
-    bool was_reset;      /* a checkpoint was tried since the last good read */
+    bool is_expired; /* the log expired past this reader */
+    bool was_reset;  /* a checkpoint was tried since the last good read */
 } JdReader;
 
 void JdReader_Init(JdReader *rd, JdStore *st, JdClock *clk,
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -128,8 +128,8 @@
 typedef struct JdClaims {
     char node[JD_NAME_MAX];
     uint64_t incarnation;
-    uint64_t hold;   /* us for which a key stays claimed */
-    uint64_t gap;    /* us between two appends */
+    uint64_t hold;      /* us for which a key stays claimed */
+    uint64_t gap;       /* us between two appends */
     uint64_t retention; /* us for which the log keeps records, 0: unknown */
     JdClock *clock;
     JdCounters *counters;
@@ -137,7 +137,7 @@
     void *ctx;
     TAILQ_HEAD(JdClaimHead, JdClaim) pending;
     struct JdClaimHead sending;
-    void *taken;     /* hash tables of the implementation */
+    void *taken; /* hash tables of the implementation */
     void *voided;
     uint64_t next;   /* offset after the last record that was applied */
     uint64_t oldest; /* time of the oldest record that was read, 0: all */
@@ -169,14 +169,14 @@
 /* What this node has seen of one target. */
 typedef struct JdTargetStat {
     uint64_t incarnation;
-    uint64_t warm_from;     /* start of the slow start */
+    uint64_t warm_from; /* start of the slow start */
     uint64_t ejected_until;
-    uint64_t progress_at;   /* last answer, or first send after idleness */
-    uint64_t latency;       /* us, moving average */
+    uint64_t progress_at; /* last answer, or first send after idleness */
+    uint64_t latency;     /* us, moving average */
     unsigned outstanding;
-    unsigned failures;      /* in a row */
-    unsigned ejections;     /* in a row */
-    unsigned load;          /* percent of slots, as the target's node said */
+    unsigned failures;  /* in a row */
+    unsigned ejections; /* in a row */
+    unsigned load;      /* percent of slots, as the target's node said */
     uint64_t load_at;
 } JdTargetStat;
 
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -38,9 +38,9 @@
     char service[JD_NAME_MAX];
     char endpoint_set[JD_NAME_MAX];
     unsigned slots;
-    uint64_t changed;    /* time of the last change */
+    uint64_t changed; /* time of the last change */
     bool is_news;
-    const void *source;  /* link that the news came from */
+    const void *source; /* link that the news came from */
     bool is_suspect;
     uint64_t suspect_at; /* time at which a suspect counts as lost */
     void *user;          /* state of the embedding program */
@@ -60,7 +60,7 @@
     struct JdMemberList news;
     struct JdMemberList suspects;
     const char *self; /* a member that is never suspected, or NULL */
-    void *by_id;  /* hash tables of the implementation */
+    void *by_id;      /* hash tables of the implementation */
     void *by_set;
     uint64_t bucket[JD_BUCKETS];
     unsigned count;
@@ -212,14 +212,14 @@
     JdMemberState state; /* of the target beside this node */
     uint64_t seq;
     uint64_t head_rank;
-    bool was_head;      /* the directory names an earlier process as head */
+    bool was_head; /* the directory names an earlier process as head */
     bool is_announcing;
-    bool is_improving;  /* the trial is for a better parent only */
-    bool is_lead;       /* reads the log for want of a parent */
+    bool is_improving; /* the trial is for a better parent only */
+    bool is_lead;      /* reads the log for want of a parent */
     bool is_reading;
     bool is_ready;
     bool is_leaving;
-    bool is_volunteer;  /* reads the directory in order to volunteer */
+    bool is_volunteer; /* reads the directory in order to volunteer */
     bool is_directory_read;
     uint64_t tried_rank; /* newest head of the domain that did not answer */
     uint64_t announced_at;
@@ -246,6 +246,7 @@
     JdTimer volunteer;
     uint64_t next_improve;
     uint64_t improve_wait;
+    uint64_t next_pull;
 } JdTree;
 
 /* What a subtree reports of itself. */
--- a/lib/admit.c
+++ b/lib/admit.c
@@ -149,8 +149,7 @@
 {
     JdWork *w;
 
-    while (ad->running < ad->slots &&
-           (w = TAILQ_FIRST(&ad->queue)) != NULL) {
+    while (ad->running < ad->slots && (w = TAILQ_FIRST(&ad->queue)) != NULL) {
         dequeue(ad, w);
         if (can_end_in_time(ad, w, 0)) {
             run(ad, w);
@@ -222,8 +221,7 @@
         ad->service_time = took;
     }
     else if (is_whole) {
-        ad->service_time +=
-            took / AVERAGE_OF - ad->service_time / AVERAGE_OF;
+        ad->service_time += took / AVERAGE_OF - ad->service_time / AVERAGE_OF;
     }
     start_queued(ad);
 }
--- a/lib/budget.c
+++ b/lib/budget.c
@@ -5,9 +5,9 @@
  */
 #include "libjd.h"
 
-#define WHOLE 100
+#define WHOLE UINT64_C(100)
 /* Retries that may be saved up. */
-#define RESERVE 10
+#define RESERVE UINT64_C(10)
 
 /* Initializes a budget with its reserve. */
 void
--- a/lib/choice.c
+++ b/lib/choice.c
@@ -66,8 +66,8 @@
 static unsigned
 reported_load(const JdChooser *ch, const JdTargetStat *ts)
 {
-    bool is_fresh = ts->load_at != 0 &&
-                    JdClock_Now(ch->clock) - ts->load_at < LOAD_FRESH;
+    bool is_fresh =
+        ts->load_at != 0 && JdClock_Now(ch->clock) - ts->load_at < LOAD_FRESH;
 
     return is_fresh ? ts->load : 0;
 }
@@ -90,8 +90,7 @@
 {
     const JdTargetStat *ts = stat_of(ch, mb);
     double slots = mb->slots == 0 ? 1 : mb->slots;
-    double work = 1 + ts->outstanding +
-                  reported_load(ch, ts) * slots / 100.0;
+    double work = 1 + ts->outstanding + reported_load(ch, ts) * slots / 100.0;
 
     return work / slots;
 }
@@ -149,8 +148,7 @@
     {
         JdTier t = tier_of(ch, mb);
 
-        if (!is_usable(ch, mb, strict) ||
-            out->count[t] == CANDIDATES_MOST ||
+        if (!is_usable(ch, mb, strict) || out->count[t] == CANDIDATES_MOST ||
             (avoid != NULL && strcmp(mb->id, avoid) == 0)) {
             continue;
         }
@@ -200,8 +198,7 @@
     bool has_region = c->count[JD_TIER_REGION] > 0;
 
     if (has_domain &&
-        (c->full[JD_TIER_DOMAIN] < c->count[JD_TIER_DOMAIN] ||
-         !has_region)) {
+        (c->full[JD_TIER_DOMAIN] < c->count[JD_TIER_DOMAIN] || !has_region)) {
         return JD_TIER_DOMAIN;
     }
     if (has_region) {
--- a/lib/claim.c
+++ b/lib/claim.c
@@ -69,10 +69,8 @@
     cl->ctx = ctx;
     TAILQ_INIT(&cl->pending);
     TAILQ_INIT(&cl->sending);
-    cl->taken =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    cl->voided =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    cl->taken = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    cl->voided = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     JdTimer_Init(&cl->timer, on_timer, cl);
 }
 
@@ -90,8 +88,8 @@
 static char *
 batch_name(const char *node, uint64_t incarnation, uint64_t batch)
 {
-    return g_strdup_printf("%s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT,
-                           node, incarnation, batch);
+    return g_strdup_printf("%s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT, node,
+                           incarnation, batch);
 }
 
 static bool
@@ -165,8 +163,7 @@
     }
     old.batch = batch;
     g_hash_table_foreach_remove(cl->taken, is_of_batch, &old);
-    g_hash_table_add(cl->voided,
-                     batch_name(by->node, by->incarnation, batch));
+    g_hash_table_add(cl->voided, batch_name(by->node, by->incarnation, batch));
 }
 
 static bool
@@ -260,8 +257,7 @@
 {
     char *text;
 
-    if (cl->is_sending ||
-        (TAILQ_EMPTY(&cl->pending) && cl->void_batch == 0)) {
+    if (cl->is_sending || (TAILQ_EMPTY(&cl->pending) && cl->void_batch == 0)) {
         return;
     }
     move_pending(cl);
--- a/lib/doc.c
+++ b/lib/doc.c
@@ -28,15 +28,14 @@
     const char *name;
     json_type type;
     bool required;
-    json_int_t least;   /* of an integer */
-    json_int_t most;    /* of an integer */
-    int refers;         /* table of a reference, or -1 */
+    json_int_t least; /* of an integer */
+    json_int_t most;  /* of an integer */
+    int refers;       /* table of a reference, or -1 */
 } Field;
 
 /* The fields of each table under rules 1. */
 static const Field fields[] = {
-    {JD_TABLE_SERVICES, "policy", JSON_STRING, false, 0, 0,
-     JD_TABLE_POLICIES},
+    {JD_TABLE_SERVICES, "policy", JSON_STRING, false, 0, 0, JD_TABLE_POLICIES},
     {JD_TABLE_SERVICES, "note", JSON_STRING, false, 0, 0, -1},
     {JD_TABLE_ENDPOINT_SETS, "service", JSON_STRING, true, 0, 0,
      JD_TABLE_SERVICES},
@@ -252,12 +251,11 @@
     if (*out != NULL) {
         return JD_OK;
     }
-    return JdError_Set(err,
-                       json_error_code(&je) == json_error_duplicate_key
-                           ? JD_ERR_DUPLICATE
-                           : JD_ERR_SYNTAX,
-                       "", "line %d column %d: %s", je.line, je.column,
-                       je.text);
+    return JdError_Set(
+        err,
+        json_error_code(&je) == json_error_duplicate_key ? JD_ERR_DUPLICATE
+                                                         : JD_ERR_SYNTAX,
+        "", "line %d column %d: %s", je.line, je.column, je.text);
 }
 
 static bool
@@ -521,8 +519,7 @@
     for (int t = 0; t < JD_TABLE_MAX; t++) {
         json_object_foreach(cfg->table[t], name, entry)
         {
-            JdStatus s =
-                check_references(cfg, (JdTable)t, name, entry, err);
+            JdStatus s = check_references(cfg, (JdTable)t, name, entry, err);
 
             if (s == JD_OK && t == JD_TABLE_ROUTES) {
                 s = check_route(cfg, name, entry, err);
@@ -618,9 +615,8 @@
         svc = json_object_get(cfg->table[JD_TABLE_SERVICES], out->service);
         name = text_of(svc, "policy");
     }
-    pol = name == NULL
-              ? NULL
-              : json_object_get(cfg->table[JD_TABLE_POLICIES], name);
+    pol = name == NULL ? NULL
+                       : json_object_get(cfg->table[JD_TABLE_POLICIES], name);
     out->priority = (unsigned)number_of(pol, "priority", DEFAULT_PRIORITY);
     out->deadline =
         (uint64_t)number_of(pol, "deadline_ms", DEFAULT_DEADLINE_MS) *
@@ -636,8 +632,7 @@
  * The strings in `out` live as long as the configuration.
  */
 bool
-JdConfig_Route(const JdConfig *cfg, const char *path, size_t len,
-               JdRoute *out)
+JdConfig_Route(const JdConfig *cfg, const char *path, size_t len, JdRoute *out)
 {
     char key[PREFIX_LIMIT + 1];
     size_t n = len < PREFIX_LIMIT ? len : PREFIX_LIMIT;
@@ -653,8 +648,8 @@
         key[n] = '\0';
         route = json_object_get(cfg->table[JD_TABLE_ROUTES], key);
         if (route != NULL) {
-            out->prefix = json_object_iter_key(json_object_iter_at(
-                cfg->table[JD_TABLE_ROUTES], key));
+            out->prefix = json_object_iter_key(
+                json_object_iter_at(cfg->table[JD_TABLE_ROUTES], key));
             fill_route(cfg, route, out);
             return true;
         }
--- a/lib/member.c
+++ b/lib/member.c
@@ -31,8 +31,8 @@
     TAILQ_INIT(&ms->news);
     TAILQ_INIT(&ms->suspects);
     ms->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-    ms->by_set = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                       g_free);
+    ms->by_set =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ms->clock = clk;
     ms->counters = ctr;
 }
@@ -258,8 +258,8 @@
         const JdMember *up =
             mb->via[0] == '\0' ? NULL : JdMembers_Find(ms, mb->via);
 
-        if (up != NULL && (up->state == JD_MEMBER_LOST ||
-                           up->state == JD_MEMBER_LEFT)) {
+        if (up != NULL &&
+            (up->state == JD_MEMBER_LOST || up->state == JD_MEMBER_LEFT)) {
             JdMembers_Suspect(ms, mb, grace);
         }
     }
--- a/lib/reader.c
+++ b/lib/reader.c
@@ -148,8 +148,8 @@
     JdStatus s;
 
     if (ans->records > 0) {
-        s = JdStore_Restore(rd->store, ans->record[0].text,
-                            ans->record[0].len, &err);
+        s = JdStore_Restore(rd->store, ans->record[0].text, ans->record[0].len,
+                            &err);
         if (s != JD_OK && s != JD_ERR_OLDER) {
             rd->store->counters->value[JD_C_BAD_RECORD]++;
         }
--- a/lib/store.c
+++ b/lib/store.c
@@ -410,20 +410,19 @@
 JdStatus
 JdStore_ApplyDelta(JdStore *st, const JdDelta *dlt, JdError *err)
 {
-    JdConfig *cfg;
-    json_t *body;
+    JdConfig *cfg = NULL;
+    json_t *body = NULL;
     JdStatus s;
 
     if (dlt->to <= st->config->version) {
         st->counters->value[JD_C_OLDER_DROPPED]++;
-        return JdError_Set(err, JD_ERR_OLDER, "",
-                           "version %" G_GUINT64_FORMAT, dlt->to);
+        return JdError_Set(err, JD_ERR_OLDER, "", "version %" G_GUINT64_FORMAT,
+                           dlt->to);
     }
     if (dlt->from != 0 && dlt->from != st->config->version) {
         st->counters->value[JD_C_GAP]++;
         return JdError_Set(err, JD_ERR_GAP, "",
-                           "delta from version %" G_GUINT64_FORMAT,
-                           dlt->from);
+                           "delta from version %" G_GUINT64_FORMAT, dlt->from);
     }
     s = decode_body(dlt, &body, err);
     if (s != JD_OK) {
@@ -533,10 +532,9 @@
 JdRecord_Patch(uint64_t base, const char *id, const char *author,
                json_t *patch)
 {
-    json_t *js =
-        json_pack("{s:s, s:I, s:s, s:s, s:O}", "type", "patch", "base",
-                  (json_int_t)base, "id", id, "author", author, "patch",
-                  patch);
+    json_t *js = json_pack("{s:s, s:I, s:s, s:s, s:O}", "type", "patch",
+                           "base", (json_int_t)base, "id", id, "author",
+                           author, "patch", patch);
     char *text = json_dumps(js, JSON_COMPACT);
 
     json_decref(js);
--- a/lib/tree.c
+++ b/lib/tree.c
@@ -22,6 +22,8 @@
 #define BACKLOG_LIMIT (256U << 10)
 /* A parent that stays ahead for this long is asked for its state. */
 #define PULL_AFTER (2 * JD_US_PER_S)
+/* Shortest time between two pulls from peers that are not the parent. */
+#define PULL_EVERY (20 * JD_US_PER_MS)
 /* Time for which lost and departed members are remembered. */
 #define FORGET_AFTER (3600 * JD_US_PER_S)
 
@@ -118,8 +120,7 @@
 {
     uint64_t last = tr->log_heard;
 
-    if (tr->parent.state == JD_LINK_ATTACHED &&
-        tr->parent.source_at > last) {
+    if (tr->parent.state == JD_LINK_ATTACHED && tr->parent.source_at > last) {
         last = tr->parent.source_at;
     }
     return JdClock_Now(tr->clock) - last;
@@ -139,10 +140,9 @@
 void
 _JdTree_CheckReading(JdTree *tr)
 {
-    bool is_stale = tr->head_rank != 0 &&
-                    tr->parent.state == JD_LINK_ATTACHED &&
-                    JdClock_Now(tr->clock) - tr->parent.source_at >
-                        tr->tune.stale;
+    bool is_stale =
+        tr->head_rank != 0 && tr->parent.state == JD_LINK_ATTACHED &&
+        JdClock_Now(tr->clock) - tr->parent.source_at > tr->tune.stale;
     bool want = (tr->is_lead || is_stale) && !tr->is_leaving;
 
     if (want != tr->is_reading) {
@@ -173,8 +173,8 @@
     frame.body_case = JD__FRAME__BODY_DELTA;
     frame.delta = &msg;
     _JdTree_Send(tr, peer, &frame);
-    tr->counters->value[dlt->from == 0 ? JD_C_SNAPSHOTS_SENT
-                                       : JD_C_DELTAS_SENT]++;
+    tr->counters
+        ->value[dlt->from == 0 ? JD_C_SNAPSHOTS_SENT : JD_C_DELTAS_SENT]++;
 }
 
 /* Sends what a child lacks, unless it is slow to take what it was sent. */
@@ -291,7 +291,8 @@
     uint64_t own = tr->store->config->version;
 
     if (peer != tr->parent.peer) {
-        if (version > own) {
+        if (version > own && now >= tr->next_pull) {
+            tr->next_pull = now + PULL_EVERY;
             send_pull(tr, peer, own);
         }
         return;
@@ -434,8 +435,7 @@
 static bool
 can_take(const JdTree *tr, const Jd__Join *msg)
 {
-    bool is_attached =
-        tr->is_lead || tr->parent.state == JD_LINK_ATTACHED;
+    bool is_attached = tr->is_lead || tr->parent.state == JD_LINK_ATTACHED;
 
     return is_attached && !tr->is_leaving &&
            tr->path_len + 1 < JD_TREE_PATH_MAX &&
@@ -596,8 +596,7 @@
     ch->min_version = msg->min_version;
     ch->laggards = 0;
     for (size_t i = 0; i < msg->n_laggard && i < JD_LAGGARDS_MAX; i++) {
-        _Jd_CopyText(ch->laggard[ch->laggards], JD_NAME_MAX,
-                     msg->laggard[i]);
+        _Jd_CopyText(ch->laggard[ch->laggards], JD_NAME_MAX, msg->laggard[i]);
         ch->laggards++;
     }
 }
--- a/lib/uplink.c
+++ b/lib/uplink.c
@@ -131,8 +131,8 @@
                       tr->parent.state != JD_LINK_ATTACHED;
 
     h->is_home = c == CLASS_HOME;
-    h->score = (uint64_t)(h->is_lost || was_parent) << 62 |
-               (uint64_t)c << 58 | order;
+    h->score =
+        (uint64_t)(h->is_lost || was_parent) << 62 | (uint64_t)c << 58 | order;
 }
 
 static void
@@ -177,10 +177,10 @@
 
     for (size_t i = 0; i < msg->n_candidate && n < JD_CANDIDATES_MAX; i++) {
         if (strcmp(msg->candidate[i]->id, tr->self.id) != 0) {
-            head[n++] = (Head){.id = msg->candidate[i]->id,
-                               .address = msg->candidate[i]->peer,
-                               .score = _Jd_HashText(msg->candidate[i]->id,
-                                                     seed)};
+            head[n++] =
+                (Head){.id = msg->candidate[i]->id,
+                       .address = msg->candidate[i]->peer,
+                       .score = _Jd_HashText(msg->candidate[i]->id, seed)};
         }
     }
     qsort(head, n, sizeof(Head), compare_heads);
@@ -299,10 +299,10 @@
 static void
 arm_volunteer(JdTree *tr)
 {
-    double u = (double)(JdRandom_Below(&tr->random, 1 << 20) + 1) /
-               (double)(1 << 20);
-    uint64_t wait = (uint64_t)((double)tr->tune.volunteer *
-                               sqrt(sqrt(sqrt(u))));
+    double u =
+        (double)(JdRandom_Below(&tr->random, 1 << 20) + 1) / (double)(1 << 20);
+    uint64_t wait =
+        (uint64_t)((double)tr->tune.volunteer * sqrt(sqrt(sqrt(u))));
 
     if (tr->is_announcing || tr->volunteer.armed || tr->is_leaving) {
         return;
@@ -360,8 +360,7 @@
     if (tr->trial.state != JD_LINK_NONE || tr->is_leaving) {
         return;
     }
-    tr->is_improving =
-        tr->parent.state == JD_LINK_ATTACHED || tr->is_lead;
+    tr->is_improving = tr->parent.state == JD_LINK_ATTACHED || tr->is_lead;
     tr->redirects = 0;
     tr->improve_wait *= 2;
     if (tr->improve_wait > tr->tune.improve || tr->improve_wait == 0) {
@@ -464,8 +463,7 @@
 static void
 adopt_trial(JdTree *tr)
 {
-    void *old =
-        tr->parent.state == JD_LINK_ATTACHED ? tr->parent.peer : NULL;
+    void *old = tr->parent.state == JD_LINK_ATTACHED ? tr->parent.peer : NULL;
     JdTimer timeout = tr->parent.timeout;
 
     /* Pending news name the links they came from by address, and a new
@@ -653,11 +651,11 @@
 char *
 JdTree_DirectoryRecord(const JdTree *tr)
 {
-    json_t *js = json_pack(
-        "{s:s, s:I, s:s, s:s, s:s, s:I}", "id", tr->self.id, "incarnation",
-        (json_int_t)tr->self.incarnation, "region", tr->self.region,
-        "domain", tr->self.domain, "peer", tr->self.peer, "rank",
-        (json_int_t)tr->head_rank);
+    json_t *js =
+        json_pack("{s:s, s:I, s:s, s:s, s:s, s:I}", "id", tr->self.id,
+                  "incarnation", (json_int_t)tr->self.incarnation, "region",
+                  tr->self.region, "domain", tr->self.domain, "peer",
+                  tr->self.peer, "rank", (json_int_t)tr->head_rank);
     char *text = json_dumps(js, JSON_COMPACT);
 
     json_decref(js);
--- a/load/apply.c
+++ b/load/apply.c
@@ -21,8 +21,8 @@
 static json_t *
 make_document(int services)
 {
-    json_t *doc = json_pack("{s:{}, s:{}, s:{}}", "services", "endpoint_sets",
-                            "routes");
+    json_t *doc =
+        json_pack("{s:{}, s:{}, s:{}}", "services", "endpoint_sets", "routes");
 
     for (int i = 0; i < services; i++) {
         char name[32], path[32];
@@ -33,9 +33,9 @@
                             json_pack("{s:s}", "note", "bench"));
         json_object_set_new(json_object_get(doc, "endpoint_sets"), name,
                             json_pack("{s:s}", "service", name));
-        json_object_set_new(json_object_get(doc, "routes"), path,
-                            json_pack("{s:s, s:s}", "service", name,
-                                      "endpoint_set", name));
+        json_object_set_new(
+            json_object_get(doc, "routes"), path,
+            json_pack("{s:s, s:s}", "service", name, "endpoint_set", name));
     }
     return doc;
 }
@@ -119,8 +119,8 @@
 
         snprintf(id, sizeof(id), "node-%05d", i);
         snprintf(set, sizeof(set), "service-%04d", i % 1300);
-        snprintf(peer, sizeof(peer), "10.%d.%d.%d:7000", i >> 16,
-                 i >> 8 & 255, i & 255);
+        snprintf(peer, sizeof(peer), "10.%d.%d.%d:7000", i >> 16, i >> 8 & 255,
+                 i & 255);
         msg.id = id;
         msg.incarnation = 1;
         msg.seq = 1;
--- a/load/experiment.c
+++ b/load/experiment.c
@@ -34,12 +34,12 @@
     uint64_t errors;   /* of the target itself */
     uint64_t not_run;
     uint64_t unknown;
-    uint64_t failed;   /* no answer at all */
+    uint64_t failed; /* no answer at all */
     uint64_t late;
-    uint64_t crossed;  /* answers to another request */
+    uint64_t crossed; /* answers to another request */
     GHashTable *reasons;
-    Histogram all;     /* every answer */
-    Histogram good;    /* of `answered` */
+    Histogram all;  /* every answer */
+    Histogram good; /* of `answered` */
 } Stream;
 
 typedef struct Shot {
@@ -139,12 +139,12 @@
     shot->stream = st;
     shot->intended = intended;
     shot->number = st->sent + (uint64_t)(st - ex.stream) * 1000000000;
-    headers = g_strdup_printf(
-        "x-request-id: %llx-%llu\r\n%s%s%llx-%llu%s%s",
-        (unsigned long long)ex.run, (unsigned long long)shot->number,
-        st->headers, st->needs_key ? "idempotency-key: " : "x-run: ",
-        (unsigned long long)ex.run, (unsigned long long)shot->number, "\r\n",
-        "");
+    headers = g_strdup_printf("x-request-id: %llx-%llu\r\n%s%s%llx-%llu%s%s",
+                              (unsigned long long)ex.run,
+                              (unsigned long long)shot->number, st->headers,
+                              st->needs_key ? "idempotency-key: " : "x-run: ",
+                              (unsigned long long)ex.run,
+                              (unsigned long long)shot->number, "\r\n", "");
     ex.open++;
     JdHttpc_Send(&st->http[st->sent % st->addresses], st->method, st->path,
                  headers, NULL, 0, st->timeout, on_answer, shot);
@@ -248,11 +248,10 @@
            "\"p99_ms\": %.2f, \"max_ms\": %.2f, \"all_p99_ms\": %.2f, "
            "\"reasons\": {",
            st->name, (unsigned long long)st->sent,
-           (unsigned long long)st->answered,
-           (double)st->answered / ex.seconds, (unsigned long long)st->errors,
-           (unsigned long long)st->not_run, (unsigned long long)st->unknown,
-           (unsigned long long)st->failed, (unsigned long long)ex.open,
-           (unsigned long long)st->crossed,
+           (unsigned long long)st->answered, (double)st->answered / ex.seconds,
+           (unsigned long long)st->errors, (unsigned long long)st->not_run,
+           (unsigned long long)st->unknown, (unsigned long long)st->failed,
+           (unsigned long long)ex.open, (unsigned long long)st->crossed,
            (double)Histogram_Quantile(&st->good, 0.5) / 1000,
            (double)Histogram_Quantile(&st->good, 0.99) / 1000,
            (double)st->good.most / 1000,
--- a/load/fleet.sh
+++ b/load/fleet.sh
@@ -118,10 +118,30 @@
 fleet_start_target() { # D I [SERVICE_US]
 	"$FLEET_BIN/jd-targetd" --listen "127.0.$1.$2:9000" \
 	    --name "${FLEET_DOMAINS[$1]}-$2" --service-us "${3:-0}" \
+	    --slots "${TARGET_SLOTS:-0}" \
 	    2>>"$FLEET_DIR/$1-$2.target.err" &
 	fleet_note target-$1-$2
 }
 
+# Prints the processes that do not answer, with their state and stack.
+fleet_diagnose() {
+	local name pid
+	for name in "${!FLEET_PID[@]}"; do
+		case $name in
+		[0-9]*-[0-9]*) ;;
+		*) continue ;;
+		esac
+		fleet_get "http://127.0.${name%-*}.${name#*-}:8100/status" \
+		    >/dev/null && continue
+		pid=${FLEET_PID[$name]}
+		echo "no answer: $name $(ps -o stat=,time=,wchan= -p "$pid")"
+		tail -n 3 "$FLEET_DIR/$name.err"
+		! command -v gdb >/dev/null ||
+		    timeout 20 gdb -p "$pid" -batch -ex bt 2>/dev/null |
+		    grep '^#' | head -n 20
+	done >&2
+}
+
 fleet_ctl() {
 	"$FLEET_BIN/jacinthctl" --log $FLEET_LOG "$@"
 }
--- a/load/spread.c
+++ b/load/spread.c
@@ -37,10 +37,10 @@
     uint64_t first;
     json_t *answer;
     char *text;
-    Histogram lag;      /* of every node and version */
-    Histogram whole;    /* of the slowest node of each version */
-    unsigned skipped;   /* versions that a node never had by themselves */
-    unsigned missing;   /* nodes that never reached the last version */
+    Histogram lag;    /* of every node and version */
+    Histogram whole;  /* of the slowest node of each version */
+    unsigned skipped; /* versions that a node never had by themselves */
+    unsigned missing; /* nodes that never reached the last version */
 } Spread;
 
 static void
@@ -106,10 +106,10 @@
             sum->log_reads += counter_in(text, JD_C_LOG_READS);
             sum->log_bytes += counter_in(text, JD_C_LOG_BYTES);
         }
-        sum->cpu_us += (uint64_t)json_integer_value(
-            json_object_get(js, "cpu_us"));
-        sum->rss_kb += (uint64_t)json_integer_value(
-            json_object_get(js, "rss_kb"));
+        sum->cpu_us +=
+            (uint64_t)json_integer_value(json_object_get(js, "cpu_us"));
+        sum->rss_kb +=
+            (uint64_t)json_integer_value(json_object_get(js, "rss_kb"));
         g_free(text);
         json_decref(js);
     }
@@ -149,9 +149,9 @@
         snprintf(path, sizeof(path), "/service-%04d", i);
         json_object_set_new(svc, name, json_pack("{s:s}", "note", "bench"));
         json_object_set_new(set, name, json_pack("{s:s}", "service", name));
-        json_object_set_new(route, path,
-                            json_pack("{s:s, s:s}", "service", name,
-                                      "endpoint_set", name));
+        json_object_set_new(
+            route, path,
+            json_pack("{s:s, s:s}", "service", name, "endpoint_set", name));
     }
     return json_pack("{s:o, s:o, s:o}", "services", svc, "endpoint_sets", set,
                      "routes", route);
@@ -171,7 +171,8 @@
     if (entries > 0) {
         char svc[32];
 
-        snprintf(svc, sizeof(svc), "service-%04d", (int)(n % (unsigned)entries));
+        snprintf(svc, sizeof(svc), "service-%04d",
+                 (int)(n % (unsigned)entries));
         json_object_set_new(js, "services",
                             json_pack("{s:{s:s}}", svc, "note", note));
     }
@@ -187,8 +188,7 @@
     JdStatus s;
 
     snprintf(id, sizeof(id), "spread-%llu-%llu",
-             (unsigned long long)JdLoop_WallClock(),
-             (unsigned long long)base);
+             (unsigned long long)JdLoop_WallClock(), (unsigned long long)base);
     text = JdRecord_Patch(base, id, "jd-load", patch);
     s = CtlLog_Append(&sp->ctl, JD_STREAM_CONFIG, text, &offset);
     free(text);
@@ -252,8 +252,7 @@
 {
     for (int i = 0; i < sp->versions; i++) {
         bool is_own = true;
-        uint64_t at =
-            applied_at(applied, sp->first + (uint64_t)i, &is_own);
+        uint64_t at = applied_at(applied, sp->first + (uint64_t)i, &is_own);
         uint64_t lag;
 
         if (at == 0) {
--- a/load/storms.sh
+++ b/load/storms.sh
@@ -60,6 +60,7 @@
 settle() {
 	fleet_until 400 is_whole || {
 		echo "storms: the tree is not whole" >&2
+		fleet_diagnose
 		for d in 1 2 3 4; do
 			fleet_ctl --json --node 127.0.$d.1:8100 status >&2
 		done
@@ -73,7 +74,7 @@
 report() { # NAME SINCE [EXCEPT]
 	local name=$1
 	shift
-	fleet_until 150 is_in_force "$@"
+	fleet_until 100 is_in_force "$@" || fleet_diagnose
 	echo "{\"fault\": \"$name\", \"preset\": \"$FLEET_PRESET\"," \
 	    "\"result\": $(is_in_force "$@")}"
 }
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -66,8 +66,8 @@
     JdLoop_Init(&node.loop);
     JdLoop_CatchSignals(&node.loop, JdDrain_OnSignal, &node);
     if (start(&node, &err) != JD_OK) {
-        JdLogging_Event(JD_EVENT_FAILED, "settings=%s status=%s text=%s",
-                        file, JdStatus_Name(err.status), err.text);
+        JdLogging_Event(JD_EVENT_FAILED, "settings=%s status=%s text=%s", file,
+                        JdStatus_Name(err.status), err.text);
         return 1;
     }
     JdLogging_Event(JD_EVENT_STARTED, "preset=%s",
--- a/node/settings.c
+++ b/node/settings.c
@@ -5,19 +5,19 @@
 
 #include "node.h"
 
-#define TEXT(path, req, field)                                               \
-    {                                                                        \
-        path, JD_SETTING_TEXT, req, offsetof(JdSettings, field),             \
-            sizeof(((JdSettings *)0)->field), 0, 0                           \
+#define TEXT(path, req, field)                                                \
+    {                                                                         \
+        path, JD_SETTING_TEXT, req, offsetof(JdSettings, field),              \
+            sizeof(((JdSettings *)0)->field), 0, 0                            \
     }
-#define ADDRESS(path, req, field)                                            \
-    {                                                                        \
-        path, JD_SETTING_ADDRESS, req, offsetof(JdSettings, field), 0, 0, 0  \
+#define ADDRESS(path, req, field)                                             \
+    {                                                                         \
+        path, JD_SETTING_ADDRESS, req, offsetof(JdSettings, field), 0, 0, 0   \
     }
-#define NUMBER(path, field, least, most)                                     \
-    {                                                                        \
-        path, JD_SETTING_NUMBER, false, offsetof(JdSettings, field), 0,      \
-            least, most                                                      \
+#define NUMBER(path, field, least, most)                                      \
+    {                                                                         \
+        path, JD_SETTING_NUMBER, false, offsetof(JdSettings, field), 0,       \
+            least, most                                                       \
     }
 
 static const JdSetting table[] = {
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -83,14 +83,14 @@
 
     JdTree_Report(tr, &rep);
     JdDigest_ToHex(&nd->store.config->digest, hex);
-    js = json_pack(
-        "{s:s, s:I, s:s, s:i, s:b, s:b, s:b, s:s, s:I, s:I}", "node",
-        nd->settings.node, "version", (json_int_t)nd->store.config->version,
-        "digest", hex, "rules", (int)nd->store.rules, "ready", tr->is_ready,
-        "lead", tr->is_lead, "halted", nd->store.halted, "parent",
-        is_attached ? tr->parent.id : "", "head_rank",
-        (json_int_t)tr->head_rank, "source_age_ms",
-        (json_int_t)(JdTree_SourceAge(tr) / JD_US_PER_MS));
+    js = json_pack("{s:s, s:I, s:s, s:i, s:b, s:b, s:b, s:s, s:I, s:I}",
+                   "node", nd->settings.node, "version",
+                   (json_int_t)nd->store.config->version, "digest", hex,
+                   "rules", (int)nd->store.rules, "ready", tr->is_ready,
+                   "lead", tr->is_lead, "halted", nd->store.halted, "parent",
+                   is_attached ? tr->parent.id : "", "head_rank",
+                   (json_int_t)tr->head_rank, "source_age_ms",
+                   (json_int_t)(JdTree_SourceAge(tr) / JD_US_PER_MS));
     json_object_set_new(js, "state",
                         json_string(JdMemberState_Name(tr->state)));
     json_object_set_new(js, "depth", json_integer(tr->path_len));
@@ -104,11 +104,10 @@
     json_object_set_new(js, "lost", list_lost(nd));
     json_object_set_new(js, "children", list_children(nd));
     json_object_set_new(js, "members", json_integer(tr->members.count));
-    json_object_set_new(
-        js, "live",
-        json_integer(tr->members.count -
-                     tr->members.count_in[JD_MEMBER_LOST] -
-                     tr->members.count_in[JD_MEMBER_LEFT]));
+    json_object_set_new(js, "live",
+                        json_integer(tr->members.count -
+                                     tr->members.count_in[JD_MEMBER_LOST] -
+                                     tr->members.count_in[JD_MEMBER_LEFT]));
     json_object_set_new(js, "log_expired",
                         json_boolean(nd->reader.is_expired));
     add_usage(js);
@@ -123,8 +122,8 @@
 {
     JdHttpd_ReplyJson(req, 200,
                       json_pack("{s:I, s:i, s:o}", "version",
-                                (json_int_t)nd->store.config->version,
-                                "rules", (int)nd->store.rules, "doc",
+                                (json_int_t)nd->store.config->version, "rules",
+                                (int)nd->store.rules, "doc",
                                 JdConfig_ToJson(nd->store.config)));
 }
 
@@ -139,9 +138,9 @@
         json_array_append_new(
             list,
             json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:s, s:s}", "id",
-                      mb->id, "state", JdMemberState_Name(mb->state),
-                      "region", mb->region, "failure_domain", mb->domain,
-                      "admin", mb->admin, "parent", mb->via, "head_rank",
+                      mb->id, "state", JdMemberState_Name(mb->state), "region",
+                      mb->region, "failure_domain", mb->domain, "admin",
+                      mb->admin, "parent", mb->via, "head_rank",
                       (json_int_t)mb->head_rank, "service", mb->service,
                       "endpoint_set", mb->endpoint_set));
     }
@@ -153,16 +152,16 @@
 on_applied(JdNode *nd, h2o_req_t *req)
 {
     json_t *list = json_array();
-    unsigned n = nd->applied_len < JD_APPLIED_MAX ? nd->applied_len
-                                                  : JD_APPLIED_MAX;
+    unsigned n =
+        nd->applied_len < JD_APPLIED_MAX ? nd->applied_len : JD_APPLIED_MAX;
     unsigned from = nd->applied_len - n;
 
     for (unsigned i = 0; i < n; i++) {
         const JdApplied *ap = &nd->applied[(from + i) % JD_APPLIED_MAX];
 
-        json_array_append_new(list,
-                              json_pack("[I, I]", (json_int_t)ap->version,
-                                        (json_int_t)ap->at));
+        json_array_append_new(
+            list,
+            json_pack("[I, I]", (json_int_t)ap->version, (json_int_t)ap->at));
     }
     JdHttpd_ReplyJson(req, 200, list);
 }
@@ -187,8 +186,7 @@
     else if (JdHttpd_IsPath(req, "/applied")) {
         on_applied(nd, req);
     }
-    else if (JdHttpd_IsPath(req, "/drain") &&
-             JdHttpd_IsMethod(req, "POST")) {
+    else if (JdHttpd_IsPath(req, "/drain") && JdHttpd_IsMethod(req, "POST")) {
         JdDrain_OnSignal(nd, 0);
         JdHttpd_ReplyJson(req, 200, make_status(nd));
     }
--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -40,18 +40,17 @@
 Ctl_Fail(const Ctl *ctl, const JdError *err)
 {
     if (ctl->json) {
-        json_t *js = json_pack("{s:s, s:s, s:s}", "error",
-                               JdStatus_Name(err->status), "path", err->path,
-                               "text", err->text);
+        json_t *js =
+            json_pack("{s:s, s:s, s:s}", "error", JdStatus_Name(err->status),
+                      "path", err->path, "text", err->text);
 
         json_dumpf(js, stdout, JSON_COMPACT);
         putchar('\n');
         json_decref(js);
     }
     else {
-        fprintf(stderr, "jacinthctl: %s: %s%s%s\n",
-                JdStatus_Name(err->status), err->path,
-                err->path[0] == '\0' ? "" : ": ", err->text);
+        fprintf(stderr, "jacinthctl: %s: %s%s%s\n", JdStatus_Name(err->status),
+                err->path, err->path[0] == '\0' ? "" : ": ", err->text);
     }
     return Ctl_Exit(err->status);
 }
@@ -130,8 +129,8 @@
          "id of the patch, to repeat a submission", "ID"},
         {"author", 'a', 0, G_OPTION_ARG_STRING, &ctl.author,
          "author of the patch", "NAME"},
-        {"timeout", 't', 0, G_OPTION_ARG_INT, &ctl.timeout_s,
-         "longest wait", "S"},
+        {"timeout", 't', 0, G_OPTION_ARG_INT, &ctl.timeout_s, "longest wait",
+         "S"},
         {"reachable", 0, 0, G_OPTION_ARG_NONE, &ctl.reachable,
          "wait: do not wait for lost nodes", NULL},
         {"json", 'j', 0, G_OPTION_ARG_NONE, &ctl.json, "print JSON", NULL},
--- a/operator/fleet.c
+++ b/operator/fleet.c
@@ -150,8 +150,8 @@
 CtlExit
 CtlFleet_Wait(Ctl *ctl, int argc, char **args)
 {
-    uint64_t end = JdClock_Now(&ctl->loop.clock) +
-                   (uint64_t)ctl->timeout_s * JD_US_PER_S;
+    uint64_t end =
+        JdClock_Now(&ctl->loop.clock) + (uint64_t)ctl->timeout_s * JD_US_PER_S;
     long long version = strtoll(args[0], NULL, 10);
     JdError err = {0};
     json_t *js = NULL;
@@ -164,8 +164,9 @@
         json_decref(js);
         js = ask_root(ctl);
         if (js != NULL && is_everywhere(ctl, js, version)) {
-            Ctl_Print(ctl, json_pack("{s:I, s:I}", "version", version,
-                                     "nodes", number(js, "count")),
+            Ctl_Print(ctl,
+                      json_pack("{s:I, s:I}", "version", version, "nodes",
+                                number(js, "count")),
                       "version %lld is in force on %lld nodes", version,
                       number(js, "count"));
             json_decref(js);
--- a/operator/logview.c
+++ b/operator/logview.c
@@ -65,7 +65,8 @@
 {
     Ctl *ctl = ctx;
 
-    JdLog_Read(&ctl->log, JdStream_Name(stream), from, most, wait, token, on_answer, ctl);
+    JdLog_Read(&ctl->log, JdStream_Name(stream), from, most, wait, token,
+               on_answer, ctl);
 }
 
 static void
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -83,8 +83,8 @@
 {
     const uint8_t *b = (const uint8_t *)p;
 
-    return (uint32_t)b[0] << 24 | (uint32_t)b[1] << 16 |
-           (uint32_t)b[2] << 8 | b[3];
+    return (uint32_t)b[0] << 24 | (uint32_t)b[1] << 16 | (uint32_t)b[2] << 8 |
+           b[3];
 }
 
 static bool
@@ -236,8 +236,7 @@
         return;
     }
     while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
-        JdConn *conn =
-            add_conn(cs, sock, cs->accept_ops, cs->accept_ctx);
+        JdConn *conn = add_conn(cs, sock, cs->accept_ops, cs->accept_ctx);
 
         set_open(conn);
         conn->ops->opened(conn->ctx, conn);
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -21,9 +21,9 @@
     h2o_socket_t *sock;
     const JdConnOps *ops;
     void *ctx;
-    void *user;           /* state of the connection's user */
+    void *user; /* state of the connection's user */
     struct JdConnSet *set;
-    h2o_buffer_t *out;    /* waits for the write under way */
+    h2o_buffer_t *out; /* waits for the write under way */
     h2o_buffer_t *sending;
     bool is_open;
     bool is_writing;
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -35,17 +35,17 @@
     TAILQ_ENTRY(JdCall) lane_link;
     JdNode *node;
     uint64_t id;
-    h2o_req_t *req;      /* NULL: the caller left */
+    h2o_req_t *req;       /* NULL: the caller left */
     struct JdCall **gone; /* cleared when the call ends first */
     JdConfig *config;
     JdRoute route;
-    Jd__Request *msg;    /* owned */
+    Jd__Request *msg; /* owned */
     uint64_t deadline;
     uint64_t sent_at;
     unsigned tries;
     char target[JD_NAME_MAX];
     JdTier tier;
-    Lane *lane;          /* NULL: the target beside this node */
+    Lane *lane; /* NULL: the target beside this node */
     JdTimer timer;
 };
 
@@ -168,8 +168,7 @@
     JdConn_Send(call->lane->conn, &frame);
 }
 
-static void
-try_again(JdCall *call, JdReason reason, unsigned load);
+static void try_again(JdCall *call, JdReason reason, unsigned load);
 
 static void
 free_lane(JdNode *nd, Lane *lane)
@@ -303,8 +302,7 @@
     JdNode *nd = call->node;
 
     if (!info->is_retry_useful || call->tries >= TRIES_MOST ||
-        call->req == NULL ||
-        JdClock_Now(&nd->loop.clock) >= call->deadline) {
+        call->req == NULL || JdClock_Now(&nd->loop.clock) >= call->deadline) {
         return false;
     }
     if (!info->is_not_run && !is_idempotent(call)) {
@@ -314,8 +312,8 @@
         nd->counters.value[JD_C_R_BUDGET]++;
         return false;
     }
-    nd->counters.value[info->is_not_run ? JD_C_T_NOT_RUN
-                                        : JD_C_T_IDEMPOTENT]++;
+    nd->counters
+        .value[info->is_not_run ? JD_C_T_NOT_RUN : JD_C_T_IDEMPOTENT]++;
     return true;
 }
 
@@ -431,10 +429,10 @@
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += msg->body.len;
     }
     if (msg->reason != JD_REASON_NONE || msg->status == 0) {
-        JdReason reason = msg->reason == JD_REASON_NONE ||
-                                  msg->reason >= JD_REASON_MAX
-                              ? JD_REASON_BROKEN
-                              : (JdReason)msg->reason;
+        JdReason reason =
+            msg->reason == JD_REASON_NONE || msg->reason >= JD_REASON_MAX
+                ? JD_REASON_BROKEN
+                : (JdReason)msg->reason;
 
         try_again(call, reason, msg->load);
         return;
@@ -489,10 +487,9 @@
 is_forwarded(const h2o_header_t *h)
 {
     static const char *const dropped[] = {
-        "connection",       "content-length", "transfer-encoding",
-        "keep-alive",       "te",             "upgrade",
-        "x-timeout-ms",     "host",           "expect",
-        "proxy-connection",
+        "connection", "content-length",   "transfer-encoding", "keep-alive",
+        "te",         "upgrade",          "x-timeout-ms",      "host",
+        "expect",     "proxy-connection",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
@@ -560,8 +557,8 @@
     char text[16];
     guint64 ms;
 
-    if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("x-timeout-ms"),
-                               -1) < 0) {
+    if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("x-timeout-ms"), -1) <
+        0) {
         return true;
     }
     if (!JdHttpd_Header(req, "x-timeout-ms", text, sizeof(text)) ||
@@ -592,14 +589,14 @@
         req->headers.size > JD_HTTP_HEADERS_MAX) {
         return JD_REASON_BAD_REQUEST;
     }
-    if (h2o_find_header_by_str(&req->headers,
-                               H2O_STRLIT("idempotency-key"), -1) >= 0 &&
+    if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("idempotency-key"),
+                               -1) >= 0 &&
         (!JdHttpd_Header(req, "idempotency-key", key, key_size) ||
          key[0] == '\0')) {
         return JD_REASON_BAD_REQUEST;
     }
-    if (route->once && key[0] == '\0' &&
-        !JdHttpd_IsMethod(req, "GET") && !JdHttpd_IsMethod(req, "HEAD")) {
+    if (route->once && key[0] == '\0' && !JdHttpd_IsMethod(req, "GET") &&
+        !JdHttpd_IsMethod(req, "HEAD")) {
         return JD_REASON_KEY_MISSING;
     }
     return JD_REASON_NONE;
@@ -630,8 +627,8 @@
     call->route = route;
     call->deadline = JdClock_Now(&nd->loop.clock) + timeout;
     call->msg = copy_request(call, req, key);
-    call->gone = h2o_mem_alloc_shared(&req->pool, sizeof(*call->gone),
-                                      on_request_gone);
+    call->gone =
+        h2o_mem_alloc_shared(&req->pool, sizeof(JdCall *), on_request_gone);
     *call->gone = call;
     TAILQ_INSERT_TAIL(&nd->calls, call, link);
     nd->call_count++;
--- a/peer/link.c
+++ b/peer/link.c
@@ -160,8 +160,8 @@
     if (nd->tree.is_ready && is_starting) {
         JdLogging_Event(JD_EVENT_READY, "version=%" G_GUINT64_FORMAT,
                         nd->store.config->version);
-        JdTree_SetState(&nd->tree, nd->has_target ? JD_MEMBER_DOWN
-                                                  : JD_MEMBER_READY);
+        JdTree_SetState(&nd->tree,
+                        nd->has_target ? JD_MEMBER_DOWN : JD_MEMBER_READY);
     }
 }
 
--- a/regress/e2e/distribution.sh
+++ b/regress/e2e/distribution.sh
@@ -19,7 +19,7 @@
 in_force() { # D-I...
 	local n
 	for n in ${*:-$ALL}; do
-		fleet_until 400 e2e_has "$n" version $VERSION ||
+		fleet_until 200 e2e_has "$n" version $VERSION ||
 		    die "$n lacks version $VERSION"
 	done
 	say "version $VERSION is in force"
--- a/regress/e2e/lib.sh
+++ b/regress/e2e/lib.sh
@@ -13,6 +13,7 @@
 
 die() {
 	echo "failed: $*"
+	fleet_diagnose
 	tail -n 5 "$FLEET_DIR"/*.err >&2
 	exit 1
 }
--- a/regress/script.c
+++ b/regress/script.c
@@ -12,9 +12,9 @@
     const char *part;
     void (*run)(const Line *ln);
 } parts[] = {
-    {"store", ScriptStore_Run},     {"admit", ScriptRequest_Run},
-    {"budget", ScriptRequest_Run},  {"member", ScriptRequest_Run},
-    {"choice", ScriptRequest_Run},  {"claim", ScriptClaim_Run},
+    {"store", ScriptStore_Run},    {"admit", ScriptRequest_Run},
+    {"budget", ScriptRequest_Run}, {"member", ScriptRequest_Run},
+    {"choice", ScriptRequest_Run}, {"claim", ScriptClaim_Run},
     {"reader", ScriptReader_Run},
 };
 
--- a/regress/script_claim.c
+++ b/regress/script_claim.c
@@ -129,8 +129,7 @@
 {
     Node *nd = node_of(ln->word[2]);
 
-    JdClaims_Init(&nd->claims, ln->word[2],
-                  strtoull(ln->word[3], NULL, 10),
+    JdClaims_Init(&nd->claims, ln->word[2], strtoull(ln->word[3], NULL, 10),
                   strtoull(ln->word[4], NULL, 10) * JD_US_PER_MS,
                   &script_clock, &script_counters, &ops, nd);
     nd->claims.retention = strtoull(ln->word[5], NULL, 10) * JD_US_PER_MS;
@@ -170,8 +169,8 @@
         JdClaims_Appended(&nd->claims, nd->append_token, JD_ERR_REFUSED, 0);
     }
     else if (strcmp(cmd, "unsure") == 0) {
-        JdClaims_Appended(&nd->claims, nd->append_token,
-                          JD_ERR_UNKNOWN_RESULT, 0);
+        JdClaims_Appended(&nd->claims, nd->append_token, JD_ERR_UNKNOWN_RESULT,
+                          0);
     }
     else if (strcmp(cmd, "read") == 0) {
         answer_reads(nd, JD_OK);
--- a/regress/script_reader.c
+++ b/regress/script_reader.c
@@ -35,9 +35,8 @@
 on_decided(void *ctx, const JdRecord *rec, const JdOutcome *out)
 {
     (void)ctx;
-    printf("record %llu: %s, version %llu\n",
-           (unsigned long long)rec->offset, JdStatus_Name(out->status),
-           (unsigned long long)out->version);
+    printf("record %llu: %s, version %llu\n", (unsigned long long)rec->offset,
+           JdStatus_Name(out->status), (unsigned long long)out->version);
 }
 
 static void
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -93,8 +93,8 @@
         JdAdmit_Close(&admit);
     }
     else {
-        printf("running %u queued %u load %u%%\n", admit.running,
-               admit.queued, JdAdmit_Load(&admit));
+        printf("running %u queued %u load %u%%\n", admit.running, admit.queued,
+               JdAdmit_Load(&admit));
     }
 }
 
@@ -109,8 +109,7 @@
     }
     else if (strcmp(ln->word[1], "first") == 0) {
         for (unsigned i = 0; i < n; i++) {
-            JdBudget_First(&budget,
-                           (unsigned)strtoul(ln->word[3], NULL, 10));
+            JdBudget_First(&budget, (unsigned)strtoul(ln->word[3], NULL, 10));
         }
     }
     else {
@@ -130,7 +129,7 @@
     has_members = true;
     JdMembers_Init(&members, &script_clock, &script_counters);
     JdRandom_Init(&rnd, 1);
-    chooser = (JdChooser){&members,       &script_clock, &rnd,
+    chooser = (JdChooser){&members,         &script_clock, &rnd,
                           &script_counters, "near",        "d1"};
 }
 
@@ -169,8 +168,8 @@
     msg.incarnation = strtoull(ln->word[7], NULL, 10);
     msg.seq = strtoull(ln->word[8], NULL, 10);
     msg.service = msg.endpoint_set = "set";
-    printf("%s\n", JdMembers_Update(&members, &msg, NULL) != NULL ? "news"
-                                                                  : "known");
+    printf("%s\n",
+           JdMembers_Update(&members, &msg, NULL) != NULL ? "news" : "known");
 }
 
 /* Picks many times without sending and prints the shares. */
--- a/regress/script_store.c
+++ b/regress/script_store.c
@@ -64,8 +64,7 @@
     json_t *js = JdConfig_ToJson(st->config);
     char *text = json_dumps(js, JSON_COMPACT | JSON_SORT_KEYS);
 
-    printf("version %llu %s\n", (unsigned long long)st->config->version,
-           text);
+    printf("version %llu %s\n", (unsigned long long)st->config->version, text);
     free(text);
     json_decref(js);
 }
--- a/regress/sim/fakelog.c
+++ b/regress/sim/fakelog.c
@@ -30,8 +30,8 @@
     if (stream == JD_STREAM_CONFIG) {
         uint64_t before = sim.reference.config->version;
 
-        JdStore_Replay(&sim.reference, next_offset(stream), text,
-                       strlen(text), &out);
+        JdStore_Replay(&sim.reference, next_offset(stream), text, strlen(text),
+                       &out);
         if (sim.reference.config->version > before) {
             sim.digest[sim.reference.config->version] =
                 sim.reference.config->digest;
@@ -147,8 +147,7 @@
     uint64_t from = c->from;
 
     if (c->is_directory) {
-        from = ans.next > ans.first + c->most ? ans.next - c->most
-                                              : ans.first;
+        from = ans.next > ans.first + c->most ? ans.next - c->most : ans.first;
     }
     else if (status == JD_OK && from < ans.first) {
         ans.status = JD_ERR_EXPIRED;
@@ -217,9 +216,8 @@
             JdTree_Announced(&c->node->tree, JD_ERR_UNREACHABLE, 0);
         }
         else {
-            give(c, sim.is_log_down || is_cut_off(c->node)
-                        ? JD_ERR_UNREACHABLE
-                        : JD_OK);
+            give(c, sim.is_log_down || is_cut_off(c->node) ? JD_ERR_UNREACHABLE
+                                                           : JD_OK);
         }
     }
     free(c->append);
--- a/regress/sim/net.c
+++ b/regress/sim/net.c
@@ -63,8 +63,7 @@
 static SimEnd *
 other_end(SimEnd *end)
 {
-    return end == &end->conn->end[0] ? &end->conn->end[1]
-                                     : &end->conn->end[0];
+    return end == &end->conn->end[0] ? &end->conn->end[1] : &end->conn->end[0];
 }
 
 void *
--- a/regress/sim/sim.c
+++ b/regress/sim/sim.c
@@ -105,8 +105,7 @@
         Sim_Fail(nd, "a node went back to an older version");
     }
     nd->last_version = v;
-    if (v > 0 &&
-        !JdDigest_Equal(&nd->store.config->digest, &sim.digest[v])) {
+    if (v > 0 && !JdDigest_Equal(&nd->store.config->digest, &sim.digest[v])) {
         Sim_Fail(nd, "a node holds a state that the log does not give");
     }
 }
@@ -164,8 +163,8 @@
     snprintf(name, sizeof(name), "s%u", (unsigned)below(6));
     switch (below(4)) {
     case 0:
-        patch = json_pack("{s:{s:{s:s}}}", "endpoint_sets", name, "service",
-                          name);
+        patch =
+            json_pack("{s:{s:{s:s}}}", "endpoint_sets", name, "service", name);
         break;
     case 1:
         patch = json_pack("{s:{s:n}}", "services", name);
@@ -265,8 +264,8 @@
     unsigned what = (unsigned)below(24);
 
     if (is_verbose) {
-        printf("%8.3f event %u node %u domains %u %u\n",
-               (double)sim.now / 1e6, what, nd->index, a, b);
+        printf("%8.3f event %u node %u domains %u %u\n", (double)sim.now / 1e6,
+               what, nd->index, a, b);
     }
     sim.events++;
     switch (what) {
@@ -347,8 +346,7 @@
     for (unsigned i = 0; i < sim.nodes; i++) {
         leads += sim.node[i].tree.is_lead;
         if (sim.node[i].tree.members.count != sim.nodes ||
-            sim.node[i].tree.members.count_in[JD_MEMBER_READY] !=
-                sim.nodes) {
+            sim.node[i].tree.members.count_in[JD_MEMBER_READY] != sim.nodes) {
             Sim_Fail(&sim.node[i], "a node does not know all members");
         }
     }
@@ -440,26 +438,25 @@
                     printf("  at n%02u: %s %s seq %llu (own %llu) via %s\n",
                            nd->index, mb->id, JdMemberState_Name(mb->state),
                            (unsigned long long)mb->seq,
-                           (unsigned long long)
-                               sim.node[atoi(mb->id + 1)].tree.seq,
+                           (unsigned long long)sim.node[atoi(mb->id + 1)]
+                               .tree.seq,
                            mb->via);
                 }
             }
             for (unsigned i = 0; i < sim.nodes; i++) {
                 nd = &sim.node[i];
-                printf("  n%02u v%llu of %llu parent %s(%d) trial %s(%d) "
-                       "lead %d reading %d rank %llu ready %d members %u "
-                       "reader %d age %llu\n",
-                       nd->index,
-                       (unsigned long long)nd->store.config->version,
-                       (unsigned long long)versions, nd->tree.parent.id,
-                       nd->tree.parent.state, nd->tree.trial.id,
-                       nd->tree.trial.state, nd->tree.is_lead,
-                       nd->tree.is_reading,
-                       (unsigned long long)nd->tree.head_rank,
-                       nd->tree.is_ready, nd->tree.members.count,
-                       nd->reader.state,
-                       (unsigned long long)JdTree_SourceAge(&nd->tree));
+                printf(
+                    "  n%02u v%llu of %llu parent %s(%d) trial %s(%d) "
+                    "lead %d reading %d rank %llu ready %d members %u "
+                    "reader %d age %llu\n",
+                    nd->index, (unsigned long long)nd->store.config->version,
+                    (unsigned long long)versions, nd->tree.parent.id,
+                    nd->tree.parent.state, nd->tree.trial.id,
+                    nd->tree.trial.state, nd->tree.is_lead,
+                    nd->tree.is_reading,
+                    (unsigned long long)nd->tree.head_rank, nd->tree.is_ready,
+                    nd->tree.members.count, nd->reader.state,
+                    (unsigned long long)JdTree_SourceAge(&nd->tree));
             }
         }
     }
--- a/regress/sim/sim.h
+++ b/regress/sim/sim.h
@@ -42,8 +42,8 @@
     TAILQ_ENTRY(SimCall) link;
     SimNode *node;
     uint64_t incarnation;
-    uint64_t due;      /* when the log looks at it */
-    uint64_t give_up;  /* end of the long poll */
+    uint64_t due;     /* when the log looks at it */
+    uint64_t give_up; /* end of the long poll */
     JdStream stream;
     uint64_t from;
     unsigned most;
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -116,8 +116,7 @@
     CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1", &sin, NULL), JD_OK);
     CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1:", &sin, NULL), JD_OK);
     CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1:0", &sin, NULL), JD_OK);
-    CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1:70000", &sin, NULL),
-                        JD_OK);
+    CU_ASSERT_NOT_EQUAL(JdAddress_Parse("127.0.0.1:70000", &sin, NULL), JD_OK);
     CU_ASSERT_NOT_EQUAL(JdAddress_Parse("localhost:80", &sin, NULL), JD_OK);
 }
 
@@ -169,8 +168,8 @@
         dlt.body_len = sizeof(text) - 1;
         dlt.raw_len = JdRandom_Below(&rnd, 2) * 500;
         CU_ASSERT_NOT_EQUAL(JdStore_ApplyDelta(&st, &dlt, &err), JD_OK);
-        CU_ASSERT_NOT_EQUAL(
-            JdStore_Restore(&st, text, sizeof(text) - 1, &err), JD_OK);
+        CU_ASSERT_NOT_EQUAL(JdStore_Restore(&st, text, sizeof(text) - 1, &err),
+                            JD_OK);
         frame = jd__frame__unpack(NULL, JdRandom_Below(&rnd, sizeof(text)),
                                   (uint8_t *)text);
         if (frame != NULL) {
--- a/target/once.c
+++ b/target/once.c
@@ -57,8 +57,7 @@
     ops.read = read_claims;
     g_snprintf(nd->claim_stream, sizeof(nd->claim_stream), "claims-%s",
                nd->settings.service);
-    JdClaims_Init(&nd->claims, nd->settings.node,
-                  nd->tree.self.incarnation,
+    JdClaims_Init(&nd->claims, nd->settings.node, nd->tree.self.incarnation,
                   nd->settings.hold_s * JD_US_PER_S, &nd->loop.clock,
                   &nd->counters, &ops, nd);
     nd->claims.retention = nd->settings.retention_s * JD_US_PER_S;
--- a/target/targetd.c
+++ b/target/targetd.c
@@ -35,6 +35,8 @@
     h2o_req_t *req;
     struct Job **gone;
     JdTimer timer;
+    uint64_t us; /* time that the work takes */
+    bool is_started;
 } Job;
 
 typedef struct Targetd {
@@ -47,6 +49,8 @@
     uint64_t cancelled;
     uint64_t running;
     uint64_t running_most;
+    uint64_t slots; /* jobs worked on at a time, 0: all */
+    uint64_t working;
     GHashTable *keys; /* how often each key ran */
     TAILQ_HEAD(, Job) jobs;
     JdTimer look;
@@ -58,6 +62,9 @@
 end_job(Job *job)
 {
     targetd.running--;
+    if (job->is_started) {
+        targetd.working--;
+    }
     TAILQ_REMOVE(&targetd.jobs, job, link);
     if (job->gone != NULL) {
         *job->gone = NULL;
@@ -66,6 +73,25 @@
     g_free(job);
 }
 
+/* Works on the jobs that wait, in their order, as far as there are slots. */
+static void
+start_waiting(void)
+{
+    Job *job;
+
+    TAILQ_FOREACH(job, &targetd.jobs, link)
+    {
+        if (targetd.slots != 0 && targetd.working >= targetd.slots) {
+            return;
+        }
+        if (!job->is_started) {
+            job->is_started = true;
+            targetd.working++;
+            JdTimer_Arm(&targetd.loop.clock, &job->timer, job->us);
+        }
+    }
+}
+
 static void
 on_done(void *ctx)
 {
@@ -75,14 +101,15 @@
     char *path = g_strndup(req->path.base, req->path.len);
 
     end_job(job);
+    start_waiting();
     JdHttpd_Header(req, "x-request-id", id, sizeof(id));
     if (id[0] != '\0') {
         JdHttpd_AddHeader(req, "x-request-id", id);
     }
     JdHttpd_ReplyJson(req, targetd.mode == MODE_ERROR ? 500 : 200,
-                      json_pack("{s:s, s:s, s:s, s:I}", "target",
-                                targetd.name, "path", path, "id", id,
-                                "body_bytes", (json_int_t)req->entity.len));
+                      json_pack("{s:s, s:s, s:s, s:I}", "target", targetd.name,
+                                "path", path, "id", id, "body_bytes",
+                                (json_int_t)req->entity.len));
     g_free(path);
 }
 
@@ -147,8 +174,8 @@
     }
     job = g_new0(Job, 1);
     job->req = req;
-    job->gone = h2o_mem_alloc_shared(&req->pool, sizeof(*job->gone),
-                                     on_request_gone);
+    job->gone =
+        h2o_mem_alloc_shared(&req->pool, sizeof(Job *), on_request_gone);
     *job->gone = job;
     TAILQ_INSERT_TAIL(&targetd.jobs, job, link);
     targetd.running++;
@@ -159,11 +186,12 @@
     if (targetd.mode == MODE_STALL) {
         return;
     }
+    job->us = us;
     if (us == 0) {
         on_done(job);
         return;
     }
-    JdTimer_Arm(&targetd.loop.clock, &job->timer, us);
+    start_waiting();
 }
 
 static void
@@ -200,8 +228,8 @@
     }
     targetd.service_us =
         JdHttpd_QueryNumber(req, "service_us", targetd.service_us);
-    JdHttpd_ReplyJson(req, 200, json_pack("{s:s}", "mode",
-                                          mode_names[targetd.mode]));
+    JdHttpd_ReplyJson(req, 200,
+                      json_pack("{s:s}", "mode", mode_names[targetd.mode]));
 }
 
 static void
@@ -238,11 +266,14 @@
 {
     gchar *listen = NULL;
     gint service = 0;
+    gint slots = 0;
     GOptionEntry entries[] = {
         {"listen", 'l', 0, G_OPTION_ARG_STRING, &listen, "address", "IP:PORT"},
         {"name", 'n', 0, G_OPTION_ARG_STRING, &targetd.name, "name", "NAME"},
         {"service-us", 0, 0, G_OPTION_ARG_INT, &service, "time of a request",
          "US"},
+        {"slots", 0, 0, G_OPTION_ARG_INT, &slots,
+         "requests worked on at a time", "N"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
     GOptionContext *oc = g_option_context_new("- stand-in of a target");
@@ -259,9 +290,10 @@
     g_option_context_free(oc);
     JdLogging_Init("jd-targetd");
     JdLoop_Init(&targetd.loop);
-    targetd.keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                         NULL);
+    targetd.keys =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     targetd.service_us = (uint64_t)service;
+    targetd.slots = (uint64_t)slots;
     if (JdHttpd_Init(&targetd.httpd, &targetd.loop, listen, BODY_MOST,
                      on_request, NULL, &err) != JD_OK) {
         fprintf(stderr, "jd-targetd: %s\n", err.text);
--- a/target/worker.c
+++ b/target/worker.c
@@ -97,8 +97,8 @@
 is_passed_back(const JdHttpHeader *h)
 {
     static const char *const dropped[] = {
-        "connection", "content-length", "transfer-encoding", "keep-alive",
-        "server",     "date",
+        "connection", "content-length", "transfer-encoding",
+        "keep-alive", "server",         "date",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
@@ -130,7 +130,7 @@
 {
     Jd__Header header[JD_HTTP_HEADERS_MAX];
     Jd__Header *list[JD_HTTP_HEADERS_MAX];
-    char *names[JD_HTTP_HEADERS_MAX];
+    char *names[JD_HTTP_HEADERS_MAX] = {NULL};
     Jd__Response msg = JD__RESPONSE__INIT;
 
     msg.id = it->msg->id;
@@ -206,8 +206,7 @@
     for (size_t i = 0; i < msg->n_header; i++) {
         const Jd__Header *h = msg->header[i];
 
-        g_string_append_printf(out, "%s: %.*s\r\n", h->name,
-                               (int)h->value.len,
+        g_string_append_printf(out, "%s: %.*s\r\n", h->name, (int)h->value.len,
                                (const char *)h->value.data);
     }
     g_string_append_printf(out, "x-timeout-ms: %" G_GUINT64_FORMAT "\r\n",
@@ -448,8 +447,7 @@
     if (!nd->is_health_pending) {
         nd->is_health_pending = true;
         JdHttpc_Send(&nd->target, "GET", "/health", NULL, NULL, 0,
-                     nd->settings.health_ms * JD_US_PER_MS * 2, on_health,
-                     nd);
+                     nd->settings.health_ms * JD_US_PER_MS * 2, on_health, nd);
     }
 }
 
