--- a/Makefile
+++ b/Makefile
@@ -18,14 +18,15 @@
 LDLIBS += -lh2o-evloop -lssl -lcrypto -lm $(shell pkg-config --libs $(PKGS))
 
 LIB_SRC = lib/status.c lib/clock.c lib/counter.c lib/doc.c lib/store.c \
-          lib/reader.c lib/member.c lib/preset.c lib/tree.c lib/uplink.c \
+          lib/reader.c lib/member.c lib/preset.c lib/tree.c lib/beat.c \
+          lib/uplink.c lib/candidate.c lib/head.c lib/digest.c lib/route.c \
           lib/news.c lib/reason.c lib/admit.c lib/budget.c lib/choice.c lib/claim.c \
           peer/frame.pb-c.c
 BASE_SRC = base/loop.c base/httpd.c base/httpc.c base/settings.c \
            base/logging.c
 NODE_SRC = node/jacinthd.c node/settings.c node/drain.c platform/follow.c \
            platform/log.c peer/conn.c peer/link.c peer/forward.c \
-           target/worker.c target/once.c caller/front.c operator/admin.c
+           peer/lane.c caller/intake.c target/worker.c target/once.c caller/front.c operator/admin.c
 CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
           operator/view.c operator/fleet.c platform/log.c
 LOAD_SRC = load/load.c load/histogram.c load/experiment.c load/spread.c \
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -42,6 +42,7 @@
     bool is_news;
     const void *source; /* link that the news came from */
     bool is_suspect;
+    bool is_orphan;      /* suspect only because its parent was lost */
     uint64_t suspect_at; /* time at which a suspect counts as lost */
     void *user;          /* state of the embedding program */
 } JdMember;
--- /dev/null
+++ b/lib/beat.c
@@ -0,0 +1,138 @@
+/* Beats: signs of life on each link, and what a subtree reports of itself. */
+#include <string.h>
+
+#include "libjd.h"
+#include "libtree.h"
+
+/* Returns the node's path from the root, itself last. */
+size_t
+_JdTree_ListPath(JdTree *tr, char **out)
+{
+    for (unsigned i = 0; i < tr->path_len; i++) {
+        out[i] = tr->path[i];
+    }
+    out[tr->path_len] = tr->self.id;
+    return tr->path_len + 1;
+}
+
+/* Returns the admin address of the root. */
+const char *
+_JdTree_RootAdmin(const JdTree *tr)
+{
+    return tr->path_len == 0 ? tr->self.admin : tr->root_admin;
+}
+
+static void
+note_laggard(JdTreeReport *out, const char *id)
+{
+    if (out->laggards < JD_LAGGARDS_MAX) {
+        _Jd_CopyText(out->laggard[out->laggards], JD_NAME_MAX, id);
+        out->laggards++;
+    }
+}
+
+/* Sums up this node and all below it. */
+void
+JdTree_Report(const JdTree *tr, JdTreeReport *out)
+{
+    uint64_t own = tr->store->config->version;
+    const JdChild *ch;
+
+    memset(out, 0, sizeof(*out));
+    out->count = 1;
+    out->min_version = own;
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        out->count += ch->count;
+        if (ch->min_version < out->min_version) {
+            out->min_version = ch->min_version;
+        }
+        if (ch->laggards == 0 && ch->min_version < own) {
+            note_laggard(out, ch->id);
+        }
+        for (unsigned i = 0; i < ch->laggards; i++) {
+            note_laggard(out, ch->laggard[i]);
+        }
+    }
+}
+
+/* Tells the parent that this node lives, and what is below it. */
+void
+_JdTree_SendBeatUp(JdTree *tr)
+{
+    Jd__Beat msg = JD__BEAT__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    char *list[JD_LAGGARDS_MAX];
+    JdTreeReport rep;
+
+    JdTree_Report(tr, &rep);
+    for (unsigned i = 0; i < rep.laggards; i++) {
+        list[i] = rep.laggard[i];
+    }
+    msg.count = rep.count;
+    msg.min_version = rep.min_version;
+    msg.n_laggard = rep.laggards;
+    msg.laggard = list;
+    frame.body_case = JD__FRAME__BODY_BEAT;
+    frame.beat = &msg;
+    _JdTree_Send(tr, tr->parent.peer, &frame);
+}
+
+/* Tells a former parent that this node lives on elsewhere. */
+void
+_JdTree_SendMoving(JdTree *tr, void *peer)
+{
+    Jd__Beat msg = JD__BEAT__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    msg.moving = true;
+    frame.body_case = JD__FRAME__BODY_BEAT;
+    frame.beat = &msg;
+    _JdTree_Send(tr, peer, &frame);
+}
+
+/* Tells a child that this node lives; with the path when it changed. */
+void
+_JdTree_SendBeatDown(JdTree *tr, JdChild *ch, bool with_path)
+{
+    Jd__Beat msg = JD__BEAT__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    char *path[JD_TREE_PATH_MAX + 1];
+
+    msg.ready = tr->is_ready;
+    msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
+    if (with_path) {
+        msg.has_path = true;
+        msg.n_path = _JdTree_ListPath(tr, path);
+        msg.path = path;
+        msg.root_admin = (char *)_JdTree_RootAdmin(tr);
+    }
+    frame.body_case = JD__FRAME__BODY_BEAT;
+    frame.beat = &msg;
+    _JdTree_Send(tr, ch->peer, &frame);
+}
+
+/* Tells all children a changed path. */
+void
+_JdTree_TellPath(JdTree *tr)
+{
+    JdChild *ch;
+
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        _JdTree_SendBeatDown(tr, ch, true);
+    }
+}
+
+/* A child tells of its subtree. */
+void
+_JdTree_OnBeatUp(JdChild *ch, const Jd__Beat *msg)
+{
+    ch->count = msg->count;
+    ch->min_version = msg->min_version;
+    ch->laggards = 0;
+    for (size_t i = 0; i < msg->n_laggard && i < JD_LAGGARDS_MAX; i++) {
+        _Jd_CopyText(ch->laggard[ch->laggards], JD_NAME_MAX, msg->laggard[i]);
+        ch->laggards++;
+    }
+}
--- /dev/null
+++ b/lib/candidate.c
@@ -0,0 +1,200 @@
+/*
+ * Candidates for a parent: the heads that members and the directory tell of,
+ * and the nodes that a redirect names.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "libjd.h"
+#include "libtree.h"
+
+/* A head as the members or, for unknown nodes, the directory tell of it. */
+typedef struct Head {
+    const char *id;
+    const char *address;
+    const char *region;
+    const char *domain;
+    uint64_t rank;
+    uint64_t score; /* place in the list, lowest first */
+    bool is_lost;
+    bool is_home;
+} Head;
+
+#define HEADS_MOST 512
+
+typedef struct HeadList {
+    Head head[HEADS_MOST];
+    unsigned count;
+} HeadList;
+
+static void
+collect_heads(const JdTree *tr, HeadList *out)
+{
+    const JdMember *mb;
+
+    out->count = 0;
+    TAILQ_FOREACH(mb, &tr->members.all, link)
+    {
+        if (mb->head_rank != 0 && mb->state != JD_MEMBER_LEFT &&
+            strcmp(mb->id, tr->self.id) != 0 && out->count < HEADS_MOST) {
+            out->head[out->count++] =
+                (Head){.id = mb->id,
+                       .address = mb->peer,
+                       .region = mb->region,
+                       .domain = mb->domain,
+                       .rank = mb->head_rank,
+                       .is_lost = mb->state == JD_MEMBER_LOST};
+        }
+    }
+    for (unsigned i = 0; i < tr->directory_len; i++) {
+        const JdDirectoryEntry *de = &tr->directory[i];
+
+        if (JdMembers_Find(&tr->members, de->id) == NULL &&
+            strcmp(de->id, tr->self.id) != 0 && out->count < HEADS_MOST) {
+            out->head[out->count++] = (Head){.id = de->id,
+                                             .address = de->address,
+                                             .region = de->region,
+                                             .domain = de->domain,
+                                             .rank = de->rank};
+        }
+    }
+}
+
+/* Classes of candidates, in the order in which they are tried. */
+typedef enum Class {
+    CLASS_HOME,
+    CLASS_REGION,
+    CLASS_LOG_REGION,
+    CLASS_NONE,
+} Class;
+
+static Class
+classify(const JdTree *tr, const Head *h)
+{
+    bool same_region = strcmp(h->region, tr->self.region) == 0;
+    bool same_domain = strcmp(h->domain, tr->self.domain) == 0;
+    bool in_log_region = strcmp(h->region, tr->self.log_region) == 0;
+
+    if (tr->head_rank == 0) {
+        if (same_region && same_domain) {
+            return CLASS_HOME;
+        }
+        if (same_region) {
+            return CLASS_REGION;
+        }
+        return in_log_region ? CLASS_LOG_REGION : CLASS_NONE;
+    }
+    /* A head joins earlier heads only, so that no cycle can form. */
+    if (same_region) {
+        return h->rank < tr->head_rank ? CLASS_REGION : CLASS_NONE;
+    }
+    return in_log_region ? CLASS_LOG_REGION : CLASS_NONE;
+}
+
+static int
+compare_heads(const void *a, const void *b)
+{
+    const Head *x = a;
+    const Head *y = b;
+
+    return x->score < y->score ? -1 : x->score > y->score;
+}
+
+/* Gives each candidate its place: lost ones last, then class, then order. */
+static void
+score(const JdTree *tr, Head *h, Class c)
+{
+    uint64_t seed = _Jd_HashText(tr->self.id, 0);
+    /* Rendezvous order spreads the nodes of a domain over its heads. */
+    uint64_t order = c == CLASS_HOME ? _Jd_HashText(h->id, seed) >> 8
+                                     : h->rank & (UINT64_MAX >> 8);
+    bool was_parent = strcmp(h->id, tr->parent.id) == 0 &&
+                      tr->parent.state != JD_LINK_ATTACHED;
+
+    h->is_home = c == CLASS_HOME;
+    h->score =
+        (uint64_t)(h->is_lost || was_parent) << 62 | (uint64_t)c << 58 | order;
+}
+
+/* Lists the candidates in the order in which they are tried. */
+void
+_JdTree_BuildCandidates(JdTree *tr)
+{
+    HeadList *hl = g_new(HeadList, 1);
+    unsigned n = 0;
+
+    collect_heads(tr, hl);
+    for (unsigned i = 0; i < hl->count; i++) {
+        Class c = classify(tr, &hl->head[i]);
+
+        if (c != CLASS_NONE) {
+            hl->head[n] = hl->head[i];
+            score(tr, &hl->head[n], c);
+            n++;
+        }
+    }
+    qsort(hl->head, n, sizeof(Head), compare_heads);
+    tr->candidates = 0;
+    tr->next_candidate = 0;
+    for (unsigned i = 0; i < n && i < JD_CANDIDATES_MAX; i++) {
+        JdCandidate *c = &tr->candidate[tr->candidates++];
+
+        _Jd_CopyText(c->id, sizeof(c->id), hl->head[i].id);
+        _Jd_CopyText(c->address, sizeof(c->address), hl->head[i].address);
+        c->is_home = hl->head[i].is_home ||
+                     (i == 0 && tr->head_rank != 0 && !hl->head[i].is_lost);
+    }
+    g_free(hl);
+}
+
+/* Puts the nodes that a redirect named in front of the other candidates. */
+void
+_JdTree_InsertCandidates(JdTree *tr, const Jd__Redirect *msg, bool is_home)
+{
+    unsigned keep = tr->candidates - tr->next_candidate;
+    uint64_t seed = _Jd_HashText(tr->self.id, 0);
+    JdCandidate list[JD_CANDIDATES_MAX];
+    Head head[JD_CANDIDATES_MAX];
+    unsigned n = 0;
+
+    for (size_t i = 0; i < msg->n_candidate && n < JD_CANDIDATES_MAX; i++) {
+        if (strcmp(msg->candidate[i]->id, tr->self.id) != 0) {
+            head[n++] =
+                (Head){.id = msg->candidate[i]->id,
+                       .address = msg->candidate[i]->peer,
+                       .score = _Jd_HashText(msg->candidate[i]->id, seed)};
+        }
+    }
+    qsort(head, n, sizeof(Head), compare_heads);
+    for (unsigned i = 0; i < n; i++) {
+        _Jd_CopyText(list[i].id, JD_NAME_MAX, head[i].id);
+        _Jd_CopyText(list[i].address, JD_ADDRESS_MAX, head[i].address);
+        list[i].is_home = is_home;
+    }
+    for (unsigned i = 0; i < keep && n < JD_CANDIDATES_MAX; i++) {
+        list[n++] = tr->candidate[tr->next_candidate + i];
+    }
+    memcpy(tr->candidate, list, n * sizeof(list[0]));
+    tr->candidates = n;
+    tr->next_candidate = 0;
+}
+
+/* Returns the newest rank of a head in the own failure domain, or 0. */
+uint64_t
+_JdTree_NewestRankAtHome(const JdTree *tr)
+{
+    HeadList *hl = g_new(HeadList, 1);
+    uint64_t rank = 0;
+
+    collect_heads(tr, hl);
+    for (unsigned i = 0; i < hl->count; i++) {
+        if (strcmp(hl->head[i].domain, tr->self.domain) == 0 &&
+            hl->head[i].rank > rank) {
+            rank = hl->head[i].rank;
+        }
+    }
+    g_free(hl);
+    return rank;
+}
--- a/lib/doc.c
+++ b/lib/doc.c
@@ -15,13 +15,6 @@
 
 /* Longest name of a service, endpoint set or policy, in bytes. */
 #define NAME_LIMIT 64
-/* Longest path prefix of a route, in bytes. */
-#define PREFIX_LIMIT 200
-
-/* Defaults of a policy and a route without one. */
-#define DEFAULT_DEADLINE_MS 5000
-#define DEFAULT_RETRY_PERCENT 10
-#define DEFAULT_PRIORITY 2
 
 typedef struct Field {
     JdTable table;
@@ -123,87 +116,6 @@
     return JdError_Set(err, status, path, "%s", text);
 }
 
-static void
-hash_entry(JdTable table, const char *name, json_t *val, JdDigest *out)
-{
-    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
-    char *text = json_dumps(val, JSON_COMPACT | JSON_SORT_KEYS);
-    guint8 raw[32];
-    gsize len = sizeof(raw);
-
-    g_checksum_update(sum, (const guchar *)table_names[table], -1);
-    g_checksum_update(sum, (const guchar *)"", 1);
-    g_checksum_update(sum, (const guchar *)name, -1);
-    g_checksum_update(sum, (const guchar *)"", 1);
-    g_checksum_update(sum, (const guchar *)text, -1);
-    g_checksum_get_digest(sum, raw, &len);
-    g_checksum_free(sum);
-    free(text);
-    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
-        out->word[w] = 0;
-        for (int b = 0; b < 8; b++) {
-            out->word[w] = out->word[w] << 8 | raw[w * 8 + b];
-        }
-    }
-}
-
-static void
-add_entry(JdDigest *dig, JdTable table, const char *name, json_t *val)
-{
-    JdDigest d;
-
-    hash_entry(table, name, val, &d);
-    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
-        dig->word[w] += d.word[w];
-    }
-}
-
-static void
-remove_entry(JdDigest *dig, JdTable table, const char *name, json_t *val)
-{
-    JdDigest d;
-
-    hash_entry(table, name, val, &d);
-    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
-        dig->word[w] -= d.word[w];
-    }
-}
-
-/* Writes a digest as hexadecimal text. */
-void
-JdDigest_ToHex(const JdDigest *dig, char hex[JD_DIGEST_HEX])
-{
-    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
-        g_snprintf(hex + (size_t)w * 16, 17, "%016" G_GINT64_MODIFIER "x",
-                   dig->word[w]);
-    }
-}
-
-/* Reads a digest from hexadecimal text.  Returns false on other text. */
-bool
-JdDigest_FromHex(JdDigest *dig, const char *hex)
-{
-    char part[17];
-
-    if (strlen(hex) != JD_DIGEST_HEX - 1 ||
-        strspn(hex, "0123456789abcdef") != JD_DIGEST_HEX - 1) {
-        return false;
-    }
-    for (int w = 0; w < JD_DIGEST_WORDS; w++) {
-        memcpy(part, hex + (size_t)w * 16, 16);
-        part[16] = '\0';
-        dig->word[w] = strtoull(part, NULL, 16);
-    }
-    return true;
-}
-
-/* Returns whether two digests are equal. */
-bool
-JdDigest_Equal(const JdDigest *a, const JdDigest *b)
-{
-    return memcmp(a, b, sizeof(*a)) == 0;
-}
-
 /* Returns a new, empty configuration at version 0. */
 JdConfig *
 JdConfig_New(void)
@@ -264,7 +176,7 @@
     size_t n = strlen(name);
 
     if (table == JD_TABLE_ROUTES) {
-        return n <= PREFIX_LIMIT && name[0] == '/' &&
+        return n <= _JD_PREFIX_LIMIT && name[0] == '/' &&
                strpbrk(name, " ?#\"\\") == NULL;
     }
     if (n == 0 || n > NAME_LIMIT || !isalnum((unsigned char)name[0])) {
@@ -411,13 +323,13 @@
         json_t *fresh = json_is_null(val) ? NULL : merge_entry(old, val);
 
         if (old != NULL) {
-            remove_entry(&cfg->digest, t, name, old);
+            _JdDigest_Remove(&cfg->digest, t, name, old);
         }
         if (fresh == NULL) {
             json_object_del(tab, name);
         }
         else {
-            add_entry(&cfg->digest, t, name, fresh);
+            _JdDigest_Add(&cfg->digest, t, name, fresh);
             json_object_set_new(tab, name, fresh);
         }
     }
@@ -594,71 +506,3 @@
     *out = res;
     return true;
 }
-
-static json_int_t
-number_of(const json_t *policy, const char *field, json_int_t otherwise)
-{
-    const json_t *v = json_object_get(policy, field);
-
-    return v == NULL ? otherwise : json_integer_value(v);
-}
-
-static void
-fill_route(const JdConfig *cfg, const json_t *route, JdRoute *out)
-{
-    const json_t *svc, *pol;
-    const char *name = text_of(route, "policy");
-
-    out->service = text_of(route, "service");
-    out->endpoint_set = text_of(route, "endpoint_set");
-    if (name == NULL) {
-        svc = json_object_get(cfg->table[JD_TABLE_SERVICES], out->service);
-        name = text_of(svc, "policy");
-    }
-    pol = name == NULL ? NULL
-                       : json_object_get(cfg->table[JD_TABLE_POLICIES], name);
-    out->priority = (unsigned)number_of(pol, "priority", DEFAULT_PRIORITY);
-    out->deadline =
-        (uint64_t)number_of(pol, "deadline_ms", DEFAULT_DEADLINE_MS) *
-        JD_US_PER_MS;
-    out->retry_percent =
-        (unsigned)number_of(pol, "retry_percent", DEFAULT_RETRY_PERCENT);
-    out->idempotent = json_is_true(json_object_get(pol, "idempotent"));
-    out->once = json_is_true(json_object_get(pol, "once"));
-}
-
-/*
- * Finds the route with the longest prefix of a path that ends at a segment.
- * The strings in `out` live as long as the configuration.
- */
-bool
-JdConfig_Route(const JdConfig *cfg, const char *path, size_t len, JdRoute *out)
-{
-    char key[PREFIX_LIMIT + 1];
-    size_t n = len < PREFIX_LIMIT ? len : PREFIX_LIMIT;
-    const char *query = memchr(path, '?', n);
-
-    if (query != NULL) {
-        n = (size_t)(query - path);
-    }
-    memcpy(key, path, n);
-    while (n > 0) {
-        const json_t *route;
-
-        key[n] = '\0';
-        route = json_object_get(cfg->table[JD_TABLE_ROUTES], key);
-        if (route != NULL) {
-            out->prefix = json_object_iter_key(
-                json_object_iter_at(cfg->table[JD_TABLE_ROUTES], key));
-            fill_route(cfg, route, out);
-            return true;
-        }
-        if (n == 1) {
-            break;
-        }
-        do {
-            n--;
-        } while (n > 1 && key[n] != '/');
-    }
-    return false;
-}
--- /dev/null
+++ b/lib/head.c
@@ -0,0 +1,244 @@
+/*
+ * Heads of failure domains: how a node becomes one, the directory, and the
+ * appointment of others.
+ */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libjd.h"
+#include "libtree.h"
+
+/* Wait of a head between two appointments of another. */
+#define APPOINT_EVERY (3 * JD_US_PER_S)
+/* Period in which heads renew their directory record, below its retention. */
+#define RENEW_EVERY (600 * JD_US_PER_S)
+
+/*
+ * Waits before volunteering.  The eighth root makes short waits rare, so that
+ * few volunteer before the first one is known, however many wait.
+ */
+void
+_JdTree_ArmVolunteer(JdTree *tr)
+{
+    double u =
+        (double)(JdRandom_Below(&tr->random, 1 << 20) + 1) / (double)(1 << 20);
+    uint64_t wait =
+        (uint64_t)((double)tr->tune.volunteer * sqrt(sqrt(sqrt(u))));
+
+    if (tr->is_announcing || tr->volunteer.armed || tr->is_leaving) {
+        return;
+    }
+    /* A node that was a head before its restart is expected back. */
+    if (tr->was_head && tr->seeks == 0) {
+        wait = 0;
+    }
+    JdTimer_Arm(tr->clock, &tr->volunteer, wait);
+}
+
+static void
+on_volunteer(void *ctx)
+{
+    JdTree *tr = ctx;
+
+    tr->is_volunteer = true;
+    tr->ops->read_directory(tr->ctx);
+}
+
+static void
+announce(JdTree *tr)
+{
+    if (tr->is_announcing || tr->is_leaving) {
+        return;
+    }
+    tr->is_announcing = true;
+    tr->announced_at = JdClock_Now(tr->clock);
+    tr->ops->announce(tr->ctx);
+}
+
+/* Offers this node as a head at once. */
+void
+_JdTree_Volunteer(JdTree *tr)
+{
+    if (tr->head_rank == 0) {
+        announce(tr);
+    }
+}
+
+/* The result of an append to the directory: the offset gives the rank. */
+void
+JdTree_Announced(JdTree *tr, JdStatus status, uint64_t offset)
+{
+    tr->is_announcing = false;
+    if (status != JD_OK || tr->head_rank != 0) {
+        return;
+    }
+    tr->head_rank = offset + 1;
+    tr->counters->value[JD_C_PROMOTIONS]++;
+    _JdTree_AnnounceSelf(tr);
+    _JdTree_DropTrial(tr);
+    JdTimer_Cancel(tr->clock, &tr->seek);
+    _JdTree_Seek(tr);
+}
+
+/* Returns this node's directory record, which the caller frees. */
+char *
+JdTree_DirectoryRecord(const JdTree *tr)
+{
+    json_t *js =
+        json_pack("{s:s, s:I, s:s, s:s, s:s, s:I}", "id", tr->self.id,
+                  "incarnation", (json_int_t)tr->self.incarnation, "region",
+                  tr->self.region, "domain", tr->self.domain, "peer",
+                  tr->self.peer, "rank", (json_int_t)tr->head_rank);
+    char *text = json_dumps(js, JSON_COMPACT);
+
+    json_decref(js);
+    return text;
+}
+
+static void
+note_entry(JdTree *tr, const JdDirectoryEntry *de)
+{
+    unsigned i;
+
+    for (i = 0; i < tr->directory_len; i++) {
+        if (strcmp(tr->directory[i].id, de->id) == 0) {
+            break;
+        }
+    }
+    if (i == JD_DIRECTORY_MAX) {
+        memmove(&tr->directory[0], &tr->directory[1],
+                sizeof(tr->directory[0]) * (JD_DIRECTORY_MAX - 1));
+        i--;
+    }
+    tr->directory[i] = *de;
+    if (i == tr->directory_len) {
+        tr->directory_len++;
+    }
+}
+
+static void
+take_directory_record(JdTree *tr, const JdRecord *rec)
+{
+    const char *id, *region, *domain, *peer;
+    json_int_t incarnation, rank;
+    JdDirectoryEntry de = {0};
+    json_t *js;
+
+    if (JdConfig_Parse(rec->text, rec->len, &js, NULL) != JD_OK) {
+        tr->counters->value[JD_C_BAD_RECORD]++;
+        return;
+    }
+    if (json_unpack(js, "{s:s, s:I, s:s, s:s, s:s, s:I}", "id", &id,
+                    "incarnation", &incarnation, "region", &region, "domain",
+                    &domain, "peer", &peer, "rank", &rank) == 0) {
+        _Jd_CopyText(de.id, sizeof(de.id), id);
+        _Jd_CopyText(de.region, sizeof(de.region), region);
+        _Jd_CopyText(de.domain, sizeof(de.domain), domain);
+        _Jd_CopyText(de.address, sizeof(de.address), peer);
+        de.incarnation = (uint64_t)incarnation;
+        de.rank = rank > 0 ? (uint64_t)rank : rec->offset + 1;
+        if (strcmp(id, tr->self.id) == 0 &&
+            de.incarnation != tr->self.incarnation) {
+            tr->was_head = true;
+        }
+        note_entry(tr, &de);
+    }
+    else {
+        tr->counters->value[JD_C_BAD_RECORD]++;
+    }
+    json_decref(js);
+}
+
+/* The directory was read, or could not be. */
+void
+JdTree_Directory(JdTree *tr, const JdLogAnswer *ans)
+{
+    bool is_volunteer = tr->is_volunteer;
+
+    tr->is_volunteer = false;
+    for (size_t i = 0; ans->status == JD_OK && i < ans->records; i++) {
+        take_directory_record(tr, &ans->record[i]);
+    }
+    tr->is_directory_read = true;
+    if (is_volunteer && ans->status == JD_OK && tr->head_rank == 0 &&
+        _JdTree_NewestRankAtHome(tr) <= tr->tried_rank) {
+        announce(tr);
+        return;
+    }
+    if (tr->parent.state != JD_LINK_ATTACHED) {
+        _JdTree_Seek(tr);
+    }
+}
+
+void
+_JdTree_InitHeads(JdTree *tr)
+{
+    JdTimer_Init(&tr->volunteer, on_volunteer, tr);
+}
+
+static unsigned
+count_heads_at_home(const JdTree *tr, bool *is_first)
+{
+    const JdMember *mb;
+    unsigned n = 1;
+
+    *is_first = true;
+    TAILQ_FOREACH(mb, &tr->members.all, link)
+    {
+        if (mb->head_rank == 0 || mb->state == JD_MEMBER_LOST ||
+            mb->state == JD_MEMBER_LEFT ||
+            strcmp(mb->domain, tr->self.domain) != 0 ||
+            strcmp(mb->id, tr->self.id) == 0) {
+            continue;
+        }
+        n++;
+        if (mb->head_rank < tr->head_rank) {
+            *is_first = false;
+        }
+    }
+    return n;
+}
+
+static void
+appoint(JdTree *tr)
+{
+    Jd__Promote msg = JD__PROMOTE__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+    JdChild *ch;
+
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        const JdMember *mb = JdMembers_Find(&tr->members, ch->id);
+
+        if (!ch->is_head && mb != NULL && mb->head_rank == 0 &&
+            strcmp(mb->domain, tr->self.domain) == 0) {
+            frame.body_case = JD__FRAME__BODY_PROMOTE;
+            frame.promote = &msg;
+            _JdTree_Send(tr, ch->peer, &frame);
+            tr->appointed_at = JdClock_Now(tr->clock);
+            return;
+        }
+    }
+}
+
+/* The first head of a domain sees to it that there are enough of them. */
+void
+_JdTree_CheckHeads(JdTree *tr)
+{
+    uint64_t now = JdClock_Now(tr->clock);
+    bool is_first;
+
+    if (tr->head_rank == 0 || tr->is_leaving) {
+        return;
+    }
+    if (now - tr->announced_at > RENEW_EVERY) {
+        announce(tr);
+    }
+    if (now - tr->appointed_at < APPOINT_EVERY) {
+        return;
+    }
+    if (count_heads_at_home(tr, &is_first) < tr->tune.heads && is_first) {
+        appoint(tr);
+    }
+}
--- a/lib/libjd.h
+++ b/lib/libjd.h
@@ -11,4 +11,13 @@
 /* Copies a name, cutting it at the size of the destination. */
 void _Jd_CopyText(char *dst, size_t size, const char *src);
 
+/* Longest path prefix of a route, in bytes. */
+#define _JD_PREFIX_LIMIT 200
+
+/* digest.c */
+void _JdDigest_Add(JdDigest *dig, JdTable table, const char *name,
+                   json_t *val);
+void _JdDigest_Remove(JdDigest *dig, JdTable table, const char *name,
+                      json_t *val);
+
 #endif
--- a/lib/member.c
+++ b/lib/member.c
@@ -243,10 +243,21 @@
         return;
     }
     mb->is_suspect = true;
+    mb->is_orphan = false;
     mb->suspect_at = JdClock_Now(ms->clock) + grace;
     TAILQ_INSERT_TAIL(&ms->suspects, mb, suspect_link);
 }
 
+static bool
+is_parent_gone(const JdMembers *ms, const JdMember *mb)
+{
+    const JdMember *up =
+        mb->via[0] == '\0' ? NULL : JdMembers_Find(ms, mb->via);
+
+    return up != NULL &&
+           (up->state == JD_MEMBER_LOST || up->state == JD_MEMBER_LEFT);
+}
+
 /* Suspects all members whose parent is lost or gone. */
 static void
 suspect_orphans(JdMembers *ms, uint64_t grace)
@@ -255,12 +266,9 @@
 
     TAILQ_FOREACH(mb, &ms->all, link)
     {
-        const JdMember *up =
-            mb->via[0] == '\0' ? NULL : JdMembers_Find(ms, mb->via);
-
-        if (up != NULL &&
-            (up->state == JD_MEMBER_LOST || up->state == JD_MEMBER_LEFT)) {
+        if (!mb->is_suspect && is_parent_gone(ms, mb)) {
             JdMembers_Suspect(ms, mb, grace);
+            mb->is_orphan = true;
         }
     }
 }
@@ -291,6 +299,10 @@
             continue;
         }
         clear_suspect(ms, mb);
+        /* A parent that turned out to live vouches for those behind it. */
+        if (mb->is_orphan && !is_parent_gone(ms, mb)) {
+            continue;
+        }
         mark_lost(ms, mb);
         n++;
     }
--- a/lib/news.c
+++ b/lib/news.c
@@ -179,3 +179,25 @@
         JdMembers_TakeNews(&tr->members, mb);
     }
 }
+
+/* Announces that this node leaves and takes no more children. */
+void
+JdTree_Leave(JdTree *tr)
+{
+    tr->is_leaving = true;
+    tr->state = JD_MEMBER_LEFT;
+    _JdTree_AnnounceSelf(tr);
+    _JdTree_FlushNews(tr);
+    _JdTree_CheckReading(tr);
+}
+
+/* Sets the state of the target beside this node and announces a change. */
+void
+JdTree_SetState(JdTree *tr, JdMemberState state)
+{
+    if (tr->state == state || tr->is_leaving) {
+        return;
+    }
+    tr->state = state;
+    _JdTree_AnnounceSelf(tr);
+}
--- a/lib/tree.c
+++ b/lib/tree.c
@@ -52,6 +52,7 @@
     JdTimer_Init(&tr->beat, on_beat, tr);
     JdTimer_Init(&tr->batch, on_batch, tr);
     _JdTree_InitUplinks(tr);
+    _JdTree_InitHeads(tr);
     _JdTree_InitNews(tr);
 }
 
@@ -102,6 +103,8 @@
     }
     tr->is_ready = true;
     tr->ops->changed(tr->ctx);
+    /* Children wait for this word; the next beat may be far. */
+    _JdTree_TellPath(tr);
 }
 
 /* A node is ready once it is not behind a parent that is ready. */
@@ -203,6 +206,20 @@
     }
 }
 
+/* Children that hold nothing yet do not wait for a batch. */
+static void
+push_first(JdTree *tr)
+{
+    JdChild *ch;
+
+    TAILQ_FOREACH(ch, &tr->children, link)
+    {
+        if (ch->have == 0) {
+            push(tr, ch);
+        }
+    }
+}
+
 static void
 on_batch(void *ctx)
 {
@@ -218,8 +235,11 @@
     if (tr->tune.batch == 0) {
         push_all(tr);
     }
-    else if (!tr->batch.armed) {
-        JdTimer_Arm(tr->clock, &tr->batch, tr->tune.batch);
+    else {
+        push_first(tr);
+        if (!tr->batch.armed) {
+            JdTimer_Arm(tr->clock, &tr->batch, tr->tune.batch);
+        }
     }
 }
 
@@ -382,23 +402,6 @@
     tr->counters->value[JD_C_REDIRECTS]++;
 }
 
-/* Returns the node's path from the root, itself last. */
-static size_t
-list_path(JdTree *tr, char **out)
-{
-    for (unsigned i = 0; i < tr->path_len; i++) {
-        out[i] = tr->path[i];
-    }
-    out[tr->path_len] = tr->self.id;
-    return tr->path_len + 1;
-}
-
-static const char *
-root_admin(const JdTree *tr)
-{
-    return tr->path_len == 0 ? tr->self.admin : tr->root_admin;
-}
-
 static void
 send_accept(JdTree *tr, JdChild *ch)
 {
@@ -408,13 +411,13 @@
 
     msg.id = tr->self.id;
     msg.domain = tr->self.domain;
-    msg.n_path = list_path(tr, path);
+    msg.n_path = _JdTree_ListPath(tr, path);
     msg.path = path;
     msg.n_bucket = JD_BUCKETS;
     msg.bucket = tr->members.bucket;
     msg.ready = tr->is_ready;
     msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
-    msg.root_admin = (char *)root_admin(tr);
+    msg.root_admin = (char *)_JdTree_RootAdmin(tr);
     frame.body_case = JD__FRAME__BODY_ACCEPT;
     frame.accept = &msg;
     _JdTree_Send(tr, ch->peer, &frame);
@@ -501,106 +504,6 @@
 
 /* ---- beats ------------------------------------------------------------- */
 
-static void
-note_laggard(JdTreeReport *out, const char *id)
-{
-    if (out->laggards < JD_LAGGARDS_MAX) {
-        _Jd_CopyText(out->laggard[out->laggards], JD_NAME_MAX, id);
-        out->laggards++;
-    }
-}
-
-/* Sums up this node and all below it. */
-void
-JdTree_Report(const JdTree *tr, JdTreeReport *out)
-{
-    uint64_t own = tr->store->config->version;
-    const JdChild *ch;
-
-    memset(out, 0, sizeof(*out));
-    out->count = 1;
-    out->min_version = own;
-    TAILQ_FOREACH(ch, &tr->children, link)
-    {
-        out->count += ch->count;
-        if (ch->min_version < out->min_version) {
-            out->min_version = ch->min_version;
-        }
-        if (ch->laggards == 0 && ch->min_version < own) {
-            note_laggard(out, ch->id);
-        }
-        for (unsigned i = 0; i < ch->laggards; i++) {
-            note_laggard(out, ch->laggard[i]);
-        }
-    }
-}
-
-static void
-send_beat_up(JdTree *tr)
-{
-    Jd__Beat msg = JD__BEAT__INIT;
-    Jd__Frame frame = JD__FRAME__INIT;
-    char *list[JD_LAGGARDS_MAX];
-    JdTreeReport rep;
-
-    JdTree_Report(tr, &rep);
-    for (unsigned i = 0; i < rep.laggards; i++) {
-        list[i] = rep.laggard[i];
-    }
-    msg.count = rep.count;
-    msg.min_version = rep.min_version;
-    msg.n_laggard = rep.laggards;
-    msg.laggard = list;
-    frame.body_case = JD__FRAME__BODY_BEAT;
-    frame.beat = &msg;
-    _JdTree_Send(tr, tr->parent.peer, &frame);
-}
-
-/* Tells a child that this node lives; with the path when it changed. */
-static void
-send_beat_down(JdTree *tr, JdChild *ch, bool with_path)
-{
-    Jd__Beat msg = JD__BEAT__INIT;
-    Jd__Frame frame = JD__FRAME__INIT;
-    char *path[JD_TREE_PATH_MAX + 1];
-
-    msg.ready = tr->is_ready;
-    msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
-    if (with_path) {
-        msg.has_path = true;
-        msg.n_path = list_path(tr, path);
-        msg.path = path;
-        msg.root_admin = (char *)root_admin(tr);
-    }
-    frame.body_case = JD__FRAME__BODY_BEAT;
-    frame.beat = &msg;
-    _JdTree_Send(tr, ch->peer, &frame);
-}
-
-/* Tells all children a changed path. */
-void
-_JdTree_TellPath(JdTree *tr)
-{
-    JdChild *ch;
-
-    TAILQ_FOREACH(ch, &tr->children, link)
-    {
-        send_beat_down(tr, ch, true);
-    }
-}
-
-static void
-on_beat_up(JdChild *ch, const Jd__Beat *msg)
-{
-    ch->count = msg->count;
-    ch->min_version = msg->min_version;
-    ch->laggards = 0;
-    for (size_t i = 0; i < msg->n_laggard && i < JD_LAGGARDS_MAX; i++) {
-        _Jd_CopyText(ch->laggard[ch->laggards], JD_NAME_MAX, msg->laggard[i]);
-        ch->laggards++;
-    }
-}
-
 static void
 beat_children(JdTree *tr)
 {
@@ -617,7 +520,7 @@
         if (ch->have < tr->store->config->version && !tr->batch.armed) {
             push(tr, ch);
         }
-        send_beat_down(tr, ch, false);
+        _JdTree_SendBeatDown(tr, ch, false);
     }
 }
 
@@ -629,7 +532,7 @@
     JdTimer_Arm(tr->clock, &tr->beat, tr->tune.beat);
     beat_children(tr);
     if (tr->parent.state == JD_LINK_ATTACHED) {
-        send_beat_up(tr);
+        _JdTree_SendBeatUp(tr);
     }
     JdMembers_Expire(&tr->members, tr->tune.silence);
     JdMembers_Forget(&tr->members, FORGET_AFTER);
@@ -655,8 +558,12 @@
         _JdTree_OnRedirect(tr, peer, frame->redirect);
         break;
     case JD__FRAME__BODY_BEAT:
-        if (ch != NULL) {
-            on_beat_up(ch, frame->beat);
+        if (ch != NULL && frame->beat->moving) {
+            /* It is not suspect: its new parent watches it. */
+            remove_child(tr, ch);
+        }
+        else if (ch != NULL) {
+            _JdTree_OnBeatUp(ch, frame->beat);
         }
         else {
             _JdTree_OnBeatDown(tr, peer, frame->beat);
@@ -709,25 +616,3 @@
     }
     _JdTree_UplinkClosed(tr, peer);
 }
-
-/* Announces that this node leaves and takes no more children. */
-void
-JdTree_Leave(JdTree *tr)
-{
-    tr->is_leaving = true;
-    tr->state = JD_MEMBER_LEFT;
-    _JdTree_AnnounceSelf(tr);
-    _JdTree_FlushNews(tr);
-    _JdTree_CheckReading(tr);
-}
-
-/* Sets the state of the target beside this node and announces a change. */
-void
-JdTree_SetState(JdTree *tr, JdMemberState state)
-{
-    if (tr->state == state || tr->is_leaving) {
-        return;
-    }
-    tr->state = state;
-    _JdTree_AnnounceSelf(tr);
-}
--- a/load/bench.sh
+++ b/load/bench.sh
@@ -4,7 +4,7 @@
 # other parts wrote before.
 set -u
 cd "$(dirname "$0")/.." || exit 1
-PARTS=${PARTS:-parts slopes storms added overload stalled once}
+PARTS=${PARTS:-parts slopes storms added overload stalled once depth}
 OUT=${OUT:-docs/MEASUREMENTS.md}
 COMMIT=$(git rev-parse --short HEAD 2>/dev/null)
 FLEET_DIR=$(mktemp -d)
@@ -370,6 +370,74 @@
 	FLEET_LINKS=
 }
 
+# A chain of DEPTH services with two targets each; each target calls the next
+# service through its own node, and the last ones shed.
+chain_tries() { # DEPTH REQUESTS RETRY-PERCENT [--strip-retry]
+	local i d svc="" set="" route="" next sum=0
+	fleet_start_log
+	for i in $(seq "$1"); do
+		for d in 1 2; do
+			fleet_settings $d "$i" "s$i" "e$i" 100 120
+			next="--next 127.0.$d.$i:8000 --next-path /s$((i + 1))"
+			[ "$i" -lt "$1" ] || next=""
+			"$FLEET_BIN/jd-targetd" --listen "127.0.$d.$i:9000" \
+			    --name "t$d-$i" $next ${4:-} \
+			    2>>"$FLEET_DIR/t$i.err" &
+			fleet_note "target-$d-$i"
+			fleet_start_node $d "$i"
+		done
+		svc="$svc,\"s$i\": {\"policy\": \"p\"}"
+		set="$set,\"e$i\": {\"service\": \"s$i\"}"
+		route="$route,\"/s$i\": {\"service\": \"s$i\", \"endpoint_set\": \"e$i\"}"
+	done
+	fleet_until 400 is_joined $((2 * $1))
+	cat >"$FLEET_DIR/patch.json" <<EOF
+{"base": 0, "patch": {"services": {${svc#,}}, "endpoint_sets": {${set#,}},
+ "routes": {${route#,}},
+ "policies": {"p": {"deadline_ms": 30000, "retry_percent": $3}}}}
+EOF
+	fleet_ctl submit "$FLEET_DIR/patch.json" >/dev/null
+	sleep 7
+	for d in 1 2; do
+		fleet_get "http://127.0.$d.$1:9000/-/control?mode=shed"
+	done >/dev/null
+	for i in $(seq "$2"); do
+		curl -s -m 60 -o /dev/null http://127.0.1.1:8000/s1
+	done
+	for d in 1 2; do
+		i=$(fleet_get "http://127.0.$d.$1:9000/-/stats" |
+		    sed 's/.*"shed":\([0-9]*\).*/\1/')
+		sum=$((sum + i))
+	done
+	fleet_end
+	echo $sum
+}
+
+run_depth() {
+	local depth tries
+	{
+		echo "A chain of calls whose last service sheds every request." \
+		    "Tries at the last service for each request at the first." \
+		    "Baseline: a retry for every failure (retry_percent 100)" \
+		    "and targets that do not pass on that the system has given" \
+		    "up."
+		echo
+		echo "| depth | budget | requests | tries at the last service |" \
+		    "per request |"
+		echo "|---|---|---|---|---|"
+		for depth in 2 6 14; do
+			tries=$(chain_tries $depth 200 10)
+			echo "| $depth | 10% | 200 | $tries |" \
+			    "$(awk -v t="$tries" 'BEGIN { print t / 200 }') |"
+		done
+		for depth in 2 6 10; do
+			tries=$(chain_tries $depth 3 100 --strip-retry)
+			echo "| $depth | baseline | 3 | $tries |" \
+			    "$(awk -v t="$tries" 'BEGIN { print t / 3 }') |"
+		done
+	} | section depth "Retries in a chain of calls"
+}
+
 claim_appends() {
 	fleet_get http://$FLEET_LOG/stats |
 	    sed 's/.*"claims-archive-kiln":{[^}]*"appends":\([0-9]*\).*/\1/;t;s/.*/0/'
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -1,10 +1,10 @@
 /*
- * Requests of callers: choice of a target, the way to its node and back, and
- * retries.  A request keeps the configuration version it began with.
+ * Requests of callers: choice of a target, tries and answers.  A request keeps
+ * the configuration version it began with.
  */
 #include <string.h>
 
-#include "../node/node.h"
+#include "forward.h"
 
 /* Tries of one request at the most. */
 #define TRIES_MOST 3
@@ -15,45 +15,6 @@
 #define PATIENCE_UNKNOWN (500 * JD_US_PER_MS)
 /* Period of the checks on calls and connections. */
 #define TEND_EVERY (250 * JD_US_PER_MS)
-/* Idle time after which a connection is pinged. */
-#define PING_AFTER (250 * JD_US_PER_MS)
-/* Silence with calls outstanding after which a connection is dead. */
-#define DEAD_AFTER (1000 * JD_US_PER_MS)
-/* Idle time after which a connection is closed. */
-#define CLOSE_AFTER (30 * JD_US_PER_S)
-/* Age of the last word above which work that must not run twice is sent over
- * a new connection. */
-#define PROVED_WITHIN (1000 * JD_US_PER_MS)
-
-/* A connection to another node that carries requests. */
-typedef struct Lane {
-    char address[JD_ADDRESS_MAX]; /* as members announce it */
-    JdConn *conn;
-    TAILQ_HEAD(LaneCalls, JdCall) calls;
-    unsigned outstanding;
-    uint64_t used;
-    uint64_t pinged;
-} Lane;
-
-struct JdCall {
-    TAILQ_ENTRY(JdCall) link;
-    TAILQ_ENTRY(JdCall) lane_link;
-    JdNode *node;
-    uint64_t id;
-    h2o_req_t *req;       /* NULL: the caller left */
-    struct JdCall **gone; /* cleared when the call ends first */
-    JdConfig *config;
-    JdRoute route;
-    Jd__Request *msg; /* owned */
-    uint64_t deadline;
-    uint64_t sent_at;
-    unsigned tries;
-    char target[JD_NAME_MAX];
-    JdTier tier;
-    Lane *lane; /* NULL: the target beside this node */
-    JdTimer timer;
-    JdTimer patience; /* ends a try of idempotent work */
-};
 
 static void try_target(JdCall *call, const char *avoid);
 
@@ -79,8 +40,8 @@
 }
 
 /* Tells a caller that its request was refused or given up, and why. */
-static void
-reply_refusal(JdNode *nd, h2o_req_t *req, JdReason reason)
+void
+JdForward_ReplyRefusal(JdNode *nd, h2o_req_t *req, JdReason reason)
 {
     const JdReasonInfo *info = JdReason_Info(reason);
     char text[16];
@@ -89,6 +50,9 @@
     JdHttpd_AddHeader(req, "x-outcome",
                       info->is_not_run ? "not-run" : "unknown");
     JdHttpd_AddHeader(req, "x-reason", info->name);
+    /* This node has tried as often as helps; a retry at every depth of a
+     * chain of calls would multiply them. */
+    JdHttpd_AddHeader(req, "x-retry", "no");
     if (info->retry_after > 0) {
         JdHttpd_AddHeader(req, "retry-after", text);
     }
@@ -111,7 +75,7 @@
     }
     free_call(call);
     if (req != NULL) {
-        reply_refusal(nd, req, reason);
+        JdForward_ReplyRefusal(nd, req, reason);
     }
 }
 
@@ -143,18 +107,6 @@
     h2o_send_inline(req, (const char *)msg->body.data, msg->body.len);
 }
 
-/* ---- lanes ------------------------------------------------------------- */
-
-static void
-leave_lane(JdCall *call)
-{
-    if (call->lane != NULL) {
-        TAILQ_REMOVE(&call->lane->calls, call, lane_link);
-        call->lane->outstanding--;
-        call->lane = NULL;
-    }
-}
-
 static void
 send_cancel(JdCall *call)
 {
@@ -175,109 +127,6 @@
     JdConn_Send(call->lane->conn, &frame);
 }
 
-static void try_again(JdCall *call, JdReason reason, unsigned load);
-
-static void
-free_lane(JdNode *nd, Lane *lane)
-{
-    Lane *known = g_hash_table_lookup(nd->request_conns, lane->address);
-
-    if (known == lane) {
-        g_hash_table_remove(nd->request_conns, lane->address);
-    }
-    g_free(lane);
-}
-
-/* All calls on a lane fail; those that were not sent certainly did not run. */
-static void
-fail_lane(JdNode *nd, Lane *lane, bool was_open)
-{
-    Lane *known = g_hash_table_lookup(nd->request_conns, lane->address);
-    JdCall *call;
-
-    if (known == lane) {
-        g_hash_table_remove(nd->request_conns, lane->address);
-    }
-    while ((call = TAILQ_FIRST(&lane->calls)) != NULL) {
-        leave_lane(call);
-        try_again(call, was_open ? JD_REASON_BROKEN : JD_REASON_TARGET_DOWN,
-                  0);
-    }
-    g_free(lane);
-}
-
-static void
-on_opened(void *ctx, JdConn *conn)
-{
-    (void)ctx;
-    ((Lane *)conn->user)->used = conn->heard;
-}
-
-static void
-on_frame(void *ctx, JdConn *conn, Jd__Frame *frame)
-{
-    (void)conn;
-    if (frame->body_case == JD__FRAME__BODY_RESPONSE) {
-        JdForward_Respond(ctx, frame->response);
-    }
-}
-
-static void
-on_closed(void *ctx, JdConn *conn)
-{
-    /* A connection that was never heard of was never open. */
-    fail_lane(ctx, conn->user, conn->heard != 0);
-}
-
-static const JdConnOps lane_ops = {on_opened, on_frame, on_closed};
-
-static Lane *
-open_lane(JdNode *nd, const JdMember *mb)
-{
-    char to[JD_ADDRESS_MAX];
-    Lane *lane;
-    JdConn *conn;
-
-    JdTranslate(nd->settings.translate, mb->peer, to, sizeof(to));
-    conn = JdConn_Dial(&nd->conns, to, &lane_ops, nd);
-    if (conn == NULL) {
-        return NULL;
-    }
-    lane = g_new0(Lane, 1);
-    g_strlcpy(lane->address, mb->peer, sizeof(lane->address));
-    lane->conn = conn;
-    lane->used = JdClock_Now(&nd->loop.clock);
-    TAILQ_INIT(&lane->calls);
-    conn->user = lane;
-    conn->is_request = true;
-    conn->is_cross_region = strcmp(mb->region, nd->settings.region) != 0;
-    g_hash_table_replace(nd->request_conns, lane->address, lane);
-    return lane;
-}
-
-/*
- * Returns the lane to a member.  Work that must not run twice gets a lane
- * that was proved to work a moment ago, or a new one.
- */
-static Lane *
-get_lane(JdNode *nd, const JdMember *mb, bool needs_proof)
-{
-    Lane *lane = g_hash_table_lookup(nd->request_conns, mb->peer);
-    uint64_t now = JdClock_Now(&nd->loop.clock);
-
-    if (lane != NULL && needs_proof && lane->conn->is_open &&
-        now - lane->conn->heard > PROVED_WITHIN) {
-        /* The old lane ends when its calls have. */
-        g_hash_table_remove(nd->request_conns, mb->peer);
-        if (lane->outstanding == 0) {
-            JdConn_Close(lane->conn);
-            g_free(lane);
-        }
-        lane = NULL;
-    }
-    return lane != NULL ? lane : open_lane(nd, mb);
-}
-
 /* ---- tries ------------------------------------------------------------- */
 
 static JdBudget *
@@ -325,12 +174,12 @@
 }
 
 /* A try failed: tries another target, or gives the final answer at once. */
-static void
-try_again(JdCall *call, JdReason reason, unsigned load)
+void
+JdForward_TryAgain(JdCall *call, JdReason reason, unsigned load)
 {
     char avoid[JD_NAME_MAX];
 
-    leave_lane(call);
+    JdLane_Leave(call);
     JdChooser_Failed(&call->node->chooser, call->target, reason, load);
     if (!may_retry(call, reason)) {
         end_refused(call, reason);
@@ -352,16 +201,13 @@
 }
 
 static void
-send_to(JdCall *call, Lane *lane)
+send_to(JdCall *call, JdLane *lane)
 {
     JdNode *nd = call->node;
     Jd__Frame frame = JD__FRAME__INIT;
     size_t n;
 
-    call->lane = lane;
-    TAILQ_INSERT_TAIL(&lane->calls, call, lane_link);
-    lane->outstanding++;
-    lane->used = JdClock_Now(&nd->loop.clock);
+    JdLane_Enter(lane, call);
     frame.version = nd->store.config->version;
     frame.body_case = JD__FRAME__BODY_REQUEST;
     frame.request = call->msg;
@@ -383,7 +229,7 @@
         return;
     }
     send_cancel(call);
-    leave_lane(call);
+    JdLane_Leave(call);
     JdChooser_Failed(&call->node->chooser, call->target, JD_REASON_DEADLINE,
                      0);
     g_strlcpy(avoid, call->target, sizeof(avoid));
@@ -396,6 +242,7 @@
 {
     const JdTargetStat *ts = mb->user;
     uint64_t wait = PATIENCE_UNKNOWN;
+    uint64_t left = call->deadline - call->sent_at;
 
     if (!is_idempotent(call) || call->tries >= TRIES_MOST) {
         return;
@@ -406,6 +253,10 @@
     if (wait < PATIENCE_LEAST) {
         wait = PATIENCE_LEAST;
     }
+    /* Another try needs time as well. */
+    if (wait > left / 2) {
+        wait = left / 2;
+    }
     JdTimer_Arm(&call->node->loop.clock, &call->patience, wait);
 }
 
@@ -416,7 +267,7 @@
     uint64_t now = JdClock_Now(&nd->loop.clock);
     JdMember *mb = JdChooser_Pick(&nd->chooser, call->route.endpoint_set,
                                   avoid, &call->tier);
-    Lane *lane = NULL;
+    JdLane *lane = NULL;
 
     if (mb == NULL) {
         end_refused(call, JD_REASON_NO_TARGET);
@@ -438,9 +289,9 @@
     if (call->tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_CROSS_REGION]++;
     }
-    lane = get_lane(nd, mb, !is_idempotent(call));
+    lane = JdLane_Get(nd, mb, !is_idempotent(call));
     if (lane == NULL) {
-        try_again(call, JD_REASON_TARGET_DOWN, 0);
+        JdForward_TryAgain(call, JD_REASON_TARGET_DOWN, 0);
         return;
     }
     send_to(call, lane);
@@ -482,10 +333,10 @@
                 ? JD_REASON_BROKEN
                 : (JdReason)msg->reason;
 
-        try_again(call, reason, msg->load);
+        JdForward_TryAgain(call, reason, msg->load);
         return;
     }
-    leave_lane(call);
+    JdLane_Leave(call);
     JdChooser_Answered(&nd->chooser, call->target, took, msg->load);
     end_answered(call, msg);
 }
@@ -496,7 +347,7 @@
     JdCall *call = ctx;
 
     send_cancel(call);
-    leave_lane(call);
+    JdLane_Leave(call);
     JdChooser_Failed(&call->node->chooser, call->target, JD_REASON_DEADLINE,
                      0);
     end_refused(call, JD_REASON_DEADLINE);
@@ -511,14 +362,15 @@
     JdNode *nd = call->node;
 
     send_cancel(call);
-    leave_lane(call);
+    JdLane_Leave(call);
     JdChooser_Failed(&nd->chooser, call->target, JD_REASON_CANCELLED, 0);
     nd->counters.value[JD_C_R_CANCELLED]++;
     free_call(call);
 }
 
-static void
-on_request_gone(void *data)
+/* The request's memory goes away, answered or not. */
+void
+JdForward_OnRequestGone(void *data)
 {
     JdCall **slot = data;
 
@@ -531,204 +383,20 @@
     }
 }
 
-static bool
-is_forwarded(const h2o_header_t *h)
-{
-    static const char *const dropped[] = {
-        "connection", "content-length",   "transfer-encoding", "keep-alive",
-        "te",         "upgrade",          "x-timeout-ms",      "host",
-        "expect",     "proxy-connection",
-    };
-
-    for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
-        if (h2o_memis(h->name->base, h->name->len, dropped[i],
-                      strlen(dropped[i]))) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/* Copies a caller's request into a message that does not point into it. */
-static Jd__Request *
-copy_request(const JdCall *call, const h2o_req_t *req, const char *key)
-{
-    Jd__Header header[JD_HTTP_HEADERS_MAX];
-    Jd__Header *list[JD_HTTP_HEADERS_MAX];
-    Jd__Request msg = JD__REQUEST__INIT;
-    GStringChunk *texts = g_string_chunk_new(1024);
-    Jd__Request *copy;
-    uint8_t *buf;
-    size_t n;
-
-    msg.id = call->id;
-    msg.service = (char *)call->route.service;
-    msg.method = g_string_chunk_insert_len(texts, req->method.base,
-                                           (gssize)req->method.len);
-    msg.path = g_string_chunk_insert_len(texts, req->path.base,
-                                         (gssize)req->path.len);
-    for (size_t i = 0;
-         i < req->headers.size && msg.n_header < JD_HTTP_HEADERS_MAX; i++) {
-        const h2o_header_t *h = &req->headers.entries[i];
-        Jd__Header *to = &header[msg.n_header];
-
-        if (!is_forwarded(h)) {
-            continue;
-        }
-        jd__header__init(to);
-        to->name = g_string_chunk_insert_len(texts, h->name->base,
-                                             (gssize)h->name->len);
-        to->value.data = (uint8_t *)h->value.base;
-        to->value.len = h->value.len;
-        list[msg.n_header++] = to;
-    }
-    msg.header = list;
-    msg.body.data = (uint8_t *)req->entity.base;
-    msg.body.len = req->entity.len;
-    msg.priority = call->route.priority;
-    msg.key = (char *)key;
-    msg.once = call->route.once;
-    msg.config_version = call->config->version;
-    n = jd__request__get_packed_size(&msg);
-    buf = g_malloc(n);
-    jd__request__pack(&msg, buf);
-    copy = jd__request__unpack(NULL, n, buf);
-    g_free(buf);
-    g_string_chunk_free(texts);
-    return copy;
-}
-
-/* Reads the caller's own deadline.  Returns false when it is malformed. */
-static bool
-read_timeout(const h2o_req_t *req, uint64_t *timeout)
-{
-    char text[16];
-    guint64 ms;
-
-    if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("x-timeout-ms"), -1) <
-        0) {
-        return true;
-    }
-    if (!JdHttpd_Header(req, "x-timeout-ms", text, sizeof(text)) ||
-        !g_ascii_string_to_unsigned(text, 10, 1, 3600000, &ms, NULL)) {
-        return false;
-    }
-    if (ms * JD_US_PER_MS < *timeout) {
-        *timeout = ms * JD_US_PER_MS;
-    }
-    return true;
-}
-
-/* Checks what can be refused before a call is made of the request. */
-static JdReason
-check_request(JdNode *nd, const h2o_req_t *req, JdRoute *route,
-              uint64_t *timeout, char *key, size_t key_size)
-{
-    key[0] = '\0';
-    if (!nd->tree.is_ready) {
-        return JD_REASON_NOT_READY;
-    }
-    if (!JdConfig_Route(nd->store.config, req->path.base, req->path.len,
-                        route)) {
-        return JD_REASON_NO_ROUTE;
-    }
-    *timeout = route->deadline;
-    if (!read_timeout(req, timeout) ||
-        req->headers.size > JD_HTTP_HEADERS_MAX) {
-        return JD_REASON_BAD_REQUEST;
-    }
-    if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("idempotency-key"),
-                               -1) >= 0 &&
-        (!JdHttpd_Header(req, "idempotency-key", key, key_size) ||
-         key[0] == '\0')) {
-        return JD_REASON_BAD_REQUEST;
-    }
-    if (route->once && key[0] == '\0' && !JdHttpd_IsMethod(req, "GET") &&
-        !JdHttpd_IsMethod(req, "HEAD")) {
-        return JD_REASON_KEY_MISSING;
-    }
-    return JD_REASON_NONE;
-}
-
-/* Takes a caller's request. */
+/* Starts a call whose request is checked and copied. */
 void
-JdForward_Start(JdNode *nd, h2o_req_t *req)
+JdForward_Begin(JdCall *call, uint64_t timeout)
 {
-    char key[JD_NAME_MAX];
-    uint64_t timeout = 0;
-    JdRoute route;
-    JdReason reason =
-        check_request(nd, req, &route, &timeout, key, sizeof(key));
-    JdCall *call;
+    JdNode *nd = call->node;
 
-    nd->counters.value[JD_C_REQUESTS]++;
-    if (reason != JD_REASON_NONE) {
-        nd->counters.value[JdReason_Info(reason)->counter]++;
-        reply_refusal(nd, req, reason);
-        return;
-    }
-    call = g_new0(JdCall, 1);
-    call->node = nd;
-    call->req = req;
-    call->config = JdConfig_Ref(nd->store.config);
-    call->route = route;
-    call->deadline = JdClock_Now(&nd->loop.clock) + timeout;
-    call->msg = copy_request(call, req, key);
-    call->gone =
-        h2o_mem_alloc_shared(&req->pool, sizeof(JdCall *), on_request_gone);
-    *call->gone = call;
-    TAILQ_INSERT_TAIL(&nd->calls, call, link);
-    nd->call_count++;
     JdTimer_Init(&call->timer, on_deadline, call);
     JdTimer_Init(&call->patience, on_impatience, call);
     JdTimer_Arm(&nd->loop.clock, &call->timer, timeout);
-    JdBudget_First(budget_of(nd, route.service), route.retry_percent);
+    JdBudget_First(budget_of(nd, call->route.service),
+                   call->route.retry_percent);
     try_target(call, NULL);
 }
 
-/* ---- care of lanes and callers ----------------------------------------- */
-
-static void
-ping(JdNode *nd, Lane *lane)
-{
-    Jd__Ping msg = JD__PING__INIT;
-    Jd__Frame frame = JD__FRAME__INIT;
-
-    lane->pinged = JdClock_Now(&nd->loop.clock);
-    frame.version = nd->store.config->version;
-    frame.body_case = JD__FRAME__BODY_PING;
-    frame.ping = &msg;
-    JdConn_Send(lane->conn, &frame);
-}
-
-/* Pings an idle lane, and closes one that is silent or unused. */
-static void
-tend_lane(JdNode *nd, JdConn *conn)
-{
-    Lane *lane = conn->user;
-    uint64_t now = JdClock_Now(&nd->loop.clock);
-    uint64_t since = conn->heard > lane->used ? conn->heard : lane->used;
-
-    if (lane->outstanding == 0 && now - lane->used > CLOSE_AFTER) {
-        JdConn_Close(conn);
-        free_lane(nd, lane);
-        return;
-    }
-    if (lane->pinged > conn->heard && now - since > DEAD_AFTER) {
-        JdConn_Close(conn);
-        fail_lane(nd, lane, conn->heard != 0);
-        return;
-    }
-    if (conn->is_open && now - conn->heard >= PING_AFTER &&
-        lane->pinged <= conn->heard) {
-        ping(nd, lane);
-    }
-    else if (!conn->is_open && now - since > DEAD_AFTER) {
-        JdConn_Close(conn);
-        fail_lane(nd, lane, false);
-    }
-}
-
 /* Ends one call whose caller left; ending it can end others as well. */
 static bool
 drop_one_caller(JdNode *nd)
@@ -742,7 +410,7 @@
         if (req != NULL && JdHttpd_HasCallerLeft(req)) {
             abandon(call);
             /* The library closes the connection once it writes to it. */
-            reply_refusal(nd, req, JD_REASON_CANCELLED);
+            JdForward_ReplyRefusal(nd, req, JD_REASON_CANCELLED);
             return true;
         }
     }
@@ -753,15 +421,9 @@
 on_tend(void *ctx)
 {
     JdNode *nd = ctx;
-    JdConn *conn, *next;
 
     JdTimer_Arm(&nd->loop.clock, &nd->tend, TEND_EVERY);
-    for (conn = TAILQ_FIRST(&nd->conns.conns); conn != NULL; conn = next) {
-        next = TAILQ_NEXT(conn, link);
-        if (conn->is_request && !conn->is_closing) {
-            tend_lane(nd, conn);
-        }
-    }
+    JdLane_Tend(nd);
     while (drop_one_caller(nd)) {
     }
 }
@@ -773,7 +435,7 @@
     TAILQ_INIT(&nd->calls);
     nd->budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    nd->request_conns = g_hash_table_new(g_str_hash, g_str_equal);
+    JdLane_Init(nd);
     nd->chooser.members = &nd->tree.members;
     nd->chooser.clock = &nd->loop.clock;
     nd->chooser.random = &nd->tree.random;
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1242,7 +1242,7 @@
   (ProtobufCMessageInit) jd__redirect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__beat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor jd__beat__field_descriptors[9] =
 {
   {
     "ready",
@@ -1340,12 +1340,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "moving",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Beat, moving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__beat__field_indices_by_name[] = {
   5,   /* field[5] = count */
   2,   /* field[2] = has_path */
   7,   /* field[7] = laggard */
   6,   /* field[6] = min_version */
+  8,   /* field[8] = moving */
   3,   /* field[3] = path */
   0,   /* field[0] = ready */
   4,   /* field[4] = root_admin */
@@ -1354,7 +1367,7 @@
 static const ProtobufCIntRange jd__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor jd__beat__descriptor =
 {
@@ -1364,7 +1377,7 @@
   "Jd__Beat",
   "jd",
   sizeof(Jd__Beat),
-  8,
+  9,
   jd__beat__field_descriptors,
   jd__beat__field_indices_by_name,
   1,  jd__beat__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -178,10 +178,14 @@
   uint64_t min_version;
   size_t n_laggard;
   char **laggard;
+  /*
+   * the sender has another parent now
+   */
+  protobuf_c_boolean moving;
 };
 #define JD__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__beat__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 /*
--- /dev/null
+++ b/peer/lane.c
@@ -0,0 +1,198 @@
+/* Connections to other nodes that carry requests. */
+#include <string.h>
+
+#include "forward.h"
+
+/* Idle time after which a connection is pinged. */
+#define PING_AFTER (250 * JD_US_PER_MS)
+/* Silence with calls outstanding after which a connection is dead. */
+#define DEAD_AFTER (1000 * JD_US_PER_MS)
+/* Idle time after which a connection is closed. */
+#define CLOSE_AFTER (30 * JD_US_PER_S)
+/* Age of the last word above which work that must not run twice is sent over
+ * a new connection. */
+#define PROVED_WITHIN (1000 * JD_US_PER_MS)
+
+/* Takes a call off its connection, if it is on one. */
+void
+JdLane_Leave(JdCall *call)
+{
+    if (call->lane != NULL) {
+        TAILQ_REMOVE(&call->lane->calls, call, lane_link);
+        call->lane->outstanding--;
+        call->lane = NULL;
+    }
+}
+
+static void
+free_lane(JdNode *nd, JdLane *lane)
+{
+    JdLane *known = g_hash_table_lookup(nd->request_conns, lane->address);
+
+    if (known == lane) {
+        g_hash_table_remove(nd->request_conns, lane->address);
+    }
+    g_free(lane);
+}
+
+/* All calls on a lane fail; those that were not sent certainly did not run. */
+static void
+fail_lane(JdNode *nd, JdLane *lane, bool was_open)
+{
+    JdLane *known = g_hash_table_lookup(nd->request_conns, lane->address);
+    JdCall *call;
+
+    if (known == lane) {
+        g_hash_table_remove(nd->request_conns, lane->address);
+    }
+    while ((call = TAILQ_FIRST(&lane->calls)) != NULL) {
+        JdLane_Leave(call);
+        JdForward_TryAgain(
+            call, was_open ? JD_REASON_BROKEN : JD_REASON_TARGET_DOWN, 0);
+    }
+    g_free(lane);
+}
+
+static void
+on_opened(void *ctx, JdConn *conn)
+{
+    (void)ctx;
+    ((JdLane *)conn->user)->used = conn->heard;
+}
+
+static void
+on_frame(void *ctx, JdConn *conn, Jd__Frame *frame)
+{
+    (void)conn;
+    if (frame->body_case == JD__FRAME__BODY_RESPONSE) {
+        JdForward_Respond(ctx, frame->response);
+    }
+}
+
+static void
+on_closed(void *ctx, JdConn *conn)
+{
+    /* A connection that was never heard of was never open. */
+    fail_lane(ctx, conn->user, conn->heard != 0);
+}
+
+static const JdConnOps lane_ops = {on_opened, on_frame, on_closed};
+
+static JdLane *
+open_lane(JdNode *nd, const JdMember *mb)
+{
+    char to[JD_ADDRESS_MAX];
+    JdLane *lane;
+    JdConn *conn;
+
+    JdTranslate(nd->settings.translate, mb->peer, to, sizeof(to));
+    conn = JdConn_Dial(&nd->conns, to, &lane_ops, nd);
+    if (conn == NULL) {
+        return NULL;
+    }
+    lane = g_new0(JdLane, 1);
+    g_strlcpy(lane->address, mb->peer, sizeof(lane->address));
+    lane->conn = conn;
+    lane->used = JdClock_Now(&nd->loop.clock);
+    TAILQ_INIT(&lane->calls);
+    conn->user = lane;
+    conn->is_request = true;
+    conn->is_cross_region = strcmp(mb->region, nd->settings.region) != 0;
+    g_hash_table_replace(nd->request_conns, lane->address, lane);
+    return lane;
+}
+
+/*
+ * Returns the lane to a member.  Work that must not run twice gets a lane
+ * that was proved to work a moment ago, or a new one.
+ */
+JdLane *
+JdLane_Get(JdNode *nd, const JdMember *mb, bool needs_proof)
+{
+    JdLane *lane = g_hash_table_lookup(nd->request_conns, mb->peer);
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    if (lane != NULL && needs_proof && lane->conn->is_open &&
+        now - lane->conn->heard > PROVED_WITHIN) {
+        /* The old lane ends when its calls have. */
+        g_hash_table_remove(nd->request_conns, mb->peer);
+        if (lane->outstanding == 0) {
+            JdConn_Close(lane->conn);
+            g_free(lane);
+        }
+        lane = NULL;
+    }
+    return lane != NULL ? lane : open_lane(nd, mb);
+}
+
+static void
+ping(JdNode *nd, JdLane *lane)
+{
+    Jd__Ping msg = JD__PING__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    lane->pinged = JdClock_Now(&nd->loop.clock);
+    frame.version = nd->store.config->version;
+    frame.body_case = JD__FRAME__BODY_PING;
+    frame.ping = &msg;
+    JdConn_Send(lane->conn, &frame);
+}
+
+/* Pings an idle lane, and closes one that is silent or unused. */
+static void
+tend_lane(JdNode *nd, JdConn *conn)
+{
+    JdLane *lane = conn->user;
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+    uint64_t since = conn->heard > lane->used ? conn->heard : lane->used;
+
+    if (lane->outstanding == 0 && now - lane->used > CLOSE_AFTER) {
+        JdConn_Close(conn);
+        free_lane(nd, lane);
+        return;
+    }
+    if (lane->pinged > conn->heard && now - since > DEAD_AFTER) {
+        JdConn_Close(conn);
+        fail_lane(nd, lane, conn->heard != 0);
+        return;
+    }
+    if (conn->is_open && now - conn->heard >= PING_AFTER &&
+        lane->pinged <= conn->heard) {
+        ping(nd, lane);
+    }
+    else if (!conn->is_open && now - since > DEAD_AFTER) {
+        JdConn_Close(conn);
+        fail_lane(nd, lane, false);
+    }
+}
+
+/* Puts a call on a connection. */
+void
+JdLane_Enter(JdLane *lane, JdCall *call)
+{
+    call->lane = lane;
+    TAILQ_INSERT_TAIL(&lane->calls, call, lane_link);
+    lane->outstanding++;
+    lane->used = JdClock_Now(&call->node->loop.clock);
+}
+
+/* Looks after all connections that carry requests. */
+void
+JdLane_Tend(JdNode *nd)
+{
+    JdConn *conn, *next;
+
+    for (conn = TAILQ_FIRST(&nd->conns.conns); conn != NULL; conn = next) {
+        next = TAILQ_NEXT(conn, link);
+        if (conn->is_request && !conn->is_closing) {
+            tend_lane(nd, conn);
+        }
+    }
+}
+
+/* Initializes a node without such connections. */
+void
+JdLane_Init(JdNode *nd)
+{
+    nd->request_conns = g_hash_table_new(g_str_hash, g_str_equal);
+}
--- a/regress/sim/sim.c
+++ b/regress/sim/sim.c
@@ -96,11 +96,33 @@
     JdStore_Finish(&nd->store);
 }
 
+/* Tells when a node marks others as lost or loses a link. */
+static void
+print_losses(SimNode *nd)
+{
+    static const JdCounter watched[] = {JD_C_MEMBER_LOST, JD_C_PARENT_LOST,
+                                        JD_C_CHILD_LOST};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(watched); i++) {
+        uint64_t now = nd->counters.value[watched[i]];
+
+        if (now != nd->seen[i]) {
+            printf("%8.3f n%02u %s %llu\n", (double)sim.now / 1e6, nd->index,
+                   JdCounter_Name(watched[i]), (unsigned long long)now);
+        }
+        nd->seen[i] = now;
+    }
+}
+
 static void
 check_node(SimNode *nd)
 {
     uint64_t v = nd->store.config->version;
 
+    if (is_verbose) {
+        print_losses(nd);
+    }
+
     if (v < nd->last_version) {
         Sim_Fail(nd, "a node went back to an older version");
     }
@@ -131,6 +153,27 @@
     }
 }
 
+/* Prints who leads, who has no parent, and what the first node knows. */
+static void
+print_second(void)
+{
+    printf("%8.3f leads", (double)sim.now / 1e6);
+    for (unsigned i = 0; i < sim.nodes; i++) {
+        const SimNode *nd = &sim.node[i];
+
+        if (nd->is_alive && nd->tree.is_lead) {
+            printf(" n%02u", i);
+        }
+        else if (nd->is_alive && nd->tree.parent.state != JD_LINK_ATTACHED) {
+            printf(" (n%02u)", i);
+        }
+    }
+    printf(", n00 knows %u ready\n",
+           sim.node[0].is_alive
+               ? sim.node[0].tree.members.count_in[JD_MEMBER_READY]
+               : 0);
+}
+
 static void
 run_for(uint64_t us)
 {
@@ -138,6 +181,9 @@
 
     while (sim.now < end && sim.failure == NULL) {
         step();
+        if (is_verbose && sim.now % JD_US_PER_S == 0) {
+            print_second();
+        }
     }
 }
 
--- a/regress/sim/sim.h
+++ b/regress/sim/sim.h
@@ -64,6 +64,7 @@
     bool is_frozen;
     uint64_t incarnation;
     uint64_t last_version;
+    uint64_t seen[3]; /* counters that a verbose run prints */
 };
 
 typedef struct Sim {
--- a/target/targetd.c
+++ b/target/targetd.c
@@ -11,6 +11,8 @@
 #include "../base/base.h"
 
 #define BODY_MOST (8U << 20)
+/* Connections to the node of the next service. */
+#define NEXT_CONNECTIONS 64
 /* Period in which callers that left are looked for. */
 #define LOOK_EVERY (50 * JD_US_PER_MS)
 
@@ -37,6 +39,7 @@
     JdTimer timer;
     uint64_t us; /* time that the work takes */
     bool is_started;
+    JdHttpCall *call; /* of the next service */
 } Job;
 
 typedef struct Targetd {
@@ -54,6 +57,10 @@
     GHashTable *keys; /* how often each key ran */
     TAILQ_HEAD(, Job) jobs;
     JdTimer look;
+    JdHttpc next;      /* node through which the next service is called */
+    gchar *next_path;  /* NULL: this target calls nobody */
+    bool strips_retry; /* does not pass x-retry on */
+    uint64_t shed;
 } Targetd;
 
 static Targetd targetd;
@@ -70,6 +77,9 @@
         *job->gone = NULL;
     }
     JdTimer_Cancel(&targetd.loop.clock, &job->timer);
+    if (job->call != NULL) {
+        JdHttpc_Cancel(job->call);
+    }
     g_free(job);
 }
 
@@ -92,13 +102,54 @@
     }
 }
 
+/* Passes the next service's answer on, with what it says of retries. */
+static void
+on_next(void *ctx, const JdHttpAnswer *ans)
+{
+    static const char *const passed[] = {"x-outcome", "x-retry"};
+    Job *job = ctx;
+    h2o_req_t *req = job->req;
+    int status = ans->end == JD_HTTP_ANSWERED ? ans->status : 502;
+
+    job->call = NULL;
+    end_job(job);
+    start_waiting();
+    for (size_t i = 0; status >= 400 && i < ans->headers; i++) {
+        const JdHttpHeader *h = &ans->header[i];
+
+        for (unsigned k = 0; k < (targetd.strips_retry ? 1 : 2); k++) {
+            if (h->name_len == strlen(passed[k]) &&
+                memcmp(h->name, passed[k], h->name_len) == 0) {
+                char *value = g_strndup(h->value, h->value_len);
+
+                JdHttpd_AddHeader(req, passed[k], value);
+                g_free(value);
+            }
+        }
+    }
+    JdHttpd_Reply(req, status, "text/plain", "relayed\n", 8);
+}
+
+static void
+call_next(Job *job)
+{
+    job->call = JdHttpc_Send(&targetd.next, "GET", targetd.next_path, NULL,
+                             NULL, 0, 10 * JD_US_PER_S, on_next, job);
+}
+
 static void
 on_done(void *ctx)
 {
     Job *job = ctx;
     h2o_req_t *req = job->req;
     char id[JD_NAME_MAX] = "";
-    char *path = g_strndup(req->path.base, req->path.len);
+    char *path;
+
+    if (targetd.next_path != NULL) {
+        call_next(job);
+        return;
+    }
+    path = g_strndup(req->path.base, req->path.len);
 
     end_job(job);
     start_waiting();
@@ -207,8 +258,9 @@
     }
     JdHttpd_ReplyJson(
         req, 200,
-        json_pack("{s:s, s:I, s:I, s:I, s:I, s:o}", "target", targetd.name,
-                  "ran", (json_int_t)targetd.ran, "cancelled",
+        json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:o}", "target",
+                  targetd.name, "shed", (json_int_t)targetd.shed, "ran",
+                  (json_int_t)targetd.ran, "cancelled",
                   (json_int_t)targetd.cancelled, "running",
                   (json_int_t)targetd.running, "running_most",
                   (json_int_t)targetd.running_most, "keys", keys));
@@ -246,6 +298,7 @@
         on_control(req);
     }
     else if (targetd.mode == MODE_SHED) {
+        targetd.shed++;
         JdHttpd_AddHeader(req, "x-outcome", "not-run");
         JdHttpd_Reply(req, 503, "text/plain", "shed\n", 5);
     }
@@ -267,11 +320,19 @@
     gchar *listen = NULL;
     gint service = 0;
     gint slots = 0;
+    gchar *next = NULL;
+    gboolean strips = FALSE;
     GOptionEntry entries[] = {
         {"listen", 'l', 0, G_OPTION_ARG_STRING, &listen, "address", "IP:PORT"},
         {"name", 'n', 0, G_OPTION_ARG_STRING, &targetd.name, "name", "NAME"},
         {"service-us", 0, 0, G_OPTION_ARG_INT, &service, "time of a request",
          "US"},
+        {"next", 0, 0, G_OPTION_ARG_STRING, &next,
+         "node through which the next service is called", "IP:PORT"},
+        {"next-path", 0, 0, G_OPTION_ARG_STRING, &targetd.next_path,
+         "path of the next service", "PATH"},
+        {"strip-retry", 0, 0, G_OPTION_ARG_NONE, &strips,
+         "do not pass x-retry on", NULL},
         {"slots", 0, 0, G_OPTION_ARG_INT, &slots,
          "requests worked on at a time", "N"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -294,6 +355,12 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     targetd.service_us = (uint64_t)service;
     targetd.slots = (uint64_t)slots;
+    targetd.strips_retry = strips;
+    if (next != NULL && JdHttpc_Init(&targetd.next, &targetd.loop, next,
+                                     NEXT_CONNECTIONS, &err) != JD_OK) {
+        fprintf(stderr, "jd-targetd: %s\n", err.text);
+        return 2;
+    }
     if (JdHttpd_Init(&targetd.httpd, &targetd.loop, listen, BODY_MOST,
                      on_request, NULL, &err) != JD_OK) {
         fprintf(stderr, "jd-targetd: %s\n", err.text);
--- a/target/worker.c
+++ b/target/worker.c
@@ -6,6 +6,9 @@
 
 #include "../node/node.h"
 
+/* Time for a target to notice that its caller left. */
+#define CANCEL_GRACE (100 * JD_US_PER_MS)
+
 /* One request at the target's node, from admission to its answer. */
 struct JdItem {
     TAILQ_ENTRY(JdItem) link;
@@ -110,21 +113,34 @@
     return true;
 }
 
-/* The target says itself that it shed the request without running it. */
 static bool
-is_shed(const JdHttpAnswer *ans)
+has_header(const JdHttpAnswer *ans, const char *name, const char *value)
 {
-    for (size_t i = 0; ans->status == 503 && i < ans->headers; i++) {
+    for (size_t i = 0; i < ans->headers; i++) {
         const JdHttpHeader *h = &ans->header[i];
 
-        if (h->name_len == 9 && memcmp(h->name, "x-outcome", 9) == 0 &&
-            h->value_len == 7 && memcmp(h->value, "not-run", 7) == 0) {
+        if (h->name_len == strlen(name) &&
+            memcmp(h->name, name, h->name_len) == 0 &&
+            h->value_len == strlen(value) &&
+            memcmp(h->value, value, h->value_len) == 0) {
             return true;
         }
     }
     return false;
 }
 
+/*
+ * The target says itself that it shed the request without running it.  A
+ * refusal that it passes on from a service behind it is an answer like any
+ * other: the retries that help were made there.
+ */
+static bool
+is_shed(const JdHttpAnswer *ans)
+{
+    return ans->status == 503 && has_header(ans, "x-outcome", "not-run") &&
+           !has_header(ans, "x-retry", "no");
+}
+
 static void
 pass_answer(JdItem *it, const JdHttpAnswer *ans)
 {
@@ -159,6 +175,8 @@
     }
 }
 
+static void hold_slot(JdItem *it);
+
 static JdReason
 reason_of(const JdHttpAnswer *ans)
 {
@@ -185,6 +203,11 @@
     if (reason == JD_REASON_TARGET_DOWN) {
         JdTree_SetState(&nd->tree, JD_MEMBER_DOWN);
     }
+    if (reason == JD_REASON_DEADLINE) {
+        refuse(nd, it->msg->id, it->origin, reason);
+        hold_slot(it);
+        return;
+    }
     JdAdmit_Done(&nd->admit, &it->work, reason == JD_REASON_NONE);
     if (reason == JD_REASON_NONE) {
         pass_answer(it, ans);
@@ -351,6 +374,29 @@
     }
 }
 
+/* The target has had time to notice that its caller left. */
+static void
+on_slot_free(void *ctx)
+{
+    JdItem *it = ctx;
+
+    JdAdmit_Done(&it->node->admit, &it->work, false);
+    free_item(it);
+}
+
+/*
+ * Keeps the slot of work that was cut off for a moment: the target works on
+ * until it notices, and must not get more than its slots meanwhile.
+ */
+static void
+hold_slot(JdItem *it)
+{
+    it->is_orphan = true;
+    it->origin = NULL;
+    JdTimer_Init(&it->lapse, on_slot_free, it);
+    JdTimer_Arm(&it->node->loop.clock, &it->lapse, CANCEL_GRACE);
+}
+
 /* Ends work that nobody waits for any more. */
 static void
 drop(JdItem *it)
@@ -371,6 +417,10 @@
         it->msg->id = 0;
         return;
     }
+    if (it->work.is_running) {
+        hold_slot(it);
+        return;
+    }
     JdAdmit_Withdraw(&it->node->admit, &it->work);
     if (was_queued && it->claim.state == JD_CLAIM_HELD) {
         it->is_orphan = true;
