News name links by number; versions that were late do not wait for batches

Change: links have numbers; a delta that a node got from a new parent is marked urgent and passed on without a batch.

--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -40,7 +40,7 @@
     unsigned slots;
     uint64_t changed; /* time of the last change */
     bool is_news;
-    const void *source; /* link that the news came from */
+    uint64_t source;     /* number of the link it came over, 0: none */
     bool is_suspect;
     bool is_orphan;      /* suspect only because its parent was lost */
     uint64_t suspect_at; /* time at which a suspect counts as lost */
@@ -75,7 +75,7 @@
 JdMember *JdMembers_Find(const JdMembers *ms, const char *id);
 JdMemberSet *JdMembers_Set(const JdMembers *ms, const char *endpoint_set);
 JdMember *JdMembers_Update(JdMembers *ms, const Jd__Member *msg,
-                           const void *source);
+                           uint64_t source);
 void JdMembers_Suspect(JdMembers *ms, JdMember *mb, uint64_t grace);
 unsigned JdMembers_Expire(JdMembers *ms, uint64_t grace);
 void JdMembers_Encode(const JdMember *mb, Jd__Member *msg);
@@ -156,6 +156,7 @@
 typedef struct JdUplink {
     JdLinkState state;
     void *peer;
+    uint64_t number; /* of the link, unique in the process */
     char id[JD_NAME_MAX];
     char domain[JD_NAME_MAX];
     char address[JD_ADDRESS_MAX];
@@ -164,6 +165,7 @@
     uint64_t version;
     uint64_t heard;
     uint64_t source_at; /* own time at which the log last spoke, as told */
+    uint64_t joined_at;
     uint64_t behind_at; /* since when the parent is known to be ahead */
     JdTimer timeout;
 } JdUplink;
@@ -172,6 +174,7 @@
 typedef struct JdChild {
     TAILQ_ENTRY(JdChild) link;
     void *peer;
+    uint64_t number; /* of the link, unique in the process */
     char id[JD_NAME_MAX];
     bool is_head;
     uint64_t have;
@@ -240,6 +243,8 @@
     char root_admin[JD_ADDRESS_MAX];
     TAILQ_HEAD(JdChildHead, JdChild) children;
     unsigned child_count;
+    uint64_t links; /* numbered so far */
+    bool is_urgent; /* the present version does not wait for a batch */
     JdTimer beat;
     JdTimer seek;
     JdTimer batch;
--- a/lib/member.c
+++ b/lib/member.c
@@ -120,7 +120,7 @@
 }
 
 static void
-end_change(JdMembers *ms, JdMember *mb, const void *source)
+end_change(JdMembers *ms, JdMember *mb, uint64_t source)
 {
     ms->bucket[JdMembers_BucketOf(mb->id)] ^= hash_member(mb);
     ms->count_in[mb->state]++;
@@ -175,11 +175,11 @@
 
 /*
  * Takes in one announcement.  Returns the member when this was news, NULL
- * when the table already held it or something newer.  `source` is the link
- * that it came over, which does not need to be told.
+ * when the table already held it or something newer.  `source` is the
+ * number of the link that it came over, which does not need to be told.
  */
 JdMember *
-JdMembers_Update(JdMembers *ms, const Jd__Member *msg, const void *source)
+JdMembers_Update(JdMembers *ms, const Jd__Member *msg, uint64_t source)
 {
     JdMember *mb;
 
@@ -278,7 +278,7 @@
 {
     begin_change(ms, mb);
     mb->state = JD_MEMBER_LOST;
-    end_change(ms, mb, NULL);
+    end_change(ms, mb, 0);
     ms->counters->value[JD_C_MEMBER_LOST]++;
 }
 
--- a/lib/news.c
+++ b/lib/news.c
@@ -49,7 +49,7 @@
     msg.service = tr->self.service;
     msg.endpoint_set = tr->self.endpoint_set;
     msg.slots = tr->self.slots;
-    JdMembers_Update(&tr->members, &msg, NULL);
+    JdMembers_Update(&tr->members, &msg, 0);
     arm_news(tr);
 }
 
@@ -129,25 +129,30 @@
 void
 _JdTree_OnMembers(JdTree *tr, void *peer, const Jd__Members *msg)
 {
+    const JdChild *ch = _JdTree_FindChild(tr, peer);
+    uint64_t number = ch != NULL                ? ch->number
+                      : peer == tr->parent.peer ? tr->parent.number
+                                                : 0;
+
     for (size_t i = 0; i < msg->n_member; i++) {
         if (strcmp(msg->member[i]->id, tr->self.id) == 0) {
             refute(tr, msg->member[i]);
             continue;
         }
-        if (JdMembers_Update(&tr->members, msg->member[i], peer) != NULL) {
+        if (JdMembers_Update(&tr->members, msg->member[i], number) != NULL) {
             arm_news(tr);
         }
     }
 }
 
 static void
-send_news(JdTree *tr, void *peer, Batch *b)
+send_news(JdTree *tr, void *peer, uint64_t number, Batch *b)
 {
     const JdMember *mb;
 
     TAILQ_FOREACH(mb, &tr->members.news, news_link)
     {
-        if (mb->source != peer) {
+        if (mb->source != number) {
             add_to_batch(tr, peer, b, mb);
         }
     }
@@ -168,11 +173,11 @@
     }
     b = g_new0(Batch, 1);
     if (tr->parent.state == JD_LINK_ATTACHED) {
-        send_news(tr, tr->parent.peer, b);
+        send_news(tr, tr->parent.peer, tr->parent.number, b);
     }
     TAILQ_FOREACH(ch, &tr->children, link)
     {
-        send_news(tr, ch->peer, b);
+        send_news(tr, ch->peer, ch->number, b);
     }
     g_free(b);
     while ((mb = TAILQ_FIRST(&tr->members.news)) != NULL) {
--- a/lib/tree.c
+++ b/lib/tree.c
@@ -173,6 +173,7 @@
     msg.body.data = (uint8_t *)dlt->body;
     msg.body.len = dlt->body_len;
     msg.raw_len = dlt->raw_len;
+    msg.urgent = tr->is_urgent;
     frame.body_case = JD__FRAME__BODY_DELTA;
     frame.delta = &msg;
     _JdTree_Send(tr, peer, &frame);
@@ -206,20 +207,6 @@
     }
 }
 
-/* Children that hold nothing yet do not wait for a batch. */
-static void
-push_first(JdTree *tr)
-{
-    JdChild *ch;
-
-    TAILQ_FOREACH(ch, &tr->children, link)
-    {
-        if (ch->have == 0) {
-            push(tr, ch);
-        }
-    }
-}
-
 static void
 on_batch(void *ctx)
 {
@@ -232,14 +219,11 @@
 {
     _JdTree_CheckReady(tr);
     tr->ops->changed(tr->ctx);
-    if (tr->tune.batch == 0) {
+    if (tr->tune.batch == 0 || tr->is_urgent) {
         push_all(tr);
     }
-    else {
-        push_first(tr);
-        if (!tr->batch.armed) {
-            JdTimer_Arm(tr->clock, &tr->batch, tr->tune.batch);
-        }
+    else if (!tr->batch.armed) {
+        JdTimer_Arm(tr->clock, &tr->batch, tr->tune.batch);
     }
 }
 
@@ -271,6 +255,14 @@
     }
 }
 
+/* What a new parent sends has waited long enough already. */
+static bool
+has_just_joined(const JdTree *tr)
+{
+    return tr->parent.state == JD_LINK_ATTACHED &&
+           JdClock_Now(tr->clock) - tr->parent.joined_at < tr->tune.silence;
+}
+
 static void
 on_delta(JdTree *tr, void *peer, const Jd__Delta *msg)
 {
@@ -292,7 +284,9 @@
     dlt.raw_len = msg->raw_len;
     s = JdStore_ApplyDelta(tr->store, &dlt, &err);
     if (s == JD_OK) {
+        tr->is_urgent = msg->urgent || has_just_joined(tr);
         JdTree_Changed(tr);
+        tr->is_urgent = false;
     }
     else if (s != JD_ERR_OLDER && s != JD_ERR_RULES && dlt.from != 0) {
         send_pull(tr, peer, 0);
@@ -450,9 +444,8 @@
 {
     JdChild *ch = g_new0(JdChild, 1);
 
-    /* The address of this connection may stand in pending news. */
-    _JdTree_FlushNews(tr);
     ch->peer = peer;
+    ch->number = ++tr->links;
     _Jd_CopyText(ch->id, sizeof(ch->id), msg->id);
     ch->is_head = msg->head;
     ch->have = msg->version;
--- a/lib/uplink.c
+++ b/lib/uplink.c
@@ -239,14 +239,13 @@
     void *old = tr->parent.state == JD_LINK_ATTACHED ? tr->parent.peer : NULL;
     JdTimer timeout = tr->parent.timeout;
 
-    /* Pending news name the links they came from by address, and a new
-     * connection may have the address of one that is gone. */
-    _JdTree_FlushNews(tr);
     JdTimer_Cancel(tr->clock, &tr->trial.timeout);
     tr->parent = tr->trial;
     tr->parent.timeout = timeout;
     tr->parent.state = JD_LINK_ATTACHED;
+    tr->parent.number = ++tr->links;
     tr->parent.heard = JdClock_Now(tr->clock);
+    tr->parent.joined_at = tr->parent.heard;
     tr->parent.behind_at = 0;
     tr->parent.version = 0;
     end_trial(tr);
--- a/load/apply.c
+++ b/load/apply.c
@@ -128,7 +128,7 @@
         msg.peer = peer;
         msg.service = set;
         msg.endpoint_set = set;
-        JdMembers_Update(&table, &msg, NULL);
+        JdMembers_Update(&table, &msg, 0);
     }
     t0 = now_us() - t0;
     getrusage(RUSAGE_SELF, &ru);
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -169,7 +169,7 @@
     msg.seq = strtoull(ln->word[8], NULL, 10);
     msg.service = msg.endpoint_set = "set";
     printf("%s\n",
-           JdMembers_Update(&members, &msg, NULL) != NULL ? "news" : "known");
+           JdMembers_Update(&members, &msg, 0) != NULL ? "news" : "known");
 }
 
 /* Picks many times without sending and prints the shares. */
