--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -139,8 +139,9 @@
     struct JdClaimHead sending;
     void *taken; /* hash tables of the implementation */
     void *voided;
-    uint64_t next;   /* offset after the last record that was applied */
-    uint64_t oldest; /* time of the oldest record that was read, 0: all */
+    uint64_t next;      /* offset after the last record that was applied */
+    uint64_t purged_at; /* log's time at which old keys were forgotten */
+    uint64_t oldest;    /* time of the oldest record that was read, 0: all */
     uint64_t batch;
     uint64_t token;
     uint64_t void_batch; /* a batch that must be voided, 0: none */
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -40,7 +40,7 @@
     unsigned slots;
     uint64_t changed; /* time of the last change */
     bool is_news;
-    uint64_t source;     /* number of the link it came over, 0: none */
+    uint64_t source; /* number of the link it came over, 0: none */
     bool is_suspect;
     bool is_orphan;      /* suspect only because its parent was lost */
     uint64_t suspect_at; /* time at which a suspect counts as lost */
@@ -96,7 +96,7 @@
     uint64_t beat;       /* us between beats on a link */
     uint64_t silence;    /* us without a word after which a link is dead */
     uint64_t join_wait;  /* us for an answer to a join */
-    uint64_t batch;      /* us for which versions are gathered per hop */
+    uint64_t batch;      /* us between two pushes of a leader, 0: none */
     uint64_t news_delay; /* us for which member news are gathered */
     uint64_t stale;      /* us of source age after which heads probe the log */
     uint64_t improve;    /* us between tries for a better parent */
@@ -164,7 +164,6 @@
     uint64_t version;
     uint64_t heard;
     uint64_t source_at; /* own time at which the log last spoke, as told */
-    uint64_t joined_at;
     uint64_t behind_at; /* since when the parent is known to be ahead */
     JdTimer timeout;
 } JdUplink;
@@ -242,7 +241,7 @@
     TAILQ_HEAD(JdChildHead, JdChild) children;
     unsigned child_count;
     uint64_t links; /* numbered so far */
-    bool is_urgent; /* the present version does not wait for a batch */
+    uint64_t pushed_at; /* time of the last push as a leader */
     JdTimer beat;
     JdTimer seek;
     JdTimer batch;
--- a/lib/claim.c
+++ b/lib/claim.c
@@ -413,6 +413,28 @@
     cl->ops->read(cl->ctx, cl->next, READ_MOST, cl->token);
 }
 
+static gboolean
+is_expired(gpointer key, gpointer val, gpointer ctx)
+{
+    const Holder *h = val;
+
+    (void)key;
+    return h->at < *(uint64_t *)ctx;
+}
+
+/* Forgets the keys whose hold time is over at the log's time `at`. */
+static void
+forget_expired(JdClaims *cl, uint64_t at)
+{
+    uint64_t limit = at > cl->hold ? at - cl->hold : 0;
+
+    if (at < cl->purged_at + cl->hold / 4) {
+        return;
+    }
+    cl->purged_at = at;
+    g_hash_table_foreach_remove(cl->taken, is_expired, &limit);
+}
+
 /* The result of a read. */
 void
 JdClaims_Answer(JdClaims *cl, uint64_t token, const JdLogAnswer *ans)
@@ -444,6 +466,7 @@
         cl->next = rec->offset + 1;
         at = rec->at;
     }
+    forget_expired(cl, at);
     if (!is_found) {
         read_on(cl, ans);
     }
--- a/lib/tree.c
+++ b/lib/tree.c
@@ -173,7 +173,6 @@
     msg.body.data = (uint8_t *)dlt->body;
     msg.body.len = dlt->body_len;
     msg.raw_len = dlt->raw_len;
-    msg.urgent = tr->is_urgent;
     frame.body_case = JD__FRAME__BODY_DELTA;
     frame.delta = &msg;
     _JdTree_Send(tr, peer, &frame);
@@ -210,20 +209,30 @@
 static void
 on_batch(void *ctx)
 {
-    push_all(ctx);
+    JdTree *tr = ctx;
+
+    tr->pushed_at = JdClock_Now(tr->clock);
+    push_all(tr);
 }
 
-/* A version came into force: passes it on, at once or with the next batch. */
+/*
+ * A version came into force: passes it on.  A leader keeps a distance between
+ * its pushes, so that what is accepted meanwhile is composed once for the
+ * whole tree; other nodes never wait.
+ */
 void
 JdTree_Changed(JdTree *tr)
 {
+    uint64_t now = JdClock_Now(tr->clock);
+    uint64_t due = tr->pushed_at + tr->tune.batch;
+
     _JdTree_CheckReady(tr);
     tr->ops->changed(tr->ctx);
-    if (tr->tune.batch == 0 || tr->is_urgent) {
-        push_all(tr);
+    if (!tr->is_lead || due <= now) {
+        on_batch(tr);
     }
     else if (!tr->batch.armed) {
-        JdTimer_Arm(tr->clock, &tr->batch, tr->tune.batch);
+        JdTimer_Arm(tr->clock, &tr->batch, due - now);
     }
 }
 
@@ -255,14 +264,6 @@
     }
 }
 
-/* What a new parent sends has waited long enough already. */
-static bool
-has_just_joined(const JdTree *tr)
-{
-    return tr->parent.state == JD_LINK_ATTACHED &&
-           JdClock_Now(tr->clock) - tr->parent.joined_at < tr->tune.silence;
-}
-
 static void
 on_delta(JdTree *tr, void *peer, const Jd__Delta *msg)
 {
@@ -284,9 +285,7 @@
     dlt.raw_len = msg->raw_len;
     s = JdStore_ApplyDelta(tr->store, &dlt, &err);
     if (s == JD_OK) {
-        tr->is_urgent = msg->urgent || has_just_joined(tr);
         JdTree_Changed(tr);
-        tr->is_urgent = false;
     }
     else if (s != JD_ERR_OLDER && s != JD_ERR_RULES && dlt.from != 0) {
         send_pull(tr, peer, 0);
--- a/lib/uplink.c
+++ b/lib/uplink.c
@@ -244,7 +244,6 @@
     tr->parent.state = JD_LINK_ATTACHED;
     tr->parent.number = ++tr->links;
     tr->parent.heard = JdClock_Now(tr->clock);
-    tr->parent.joined_at = tr->parent.heard;
     tr->parent.behind_at = 0;
     tr->parent.version = 0;
     end_trial(tr);
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1384,7 +1384,7 @@
   (ProtobufCMessageInit) jd__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__delta__field_descriptors[8] =
+static const ProtobufCFieldDescriptor jd__delta__field_descriptors[7] =
 {
   {
     "from",
@@ -1470,18 +1470,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "urgent",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Delta, urgent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned jd__delta__field_indices_by_name[] = {
   5,   /* field[5] = body */
@@ -1491,12 +1479,11 @@
   6,   /* field[6] = raw_len */
   3,   /* field[3] = rules */
   1,   /* field[1] = to */
-  7,   /* field[7] = urgent */
 };
 static const ProtobufCIntRange jd__delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor jd__delta__descriptor =
 {
@@ -1506,7 +1493,7 @@
   "Jd__Delta",
   "jd",
   sizeof(Jd__Delta),
-  8,
+  7,
   jd__delta__field_descriptors,
   jd__delta__field_indices_by_name,
   1,  jd__delta__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -205,14 +205,10 @@
    * length before compression, 0: not compressed
    */
   uint64_t raw_len;
-  /*
-   * the sender was cut off: pass it on without a batch
-   */
-  protobuf_c_boolean urgent;
 };
 #define JD__DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__delta__descriptor) \
-    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0, 0 }
+    , 0, 0, 0, 0, 0,NULL, {0,NULL}, 0 }
 
 
 struct  Jd__Pull
