--- a/Makefile
+++ b/Makefile
@@ -23,14 +23,14 @@
           lib/news.c lib/reason.c lib/admit.c lib/budget.c lib/choice.c lib/claim.c \
           peer/frame.pb-c.c
 BASE_SRC = base/loop.c base/httpd.c base/httpc.c base/settings.c \
-           base/logging.c
+           base/logging.c base/program.c
 NODE_SRC = node/jacinthd.c node/settings.c node/drain.c platform/follow.c \
            platform/log.c peer/conn.c peer/link.c peer/forward.c \
            peer/lane.c caller/intake.c target/worker.c target/once.c caller/front.c operator/admin.c
 CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
           operator/view.c operator/fleet.c platform/log.c
 LOAD_SRC = load/load.c load/histogram.c load/experiment.c load/spread.c \
-           load/apply.c operator/logview.c platform/log.c
+           load/apply.c load/document.c operator/logview.c platform/log.c
 PROGRAMS = jacinthd jacinthctl jd-logd jd-targetd jd-faultd jd-load
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
--- a/base/base.h
+++ b/base/base.h
@@ -7,6 +7,7 @@
 #endif
 #include <h2o.h>
 #include <h2o/http1client.h>
+#include <glib.h>
 #include <jansson.h>
 #include <netinet/in.h>
 
@@ -143,6 +144,14 @@
 unsigned JdSettings_Read(const char *file, const JdSetting *table, size_t n,
                          void *out, JdError *errs, unsigned errs_most);
 
+/* ---- program.c ---------------------------------------------------------- */
+
+int JdProgram_Options(const char *name, const char *summary,
+                      const GOptionEntry *entries, int *argc, char ***argv);
+int JdProgram_Usage(const char *name, const char *text);
+int JdProgram_Fail(const char *name, const JdError *err);
+int JdProgram_Run(JdLoop *lp);
+
 /* ---- logging.c ---------------------------------------------------------- */
 
 /* Changes of state that are worth a line. */
--- a/fault/faultd.c
+++ b/fault/faultd.c
@@ -16,6 +16,7 @@
 
 #include "../base/base.h"
 
+#define NAME "jd-faultd"
 #define DOMAINS_MOST 32
 #define PORTS_MOST 4
 /* Bytes that wait in one direction before reading stops. */
@@ -518,13 +519,6 @@
     }
 }
 
-static void
-on_signal(void *ctx, int signal)
-{
-    (void)signal;
-    JdLoop_Stop(ctx);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -546,20 +540,18 @@
          "bits per second between regions, each direction", "N"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
-    GOptionContext *oc = g_option_context_new("- link and fault emulator");
-    GError *ge = NULL;
     JdError err = {0};
     JdStatus s;
+    int rc = JdProgram_Options(NAME, "- link and fault emulator", entries,
+                               &argc, &argv);
 
-    g_option_context_add_main_entries(oc, entries, NULL);
-    if (!g_option_context_parse(oc, &argc, &argv, &ge) || admin == NULL ||
-        ports == NULL) {
-        fprintf(stderr, "jd-faultd: %s\n",
-                ge != NULL ? ge->message : "--admin and --port are needed");
-        return 2;
+    if (rc != 0) {
+        return rc;
     }
-    g_option_context_free(oc);
-    JdLogging_Init("jd-faultd");
+    if (admin == NULL || ports == NULL) {
+        return JdProgram_Usage(NAME, "--admin and --port are required");
+    }
+    JdLogging_Init(NAME);
     JdLoop_Init(&fd.loop);
     TAILQ_INIT(&fd.pairs);
     fd.domain_us = (uint64_t)domain_us;
@@ -570,11 +562,5 @@
     for (int i = 0; s == JD_OK && ports[i] != NULL; i++) {
         s = add_port(ports[i], &err);
     }
-    if (s != JD_OK) {
-        fprintf(stderr, "jd-faultd: %s\n", err.text);
-        return s == JD_ERR_USAGE ? 2 : 1;
-    }
-    JdLoop_CatchSignals(&fd.loop, on_signal, &fd.loop);
-    JdLoop_Run(&fd.loop);
-    return 0;
+    return s == JD_OK ? JdProgram_Run(&fd.loop) : JdProgram_Fail(NAME, &err);
 }
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -240,7 +240,7 @@
     char root_admin[JD_ADDRESS_MAX];
     TAILQ_HEAD(JdChildHead, JdChild) children;
     unsigned child_count;
-    uint64_t links; /* numbered so far */
+    uint64_t links;     /* numbered so far */
     uint64_t pushed_at; /* time of the last push as a leader */
     JdTimer beat;
     JdTimer seek;
--- a/lib/choice.c
+++ b/lib/choice.c
@@ -243,11 +243,17 @@
     ts->outstanding++;
 }
 
+/* A try at a member is over; returns NULL when it is no longer known. */
 static JdTargetStat *
-take_back(const JdChooser *ch, JdMember *mb)
+take_back(const JdChooser *ch, const char *id, JdMember **mb)
 {
-    JdTargetStat *ts = stat_of(ch, mb);
+    JdTargetStat *ts;
 
+    *mb = JdMembers_Find(ch->members, id);
+    if (*mb == NULL) {
+        return NULL;
+    }
+    ts = stat_of(ch, *mb);
     if (ts->outstanding > 0) {
         ts->outstanding--;
     }
@@ -266,13 +272,12 @@
 JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
                    unsigned load)
 {
-    JdMember *mb = JdMembers_Find(ch->members, id);
-    JdTargetStat *ts;
+    JdMember *mb;
+    JdTargetStat *ts = take_back(ch, id, &mb);
 
-    if (mb == NULL) {
+    if (ts == NULL) {
         return;
     }
-    ts = take_back(ch, mb);
     ts->progress_at = JdClock_Now(ch->clock);
     ts->failures = 0;
     ts->ejections = 0;
@@ -319,13 +324,12 @@
 JdChooser_Failed(const JdChooser *ch, const char *id, JdReason reason,
                  unsigned load)
 {
-    JdMember *mb = JdMembers_Find(ch->members, id);
-    JdTargetStat *ts;
+    JdMember *mb;
+    JdTargetStat *ts = take_back(ch, id, &mb);
 
-    if (mb == NULL) {
+    if (ts == NULL) {
         return;
     }
-    ts = take_back(ch, mb);
     switch (reason) {
     case JD_REASON_QUEUE_FULL:
     case JD_REASON_TOO_LATE:
--- a/load/apply.c
+++ b/load/apply.c
@@ -19,28 +19,6 @@
            (double)(ru.ru_utime.tv_usec + ru.ru_stime.tv_usec);
 }
 
-static json_t *
-make_document(int services)
-{
-    json_t *doc =
-        json_pack("{s:{}, s:{}, s:{}}", "services", "endpoint_sets", "routes");
-
-    for (int i = 0; i < services; i++) {
-        char name[32], path[32];
-
-        snprintf(name, sizeof(name), "service-%04d", i);
-        snprintf(path, sizeof(path), "/service-%04d", i);
-        json_object_set_new(json_object_get(doc, "services"), name,
-                            json_pack("{s:s}", "note", "bench"));
-        json_object_set_new(json_object_get(doc, "endpoint_sets"), name,
-                            json_pack("{s:s}", "service", name));
-        json_object_set_new(
-            json_object_get(doc, "routes"), path,
-            json_pack("{s:s, s:s}", "service", name, "endpoint_set", name));
-    }
-    return doc;
-}
-
 static void
 replay_patch(JdStore *st, uint64_t base, json_t *patch)
 {
@@ -64,7 +42,7 @@
 
     JdStore_Init(&reader, &counters);
     JdStore_Init(&node, &counters);
-    replay_patch(&reader, 0, make_document(services));
+    replay_patch(&reader, 0, Load_Document(services));
     t0 = now_us();
     JdStore_MakeDelta(&reader, 0, &dlt);
     snap = now_us() - t0;
--- a/load/load.h
+++ b/load/load.h
@@ -23,6 +23,10 @@
 void Histogram_Add(Histogram *h, uint64_t value);
 uint64_t Histogram_Quantile(const Histogram *h, double q);
 
+/* ---- document.c -------------------------------------------------------- */
+
+json_t *Load_Document(int n);
+
 /* ---- subcommands ------------------------------------------------------- */
 
 int Load_Run(int argc, char **argv);    /* experiment.c: requests */
--- a/load/spread.c
+++ b/load/spread.c
@@ -134,29 +134,6 @@
     }
 }
 
-/* A first patch that gives the document its size. */
-static json_t *
-make_document(int entries)
-{
-    json_t *svc = json_object();
-    json_t *set = json_object();
-    json_t *route = json_object();
-
-    for (int i = 0; i < entries; i++) {
-        char name[32], path[32];
-
-        snprintf(name, sizeof(name), "service-%04d", i);
-        snprintf(path, sizeof(path), "/service-%04d", i);
-        json_object_set_new(svc, name, json_pack("{s:s}", "note", "bench"));
-        json_object_set_new(set, name, json_pack("{s:s}", "service", name));
-        json_object_set_new(
-            route, path,
-            json_pack("{s:s, s:s}", "service", name, "endpoint_set", name));
-    }
-    return json_pack("{s:o, s:o, s:o}", "services", svc, "endpoint_sets", set,
-                     "routes", route);
-}
-
 /* A patch as operators make them: one policy and one note change. */
 static json_t *
 make_patch(uint64_t n, int entries)
@@ -326,7 +303,7 @@
         return (int)Ctl_Exit(err.status);
     }
     if (sp->entries > 0 && sp->ctl.store.config->version == 0) {
-        append(sp, make_document(sp->entries), 0);
+        append(sp, Load_Document(sp->entries), 0);
         CtlLog_CatchUp(&sp->ctl, &err);
         Ctl_RunFor(&sp->ctl, 2 * JD_US_PER_S);
     }
@@ -420,21 +397,21 @@
          "time after the last patch", "S"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
-    GOptionContext *oc = g_option_context_new("- measure convergence");
-    GError *ge = NULL;
+    int rc;
 
     sp.versions = 20;
     sp.rate = 5;
     sp.settle_s = 2;
     sp.ctl.timeout_s = 10;
-    g_option_context_add_main_entries(oc, entries, NULL);
-    if (!g_option_context_parse(oc, &argc, &argv, &ge) || sp.nodes == NULL ||
-        sp.versions < 1 || sp.versions > VERSIONS_MOST || sp.rate <= 0) {
-        fprintf(stderr, "jd-load: %s\n",
-                ge != NULL ? ge->message : "wrong options");
-        return 2;
+    rc = JdProgram_Options("jd-load", "- measure convergence", entries, &argc,
+                           &argv);
+    if (rc != 0) {
+        return rc;
+    }
+    if (sp.nodes == NULL || sp.versions < 1 || sp.versions > VERSIONS_MOST ||
+        sp.rate <= 0) {
+        return JdProgram_Usage("jd-load", "wrong options");
     }
-    g_option_context_free(oc);
     Ctl_Init(&sp.ctl);
     read_nodes(&sp);
     return measure(&sp);
--- a/target/targetd.c
+++ b/target/targetd.c
@@ -10,6 +10,7 @@
 
 #include "../base/base.h"
 
+#define NAME "jd-targetd"
 #define BODY_MOST (8U << 20)
 /* Connections to the node of the next service. */
 #define NEXT_CONNECTIONS 64
@@ -307,13 +308,6 @@
     }
 }
 
-static void
-on_signal(void *ctx, int signal)
-{
-    (void)signal;
-    JdLoop_Stop(ctx);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -337,39 +331,31 @@
          "requests worked on at a time", "N"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
-    GOptionContext *oc = g_option_context_new("- stand-in of a target");
-    GError *ge = NULL;
     JdError err;
+    int rc = JdProgram_Options(NAME, "- stand-in of a target", entries, &argc,
+                               &argv);
 
-    g_option_context_add_main_entries(oc, entries, NULL);
-    if (!g_option_context_parse(oc, &argc, &argv, &ge) || listen == NULL ||
-        targetd.name == NULL) {
-        fprintf(stderr, "jd-targetd: %s\n",
-                ge != NULL ? ge->message : "--listen and --name are needed");
-        return 2;
+    if (rc != 0) {
+        return rc;
     }
-    g_option_context_free(oc);
-    JdLogging_Init("jd-targetd");
+    if (listen == NULL || targetd.name == NULL) {
+        return JdProgram_Usage(NAME, "--listen and --name are required");
+    }
+    JdLogging_Init(NAME);
     JdLoop_Init(&targetd.loop);
+    TAILQ_INIT(&targetd.jobs);
     targetd.keys =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     targetd.service_us = (uint64_t)service;
     targetd.slots = (uint64_t)slots;
     targetd.strips_retry = strips;
-    if (next != NULL && JdHttpc_Init(&targetd.next, &targetd.loop, next,
-                                     NEXT_CONNECTIONS, &err) != JD_OK) {
-        fprintf(stderr, "jd-targetd: %s\n", err.text);
-        return 2;
-    }
-    if (JdHttpd_Init(&targetd.httpd, &targetd.loop, listen, BODY_MOST,
+    if ((next != NULL && JdHttpc_Init(&targetd.next, &targetd.loop, next,
+                                      NEXT_CONNECTIONS, &err) != JD_OK) ||
+        JdHttpd_Init(&targetd.httpd, &targetd.loop, listen, BODY_MOST,
                      on_request, NULL, &err) != JD_OK) {
-        fprintf(stderr, "jd-targetd: %s\n", err.text);
-        return 1;
+        return JdProgram_Fail(NAME, &err);
     }
-    TAILQ_INIT(&targetd.jobs);
     JdTimer_Init(&targetd.look, on_look, NULL);
     JdTimer_Arm(&targetd.loop.clock, &targetd.look, LOOK_EVERY);
-    JdLoop_CatchSignals(&targetd.loop, on_signal, &targetd.loop);
-    JdLoop_Run(&targetd.loop);
-    return 0;
+    return JdProgram_Run(&targetd.loop);
 }
