--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -1,10 +1,10 @@
 /* The node's program. */
-#include <locale.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "node.h"
 
+#define NAME "jacinthd"
 /* Faults of a settings file that are listed at once. */
 #define FAULTS_MOST 32
 
@@ -91,25 +91,20 @@
          NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
-    GOptionContext *oc = g_option_context_new("- node beside one target");
     JdError errs[FAULTS_MOST];
-    GError *ge = NULL;
     unsigned n;
+    int rc = JdProgram_Options(NAME, "- node beside one target", entries,
+                               &argc, &argv);
 
-    setlocale(LC_ALL, "C");
-    g_option_context_add_main_entries(oc, entries, NULL);
-    if (!g_option_context_parse(oc, &argc, &argv, &ge)) {
-        fprintf(stderr, "jacinthd: %s\n", ge->message);
-        return 2;
+    if (rc != 0) {
+        return rc;
     }
-    g_option_context_free(oc);
     if (version) {
         puts("jacinthd " JD_VERSION_TEXT);
         return 0;
     }
     if (file == NULL) {
-        fputs("jacinthd: --settings is required\n", stderr);
-        return 2;
+        return JdProgram_Usage(NAME, "--settings is required");
     }
     n = JdSettings_Load(file, &node.settings, errs, FAULTS_MOST);
     if (n > 0) {
--- a/regress/e2e/distribution.sh
+++ b/regress/e2e/distribution.sh
@@ -71,6 +71,16 @@
 in_force
 monotonic
 
+say "bytes from one region to the other vanish, one way"
+for a in 1 2; do for b in 3 4; do
+	fleet_fault "from=$a&to=$b&mode=silence"
+done; done
+patch
+in_force 1-1 1-2 1-3 2-1 2-2 2-3
+fleet_fault "mode=none"
+in_force
+monotonic
+
 say "open connections between the regions go silent"
 for a in 1 2; do for b in 3 4; do
 	fleet_fault "from=$a&to=$b&mode=silence-old"
