--- a/Makefile
+++ b/Makefile
@@ -125,6 +125,10 @@
 	sed 's|@PREFIX@|$(PREFIX)|; s|@VERSION@|0.1.0|' jacinthdyke.pc.in \
 	    >$(DESTDIR)$(PREFIX)/lib/pkgconfig/jacinthdyke.pc
 
+matrix: setup
+	@$(MAKE) --no-print-directory -s all
+	@bash regress/matrix.sh
+
 mutants: setup
 	@bash regress/mutants.sh
 
@@ -148,7 +152,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all tests check mutants fuzz lint install bench setup demo clean
+.PHONY: all tests check matrix mutants fuzz lint install bench setup demo clean
 
 ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) platform/logd.c \
           target/targetd.c fault/faultd.c
--- a/regress/mutants.sh
+++ b/regress/mutants.sh
@@ -8,7 +8,7 @@
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 git ls-files -co --exclude-standard | tar -cf - -T - | tar -xf - -C "$scratch"
-make -s -C "$scratch" -j"$(nproc)" tests >/dev/null || exit 1
+make -s -C "$scratch" -j"${JOBS:-$(nproc)}" tests >/dev/null || exit 1
 
 wanted() { # NAME
 	local w
@@ -30,7 +30,7 @@
 }
 
 names=("$@")
-while IFS='|' read -r name file edit test; do
+while IFS='@' read -r name file edit test; do
 	case $name in '#'* | '') continue ;; esac
 	wanted "$name" || continue
 	cp "$file" "$scratch/$file"
@@ -39,7 +39,7 @@
 		verdict "$name" "the edit matches nothing" no
 		continue
 	fi
-	if ! make -s -C "$scratch" -j"$(nproc)" tests >/dev/null 2>&1; then
+	if ! make -s -C "$scratch" -j"${JOBS:-$(nproc)}" tests >/dev/null 2>&1; then
 		verdict "$name" "does not build" no
 	elif (cd "$scratch" && bash regress/run.sh "$test") >/dev/null 2>&1; then
 		verdict "$name" "$test passes all the same" no
--- a/regress/script_claim.c
+++ b/regress/script_claim.c
@@ -26,6 +26,7 @@
 static unsigned claim_count;
 static JdRecord records[RECORDS_MOST];
 static uint64_t first, next;
+static char *late;
 
 static const char *
 name_of(const JdClaim *c)
@@ -95,13 +96,13 @@
     return NULL;
 }
 
-/* Puts the record under way on the stream. */
-static uint64_t
-land(Node *nd)
+/* Puts a record on the stream. */
+static void
+land_text(const char *text)
 {
     records[next] = (JdRecord){next, JdClock_Now(&script_clock),
-                               strdup(nd->append), strlen(nd->append)};
-    return next++;
+                               strdup(text), strlen(text)};
+    next++;
 }
 
 /* Gives the answers to all reads of a node until it asks no more. */
@@ -160,7 +161,14 @@
     }
     else if (strcmp(cmd, "land") == 0) {
         /* The append takes effect; its answer is given later or never. */
-        land(nd);
+        land_text(nd->append);
+    }
+    else if (strcmp(cmd, "hold") == 0) {
+        /* The append is on its way and will land late. */
+        late = strdup(nd->append);
+    }
+    else if (strcmp(cmd, "late") == 0) {
+        land_text(late);
     }
     else if (strcmp(cmd, "ok") == 0) {
         JdClaims_Appended(&nd->claims, nd->append_token, JD_OK, next - 1);
--- a/target/worker.c
+++ b/target/worker.c
@@ -6,6 +6,8 @@
 
 #include "../node/node.h"
 
+/* Largest body of an answer: it has to fit into a frame, in bytes. */
+#define ANSWER_MOST (JD_FRAME_MOST - (1U << 20))
 /* Time for a target to notice that its caller left. */
 #define CANCEL_GRACE (100 * JD_US_PER_MS)
 
@@ -182,6 +184,9 @@
 {
     switch (ans->end) {
     case JD_HTTP_ANSWERED:
+        if (ans->body_len > ANSWER_MOST) {
+            return JD_REASON_BROKEN;
+        }
         return is_shed(ans) ? JD_REASON_SHED : JD_REASON_NONE;
     case JD_HTTP_NOT_SENT:
         return JD_REASON_TARGET_DOWN;
