Matrix: a killed target's own record counts, not the other one's

Cause: the cell kill-target at running counted the runs on both targets before the kill and again what the surviving target showed, so an order that ran once on the survivor counted twice. The check is as strict: the runs on the killed target are remembered and added to the survivor's.

--- a/regress/matrix.sh
+++ b/regress/matrix.sh
@@ -253,19 +253,19 @@
 		order 1-1 "$key" >"$FLEET_DIR/first" &
 		n=$!
 		fleet_until 100 has_run "$key"
-		lost=$(ran "$key")
+		# A target that is killed takes its own record with it.
+		lost=$(e2e_ran 1-2 "$key")
+		lost=${lost:-0}
 		order_fault begin "$1"
 		wait $n
 		first=$(cat "$FLEET_DIR/first")
 		;;
 	esac
-	# The records of a target that is killed are gone with it.
 	case $1 in kill-target) ;; *) lost=0 ;; esac
 	n=$(ran "$key")
 	order_fault end "$1"
 	fleet_until 400 e2e_answers 1-2 /charge
 	again="$(order 1-2 "$key"), $(order 1-1 "$key")"
-	[ "$lost" -lt "$n" ] && lost=0
 	if [ $(($(ran "$key") + lost)) -gt 1 ]; then
 		cell "$1" "$2" "red: ran more than once ($first; $again)"
 	elif [ "${first#*not-run}" != "$first" ] && [ "$n" -gt 0 ]; then
