--- a/regress/script_claim.c
+++ b/regress/script_claim.c
@@ -100,8 +100,8 @@
 static void
 land_text(const char *text)
 {
-    records[next] = (JdRecord){next, JdClock_Now(&script_clock),
-                               strdup(text), strlen(text)};
+    records[next] = (JdRecord){next, JdClock_Now(&script_clock), strdup(text),
+                               strlen(text)};
     next++;
 }
 
