--- a/load/storms.sh
+++ b/load/storms.sh
@@ -74,7 +74,11 @@
 report() { # NAME SINCE [EXCEPT]
 	local name=$1
 	shift
-	fleet_until 100 is_in_force "$@" || fleet_diagnose
+	fleet_until 100 is_in_force "$@" || {
+		fleet_diagnose
+		echo "links: $(ps -o stat=,time= -p "${FLEET_PID[links]}")" >&2
+		tail -n 20 "$FLEET_DIR/fault.err" >&2
+	}
 	echo "{\"fault\": \"$name\", \"preset\": \"$FLEET_PRESET\"," \
 	    "\"result\": $(is_in_force "$@")}"
 }
