Homes by subject: lib/ in three folders, log/, targets/; a network for each run

The tests of real processes used fixed loopback addresses, and two runs on one machine broke each other. Each run now takes the first network 127.N that no other run has locked; the link emulator gets ports by the same number.

--- a/Makefile
+++ b/Makefile
@@ -11,26 +11,20 @@
 WARN = -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
        -Wmissing-prototypes -Wno-unused-parameter
 CPPFLAGS += -D_GNU_SOURCE -DG_LOG_DOMAIN='"jacinthdyke"' -DH2O_USE_LIBUV=0 \
-            -Iinclude -Ipeer -Ilib $(shell pkg-config --cflags $(PKGS))
+            -Iinclude -Ipeer -Ilib -Ilib/tree $(shell pkg-config --cflags $(PKGS))
 TIDY_FLAGS = -std=gnu11 -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Iinclude -Ipeer \
-             -Ilib $(shell pkg-config --cflags $(PKGS))
+             -Ilib -Ilib/tree $(shell pkg-config --cflags $(PKGS))
 CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN)
 LDLIBS += -lh2o-evloop -lssl -lcrypto -lm $(shell pkg-config --libs $(PKGS))
 
-LIB_SRC = lib/status.c lib/clock.c lib/counter.c lib/doc.c lib/store.c \
-          lib/reader.c lib/member.c lib/preset.c lib/tree.c lib/beat.c \
-          lib/uplink.c lib/candidate.c lib/head.c lib/digest.c lib/route.c \
-          lib/news.c lib/reason.c lib/admit.c lib/budget.c lib/choice.c lib/claim.c \
-          peer/frame.pb-c.c
-BASE_SRC = base/loop.c base/httpd.c base/httpc.c base/settings.c \
-           base/logging.c base/program.c
-NODE_SRC = node/jacinthd.c node/settings.c node/drain.c platform/follow.c \
-           platform/log.c peer/conn.c peer/link.c peer/forward.c \
-           peer/lane.c caller/intake.c target/worker.c target/once.c caller/front.c operator/admin.c
+LIB_SRC = $(wildcard lib/*.c lib/*/*.c) peer/frame.pb-c.c
+BASE_SRC = $(wildcard base/*.c)
+NODE_SRC = $(wildcard node/*.c caller/*.c platform/*.c) log/follow.c log/log.c \
+           peer/conn.c peer/link.c peer/forward.c peer/lane.c \
+           targets/worker.c targets/once.c operator/admin.c
 CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
-          operator/view.c operator/fleet.c platform/log.c
-LOAD_SRC = load/load.c load/histogram.c load/experiment.c load/spread.c \
-           load/apply.c load/document.c operator/logview.c platform/log.c
+          operator/view.c operator/fleet.c log/log.c
+LOAD_SRC = $(wildcard load/*.c) operator/logview.c log/log.c
 PROGRAMS = jacinthd jacinthctl jd-logd jd-targetd jd-faultd jd-load
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
@@ -54,7 +48,7 @@
 $(BUILD)/jacinthctl: $(call obj,$(CTL_SRC)) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
-$(BUILD)/jd-logd: $(call obj,platform/logd.c) $(BASE) $(LIB)
+$(BUILD)/jd-logd: $(call obj,log/logd.c) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 $(BUILD)/jd-faultd: $(call obj,fault/faultd.c) $(BASE) $(LIB)
@@ -63,7 +57,7 @@
 $(BUILD)/jd-load: $(call obj,$(LOAD_SRC)) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
-$(BUILD)/jd-targetd: $(call obj,target/targetd.c) $(BASE) $(LIB)
+$(BUILD)/jd-targetd: $(call obj,targets/targetd.c) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -104,7 +98,7 @@
 	clang-format --dry-run --Werror $(OWN) $(HEADERS)
 	cppcheck -q --std=c11 --enable=warning,portability --inline-suppr \
 	    --error-exitcode=1 --suppress=missingInclude -Iinclude -Ipeer \
-	    -Ilib -j4 $(OWN)
+	    -Ilib -Ilib/tree -j4 $(OWN)
 	@for f in $(OWN); do echo $$f; done | xargs -P8 -n6 sh -c \
 	    'clang-tidy --quiet "$$@" -- $(TIDY_FLAGS) >$(BUILD)/tidy.$$$$ 2>&1 || \
 	    { cat $(BUILD)/tidy.$$$$; exit 1; }' clang-tidy
@@ -154,6 +148,6 @@
 
 .PHONY: all tests check matrix mutants fuzz lint install bench setup demo clean
 
-ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) platform/logd.c \
-          target/targetd.c fault/faultd.c
+ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) log/logd.c \
+          targets/targetd.c fault/faultd.c
 -include $(patsubst %.c,$(BUILD)/%.d,$(ALL_SRC))
--- a/caller/front.c
+++ b/caller/front.c
@@ -4,7 +4,7 @@
 static void
 on_request(void *ctx, h2o_req_t *req)
 {
-    JdForward_Start(ctx, req);
+    JdIntake_Start(ctx, req);
 }
 
 /* Takes requests of callers. */
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -124,7 +124,7 @@
 
 /* Takes a caller's request. */
 void
-JdForward_Start(JdNode *nd, h2o_req_t *req)
+JdIntake_Start(JdNode *nd, h2o_req_t *req)
 {
     char key[JD_NAME_MAX];
     uint64_t timeout = 0;
--- a/fault/faultd.c
+++ b/fault/faultd.c
@@ -2,7 +2,7 @@
  * Fault-injecting proxy and link emulator.
  *
  * It listens on all loopback addresses.  A connection to 127.(10+S).D.H at a
- * listening port comes from failure domain S and goes to host 127.0.D.H at
+ * listening port comes from failure domain S and goes to host 127.N.D.H at
  * the port that belongs to it.  Bytes get the delay of the link between the
  * two domains; links between regions share a narrow bandwidth, one for each
  * direction.  Faults are set over HTTP while connections are open.
@@ -95,6 +95,7 @@
     unsigned ports;
     Link links[DOMAINS_MOST][DOMAINS_MOST];
     unsigned region[DOMAINS_MOST];
+    uint32_t network; /* second byte of the addresses of nodes */
     uint64_t domain_us;
     uint64_t region_us;
     uint64_t region_bits;
@@ -361,7 +362,7 @@
         h2o_socket_close(near);
         return;
     }
-    sin.sin_addr.s_addr = htonl(ip & 0xff00ffff);
+    sin.sin_addr.s_addr = htonl((ip & 0xff00ffff) | fd.network << 16);
     sin.sin_port = htons(port->forward);
     pr = g_new0(Pair, 1);
     pr->near = near;
@@ -525,11 +526,13 @@
     gchar *admin = NULL;
     gchar *regions = NULL;
     gchar **ports = NULL;
-    gint domain_us = 0, region_us = 0, bits = 0;
+    gint domain_us = 0, region_us = 0, bits = 0, network = 0;
     GOptionEntry entries[] = {
         {"admin", 'a', 0, G_OPTION_ARG_STRING, &admin, "control", "IP:PORT"},
         {"port", 'p', 0, G_OPTION_ARG_STRING_ARRAY, &ports,
          "port to listen on and port to forward to", "LISTEN=FORWARD"},
+        {"network", 'n', 0, G_OPTION_ARG_INT, &network,
+         "second byte of the addresses of nodes", "N"},
         {"regions", 'r', 0, G_OPTION_ARG_STRING, &regions,
          "failure domains by region", "1,2/3,4"},
         {"domain-us", 0, 0, G_OPTION_ARG_INT, &domain_us,
@@ -554,6 +557,7 @@
     JdLogging_Init(NAME);
     JdLoop_Init(&fd.loop);
     TAILQ_INIT(&fd.pairs);
+    fd.network = (uint32_t)network & 0xff;
     fd.domain_us = (uint64_t)domain_us;
     fd.region_us = (uint64_t)region_us;
     fd.region_bits = (uint64_t)bits;
--- a/load/bench.sh
+++ b/load/bench.sh
@@ -51,12 +51,12 @@
 }
 
 is_joined() { # TOTAL
-	fleet_ctl --json --node 127.0.1.1:8100 status |
+	fleet_ctl --json --node 127.$FLEET_NET.1.1:8100 status |
 	    grep -q "\"count\":$1,"
 }
 
 link_bytes() {
-	fleet_get http://127.0.250.1:7500/stats | tr -dc 0-9
+	fleet_get http://127.$FLEET_NET.250.1:7500/stats | tr -dc 0-9
 }
 
 config_reads() {
@@ -111,7 +111,7 @@
 				before=$(link_bytes)
 				reads=$(config_reads)
 				res=$(build/jd-load spread --log $FLEET_LOG \
-				    --nodes "$nodes" --entries 12 \
+				    --nodes "$FLEET_NET/$nodes" --entries 12 \
 				    --versions 24 --rate 2 --settle 3)
 				reads=$(($(config_reads) - reads))
 				before=$(($(link_bytes) - before))
@@ -195,7 +195,7 @@
 	local d i out=""
 	for d in 1 2; do
 		for i in $(seq $(($1 / 2))); do
-			out="$out,\"127.0.$d.$i:$2\""
+			out="$out,\"127.$FLEET_NET.$d.$i:$2\""
 		done
 	done
 	echo "${out#,}"
@@ -298,8 +298,8 @@
 EOF
 		(
 			sleep 3
-			fleet_get "http://127.0.1.1:9000/-/control?mode=stall"
-			fleet_get "http://127.0.2.2:9000/-/control?mode=stall"
+			fleet_get "http://127.$FLEET_NET.1.1:9000/-/control?mode=stall"
+			fleet_get "http://127.$FLEET_NET.2.2:9000/-/control?mode=stall"
 		) >/dev/null &
 		build/jd-load run "$FLEET_DIR/x.json" | overload_rows "two stalled"
 		wait $!
@@ -343,9 +343,9 @@
 				cat >"$FLEET_DIR/x.json" <<EOF
 {"seconds": 6, "streams": [
  {"name": "semenanjung", "method": "POST", "path": "/order", "key": true,
-  "rate": $((rate / 2)).0, "to": ["127.0.1.1:8000", "127.0.2.1:8000"]},
+  "rate": $((rate / 2)).0, "to": ["127.$FLEET_NET.1.1:8000", "127.$FLEET_NET.2.1:8000"]},
  {"name": "borneo", "method": "POST", "path": "/order", "key": true,
-  "rate": $((rate / 2)).0, "to": ["127.0.3.1:8000", "127.0.4.1:8000"]}]}
+  "rate": $((rate / 2)).0, "to": ["127.$FLEET_NET.3.1:8000", "127.$FLEET_NET.4.1:8000"]}]}
 EOF
 				before=$(claim_appends)
 				refused=$(log_refused)
@@ -378,9 +378,9 @@
 	for i in $(seq "$1"); do
 		for d in 1 2; do
 			fleet_settings $d "$i" "s$i" "e$i" 100 120
-			next="--next 127.0.$d.$i:8000 --next-path /s$((i + 1))"
+			next="--next 127.$FLEET_NET.$d.$i:8000 --next-path /s$((i + 1))"
 			[ "$i" -lt "$1" ] || next=""
-			"$FLEET_BIN/jd-targetd" --listen "127.0.$d.$i:9000" \
+			"$FLEET_BIN/jd-targetd" --listen "127.$FLEET_NET.$d.$i:9000" \
 			    --name "t$d-$i" $next ${4:-} \
 			    2>>"$FLEET_DIR/t$i.err" &
 			fleet_note "target-$d-$i"
@@ -399,13 +399,13 @@
 	fleet_ctl submit "$FLEET_DIR/patch.json" >/dev/null
 	sleep 7
 	for d in 1 2; do
-		fleet_get "http://127.0.$d.$1:9000/-/control?mode=shed"
+		fleet_get "http://127.$FLEET_NET.$d.$1:9000/-/control?mode=shed"
 	done >/dev/null
 	for i in $(seq "$2"); do
-		curl -s -m 60 -o /dev/null http://127.0.1.1:8000/s1
+		curl -s -m 60 -o /dev/null http://127.$FLEET_NET.1.1:8000/s1
 	done
 	for d in 1 2; do
-		i=$(fleet_get "http://127.0.$d.$1:9000/-/stats" |
+		i=$(fleet_get "http://127.$FLEET_NET.$d.$1:9000/-/stats" |
 		    sed 's/.*"shed":\([0-9]*\).*/\1/')
 		sum=$((sum + i))
 	done
--- a/load/demo.sh
+++ b/load/demo.sh
@@ -33,19 +33,19 @@
                        "endpoint_set": "kiln-all"}}}}
 EOF
 has_joined() {
-	fleet_ctl --json --node 127.0.1.1:8100 status | grep -q '"count":8'
+	fleet_ctl --json --node 127.$FLEET_NET.1.1:8100 status | grep -q '"count":8'
 }
 fleet_until 200 has_joined || fail "the nodes did not join one tree"
 result=$(fleet_ctl --json submit "$FLEET_DIR/patch.json") ||
     fail "submit: $result"
 echo "submitted: $result"
-fleet_ctl --node 127.0.4.2:8100 wait 1 || fail "version 1 is not in force"
+fleet_ctl --node 127.$FLEET_NET.4.2:8100 wait 1 || fail "version 1 is not in force"
 
 at=${result##*\"at_us\":}
 at=${at%%[!0-9]*}
 last=0
 for n in "${nodes[@]}"; do
-	ip=127.0.${n%-*}.${n#*-}
+	ip=127.$FLEET_NET.${n%-*}.${n#*-}
 	applied=$(fleet_get "http://$ip:8100/applied")
 	us=${applied##*\[1,}
 	us=${us%%[!0-9]*}
@@ -61,10 +61,10 @@
     "$(fleet_sum control_sent_region_bytes_total "${nodes[@]}")"
 
 # Targets are announced within a health check.
-fleet_until 60 fleet_get http://127.0.4.2:8000/kiln/slots ||
+fleet_until 60 fleet_get http://127.$FLEET_NET.4.2:8000/kiln/slots ||
     fail "no answer to a request"
 echo "request to kota-kinabalu-2: $(curl -s -H 'x-request-id: demo-7' \
-    http://127.0.4.2:8000/kiln/slots?day=1)"
-curl -s -H 'x-request-id: demo-7' http://127.0.4.2:8000/kiln/slots |
+    http://127.$FLEET_NET.4.2:8000/kiln/slots?day=1)"
+curl -s -H 'x-request-id: demo-7' http://127.$FLEET_NET.4.2:8000/kiln/slots |
     grep -q '"id":"demo-7"' || fail "not the answer to this request"
 echo "demo passed"
--- a/load/fleet.sh
+++ b/load/fleet.sh
@@ -1,9 +1,26 @@
 # Functions that run a fleet of real processes on the loopback network.
-# Source this file; set FLEET_DIR first.  Node I of failure domain D has the
-# address 127.0.D.I, and the log has 127.0.200.1.
+# Source this file; set FLEET_DIR first.  Each run takes a network N of its
+# own, so that several can go on at once: node I of failure domain D has the
+# address 127.N.D.I, and the log has 127.N.200.1.
 
 FLEET_BIN=${FLEET_BIN:-build}
-FLEET_LOG=127.0.200.1:6000
+# Takes the first network that no other run holds; the lock ends with the shell.
+fleet_take_network() {
+	local lock
+	for FLEET_NET in $(seq 20 250); do
+		exec {lock}>"/tmp/jacinthdyke-network.$FLEET_NET"
+		flock -n "$lock" && return 0
+		exec {lock}>&-
+	done
+	echo "no network is free" >&2
+	exit 1
+}
+[ -n "${FLEET_NET:-}" ] || fleet_take_network
+export FLEET_NET
+FLEET_LOG=127.$FLEET_NET.200.1:6000
+# Ports of the link emulator, which listens on all loopback addresses.
+FLEET_LINK_PEER=$((20000 + FLEET_NET))
+FLEET_LINK_LOG=$((21000 + FLEET_NET))
 FLEET_PRESET=${FLEET_PRESET:-convergence}
 FLEET_EXTRA=${FLEET_EXTRA:-}
 FLEET_DOMAINS=(none klang penang kuching kota-kinabalu)
@@ -69,28 +86,29 @@
 fleet_translate() { # D
 	local e out=""
 	for e in 1 2 3 4; do
-		[ "$e" = "$1" ] || out="$out,127.0.$e=127.$((10 + $1)).$e:7001"
+		[ "$e" = "$1" ] || out="$out,127.$FLEET_NET.$e=127.$((10 + $1)).$e:$FLEET_LINK_PEER"
 	done
-	[ "$1" = 1 ] || out="$out,127.0.200=127.$((10 + $1)).200:6001"
+	[ "$1" = 1 ] || out="$out,127.$FLEET_NET.200=127.$((10 + $1)).200:$FLEET_LINK_LOG"
 	echo "${out#,}"
 }
 
 # Starts the link emulator with the distances of both users.
 fleet_start_links() {
-	"$FLEET_BIN/jd-faultd" --admin 127.0.250.1:7500 --port 7001=7000 \
-	    --port 6001=6000 --regions 1,2/3,4 --domain-us 1000 \
+	"$FLEET_BIN/jd-faultd" --admin 127.$FLEET_NET.250.1:7500 --network $FLEET_NET \
+	    --port $FLEET_LINK_PEER=7000 --port $FLEET_LINK_LOG=6000 \
+	    --regions 1,2/3,4 --domain-us 1000 \
 	    --region-us 20000 --region-bits 30000000 \
 	    2>>"$FLEET_DIR/fault.err" &
 	fleet_note links
-	fleet_until 100 fleet_get http://127.0.250.1:7500/stats
+	fleet_until 100 fleet_get http://127.$FLEET_NET.250.1:7500/stats
 }
 
 fleet_fault() { # QUERY
-	curl -sf -m 3 -X POST "http://127.0.250.1:7500/fault?$1" >/dev/null
+	curl -sf -m 3 -X POST "http://127.$FLEET_NET.250.1:7500/fault?$1" >/dev/null
 }
 
 fleet_settings() { # D I [SERVICE SET SLOTS CONNECTIONS]
-	local ip=127.0.$1.$2 translate=""
+	local ip=127.$FLEET_NET.$1.$2 translate=""
 	[ -z "$FLEET_LINKS" ] ||
 	    translate="\"translate\": \"$(fleet_translate "$1")\","
 	cat >"$FLEET_DIR/$1-$2.json" <<EOF
@@ -116,7 +134,7 @@
 }
 
 fleet_start_target() { # D I [SERVICE_US]
-	"$FLEET_BIN/jd-targetd" --listen "127.0.$1.$2:9000" \
+	"$FLEET_BIN/jd-targetd" --listen "127.$FLEET_NET.$1.$2:9000" \
 	    --name "${FLEET_DOMAINS[$1]}-$2" --service-us "${3:-0}" \
 	    --slots "${TARGET_SLOTS:-0}" \
 	    2>>"$FLEET_DIR/$1-$2.target.err" &
@@ -131,7 +149,7 @@
 		[0-9]*-[0-9]*) ;;
 		*) continue ;;
 		esac
-		fleet_get "http://127.0.${name%-*}.${name#*-}:8100/status" \
+		fleet_get "http://127.$FLEET_NET.${name%-*}.${name#*-}:8100/status" \
 		    >/dev/null && continue
 		pid=${FLEET_PID[$name]}
 		echo "no answer: $name $(ps -o stat=,time=,wchan= -p "$pid")"
@@ -151,7 +169,7 @@
 	local name=$1 n sum=0 v
 	shift
 	for n in "$@"; do
-		v=$(fleet_get "http://127.0.${n%-*}.${n#*-}:8100/metrics" |
+		v=$(fleet_get "http://127.$FLEET_NET.${n%-*}.${n#*-}:8100/metrics" |
 		    awk -v c="jacinthd_$name" '$1 == c { print $2 }')
 		sum=$((sum + ${v:-0}))
 	done
--- a/load/spread.c
+++ b/load/spread.c
@@ -115,20 +115,23 @@
     }
 }
 
-/* Reads "1:50,2:50": nodes by failure domain. */
+/* Reads "N/1:50,2:50": the network's number, nodes by failure domain. */
 static void
 read_nodes(Spread *sp)
 {
     const char *p = sp->nodes;
+    const char *slash = strchr(p, '/');
+    unsigned long net = slash == NULL ? 0 : strtoul(p, NULL, 10);
 
     sp->address = g_malloc0(sizeof(sp->address[0]) * DOMAINS_MOST * 254);
+    p = slash == NULL ? p : slash + 1;
     while (*p != '\0') {
         unsigned long d = strtoul(p, (char **)&p, 10);
         unsigned long n = *p == ':' ? strtoul(p + 1, (char **)&p, 10) : 0;
 
         for (unsigned long i = 1; i <= n && n < 255; i++) {
             snprintf(sp->address[sp->count++], JD_ADDRESS_MAX,
-                     "127.0.%lu.%lu:8100", d, i);
+                     "127.%lu.%lu.%lu:8100", net, d, i);
         }
         p += *p != '\0';
     }
@@ -331,7 +334,7 @@
 {
     unsigned d, i, x, y;
 
-    return sscanf(address, "127.0.%u.%u:", &d, &i) == 2 &&
+    return sscanf(address, "127.%*u.%u.%u:", &d, &i) == 2 &&
            sscanf(name, "%u-%u", &x, &y) == 2 && d == x && i == y;
 }
 
@@ -386,7 +389,7 @@
         {"log", 'l', 0, G_OPTION_ARG_STRING, &sp.ctl.log_address,
          "address of the log", "IP:PORT"},
         {"nodes", 'n', 0, G_OPTION_ARG_STRING, &sp.nodes,
-         "nodes by failure domain", "1:50,2:50"},
+         "network, nodes by failure domain", "0/1:50,2:50"},
         {"versions", 'v', 0, G_OPTION_ARG_INT, &sp.versions,
          "patches to append", "N"},
         {"rate", 'r', 0, G_OPTION_ARG_DOUBLE, &sp.rate, "patches per second",
--- a/load/storms.sh
+++ b/load/storms.sh
@@ -49,7 +49,7 @@
 is_whole() {
 	local d js
 	for d in 1 2 3 4; do
-		js=$(fleet_ctl --json --node 127.0.$d.1:8100 status) || return 1
+		js=$(fleet_ctl --json --node 127.$FLEET_NET.$d.1:8100 status) || return 1
 		case $js in
 		*"\"count\":$TOTAL,"*) ;;
 		*) return 1 ;;
@@ -62,13 +62,13 @@
 		echo "storms: the tree is not whole" >&2
 		fleet_diagnose
 		for d in 1 2 3 4; do
-			fleet_ctl --json --node 127.0.$d.1:8100 status >&2
+			fleet_ctl --json --node 127.$FLEET_NET.$d.1:8100 status >&2
 		done
 	}
 }
 
 is_in_force() { # SINCE [EXCEPT]
-	build/jd-load since $NODES $VERSION "$@"
+	build/jd-load since $FLEET_NET/$NODES $VERSION "$@"
 }
 
 report() { # NAME SINCE [EXCEPT]
@@ -88,7 +88,7 @@
 }
 
 root_key() {
-	fleet_ctl --json --node 127.0.1.1:8100 status |
+	fleet_ctl --json --node 127.$FLEET_NET.1.1:8100 status |
 	    sed 's/.*"root_admin":"127\.0\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/'
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -6,7 +6,7 @@
 
 #include "../base/base.h"
 #include "../peer/conn.h"
-#include "../platform/log.h"
+#include "../log/log.h"
 
 #define JD_TRANSLATE_MAX 512
 
@@ -70,13 +70,13 @@
     JdApplied applied[JD_APPLIED_MAX];
     unsigned applied_len; /* counts on past the size of the ring */
 
-    /* platform/follow.c */
+    /* log/follow.c */
     uint64_t checkpoint_version;
     uint64_t checkpoint_at;
     bool is_checkpointing;
     JdTimer poll;
 
-    /* target/worker.c */
+    /* targets/worker.c */
     bool has_target;
     JdHttpc target;
     JdAdmit admit;
@@ -102,7 +102,7 @@
     uint64_t linger_until;
 } JdNode;
 
-/* platform/follow.c: the log's side of a node */
+/* log/follow.c: the log's side of a node */
 void JdFollow_Init(JdNode *nd);
 void JdFollow_ReadLog(void *ctx, bool on);
 void JdFollow_ReadDirectory(void *ctx);
@@ -114,16 +114,16 @@
 
 /* peer/forward.c: requests to the target's node, and their answers */
 void JdForward_Init(JdNode *nd);
-void JdForward_Start(JdNode *nd, h2o_req_t *req);
+void JdIntake_Start(JdNode *nd, h2o_req_t *req);
 void JdForward_Respond(JdNode *nd, const Jd__Response *msg);
 
-/* target/worker.c: work for the target beside this node */
+/* targets/worker.c: work for the target beside this node */
 JdStatus JdWorker_Init(JdNode *nd, JdError *err);
 void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
 void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdWorker_ConnClosed(JdNode *nd, const JdConn *origin);
 
-/* target/once.c: claims of the target's service on the log */
+/* targets/once.c: claims of the target's service on the log */
 void JdOnce_Init(JdNode *nd, const JdClaimsOps *decided);
 
 /* caller/front.c: callers */
--- a/operator/ctl.h
+++ b/operator/ctl.h
@@ -5,7 +5,7 @@
 #include <glib.h>
 
 #include "../base/base.h"
-#include "../platform/log.h"
+#include "../log/log.h"
 
 /* Exit codes by kind of failure. */
 typedef enum CtlExit {
--- a/regress/e2e/distribution.sh
+++ b/regress/e2e/distribution.sh
@@ -28,7 +28,7 @@
 monotonic() {
 	local n
 	for n in $ALL; do
-		fleet_get "http://127.0.${n%-*}.${n#*-}:8100/applied" |
+		fleet_get "http://127.$FLEET_NET.${n%-*}.${n#*-}:8100/applied" |
 		    grep -o '\[[0-9]*,' | tr -d '[,' >"$FLEET_DIR/versions"
 		sort -n -c "$FLEET_DIR/versions" || die "$n went back"
 	done
--- a/regress/e2e/leaving.sh
+++ b/regress/e2e/leaving.sh
@@ -13,14 +13,14 @@
                       "policy": "p"}}}
 EOF
 ready() {
-	[ "$(fleet_get http://127.0.1.1:8100/members |
+	[ "$(fleet_get http://127.$FLEET_NET.1.1:8100/members |
 	    grep -o '"state":"ready"' | wc -l)" = 4 ]
 }
 fleet_until 400 ready || die "not all targets are announced"
-cat >"$FLEET_DIR/x.json" <<'EOF'
+cat >"$FLEET_DIR/x.json" <<EOF
 {"seconds": 12, "streams": [
  {"name": "orders", "method": "POST", "path": "/kiln", "rate": 50.0,
-  "timeout_ms": 20000, "to": ["127.0.1.1:8000", "127.0.1.2:8000"]}]}
+  "timeout_ms": 20000, "to": ["127.$FLEET_NET.1.1:8000", "127.$FLEET_NET.1.2:8000"]}]}
 EOF
 "$FLEET_BIN/jd-load" run "$FLEET_DIR/x.json" >"$FLEET_DIR/res" &
 load=$!
--- a/regress/e2e/lib.sh
+++ b/regress/e2e/lib.sh
@@ -32,7 +32,7 @@
 		done
 	done
 	E2E_TOTAL=$((n * $#))
-	E2E_ADMIN=127.0.$1.1:8100
+	E2E_ADMIN=127.$FLEET_NET.$1.1:8100
 	fleet_until 400 e2e_is_whole || die "the nodes did not join one tree"
 }
 E2E_LOG_OPTIONS=
@@ -53,7 +53,7 @@
 
 # A field of a node's status.
 e2e_status() { # D-I FIELD
-	fleet_get "http://127.0.${1%-*}.${1#*-}:8100/status" |
+	fleet_get "http://127.$FLEET_NET.${1%-*}.${1#*-}:8100/status" |
 	    tr ',{}' '\n\n\n' | sed -n "s/^\"$2\":\"\{0,1\}\([^\"]*\)\"\{0,1\}$/\1/p"
 }
 
@@ -68,12 +68,12 @@
 
 # A number from a target's record of what ran.
 e2e_ran() { # D-I FIELD
-	fleet_get "http://127.0.${1%-*}.${1#*-}:9000/-/stats" |
+	fleet_get "http://127.$FLEET_NET.${1%-*}.${1#*-}:9000/-/stats" |
 	    tr ',{}' '\n\n\n' | sed -n "s/^\"$2\":\(.*\)$/\1/p"
 }
 
 e2e_target() { # D-I QUERY
-	fleet_get "http://127.0.${1%-*}.${1#*-}:9000/-/control?$2" >/dev/null
+	fleet_get "http://127.$FLEET_NET.${1%-*}.${1#*-}:9000/-/control?$2" >/dev/null
 }
 
 # Sends a request and prints its status, outcome and reason.
@@ -81,7 +81,7 @@
 	local n=$1 path=$2
 	shift 2
 	curl -s -m 20 -o /dev/null -D "$FLEET_DIR/head" "$@" \
-	    "http://127.0.${n%-*}.${n#*-}:8000$path" || echo "curl $?"
+	    "http://127.$FLEET_NET.${n%-*}.${n#*-}:8000$path" || echo "curl $?"
 	awk 'NR == 1 { printf "%s", $2 }
 	    tolower($1) == "x-outcome:" { printf " %s", $2 }
 	    tolower($1) == "x-reason:" { printf " %s", $2 }
@@ -90,7 +90,7 @@
 }
 
 e2e_answers() { # D-I PATH
-	curl -sf -m 5 "http://127.0.${1%-*}.${1#*-}:8000$2" >/dev/null
+	curl -sf -m 5 "http://127.$FLEET_NET.${1%-*}.${1#*-}:8000$2" >/dev/null
 }
 
 # Sets a fault from the first region to the second, or both ways.
--- a/regress/e2e/once.sh
+++ b/regress/e2e/once.sh
@@ -25,7 +25,7 @@
 
 for i in 1 2 3 4 5 6 7 8; do
 	curl -s -o /dev/null -w '%{http_code}\n' -X POST \
-	    -H 'idempotency-key: k2' "http://127.0.1.$((i % 2 + 1)):8000/charge" \
+	    -H 'idempotency-key: k2' "http://127.$FLEET_NET.1.$((i % 2 + 1)):8000/charge" \
 	    >>"$FLEET_DIR/codes" &
 done
 all_answered() {
@@ -64,7 +64,7 @@
 e2e_target 1-1 mode=stall
 e2e_target 1-2 mode=stall
 curl -s -o /dev/null -m 10 -X POST -H 'idempotency-key: k6' \
-    http://127.0.1.1:8000/charge &
+    http://127.$FLEET_NET.1.1:8000/charge &
 ran_k6() {
 	[ "$(e2e_ran 1-1 k6)$(e2e_ran 1-2 k6)" = 1 ]
 }
--- a/regress/e2e/operators.sh
+++ b/regress/e2e/operators.sh
@@ -28,8 +28,8 @@
 try show 1
 try diff 1 2
 fleet_ctl history | awk '{ print $1, $2, $3, $4, $5 }'
-try --node 127.0.3.1:8100 wait 2
-try --node 127.0.3.1:8100 --timeout 1 wait 9
+try --node 127.$FLEET_NET.3.1:8100 wait 2
+try --node 127.$FLEET_NET.3.1:8100 --timeout 1 wait 9
 try nonsense
 try show 77
 # Two operators race with one base: one wins, the other learns to whom.
@@ -48,4 +48,4 @@
 curl -s "http://$FLEET_LOG/control?mode=lose-answers" >/dev/null
 try submit "$FLEET_DIR/p.json"
 curl -s "http://$FLEET_LOG/control?mode=up" >/dev/null
-try --node 127.0.1.2:8100 wait 4
+try --node 127.$FLEET_NET.1.2:8100 wait 4
--- a/regress/e2e/requests.sh
+++ b/regress/e2e/requests.sh
@@ -16,7 +16,7 @@
    "/empty": {"service": "archive-kiln", "endpoint_set": "empty"}}}
 EOF
 ready() {
-	[ "$(fleet_get http://127.0.3.2:8100/members |
+	[ "$(fleet_get http://127.$FLEET_NET.3.2:8100/members |
 	    grep -o '"state":"ready"' | wc -l)" = 4 ]
 }
 fleet_until 400 ready || die "not all targets are announced"
@@ -29,7 +29,7 @@
 # Each of many callers at once gets its own answer.
 for i in $(seq 40); do
 	curl -s -H "x-request-id: r$i" -H 'x-work-us: 2000' \
-	    "http://127.0.$((i % 2 * 2 + 1)).$((i % 4 / 2 + 1)):8000/kiln?$i" |
+	    "http://127.$FLEET_NET.$((i % 2 * 2 + 1)).$((i % 4 / 2 + 1)):8000/kiln?$i" |
 	    grep -q "\"path\":\"/kiln?$i\",\"id\":\"r$i\"" &&
 	    echo own >>"$FLEET_DIR/own" || echo other >>"$FLEET_DIR/own" &
 done
@@ -42,7 +42,7 @@
 # The slots of a target are never exceeded.
 for i in $(seq 60); do
 	curl -s -o /dev/null -w '%{http_code}\n' -H 'x-work-us: 30000' \
-	    http://127.0.1.1:8000/kiln >>"$FLEET_DIR/codes" &
+	    http://127.$FLEET_NET.1.1:8000/kiln >>"$FLEET_DIR/codes" &
 done
 all_done() {
 	[ "$(wc -l <"$FLEET_DIR/codes")" = 60 ]
@@ -64,7 +64,7 @@
 }
 fleet_until 400 cancelled 1 && say "the work was cancelled"
 # A caller that leaves frees its slot.
-curl -s -m 0.3 -X POST http://127.0.1.1:8000/kiln >/dev/null
+curl -s -m 0.3 -X POST http://127.$FLEET_NET.1.1:8000/kiln >/dev/null
 fleet_until 400 cancelled 2 && say "left: the work was cancelled"
 for n in 1-1 1-2 3-1 3-2; do e2e_target $n mode=up; done
 # One target of four stalls: lookups are answered by another.
@@ -89,13 +89,13 @@
 
 # A planned stop cuts no request, and the node ends by itself.
 curl -s -H 'x-work-us: 1000000' -o /dev/null -w 'in flight: %{http_code}\n' \
-    http://127.0.3.1:8000/kiln >"$FLEET_DIR/flight" &
+    http://127.$FLEET_NET.3.1:8000/kiln >"$FLEET_DIR/flight" &
 flight=$!
 in_flight() {
 	[ "$(e2e_status 3-1 calls)" = 1 ]
 }
 fleet_until 400 in_flight
-fleet_ctl --node 127.0.1.1:8100 drain kuching-1
+fleet_ctl --node 127.$FLEET_NET.1.1:8100 drain kuching-1
 wait $flight
 cat "$FLEET_DIR/flight"
 fleet_until 400 fleet_is_gone 3-1 && say "the node is gone"
--- a/regress/matrix.sh
+++ b/regress/matrix.sh
@@ -23,7 +23,7 @@
 root() {
 	local d
 	for d in 1 2 3 4; do
-		fleet_ctl --json --node 127.0.$d.2:8100 status 2>/dev/null |
+		fleet_ctl --json --node 127.$FLEET_NET.$d.2:8100 status 2>/dev/null |
 		    sed -n 's/.*"root_admin":"127\.0\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/p'
 	done | sort | uniq -c | sort -rn | awk 'NR == 1 { print $2 }'
 }
@@ -103,7 +103,7 @@
 		return 1
 	fi
 	for n in $ALL; do
-		fleet_get "http://127.0.${n%-*}.${n#*-}:8100/applied" |
+		fleet_get "http://127.$FLEET_NET.${n%-*}.${n#*-}:8100/applied" |
 		    grep -o '\[[0-9]*,' | tr -d '[,' >"$FLEET_DIR/versions"
 		sort -n -c "$FLEET_DIR/versions" 2>/dev/null || {
 			echo "red: $n went back"
