--- a/base/base.h
+++ b/base/base.h
@@ -10,6 +10,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <netinet/in.h>
+#include <poll.h>
 
 #include "jacinthdyke.h"
 
@@ -54,14 +55,17 @@
                       size_t body_most, JdHttpHandler handler, void *ctx,
                       JdError *err);
 void JdHttpd_Finish(JdHttpd *hd);
+void JdHttpd_EndConnections(JdHttpd *hd);
 void JdHttpd_StopAccepting(JdHttpd *hd);
+void JdHttpd_SendBody(h2o_req_t *req, const char *body, size_t len);
 void JdHttpd_Reply(h2o_req_t *req, int status, const char *type,
                    const char *body, size_t len);
 void JdHttpd_ReplyJson(h2o_req_t *req, int status, json_t *js);
 void JdHttpd_AddHeader(h2o_req_t *req, const char *name, const char *value);
 bool JdHttpd_Header(const h2o_req_t *req, const char *name, char *buf,
                     size_t size);
-bool JdHttpd_HasCallerLeft(const h2o_req_t *req);
+bool JdHttpd_WatchCaller(const h2o_req_t *req, struct pollfd *pfd);
+bool JdHttpd_HasCallerLeft(const struct pollfd *pfd);
 bool JdHttpd_IsPath(const h2o_req_t *req, const char *path);
 bool JdHttpd_IsMethod(const h2o_req_t *req, const char *method);
 bool JdHttpd_Query(const h2o_req_t *req, const char *name, char *buf,
@@ -77,6 +81,7 @@
     JD_HTTP_NOT_SENT,  /* no connection; nothing was sent */
     JD_HTTP_BROKEN,    /* cut after sending; the effect is unknown */
     JD_HTTP_TIMED_OUT, /* no whole answer in time; effect unknown */
+    JD_HTTP_CROSSED,   /* an answer to another request; effect unknown */
     JD_HTTP_END_MAX
 } JdHttpEnd;
 
@@ -100,6 +105,19 @@
 
 typedef void (*JdHttpDone)(void *ctx, const JdHttpAnswer *ans);
 
+/* One request; all texts are copied when it is sent. */
+typedef struct JdHttpRequest {
+    const char *method;
+    const char *path;
+    const char *host;    /* NULL: the server's address */
+    const char *headers; /* complete lines that end in CRLF, or NULL */
+    const void *body;
+    size_t len;
+    uint64_t timeout;      /* us */
+    const char *echo_name; /* header in which the server repeats `echo` */
+    const char *echo;      /* NULL: not checked */
+} JdHttpRequest;
+
 /* A client of one server, with a pool of connections kept alive. */
 typedef struct JdHttpc {
     JdLoop *loop;
@@ -114,9 +132,13 @@
 JdStatus JdHttpc_Init(JdHttpc *hc, JdLoop *lp, const char *address,
                       size_t connections, JdError *err);
 void JdHttpc_Finish(JdHttpc *hc);
-JdHttpCall *JdHttpc_Send(JdHttpc *hc, const char *method, const char *path,
-                         const char *headers, const void *body, size_t len,
-                         uint64_t timeout, JdHttpDone done, void *ctx);
+void JdHttpc_SetIdle(JdHttpc *hc, uint64_t us);
+JdHttpCall *JdHttpc_Send(JdHttpc *hc, const JdHttpRequest *rq, JdHttpDone done,
+                         void *ctx);
+JdHttpCall *JdHttpc_Get(JdHttpc *hc, const char *path, uint64_t timeout,
+                        JdHttpDone done, void *ctx);
+const JdHttpHeader *JdHttpAnswer_Find(const JdHttpAnswer *ans,
+                                      const char *name);
 void JdHttpc_Cancel(JdHttpCall *call);
 
 /* ---- settings.c: checked settings -------------------------------------- */
@@ -138,6 +160,8 @@
     size_t size;   /* of a text */
     json_int_t least;
     json_int_t most;
+    const char *with;    /* required where this object stands in the file */
+    const char *without; /* required where it does not; NULL: no matter */
 } JdSetting;
 
 unsigned JdSettings_Read(const char *file, const JdSetting *table, size_t n,
@@ -162,6 +186,7 @@
     JD_EVENT_HEAD,
     JD_EVENT_HALTED,
     JD_EVENT_LOG_EXPIRED,
+    JD_EVENT_REFUSED,
     JD_EVENT_TARGET,
     JD_EVENT_DRAINING,
     JD_EVENT_STOPPED,
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -2,6 +2,7 @@
  * HTTP client of one server.  Each call ends exactly once, through its
  * callback or by JdHttpc_Cancel, and says what is known of its effect.
  */
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,9 +28,11 @@
     JdHttpAnswer answer;
     GByteArray *head; /* copies of the header texts */
     size_t expect;    /* content-length, or SIZE_MAX */
+    const char *echo_name;
+    char *echo; /* what the answer has to repeat, or NULL */
     bool is_sent;
     bool is_head;
-    bool is_ended;
+    bool is_chunked;
 };
 
 /* Initializes a client that keeps up to `connections` open. */
@@ -55,6 +58,13 @@
     return JD_OK;
 }
 
+/* Sets the time for which an idle connection is kept. */
+void
+JdHttpc_SetIdle(JdHttpc *hc, uint64_t us)
+{
+    hc->pool.timeout = us / JD_US_PER_MS;
+}
+
 /* Closes idle connections.  No call may be open. */
 void
 JdHttpc_Finish(JdHttpc *hc)
@@ -70,6 +80,7 @@
     g_byte_array_unref(call->request);
     g_byte_array_unref(call->body);
     g_byte_array_unref(call->head);
+    g_free(call->echo);
     g_free(call);
 }
 
@@ -79,7 +90,6 @@
     call->answer.end = end;
     call->answer.body = (const char *)call->body->data;
     call->answer.body_len = call->body->len;
-    call->is_ended = true;
     call->done(call->ctx, &call->answer);
     free_call(call);
 }
@@ -106,10 +116,54 @@
     finish(call, call->is_sent ? JD_HTTP_TIMED_OUT : JD_HTTP_NOT_SENT);
 }
 
+/* Returns whether a connection that ended was closed in order, not reset. */
+static bool
+is_closed_in_order(const h2o_http1client_t *client)
+{
+    struct pollfd pfd = {.fd = h2o_socket_get_fd(client->sock),
+                         .events = POLLIN};
+
+    return poll(&pfd, 1, 0) >= 0 && (pfd.revents & (POLLERR | POLLHUP)) == 0;
+}
+
+/* A body without a length is whole when its connection was closed in order. */
 static bool
-is_whole(const JdHttpCall *call)
+is_whole(const JdHttpCall *call, const h2o_http1client_t *client)
 {
-    return call->expect == SIZE_MAX || call->expect == call->body->len;
+    if (call->expect != SIZE_MAX) {
+        return call->expect == call->body->len;
+    }
+    return call->is_chunked || is_closed_in_order(client);
+}
+
+static bool
+is_own(const JdHttpCall *call)
+{
+    const JdHttpHeader *h;
+
+    if (call->echo == NULL) {
+        return true;
+    }
+    h = JdHttpAnswer_Find(&call->answer, call->echo_name);
+    return h != NULL && h->value_len == strlen(call->echo) &&
+           memcmp(h->value, call->echo, h->value_len) == 0;
+}
+
+/* The answer is there: keeps its connection only if nothing is amiss. */
+static void
+finish_answer(JdHttpCall *call, h2o_http1client_t *client, bool whole)
+{
+    bool own = is_own(call);
+
+    if (!whole || !own || h2o_socket_is_writing(client->sock)) {
+        h2o_socket_close(h2o_http1client_steal_socket(client));
+    }
+    call->client = NULL;
+    if (!whole) {
+        finish(call, JD_HTTP_BROKEN);
+        return;
+    }
+    finish(call, own ? JD_HTTP_ANSWERED : JD_HTTP_CROSSED);
 }
 
 static int
@@ -126,12 +180,28 @@
                         (guint)client->sock->input->size);
     h2o_buffer_consume(&client->sock->input, client->sock->input->size);
     if (err == h2o_http1client_error_is_eos) {
-        call->client = NULL;
-        finish(call, is_whole(call) ? JD_HTTP_ANSWERED : JD_HTTP_BROKEN);
+        finish_answer(call, client, is_whole(call, client));
     }
     return 0;
 }
 
+/* Notes how the end of the body will be known. */
+static void
+note_framing(JdHttpCall *call)
+{
+    const JdHttpHeader *length =
+        JdHttpAnswer_Find(&call->answer, "content-length");
+
+    call->is_chunked =
+        JdHttpAnswer_Find(&call->answer, "transfer-encoding") != NULL;
+    if (length != NULL && !call->is_chunked) {
+        char *text = g_strndup(length->value, length->value_len);
+
+        call->expect = strtoull(text, NULL, 10);
+        g_free(text);
+    }
+}
+
 /* Copies the headers, since the library's buffer is reused for the body. */
 static void
 copy_headers(JdHttpCall *call, const h2o_header_t *headers, size_t n)
@@ -156,13 +226,8 @@
         h->value = (const char *)at;
         h->value_len = headers[i].value.len;
         used += h->name_len + h->value_len;
-        if (h->name_len == 14 && memcmp(h->name, "content-length", 14) == 0) {
-            char *text = g_strndup(h->value, h->value_len);
-
-            call->expect = strtoull(text, NULL, 10);
-            g_free(text);
-        }
     }
+    note_framing(call);
 }
 
 static h2o_http1client_body_cb
@@ -182,11 +247,9 @@
     call->answer.status = status;
     copy_headers(call, headers, n);
     if (err == h2o_http1client_error_is_eos) {
-        call->client = NULL;
-        finish(call,
-               call->is_head || call->expect == SIZE_MAX || call->expect == 0
-                   ? JD_HTTP_ANSWERED
-                   : JD_HTTP_BROKEN);
+        finish_answer(call, client,
+                      call->is_head || call->expect == SIZE_MAX ||
+                          call->expect == 0);
         return NULL;
     }
     return on_body;
@@ -212,37 +275,79 @@
     return on_head;
 }
 
+static GByteArray *
+format_request(const JdHttpc *hc, const JdHttpRequest *rq)
+{
+    bool has_length = rq->len > 0 || (strcmp(rq->method, "GET") != 0 &&
+                                      strcmp(rq->method, "HEAD") != 0);
+    GString *head = g_string_new(NULL);
+    GByteArray *out = g_byte_array_new();
+
+    g_string_printf(head, "%s %s HTTP/1.1\r\nhost: %s\r\n", rq->method,
+                    rq->path, rq->host == NULL ? hc->host : rq->host);
+    if (has_length) {
+        g_string_append_printf(head, "content-length: %zu\r\n", rq->len);
+    }
+    g_string_append(head, rq->headers == NULL ? "" : rq->headers);
+    g_string_append(head, "\r\n");
+    g_byte_array_append(out, (guint8 *)head->str, (guint)head->len);
+    if (rq->len > 0) {
+        g_byte_array_append(out, rq->body, (guint)rq->len);
+    }
+    g_string_free(head, TRUE);
+    return out;
+}
+
 /*
- * Sends a request; `headers` is NULL or complete lines that end in CRLF.
- * The callback comes within `timeout` us, never before this call returns
- * unless no connection could be started.
+ * Sends a request.  The callback comes within the request's timeout, never
+ * before this call returns unless no connection could be started.
  */
 JdHttpCall *
-JdHttpc_Send(JdHttpc *hc, const char *method, const char *path,
-             const char *headers, const void *body, size_t len,
-             uint64_t timeout, JdHttpDone done, void *ctx)
+JdHttpc_Send(JdHttpc *hc, const JdHttpRequest *rq, JdHttpDone done, void *ctx)
 {
     JdHttpCall *call = g_new0(JdHttpCall, 1);
-    char *head = g_strdup_printf(
-        "%s %s HTTP/1.1\r\nhost: %s\r\ncontent-length: %zu\r\n%s\r\n", method,
-        path, hc->host, len, headers == NULL ? "" : headers);
 
     call->httpc = hc;
     call->done = done;
     call->ctx = ctx;
     call->expect = SIZE_MAX;
-    call->is_head = strcmp(method, "HEAD") == 0;
-    call->request = g_byte_array_new();
+    call->is_head = strcmp(rq->method, "HEAD") == 0;
+    call->request = format_request(hc, rq);
     call->body = g_byte_array_new();
     call->head = g_byte_array_new();
-    g_byte_array_append(call->request, (guint8 *)head, (guint)strlen(head));
-    if (len > 0) {
-        g_byte_array_append(call->request, body, (guint)len);
+    if (rq->echo != NULL) {
+        call->echo_name = rq->echo_name;
+        call->echo = g_strdup(rq->echo);
     }
-    g_free(head);
     JdTimer_Init(&call->timer, on_timeout, call);
-    JdTimer_Arm(&hc->loop->clock, &call->timer, timeout);
+    JdTimer_Arm(&hc->loop->clock, &call->timer, rq->timeout);
     h2o_http1client_connect_with_pool(&call->client, call, &hc->client,
                                       &hc->pool, on_connect);
     return call;
 }
+
+/* Sends a plain GET. */
+JdHttpCall *
+JdHttpc_Get(JdHttpc *hc, const char *path, uint64_t timeout, JdHttpDone done,
+            void *ctx)
+{
+    JdHttpRequest rq = {.method = "GET", .path = path, .timeout = timeout};
+
+    return JdHttpc_Send(hc, &rq, done, ctx);
+}
+
+/* Returns the first header of that name in an answer, or NULL. */
+const JdHttpHeader *
+JdHttpAnswer_Find(const JdHttpAnswer *ans, const char *name)
+{
+    size_t n = strlen(name);
+
+    for (size_t i = 0; i < ans->headers; i++) {
+        const JdHttpHeader *h = &ans->header[i];
+
+        if (h->name_len == n && g_ascii_strncasecmp(h->name, name, n) == 0) {
+            return h;
+        }
+    }
+    return NULL;
+}
--- a/base/httpd.c
+++ b/base/httpd.c
@@ -5,6 +5,8 @@
 
 #include "base.h"
 
+/* Time for which a connection may be idle, above that of callers, in ms. */
+#define IDLE_MS 75000
 /* The library's number for HTTP/2. */
 #define HTTP_2 0x200
 
@@ -60,6 +62,7 @@
     hd->loop = lp;
     h2o_config_init(&hd->config);
     hd->config.max_request_entity_size = body_most;
+    hd->config.http1.req_timeout = IDLE_MS;
     hd->config.server_name = h2o_iovec_init(H2O_STRLIT("jacinthdyke"));
     host = h2o_config_register_host(
         &hd->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
@@ -77,6 +80,13 @@
     return JD_OK;
 }
 
+/* Asks open connections to end with their next answer. */
+void
+JdHttpd_EndConnections(JdHttpd *hd)
+{
+    h2o_context_request_shutdown(&hd->context);
+}
+
 /* Takes no new connections; open ones are asked to end. */
 void
 JdHttpd_StopAccepting(JdHttpd *hd)
@@ -84,7 +94,7 @@
     if (hd->listener != NULL) {
         h2o_socket_close(hd->listener);
         hd->listener = NULL;
-        h2o_context_request_shutdown(&hd->context);
+        JdHttpd_EndConnections(hd);
     }
 }
 
@@ -106,6 +116,17 @@
                           NULL, v.base, v.len);
 }
 
+/*
+ * Sends the body of an answer whose status and headers are set.  The library
+ * does not know its length by itself, and would end the connection with it.
+ */
+void
+JdHttpd_SendBody(h2o_req_t *req, const char *body, size_t len)
+{
+    req->res.content_length = len;
+    h2o_send_inline(req, body, len);
+}
+
 /* Sends a whole answer. */
 void
 JdHttpd_Reply(h2o_req_t *req, int status, const char *type, const char *body,
@@ -116,7 +137,7 @@
     if (type != NULL) {
         JdHttpd_AddHeader(req, "content-type", type);
     }
-    h2o_send_inline(req, body, len);
+    JdHttpd_SendBody(req, body, len);
 }
 
 /* Sends a JSON answer and drops the reference to it. */
@@ -216,22 +237,35 @@
 }
 
 /*
- * Returns whether the caller of a request that is not answered yet has left.
- * On HTTP/1 the library does not read the connection meanwhile, so the end of
- * its stream is looked for; a caller that closes only its sending side counts
- * as gone.  On HTTP/2 the library itself drops the request.
+ * Fills an entry of poll() that tells whether the caller of a request that is
+ * not answered yet has left.  On HTTP/1 the library does not read the
+ * connection meanwhile; the end of its stream shows behind unread bytes too.
+ * Returns false where the library itself drops the request, as on HTTP/2.
  */
 bool
-JdHttpd_HasCallerLeft(const h2o_req_t *req)
+JdHttpd_WatchCaller(const h2o_req_t *req, struct pollfd *pfd)
 {
     h2o_socket_t *sock;
-    char byte;
 
     if (req->version >= HTTP_2) {
         return false;
     }
     sock = req->conn->callbacks->get_socket(req->conn);
-    return sock != NULL && sock->ssl == NULL &&
-           recv(h2o_socket_get_fd(sock), &byte, 1, MSG_PEEK | MSG_DONTWAIT) ==
-               0;
+    if (sock == NULL || sock->ssl != NULL) {
+        return false;
+    }
+    pfd->fd = h2o_socket_get_fd(sock);
+    pfd->events = POLLRDHUP;
+    pfd->revents = 0;
+    return true;
+}
+
+/*
+ * Returns whether poll() saw that the caller left.  One that closes only its
+ * sending side counts as gone.
+ */
+bool
+JdHttpd_HasCallerLeft(const struct pollfd *pfd)
+{
+    return (pfd->revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
--- a/base/logging.c
+++ b/base/logging.c
@@ -17,6 +17,7 @@
     [JD_EVENT_HEAD] = {"head", G_LOG_LEVEL_MESSAGE},
     [JD_EVENT_HALTED] = {"halted", G_LOG_LEVEL_WARNING},
     [JD_EVENT_LOG_EXPIRED] = {"log-expired", G_LOG_LEVEL_WARNING},
+    [JD_EVENT_REFUSED] = {"refused", G_LOG_LEVEL_WARNING},
     [JD_EVENT_TARGET] = {"target", G_LOG_LEVEL_MESSAGE},
     [JD_EVENT_DRAINING] = {"draining", G_LOG_LEVEL_MESSAGE},
     [JD_EVENT_STOPPED] = {"stopped", G_LOG_LEVEL_MESSAGE},
--- a/base/settings.c
+++ b/base/settings.c
@@ -70,6 +70,13 @@
     snprintf(at, size, "%s", text);
 }
 
+static bool
+is_required(json_t *js, const JdSetting *s)
+{
+    return s->required || (s->with != NULL && follow(js, s->with) != NULL) ||
+           (s->without != NULL && follow(js, s->without) == NULL);
+}
+
 static void
 take(json_t *js, const JdSetting *s, void *out, Faults *f)
 {
@@ -77,7 +84,7 @@
     char *at = (char *)out + s->offset;
 
     if (v == NULL) {
-        if (s->required) {
+        if (is_required(js, s)) {
             add_fault(f, JD_ERR_MISSING, s->path, "setting is required");
         }
         return;
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -3,18 +3,44 @@
 
 #include "../peer/forward.h"
 
+/* What a request asks for, as far as this node has to know it. */
+typedef struct Ask {
+    char request_id[JD_NAME_MAX]; /* the caller's, or empty */
+    char key[JD_KEY_MAX];         /* idempotency key, or empty */
+    uint64_t timeout;             /* us */
+    JdRoute route;
+} Ask;
+
+static bool
+is_named(const h2o_header_t *h, const char *name)
+{
+    return h2o_memis(h->name->base, h->name->len, name, strlen(name));
+}
+
+/* Headers of the connection, and those that this system sets itself, end
+ * here. */
 static bool
-is_forwarded(const h2o_header_t *h)
+is_forwarded(const JdDialect *dl, const h2o_header_t *h)
 {
     static const char *const dropped[] = {
-        "connection", "content-length",   "transfer-encoding", "keep-alive",
-        "te",         "upgrade",          "x-timeout-ms",      "host",
-        "expect",     "proxy-connection",
+        "connection",
+        "content-length",
+        "transfer-encoding",
+        "keep-alive",
+        "te",
+        "upgrade",
+        "host",
+        "expect",
+        "proxy-connection",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
-        if (h2o_memis(h->name->base, h->name->len, dropped[i],
-                      strlen(dropped[i]))) {
+        if (is_named(h, dropped[i])) {
+            return false;
+        }
+    }
+    for (int i = 0; i < JD_FIELD_MAX; i++) {
+        if (dl->header[i] != NULL && is_named(h, dl->header[i])) {
             return false;
         }
     }
@@ -23,7 +49,7 @@
 
 /* Copies a caller's request into a message that does not point into it. */
 static Jd__Request *
-copy_request(const JdCall *call, const h2o_req_t *req, const char *key)
+copy_request(const JdCall *call, const h2o_req_t *req, const Ask *ask)
 {
     Jd__Header header[JD_HTTP_HEADERS_MAX];
     Jd__Header *list[JD_HTTP_HEADERS_MAX];
@@ -44,7 +70,7 @@
         const h2o_header_t *h = &req->headers.entries[i];
         Jd__Header *to = &header[msg.n_header];
 
-        if (!is_forwarded(h)) {
+        if (!is_forwarded(call->node->dialect, h)) {
             continue;
         }
         jd__header__init(to);
@@ -55,10 +81,15 @@
         list[msg.n_header++] = to;
     }
     msg.header = list;
+    msg.host = g_string_chunk_insert_len(texts, req->authority.base,
+                                         (gssize)req->authority.len);
+    msg.request_id = (char *)ask->request_id;
+    msg.caller_service = (char *)call->node->settings.service;
+    msg.idempotent = call->route.idempotent;
     msg.body.data = (uint8_t *)req->entity.base;
     msg.body.len = req->entity.len;
     msg.priority = call->route.priority;
-    msg.key = (char *)key;
+    msg.key = (char *)ask->key;
     msg.once = call->route.once;
     msg.config_version = call->config->version;
     n = jd__request__get_packed_size(&msg);
@@ -70,18 +101,21 @@
     return copy;
 }
 
-/* Reads the caller's own deadline.  Returns false when it is malformed. */
+/*
+ * Reads how long the caller waits into `timeout`, unless that is shorter.
+ * Returns false when it is malformed.
+ */
 static bool
-read_timeout(const h2o_req_t *req, uint64_t *timeout)
+read_timeout(const JdDialect *dl, const h2o_req_t *req, uint64_t *timeout)
 {
+    const char *name = dl->header[JD_FIELD_TIMEOUT_MS];
     char text[16];
     guint64 ms;
 
-    if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("x-timeout-ms"), -1) <
-        0) {
+    if (h2o_find_header_by_str(&req->headers, name, strlen(name), -1) < 0) {
         return true;
     }
-    if (!JdHttpd_Header(req, "x-timeout-ms", text, sizeof(text)) ||
+    if (!JdHttpd_Header(req, name, text, sizeof(text)) ||
         !g_ascii_string_to_unsigned(text, 10, 1, 3600000, &ms, NULL)) {
         return false;
     }
@@ -91,65 +125,83 @@
     return true;
 }
 
-/* Checks what can be refused before a call is made of the request. */
+static bool
+find_route(JdNode *nd, const h2o_req_t *req, JdRoute *route)
+{
+    JdRouteKey key = {.host = req->authority.base,
+                      .host_len = req->authority.len,
+                      .path = req->path.base,
+                      .path_len = req->path.len};
+
+    return JdConfig_Route(nd->store.config, &key,
+                          JdRandom_Below(&nd->tree.random, UINT32_MAX), route);
+}
+
+static bool
+needs_key(const h2o_req_t *req, const Ask *ask)
+{
+    return ask->route.once && ask->key[0] == '\0' &&
+           !JdHttpd_IsMethod(req, "GET") && !JdHttpd_IsMethod(req, "HEAD");
+}
+
+/* Reads and checks what can be refused before a call is made of it. */
 static JdReason
-check_request(JdNode *nd, const h2o_req_t *req, JdRoute *route,
-              uint64_t *timeout, char *key, size_t key_size)
+read_request(JdNode *nd, const h2o_req_t *req, Ask *ask)
 {
-    key[0] = '\0';
-    if (!nd->tree.is_ready) {
+    const char *id_name = nd->dialect->header[JD_FIELD_REQUEST_ID];
+    bool lacks_version =
+        nd->source->needs_version && nd->store.config->version == 0;
+
+    if (id_name != NULL) {
+        JdHttpd_Header(req, id_name, ask->request_id, sizeof(ask->request_id));
+    }
+    if (!nd->tree.is_ready || lacks_version) {
         return JD_REASON_NOT_READY;
     }
-    if (!JdConfig_Route(nd->store.config, req->path.base, req->path.len,
-                        route)) {
+    if (!find_route(nd, req, &ask->route)) {
         return JD_REASON_NO_ROUTE;
     }
-    *timeout = route->deadline;
-    if (!read_timeout(req, timeout) ||
+    ask->timeout = ask->route.deadline;
+    if (!read_timeout(nd->dialect, req, &ask->timeout) ||
         req->headers.size > JD_HTTP_HEADERS_MAX) {
         return JD_REASON_BAD_REQUEST;
     }
     if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("idempotency-key"),
                                -1) >= 0 &&
-        (!JdHttpd_Header(req, "idempotency-key", key, key_size) ||
-         key[0] == '\0')) {
+        (!JdHttpd_Header(req, "idempotency-key", ask->key, sizeof(ask->key)) ||
+         ask->key[0] == '\0')) {
         return JD_REASON_BAD_REQUEST;
     }
-    if (route->once && key[0] == '\0' && !JdHttpd_IsMethod(req, "GET") &&
-        !JdHttpd_IsMethod(req, "HEAD")) {
-        return JD_REASON_KEY_MISSING;
-    }
-    return JD_REASON_NONE;
+    return needs_key(req, ask) ? JD_REASON_KEY_MISSING : JD_REASON_NONE;
 }
 
 /* Takes a caller's request. */
 void
 JdIntake_Start(JdNode *nd, h2o_req_t *req)
 {
-    char key[JD_NAME_MAX];
-    uint64_t timeout = 0;
-    JdRoute route;
-    JdReason reason =
-        check_request(nd, req, &route, &timeout, key, sizeof(key));
+    Ask ask = {.timeout = 0};
+    JdReason reason = read_request(nd, req, &ask);
     JdCall *call;
 
     nd->counters.value[JD_C_REQUESTS]++;
     if (reason != JD_REASON_NONE) {
         nd->counters.value[JdReason_Info(reason)->counter]++;
-        JdForward_ReplyRefusal(nd, req, reason);
+        JdForward_ReplyRefusal(nd, req, reason,
+                               JdReason_Info(reason)->retry_after);
         return;
     }
     call = g_new0(JdCall, 1);
     call->node = nd;
     call->req = req;
     call->config = JdConfig_Ref(nd->store.config);
-    call->route = route;
-    call->deadline = JdClock_Now(&nd->loop.clock) + timeout;
-    call->msg = copy_request(call, req, key);
+    call->route = ask.route;
+    call->started = JdClock_Now(&nd->loop.clock);
+    call->deadline = call->started + ask.timeout;
+    call->msg = copy_request(call, req, &ask);
     call->gone = h2o_mem_alloc_shared(&req->pool, sizeof(JdCall *),
                                       JdForward_OnRequestGone);
     *call->gone = call;
     TAILQ_INSERT_TAIL(&nd->calls, call, link);
     nd->call_count++;
-    JdForward_Begin(call, timeout);
+    JdForward_Begin(call, ask.timeout);
 }
--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -192,24 +192,35 @@
 json_t *JdConfig_ToJson(const JdConfig *cfg);
 JdStatus JdConfig_FromJson(json_t *doc, uint64_t version, JdConfig **out,
                            JdError *err);
+json_t *JdPatch_Diff(const JdConfig *old, const json_t *doc);
 bool JdPatch_Compose(json_t *first, json_t *second, json_t **out);
 void JdDigest_ToHex(const JdDigest *dig, char hex[JD_DIGEST_HEX]);
 bool JdDigest_FromHex(JdDigest *dig, const char *hex);
 bool JdDigest_Equal(const JdDigest *a, const JdDigest *b);
 
-/* What routing needs to know of a request path. */
+/* What routing needs to know of a request. */
 typedef struct JdRoute {
-    const char *prefix;
+    const char *prefix; /* the route's name: host, if it has one, and path */
     const char *service;
     const char *endpoint_set;
     unsigned priority;      /* 0 is served first */
     uint64_t deadline;      /* us, the most a request may take */
+    uint64_t latency;       /* us in which an answer is wanted */
+    unsigned attempts;      /* targets that one request may be sent to */
     unsigned retry_percent; /* retries per 100 first tries */
     bool idempotent;        /* every method may be sent again */
     bool once;              /* needs an idempotency key */
 } JdRoute;
 
-bool JdConfig_Route(const JdConfig *cfg, const char *path, size_t len,
+/* Host and path of a request; the host may be empty. */
+typedef struct JdRouteKey {
+    const char *host;
+    size_t host_len;
+    const char *path;
+    size_t path_len;
+} JdRouteKey;
+
+bool JdConfig_Route(const JdConfig *cfg, const JdRouteKey *key, uint64_t draw,
                     JdRoute *out);
 
 /* ---- store.c: versions in force and how they came ---------------------- */
@@ -266,6 +277,8 @@
 void JdStore_Finish(JdStore *st);
 JdStatus JdStore_Replay(JdStore *st, uint64_t offset, const char *rec,
                         size_t len, JdOutcome *out);
+JdStatus JdStore_Install(JdStore *st, const json_t *doc, uint64_t version,
+                         JdError *err);
 JdStatus JdStore_MakeDelta(JdStore *st, uint64_t from, JdDelta *out);
 JdStatus JdStore_ApplyDelta(JdStore *st, const JdDelta *dlt, JdError *err);
 char *JdStore_Checkpoint(const JdStore *st);
--- a/include/jacinthdyke_reader.h
+++ b/include/jacinthdyke_reader.h
@@ -76,4 +76,46 @@
 void JdReader_Stop(JdReader *rd);
 void JdReader_Answer(JdReader *rd, uint64_t token, const JdLogAnswer *ans);
 
+/* ---- follower.c: a store that keeps the newest whole document ---------- */
+
+/* What one read of the document gave. */
+typedef struct JdSnapshot {
+    JdStatus status; /* JD_OK, JD_ERR_EXPIRED, or why there is no answer */
+    uint64_t next;   /* position after what was read, never 0 with JD_OK */
+    bool is_changed; /* a document came with it */
+    uint64_t version;
+    const json_t *doc; /* NULL: the document could not be read */
+    JdError err;       /* why not */
+} JdSnapshot;
+
+typedef struct JdFollowerOps {
+    /* Both send one read; JdFollower_Answer takes its result. */
+    void (*read_newest)(void *ctx, uint64_t token);
+    void (*read_after)(void *ctx, uint64_t next, uint64_t wait,
+                       uint64_t token);
+    /* A newer version came into force. */
+    void (*installed)(void *ctx);
+    /* A document was refused; `version` is 0 when it has none. */
+    void (*refused)(void *ctx, uint64_t version, const JdError *err);
+} JdFollowerOps;
+
+typedef struct JdFollower {
+    JdStore *store;
+    JdClock *clock;
+    const JdFollowerOps *ops;
+    void *ctx;
+    JdTimer timer;
+    uint64_t token;
+    uint64_t next; /* position to read on from, 0: read the newest */
+    uint64_t asked_at;
+    unsigned failures; /* in a row */
+    bool is_on;
+} JdFollower;
+
+void JdFollower_Init(JdFollower *fl, JdStore *st, JdClock *clk,
+                     const JdFollowerOps *ops, void *ctx);
+void JdFollower_Start(JdFollower *fl);
+void JdFollower_Stop(JdFollower *fl);
+void JdFollower_Answer(JdFollower *fl, uint64_t token, const JdSnapshot *snap);
+
 #endif
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -29,7 +29,7 @@
     int http_status;
     bool is_not_run;      /* the work provably did not run */
     bool is_retry_useful; /* another target may take it now */
-    unsigned retry_after; /* s after which coming back helps, 0: never */
+    unsigned retry_after; /* ms after which coming back helps, 0: never */
     JdCounter counter;
 } JdReasonInfo;
 
@@ -75,6 +75,8 @@
 JdReason JdAdmit_Offer(JdAdmit *ad, JdWork *work);
 void JdAdmit_Done(JdAdmit *ad, JdWork *work, bool is_whole);
 void JdAdmit_Withdraw(JdAdmit *ad, JdWork *work);
+void JdAdmit_SetSlots(JdAdmit *ad, unsigned slots);
+uint64_t JdAdmit_RetryAfter(const JdAdmit *ad);
 void JdAdmit_Close(JdAdmit *ad);
 unsigned JdAdmit_Load(const JdAdmit *ad);
 bool JdAdmit_IsFull(const JdAdmit *ad);
@@ -165,11 +167,58 @@
                        uint64_t offset);
 void JdClaims_Answer(JdClaims *cl, uint64_t token, const JdLogAnswer *ans);
 
+/* ---- target.c: the target beside a node, by its heartbeats ------------- */
+
+/* What a target says of itself. */
+typedef struct JdHeartbeat {
+    char id[JD_NAME_MAX]; /* of its process */
+    char address[JD_ADDRESS_MAX];
+    char service[JD_NAME_MAX];
+    uint64_t started; /* ms since 1970 at which its process started */
+    uint64_t seq;     /* orders what one process says */
+    unsigned slots;
+    uint64_t warm_up; /* us for which it stays slow after its start */
+    bool is_draining;
+} JdHeartbeat;
+
+typedef enum JdBeat {
+    JD_BEAT_NEWS, /* another process, or it began to drain */
+    JD_BEAT_SAME, /* it goes on as before */
+    JD_BEAT_OLD,  /* late: of an ended process, or out of order */
+    JD_BEAT_MAX
+} JdBeat;
+
+/* A process that has left; `started` is 0 when it was not told. */
+typedef struct JdTargetGone {
+    char id[JD_NAME_MAX];
+    uint64_t started;
+} JdTargetGone;
+
+/* Processes that left and are remembered. */
+#define JD_TARGET_GONE_MAX 8
+
+typedef struct JdTarget {
+    char id[JD_NAME_MAX];
+    uint64_t started;
+    uint64_t seq;
+    uint64_t heard;
+    unsigned slots;
+    bool is_known; /* lives, as far as this node knows */
+    bool is_draining;
+    JdTargetGone gone[JD_TARGET_GONE_MAX];
+    unsigned next_gone;
+} JdTarget;
+
+JdBeat JdTarget_Heartbeat(JdTarget *tg, const JdHeartbeat *hb, uint64_t now);
+bool JdTarget_Leave(JdTarget *tg, const char *id, uint64_t started);
+void JdTarget_Lost(JdTarget *tg);
+
 /* ---- choice.c: which target takes a request ---------------------------- */
 
 /* What this node has seen of one target. */
 typedef struct JdTargetStat {
     uint64_t incarnation;
+    uint64_t target_started;
     uint64_t warm_from; /* start of the slow start */
     uint64_t ejected_until;
     uint64_t progress_at; /* last answer, or first send after idleness */
@@ -197,8 +246,14 @@
     JD_TIER_MAX
 } JdTier;
 
+/* Members that are not to be chosen again for a request. */
+typedef struct JdAvoid {
+    char (*id)[JD_NAME_MAX];
+    unsigned count;
+} JdAvoid;
+
 JdMember *JdChooser_Pick(const JdChooser *ch, const char *endpoint_set,
-                         const char *avoid, JdTier *tier);
+                         const JdAvoid *avoid, JdTier *tier);
 void JdChooser_Sent(const JdChooser *ch, JdMember *mb);
 void JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
                         unsigned load);
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -38,7 +38,8 @@
     char service[JD_NAME_MAX];
     char endpoint_set[JD_NAME_MAX];
     unsigned slots;
-    uint64_t changed; /* time of the last change */
+    uint64_t target_started; /* ms since 1970, 0: unknown */
+    uint64_t changed;        /* time of the last change */
     bool is_news;
     uint64_t source; /* number of the link it came over, 0: none */
     bool is_suspect;
@@ -123,6 +124,7 @@
     char service[JD_NAME_MAX];
     char endpoint_set[JD_NAME_MAX];
     unsigned slots;
+    uint64_t target_started; /* ms since 1970, 0: unknown */
 } JdTreeIdentity;
 
 /* A peer is a connection of the embedding program, named by its pointer. */
@@ -265,6 +267,8 @@
 void JdTree_Finish(JdTree *tr);
 void JdTree_Start(JdTree *tr);
 void JdTree_Leave(JdTree *tr);
+void JdTree_SetTarget(JdTree *tr, uint64_t started, unsigned slots,
+                      JdMemberState state);
 void JdTree_SetState(JdTree *tr, JdMemberState state);
 void JdTree_Connected(JdTree *tr, void *peer);
 void JdTree_Closed(JdTree *tr, void *peer);
--- a/lib/config/doc.c
+++ b/lib/config/doc.c
@@ -15,6 +15,8 @@
 
 /* Longest name of a service, endpoint set or policy, in bytes. */
 #define NAME_LIMIT 64
+/* Largest weight of an endpoint set in a split. */
+#define WEIGHT_LIMIT 1000000
 
 typedef struct Field {
     JdTable table;
@@ -30,6 +32,7 @@
 static const Field fields[] = {
     {JD_TABLE_SERVICES, "policy", JSON_STRING, false, 0, 0, JD_TABLE_POLICIES},
     {JD_TABLE_SERVICES, "note", JSON_STRING, false, 0, 0, -1},
+    {JD_TABLE_SERVICES, "connections", JSON_INTEGER, false, 1, 1000000, -1},
     {JD_TABLE_ENDPOINT_SETS, "service", JSON_STRING, true, 0, 0,
      JD_TABLE_SERVICES},
     {JD_TABLE_ENDPOINT_SETS, "note", JSON_STRING, false, 0, 0, -1},
@@ -37,8 +40,12 @@
     {JD_TABLE_ROUTES, "endpoint_set", JSON_STRING, true, 0, 0,
      JD_TABLE_ENDPOINT_SETS},
     {JD_TABLE_ROUTES, "policy", JSON_STRING, false, 0, 0, JD_TABLE_POLICIES},
+    /* Weights by endpoint set; they go before the route's own set. */
+    {JD_TABLE_ROUTES, "split", JSON_OBJECT, false, 0, 0, -1},
     {JD_TABLE_POLICIES, "priority", JSON_INTEGER, false, 0, 3, -1},
     {JD_TABLE_POLICIES, "deadline_ms", JSON_INTEGER, false, 1, 600000, -1},
+    {JD_TABLE_POLICIES, "latency_ms", JSON_INTEGER, false, 1, 600000, -1},
+    {JD_TABLE_POLICIES, "attempts", JSON_INTEGER, false, 1, 100, -1},
     {JD_TABLE_POLICIES, "retry_percent", JSON_INTEGER, false, 0, 100, -1},
     {JD_TABLE_POLICIES, "idempotent", JSON_TRUE, false, 0, 0, -1},
     {JD_TABLE_POLICIES, "once", JSON_TRUE, false, 0, 0, -1},
@@ -170,14 +177,24 @@
         "", "line %d column %d: %s", je.line, je.column, je.text);
 }
 
+/* A route is named by its path prefix, with its host in front if it has one.
+ */
+static bool
+is_route_name_valid(const char *name, size_t n)
+{
+    size_t host = strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789.-");
+
+    return n <= _JD_PREFIX_LIMIT && name[host] == '/' &&
+           strpbrk(name, " ?#\"\\") == NULL;
+}
+
 static bool
 is_name_valid(JdTable table, const char *name)
 {
     size_t n = strlen(name);
 
     if (table == JD_TABLE_ROUTES) {
-        return n <= _JD_PREFIX_LIMIT && name[0] == '/' &&
-               strpbrk(name, " ?#\"\\") == NULL;
+        return is_route_name_valid(name, n);
     }
     if (n == 0 || n > NAME_LIMIT || !isalnum((unsigned char)name[0])) {
         return false;
@@ -194,6 +211,35 @@
     return json_typeof(val) == f->type;
 }
 
+/* Checks the weights of a split. */
+static JdStatus
+check_split(const char *name, const json_t *split, JdError *err)
+{
+    json_int_t sum = 0;
+    const char *set;
+    json_t *v;
+
+    json_object_foreach((json_t *)split, set, v)
+    {
+        json_int_t weight = json_integer_value(v);
+
+        if (!json_is_integer(v)) {
+            return fail(err, JD_ERR_TYPE, JD_TABLE_ROUTES, name, "split",
+                        "a weight is not a whole number");
+        }
+        if (weight < 0 || weight > WEIGHT_LIMIT) {
+            return fail(err, JD_ERR_RANGE, JD_TABLE_ROUTES, name, "split",
+                        "weight outside its limits");
+        }
+        sum += weight;
+    }
+    if (sum == 0) {
+        return fail(err, JD_ERR_RANGE, JD_TABLE_ROUTES, name, "split",
+                    "no part has a weight");
+    }
+    return JD_OK;
+}
+
 /* Checks one field of an entry, its reference aside. */
 static JdStatus
 check_field(JdTable table, const char *name, const char *field,
@@ -214,7 +260,7 @@
         return fail(err, JD_ERR_RANGE, table, name, field,
                     "number outside its limits");
     }
-    return JD_OK;
+    return f->type == JSON_OBJECT ? check_split(name, val, err) : JD_OK;
 }
 
 static JdStatus
@@ -407,11 +453,21 @@
 {
     const json_t *set = json_object_get(cfg->table[JD_TABLE_ENDPOINT_SETS],
                                         text_of(entry, "endpoint_set"));
+    const char *part;
+    json_t *v;
 
     if (strcmp(text_of(set, "service"), text_of(entry, "service")) != 0) {
         return fail(err, JD_ERR_MISMATCH, JD_TABLE_ROUTES, name,
                     "endpoint_set", "belongs to another service");
     }
+    json_object_foreach(json_object_get(entry, "split"), part, v)
+    {
+        if (json_object_get(cfg->table[JD_TABLE_ENDPOINT_SETS], part) ==
+            NULL) {
+            return fail(err, JD_ERR_DANGLING, JD_TABLE_ROUTES, name, "split",
+                        "refers to an entry that does not exist");
+        }
+    }
     return JD_OK;
 }
 
@@ -467,6 +523,80 @@
     return s;
 }
 
+/* Adds what turns one entry into another to a patch of a table. */
+static void
+diff_entry(json_t *tab, const char *name, const json_t *old, json_t *val)
+{
+    json_t *change = json_object();
+    const char *field;
+    json_t *v;
+
+    json_object_foreach((json_t *)old, field, v)
+    {
+        if (json_object_get(val, field) == NULL) {
+            json_object_set_new(change, field, json_null());
+        }
+    }
+    json_object_foreach(val, field, v)
+    {
+        const json_t *before = json_object_get(old, field);
+
+        if (before == NULL || !json_equal(before, v)) {
+            json_object_set(change, field, v);
+        }
+    }
+    if (old != NULL && json_object_size(change) == 0) {
+        json_decref(change);
+        return;
+    }
+    json_object_set_new(tab, name, change);
+}
+
+static json_t *
+diff_table(const json_t *old, json_t *tab)
+{
+    json_t *out = json_object();
+    const char *name;
+    json_t *v;
+
+    json_object_foreach((json_t *)old, name, v)
+    {
+        if (json_object_get(tab, name) == NULL) {
+            json_object_set_new(out, name, json_null());
+        }
+    }
+    json_object_foreach(tab, name, v)
+    {
+        diff_entry(out, name, json_object_get(old, name), v);
+    }
+    return out;
+}
+
+/*
+ * Returns the patch that turns a version into a whole document, a new
+ * reference.  Tables that the document lacks become empty.
+ */
+json_t *
+JdPatch_Diff(const JdConfig *old, const json_t *doc)
+{
+    json_t *patch = json_object();
+
+    for (int t = 0; t < JD_TABLE_MAX; t++) {
+        json_t *tab = json_object_get(doc, table_names[t]);
+        json_t *empty = tab == NULL ? json_object() : NULL;
+        json_t *change = diff_table(old->table[t], tab == NULL ? empty : tab);
+
+        if (json_object_size(change) > 0) {
+            json_object_set_new(patch, table_names[t], change);
+        }
+        else {
+            json_decref(change);
+        }
+        json_decref(empty);
+    }
+    return patch;
+}
+
 /*
  * Composes two patches into one with the same effect, a new reference.
  * Returns false where none exists: an entry that `first` deletes and `second`
--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -207,6 +207,44 @@
     return JD_OK;
 }
 
+/*
+ * Puts a whole document in force as a version of its author's numbering, all
+ * of it or nothing.  Fails with JD_ERR_OLDER or a fault of the document; the
+ * version in force stays as it was.
+ */
+JdStatus
+JdStore_Install(JdStore *st, const json_t *doc, uint64_t version, JdError *err)
+{
+    uint64_t from = st->config->version;
+    JdConfig *cfg;
+    json_t *patch;
+    JdStatus s;
+
+    if (version <= from) {
+        st->counters->value[JD_C_OLDER_DROPPED]++;
+        return JdError_Set(err, JD_ERR_OLDER, "", "version %" G_GUINT64_FORMAT,
+                           version);
+    }
+    s = JdConfig_CheckPatch(doc, err);
+    if (s != JD_OK) {
+        return s;
+    }
+    patch = JdPatch_Diff(st->config, doc);
+    s = JdConfig_Apply(st->config, patch, version, &cfg, err);
+    if (s == JD_OK) {
+        s = JdConfig_Validate(cfg, st->rules, err);
+        if (s == JD_OK) {
+            put_in_force(st, cfg);
+            add_step(st, from, patch);
+        }
+        else {
+            JdConfig_Unref(cfg);
+        }
+    }
+    json_decref(patch);
+    return s;
+}
+
 /* Finds the step that starts at a version; returns -1 when there is none. */
 static int
 find_step(const JdStore *st, uint64_t from)
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -10,6 +10,9 @@
 
 /* Samples over which the moving average runs. */
 #define AVERAGE_OF 8
+/* Bounds on the wait that refused work is told. */
+#define RETRY_LEAST (50 * JD_US_PER_MS)
+#define RETRY_MOST (2000 * JD_US_PER_MS)
 
 static void on_expire(void *ctx);
 
@@ -239,6 +242,29 @@
     }
 }
 
+/* Sets the number of slots; work that runs above it goes on. */
+void
+JdAdmit_SetSlots(JdAdmit *ad, unsigned slots)
+{
+    if (slots == 0 || slots == ad->slots) {
+        return;
+    }
+    ad->slots = slots;
+    start_queued(ad);
+}
+
+/* Returns the us after which work that is refused now would find a slot. */
+uint64_t
+JdAdmit_RetryAfter(const JdAdmit *ad)
+{
+    uint64_t wait = ad->service_time * (ad->queued + 1) / ad->slots;
+
+    if (wait < RETRY_LEAST) {
+        return RETRY_LEAST;
+    }
+    return wait < RETRY_MOST ? wait : RETRY_MOST;
+}
+
 /* Refuses new work from now on; what is queued or runs goes on. */
 void
 JdAdmit_Close(JdAdmit *ad)
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -37,9 +37,11 @@
         ts = g_new0(JdTargetStat, 1);
         mb->user = ts;
     }
-    if (ts->incarnation != mb->incarnation) {
+    if (ts->incarnation != mb->incarnation ||
+        ts->target_started != mb->target_started) {
         memset(ts, 0, sizeof(*ts));
         ts->incarnation = mb->incarnation;
+        ts->target_started = mb->target_started;
         ts->warm_from = JdClock_Now(ch->clock);
     }
     return ts;
@@ -136,8 +138,19 @@
     }
 }
 
+static bool
+is_avoided(const JdAvoid *avoid, const JdMember *mb)
+{
+    for (unsigned i = 0; avoid != NULL && i < avoid->count; i++) {
+        if (strcmp(avoid->id[i], mb->id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
-collect(const JdChooser *ch, const JdMemberSet *set, const char *avoid,
+collect(const JdChooser *ch, const JdMemberSet *set, const JdAvoid *avoid,
         Strictness strict, Candidates *out)
 {
     JdMember *mb;
@@ -149,7 +162,7 @@
         JdTier t = tier_of(ch, mb);
 
         if (!is_usable(ch, mb, strict) || out->count[t] == CANDIDATES_MOST ||
-            (avoid != NULL && strcmp(mb->id, avoid) == 0)) {
+            is_avoided(avoid, mb)) {
             continue;
         }
         out->list[t][out->count[t]++] = mb;
@@ -208,12 +221,12 @@
 }
 
 /*
- * Picks a target of an endpoint set, or NULL when none is known.  `avoid` is
- * the id of a member that just failed, or NULL.
+ * Picks a target of an endpoint set, or NULL when none is known.  `avoid`
+ * names the members that were tried, or is NULL.
  */
 JdMember *
 JdChooser_Pick(const JdChooser *ch, const char *endpoint_set,
-               const char *avoid, JdTier *tier)
+               const JdAvoid *avoid, JdTier *tier)
 {
     const JdMemberSet *set = JdMembers_Set(ch->members, endpoint_set);
     static Candidates c;
--- a/lib/request/route.c
+++ b/lib/request/route.c
@@ -1,12 +1,15 @@
-/* Routes: what the document says of a request's path. */
+/* Routes: what the document says of a request's host and path. */
 #include <string.h>
 
+#include <glib.h>
+
 #include "libjd.h"
 
 /* Defaults of a policy and of a route without one. */
 #define DEFAULT_DEADLINE_MS 5000
 #define DEFAULT_RETRY_PERCENT 10
 #define DEFAULT_PRIORITY 2
+#define DEFAULT_ATTEMPTS 3
 
 static const char *
 text_of(const json_t *entry, const char *field)
@@ -40,44 +43,120 @@
     out->deadline =
         (uint64_t)number_of(pol, "deadline_ms", DEFAULT_DEADLINE_MS) *
         JD_US_PER_MS;
+    out->latency =
+        (uint64_t)number_of(pol, "latency_ms",
+                            (json_int_t)(out->deadline / JD_US_PER_MS)) *
+        JD_US_PER_MS;
+    out->attempts = (unsigned)number_of(pol, "attempts", DEFAULT_ATTEMPTS);
     out->retry_percent =
         (unsigned)number_of(pol, "retry_percent", DEFAULT_RETRY_PERCENT);
     out->idempotent = json_is_true(json_object_get(pol, "idempotent"));
     out->once = json_is_true(json_object_get(pol, "once"));
 }
 
-/*
- * Finds the route with the longest prefix of a path that ends at a segment.
- * The strings in `out` live as long as the configuration.
- */
-bool
-JdConfig_Route(const JdConfig *cfg, const char *path, size_t len, JdRoute *out)
+/* Finds the longest prefix of the key's path; `base` is the host's length. */
+static const json_t *
+find_prefix(const json_t *routes, char *key, size_t base, size_t n,
+            const char **prefix)
 {
-    char key[_JD_PREFIX_LIMIT + 1];
-    size_t n = len < _JD_PREFIX_LIMIT ? len : _JD_PREFIX_LIMIT;
-    const char *query = memchr(path, '?', n);
-
-    if (query != NULL) {
-        n = (size_t)(query - path);
-    }
-    memcpy(key, path, n);
-    while (n > 0) {
-        const json_t *route;
+    while (n > base) {
+        json_t *route;
+        char last = key[n];
 
         key[n] = '\0';
-        route = json_object_get(cfg->table[JD_TABLE_ROUTES], key);
+        route = json_object_get(routes, key);
         if (route != NULL) {
-            out->prefix = json_object_iter_key(
-                json_object_iter_at(cfg->table[JD_TABLE_ROUTES], key));
-            fill_route(cfg, route, out);
-            return true;
+            *prefix = json_object_iter_key(
+                json_object_iter_at((json_t *)routes, key));
+            return route;
         }
-        if (n == 1) {
-            break;
-        }
-        do {
+        key[n] = last;
+        n--;
+        /* Prefixes end at a segment, with or without its slash. */
+        while (n > base && key[n - 1] != '/' && key[n] != '/') {
             n--;
-        } while (n > 1 && key[n] != '/');
+        }
+    }
+    return NULL;
+}
+
+/* Chooses a part of a split by a random number; weights are shares of it. */
+static void
+choose_part(const JdConfig *cfg, const json_t *split, uint64_t draw,
+            JdRoute *out)
+{
+    uint64_t sum = 0;
+    const char *set;
+    json_t *v;
+
+    json_object_foreach((json_t *)split, set, v)
+    {
+        sum += (uint64_t)json_integer_value(v);
+    }
+    draw %= sum;
+    json_object_foreach((json_t *)split, set, v)
+    {
+        uint64_t weight = (uint64_t)json_integer_value(v);
+
+        if (draw < weight) {
+            const json_t *sets = cfg->table[JD_TABLE_ENDPOINT_SETS];
+
+            out->endpoint_set = set;
+            out->service = text_of(json_object_get(sets, set), "service");
+            return;
+        }
+        draw -= weight;
+    }
+}
+
+static size_t
+copy_host(char *key, const char *host, size_t n)
+{
+    const char *colon = memchr(host, ':', n);
+    size_t len = colon == NULL ? n : (size_t)(colon - host);
+
+    for (size_t i = 0; i < len; i++) {
+        key[i] = g_ascii_tolower(host[i]);
+    }
+    return len;
+}
+
+/*
+ * Finds the route of a host and path: the longest prefix among the routes of
+ * the host, or among those without a host when it has none.  `draw` is a
+ * random number that chooses between the parts of a split.  The strings in
+ * `out` live as long as the configuration.
+ */
+bool
+JdConfig_Route(const JdConfig *cfg, const JdRouteKey *rk, uint64_t draw,
+               JdRoute *out)
+{
+    const json_t *routes = cfg->table[JD_TABLE_ROUTES];
+    const json_t *split, *route = NULL;
+    const char *query = memchr(rk->path, '?', rk->path_len);
+    size_t len = query == NULL ? rk->path_len : (size_t)(query - rk->path);
+    char key[_JD_PREFIX_LIMIT * 2 + 1];
+    size_t host = 0;
+
+    len = len < _JD_PREFIX_LIMIT ? len : _JD_PREFIX_LIMIT;
+    if (rk->host_len > 0 && rk->host_len < _JD_PREFIX_LIMIT) {
+        host = copy_host(key, rk->host, rk->host_len);
+        memcpy(key + host, rk->path, len);
+        key[host + len] = '\0';
+        route = find_prefix(routes, key, host, host + len, &out->prefix);
+    }
+    if (route == NULL) {
+        memcpy(key, rk->path, len);
+        key[len] = '\0';
+        route = find_prefix(routes, key, 0, len, &out->prefix);
+    }
+    if (route == NULL) {
+        return false;
+    }
+    fill_route(cfg, route, out);
+    split = json_object_get(route, "split");
+    if (split != NULL) {
+        choose_part(cfg, split, draw, out);
     }
-    return false;
+    return true;
 }
--- /dev/null
+++ b/lib/request/target.c
@@ -0,0 +1,96 @@
+/*
+ * The target beside a node, as it describes itself.  A process of a target is
+ * known by its id and its start; its sequence orders what it says.  Leaving is
+ * final for a process, and a late word of an ended one changes nothing.
+ */
+#include <string.h>
+
+#include "libjd.h"
+
+static bool
+has_left(const JdTarget *tg, const char *id, uint64_t started)
+{
+    for (unsigned i = 0; i < JD_TARGET_GONE_MAX; i++) {
+        const JdTargetGone *gone = &tg->gone[i];
+
+        if (strcmp(gone->id, id) == 0 &&
+            (gone->started == 0 || started <= gone->started)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_current(const JdTarget *tg, const JdHeartbeat *hb)
+{
+    return strcmp(tg->id, hb->id) == 0 && tg->started == hb->started;
+}
+
+static void
+begin_process(JdTarget *tg, const JdHeartbeat *hb)
+{
+    _Jd_CopyText(tg->id, sizeof(tg->id), hb->id);
+    tg->started = hb->started;
+    tg->seq = 0;
+    tg->is_draining = false;
+}
+
+/* Takes a heartbeat.  Only JD_BEAT_NEWS and JD_BEAT_SAME changed anything. */
+JdBeat
+JdTarget_Heartbeat(JdTarget *tg, const JdHeartbeat *hb, uint64_t now)
+{
+    bool was_known = tg->is_known;
+    bool was_draining = tg->is_draining;
+
+    if (has_left(tg, hb->id, hb->started)) {
+        return JD_BEAT_OLD;
+    }
+    if (tg->id[0] != '\0' && hb->started < tg->started) {
+        return JD_BEAT_OLD;
+    }
+    if (!is_current(tg, hb)) {
+        begin_process(tg, hb);
+        was_known = false;
+    }
+    else if (hb->seq <= tg->seq) {
+        return JD_BEAT_OLD;
+    }
+    tg->is_known = true;
+    tg->seq = hb->seq;
+    tg->heard = now;
+    tg->slots = hb->slots;
+    /* A process that began to drain does not go back. */
+    tg->is_draining = tg->is_draining || hb->is_draining;
+    return was_known && was_draining == tg->is_draining ? JD_BEAT_SAME
+                                                        : JD_BEAT_NEWS;
+}
+
+/*
+ * The target says that a process leaves; `started` is 0 when it does not tell.
+ * Returns whether it is the one that this node sends to.
+ */
+bool
+JdTarget_Leave(JdTarget *tg, const char *id, uint64_t started)
+{
+    JdTargetGone *gone = &tg->gone[tg->next_gone++ % JD_TARGET_GONE_MAX];
+    bool is_own =
+        strcmp(tg->id, id) == 0 && (started == 0 || started >= tg->started);
+
+    _Jd_CopyText(gone->id, sizeof(gone->id), id);
+    gone->started = started;
+    if (is_own && started == 0) {
+        gone->started = tg->started;
+    }
+    if (is_own) {
+        tg->is_known = false;
+    }
+    return is_own;
+}
+
+/* The target does not accept connections: it is unknown until it is heard. */
+void
+JdTarget_Lost(JdTarget *tg)
+{
+    tg->is_known = false;
+}
--- a/lib/tree/member.c
+++ b/lib/tree/member.c
@@ -207,6 +207,7 @@
     _Jd_CopyText(mb->endpoint_set, sizeof(mb->endpoint_set),
                  msg->endpoint_set);
     mb->slots = msg->slots;
+    mb->target_started = msg->target_started;
     end_change(ms, mb, source);
     clear_suspect(ms, mb);
     return mb;
@@ -230,6 +231,7 @@
     msg->service = (char *)mb->service;
     msg->endpoint_set = (char *)mb->endpoint_set;
     msg->slots = mb->slots;
+    msg->target_started = mb->target_started;
 }
 
 /* Marks a member as lost after `grace` us, unless newer word of it comes. */
--- a/lib/tree/news.c
+++ b/lib/tree/news.c
@@ -49,6 +49,7 @@
     msg.service = tr->self.service;
     msg.endpoint_set = tr->self.endpoint_set;
     msg.slots = tr->self.slots;
+    msg.target_started = tr->self.target_started;
     JdMembers_Update(&tr->members, &msg, 0);
     arm_news(tr);
 }
@@ -196,6 +197,23 @@
     _JdTree_CheckReading(tr);
 }
 
+/* Sets what the target beside this node is and announces a change. */
+void
+JdTree_SetTarget(JdTree *tr, uint64_t started, unsigned slots,
+                 JdMemberState state)
+{
+    bool is_same = tr->self.target_started == started &&
+                   tr->self.slots == slots && tr->state == state;
+
+    if (is_same || tr->is_leaving) {
+        return;
+    }
+    tr->self.target_started = started;
+    tr->self.slots = slots;
+    tr->state = state;
+    _JdTree_AnnounceSelf(tr);
+}
+
 /* Sets the state of the target beside this node and announces a change. */
 void
 JdTree_SetState(JdTree *tr, JdMemberState state)
--- a/load/experiment.c
+++ b/load/experiment.c
@@ -143,6 +143,8 @@
 static void
 send_one(Stream *st, uint64_t intended)
 {
+    JdHttpRequest rq = {
+        .method = st->method, .path = st->path, .timeout = st->timeout};
     Shot *shot = g_new0(Shot, 1);
     char id[ID_MAX];
     char *headers;
@@ -156,8 +158,8 @@
                         st->needs_key ? "idempotency-key: " : "",
                         st->needs_key ? id : "", st->needs_key ? "\r\n" : "");
     ex.open++;
-    JdHttpc_Send(&st->http[st->sent % st->addresses], st->method, st->path,
-                 headers, NULL, 0, st->timeout, on_answer, shot);
+    rq.headers = headers;
+    JdHttpc_Send(&st->http[st->sent % st->addresses], &rq, on_answer, shot);
     st->sent++;
     g_free(headers);
 }
--- a/load/spread.c
+++ b/load/spread.c
@@ -64,8 +64,7 @@
     if (JdHttpc_Init(&http, &sp->ctl.loop, address, 1, NULL) != JD_OK) {
         return NULL;
     }
-    JdHttpc_Send(&http, "GET", path, NULL, NULL, 0, ANSWER_TIME, on_answer,
-                 sp);
+    JdHttpc_Get(&http, path, ANSWER_TIME, on_answer, sp);
     Ctl_RunFor(&sp->ctl, ANSWER_TIME * 2);
     JdHttpc_Finish(&http);
     return sp->text;
--- a/log/follow.c
+++ b/log/follow.c
@@ -62,8 +62,8 @@
 static const JdReaderOps reader_ops = {on_read, on_decided, on_caught_up};
 
 /* Starts or stops this node's reader. */
-void
-JdFollow_ReadLog(void *ctx, bool on)
+static void
+read_log(void *ctx, bool on)
 {
     JdNode *nd = ctx;
 
@@ -90,8 +90,8 @@
 }
 
 /* Reads the end of the directory stream for the tree. */
-void
-JdFollow_ReadDirectory(void *ctx)
+static void
+read_directory(void *ctx)
 {
     JdNode *nd = ctx;
 
@@ -115,8 +115,8 @@
 }
 
 /* Appends this node to the directory as a head. */
-void
-JdFollow_Announce(void *ctx)
+static void
+announce(void *ctx)
 {
     JdNode *nd = ctx;
     char *text = JdTree_DirectoryRecord(&nd->tree);
@@ -171,13 +171,6 @@
     free(text);
 }
 
-/* A version came into force here. */
-void
-JdFollow_Changed(JdNode *nd)
-{
-    maybe_checkpoint(nd);
-}
-
 /* Baseline for measurements: this node polls the log by itself. */
 static void
 on_poll(void *ctx)
@@ -189,14 +182,32 @@
     JdReader_Start(&nd->reader);
 }
 
-/* Initializes the log's side of a node. */
-void
-JdFollow_Init(JdNode *nd)
+/* Starts the baseline's polls instead of the tree, or the tree. */
+static JdStatus
+init(JdNode *nd, JdError *err)
 {
+    char address[JD_ADDRESS_MAX];
+    JdStatus s;
+
+    JdTranslate(nd->settings.translate, nd->settings.log_address, address,
+                sizeof(address));
+    s = JdLog_Init(&nd->log, &nd->loop, address, &nd->counters, err);
+    if (s != JD_OK) {
+        return s;
+    }
     JdReader_Init(&nd->reader, &nd->store, &nd->loop.clock, &reader_ops, nd);
     JdTimer_Init(&nd->poll, on_poll, nd);
     nd->checkpoint_at = JdClock_Now(&nd->loop.clock);
     if (nd->settings.poll_ms != 0) {
         JdTimer_Arm(&nd->loop.clock, &nd->poll, 0);
     }
+    return JD_OK;
 }
+
+const JdSource JdSource_Log = {
+    .init = init,
+    .read_directory = read_directory,
+    .announce = announce,
+    .read_log = read_log,
+    .changed = maybe_checkpoint,
+};
--- a/log/log.c
+++ b/log/log.c
@@ -126,8 +126,7 @@
                                  "&most=%u&wait_ms=%" G_GUINT64_FORMAT,
                                  rd->stream, from, most, wait / JD_US_PER_MS);
 
-    JdHttpc_Send(&rd->log->http, "GET", path, NULL, NULL, 0,
-                 rd->log->timeout + wait, done, rd);
+    JdHttpc_Get(&rd->log->http, path, rd->log->timeout + wait, done, rd);
     g_free(path);
 }
 
@@ -223,11 +222,15 @@
 {
     char *path = g_strdup_printf("/streams/%s/records", stream);
     Append *ap = g_new0(Append, 1);
+    JdHttpRequest rq = {.method = "POST",
+                        .body = text,
+                        .len = strlen(text),
+                        .timeout = lg->timeout};
 
     ap->done = done;
     ap->ctx = ctx;
     lg->counters->value[JD_C_LOG_APPENDS]++;
-    JdHttpc_Send(&lg->http, "POST", path, NULL, text, strlen(text),
-                 lg->timeout, on_append, ap);
+    rq.path = path;
+    JdHttpc_Send(&lg->http, &rq, on_append, ap);
     g_free(path);
 }
--- a/node/drain.c
+++ b/node/drain.c
@@ -1,6 +1,7 @@
 /*
  * Planned stops.  A leaving node announces it, takes what still arrives for a
- * short time, then refuses new work as not run, finishes what runs and exits.
+ * short time, new connections too, since callers learn of it late; then it
+ * refuses new work as not run, finishes what runs and exits.
  */
 #include "node.h"
 
@@ -37,6 +38,7 @@
 
     if (now >= nd->linger_until) {
         JdAdmit_Close(&nd->admit);
+        JdHttpd_StopAccepting(&nd->caller);
     }
     if (now >= nd->drain_until) {
         if (!is_idle) {
@@ -73,7 +75,7 @@
     JdLogging_Event(JD_EVENT_DRAINING, "calls=%u running=%u", nd->call_count,
                     nd->admit.running);
     JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
-    JdHttpd_StopAccepting(&nd->caller);
+    JdHttpd_EndConnections(&nd->caller);
     nd->linger_until = now + nd->settings.linger_ms * JD_US_PER_MS;
     nd->drain_until = now + nd->settings.drain_ms * JD_US_PER_MS;
     JdTimer_Init(&nd->drain, look, nd);
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "../platform/platform.h"
 #include "node.h"
 
 #define NAME "jacinthd"
@@ -9,6 +10,7 @@
 #define FAULTS_MOST 32
 
 static JdNode node;
+static JdPlatform platform;
 
 static int
 list_faults(const char *file, const JdError *errs, unsigned n)
@@ -24,16 +26,15 @@
 static JdStatus
 start(JdNode *nd, JdError *err)
 {
-    char log[JD_ADDRESS_MAX];
     JdStatus s;
 
-    JdStore_Init(&nd->store, &nd->counters);
-    JdTranslate(nd->settings.translate, nd->settings.log_address, log,
-                sizeof(log));
-    s = JdLog_Init(&nd->log, &nd->loop, log, &nd->counters, err);
-    if (s == JD_OK) {
-        s = JdLink_Init(nd, err);
+    nd->source = &JdSource_Log;
+    nd->dialect = &JdDialect_Own;
+    if (nd->settings.platform.store_address[0] != '\0') {
+        JdPlatform_Attach(&platform, nd);
     }
+    JdStore_Init(&nd->store, &nd->counters);
+    s = JdLink_Init(nd, err);
     if (s == JD_OK) {
         s = JdWorker_Init(nd, err);
     }
@@ -44,10 +45,12 @@
     if (s == JD_OK) {
         s = JdAdmin_Init(nd, err);
     }
+    if (s == JD_OK) {
+        s = nd->source->init(nd, err);
+    }
     if (s != JD_OK) {
         return s;
     }
-    JdFollow_Init(nd);
     if (nd->settings.poll_ms == 0) {
         JdTree_Start(&nd->tree);
     }
--- a/node/node.h
+++ b/node/node.h
@@ -6,10 +6,22 @@
 
 #include "../base/base.h"
 #include "../peer/conn.h"
+#include "dialect.h"
+#include "source.h"
 #include "../log/log.h"
 
 #define JD_TRANSLATE_MAX 512
 
+#define JD_BOUNDS_MAX 1024
+
+/* How a node reaches the platform that an adapter speaks to. */
+typedef struct JdPlatformSettings {
+    char store_address[JD_ADDRESS_MAX]; /* empty: no platform */
+    char ready_address[JD_ADDRESS_MAX];
+    char control_address[JD_ADDRESS_MAX];
+    char bounds[JD_BOUNDS_MAX]; /* in the platform's words */
+} JdPlatformSettings;
+
 /* Checked settings of a node. */
 typedef struct JdSettings {
     char node[JD_NAME_MAX];
@@ -38,6 +50,7 @@
     uint64_t hold_s;
     uint64_t retention_s;
     uint64_t claim_gap_ms;
+    JdPlatformSettings platform;
 } JdSettings;
 
 unsigned JdSettings_Load(const char *file, JdSettings *out, JdError *errs,
@@ -59,6 +72,9 @@
 typedef struct JdNode {
     JdLoop loop;
     JdSettings settings;
+    const JdDialect *dialect;
+    const JdSource *source;
+    void *adapter; /* state of an adapter, or NULL */
     JdCounters counters;
     JdStore store;
     JdTree tree;
@@ -78,6 +94,8 @@
 
     /* targets/worker.c */
     bool has_target;
+    bool announces; /* the target announces itself; it is not probed */
+    JdTarget life;  /* what the target says of itself, if it does */
     JdHttpc target;
     JdAdmit admit;
     TAILQ_HEAD(JdItemHead, JdItem) items;
@@ -102,23 +120,24 @@
     uint64_t linger_until;
 } JdNode;
 
-/* log/follow.c: the log's side of a node */
-void JdFollow_Init(JdNode *nd);
-void JdFollow_ReadLog(void *ctx, bool on);
-void JdFollow_ReadDirectory(void *ctx);
-void JdFollow_Announce(void *ctx);
-void JdFollow_Changed(JdNode *nd);
+/* log/follow.c: versions from the log of patches */
+extern const JdSource JdSource_Log;
 
 /* peer/link.c: the tree's connections */
 JdStatus JdLink_Init(JdNode *nd, JdError *err);
 
+/* caller/intake.c: requests of callers */
+void JdIntake_Start(JdNode *nd, h2o_req_t *req);
+
 /* peer/forward.c: requests to the target's node, and their answers */
 void JdForward_Init(JdNode *nd);
-void JdIntake_Start(JdNode *nd, h2o_req_t *req);
 void JdForward_Respond(JdNode *nd, const Jd__Response *msg);
 
 /* targets/worker.c: work for the target beside this node */
 JdStatus JdWorker_Init(JdNode *nd, JdError *err);
+void JdWorker_OnReady(JdNode *nd);
+void JdWorker_Heartbeat(JdNode *nd, const JdHeartbeat *hb);
+void JdWorker_TargetLeaves(JdNode *nd, const char *id, uint64_t started);
 void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
 void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdWorker_ConnClosed(JdNode *nd, const JdConn *origin);
--- a/node/settings.c
+++ b/node/settings.c
@@ -5,20 +5,22 @@
 
 #include "node.h"
 
+#define AT(field) offsetof(JdSettings, field)
+#define SIZE(field) sizeof(((JdSettings *)0)->field)
 #define TEXT(path, req, field)                                                \
     {                                                                         \
-        path, JD_SETTING_TEXT, req, offsetof(JdSettings, field),              \
-            sizeof(((JdSettings *)0)->field), 0, 0                            \
+        path, JD_SETTING_TEXT, req, AT(field), SIZE(field), 0, 0, NULL, NULL  \
     }
 #define ADDRESS(path, req, field)                                             \
     {                                                                         \
-        path, JD_SETTING_ADDRESS, req, offsetof(JdSettings, field), 0, 0, 0   \
+        path, JD_SETTING_ADDRESS, req, AT(field), 0, 0, 0, NULL, NULL         \
     }
 #define NUMBER(path, field, least, most)                                      \
     {                                                                         \
-        path, JD_SETTING_NUMBER, false, offsetof(JdSettings, field), 0,       \
-            least, most                                                       \
+        path, JD_SETTING_NUMBER, false, AT(field), 0, least, most, NULL, NULL \
     }
+/* A platform takes the place of the log. */
+#define PLATFORM "/platform"
 
 static const JdSetting table[] = {
     TEXT("/node", true, node),
@@ -27,11 +29,19 @@
     ADDRESS("/peer", true, peer_address),
     ADDRESS("/caller", true, caller_address),
     ADDRESS("/admin", true, admin_address),
-    ADDRESS("/log/address", true, log_address),
-    TEXT("/log/region", true, log_region),
+    {"/log/address", JD_SETTING_ADDRESS, false, AT(log_address), 0, 0, 0, NULL,
+     PLATFORM},
+    {"/log/region", JD_SETTING_TEXT, false, AT(log_region), SIZE(log_region),
+     0, 0, NULL, PLATFORM},
+    {"/platform/store", JD_SETTING_ADDRESS, false, AT(platform.store_address),
+     0, 0, 0, PLATFORM, NULL},
+    {"/platform/ready", JD_SETTING_ADDRESS, false, AT(platform.ready_address),
+     0, 0, 0, PLATFORM, NULL},
+    {"/platform/control", JD_SETTING_ADDRESS, false,
+     AT(platform.control_address), 0, 0, 0, PLATFORM, NULL},
+    TEXT("/platform/bounds", false, platform.bounds),
     TEXT("/translate", false, translate),
-    {"/preset", JD_SETTING_PRESET, false, offsetof(JdSettings, preset), 0, 0,
-     0},
+    {"/preset", JD_SETTING_PRESET, false, AT(preset), 0, 0, 0, NULL, NULL},
     ADDRESS("/target/address", false, target_address),
     TEXT("/target/service", false, service),
     TEXT("/target/endpoint_set", false, endpoint_set),
--- /dev/null
+++ b/node/source.h
@@ -0,0 +1,24 @@
+/*
+ * Where a node gets versions and the directory of heads from: the log of
+ * patches, or an adapter's store of whole documents.
+ */
+#ifndef JD_SOURCE_H
+#define JD_SOURCE_H
+
+#include "../base/base.h"
+
+struct JdNode;
+
+typedef struct JdSource {
+    /* Answers requests only once there is a version, also without routes. */
+    bool needs_version;
+    JdStatus (*init)(struct JdNode *nd, JdError *err);
+    /* The tree's callbacks of the same names. */
+    void (*read_directory)(void *ctx);
+    void (*announce)(void *ctx);
+    void (*read_log)(void *ctx, bool on);
+    /* A version came into force. */
+    void (*changed)(struct JdNode *nd);
+} JdSource;
+
+#endif
--- a/operator/fleet.c
+++ b/operator/fleet.c
@@ -32,14 +32,15 @@
 static json_t *
 ask_node(Ctl *ctl, const char *address, const char *method, const char *path)
 {
+    JdHttpRequest rq = {
+        .method = method, .path = path, .timeout = ANSWER_TIME};
     Ask ask = {ctl, NULL};
     JdHttpc http;
 
     if (JdHttpc_Init(&http, &ctl->loop, address, 1, NULL) != JD_OK) {
         return NULL;
     }
-    JdHttpc_Send(&http, method, path, NULL, NULL, 0, ANSWER_TIME, on_answer,
-                 &ask);
+    JdHttpc_Send(&http, &rq, on_answer, &ask);
     Ctl_RunFor(ctl, ANSWER_TIME * 2);
     JdHttpc_Finish(&http);
     return ask.js;
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -6,17 +6,15 @@
 
 #include "forward.h"
 
-/* Tries of one request at the most. */
-#define TRIES_MOST 3
 /* Time for a try of idempotent work: a multiple of the target's usual time,
  * at least the second figure, and the third while its time is not known. */
 #define PATIENCE_TIMES 8
 #define PATIENCE_LEAST (50 * JD_US_PER_MS)
 #define PATIENCE_UNKNOWN (500 * JD_US_PER_MS)
 /* Period of the checks on calls and connections. */
-#define TEND_EVERY (250 * JD_US_PER_MS)
+#define TEND_EVERY (100 * JD_US_PER_MS)
 
-static void try_target(JdCall *call, const char *avoid);
+static void try_target(JdCall *call);
 
 /* ---- answers to callers ------------------------------------------------ */
 
@@ -39,35 +37,65 @@
     g_free(call);
 }
 
-/* Tells a caller that its request was refused or given up, and why. */
+static void
+add_retry_after(const JdNode *nd, h2o_req_t *req, unsigned ms)
+{
+    char text[16];
+
+    if (ms == 0) {
+        return;
+    }
+    if (nd->dialect->has_fractions) {
+        g_snprintf(text, sizeof(text), "%u.%03u", ms / 1000, ms % 1000);
+    }
+    else {
+        g_snprintf(text, sizeof(text), "%u", (ms + 999) / 1000);
+    }
+    JdHttpd_AddHeader(req, "retry-after", text);
+}
+
+/*
+ * Tells a caller that its request was refused or given up, and why;
+ * `retry_after` is in ms, 0 where coming back does not help.
+ */
 void
-JdForward_ReplyRefusal(JdNode *nd, h2o_req_t *req, JdReason reason)
+JdForward_ReplyRefusal(JdNode *nd, h2o_req_t *req, JdReason reason,
+                       unsigned retry_after)
 {
     const JdReasonInfo *info = JdReason_Info(reason);
-    char text[16];
 
-    g_snprintf(text, sizeof(text), "%u", info->retry_after);
-    JdHttpd_AddHeader(req, "x-outcome",
-                      info->is_not_run ? "not-run" : "unknown");
-    JdHttpd_AddHeader(req, "x-reason", info->name);
-    /* This node has tried as often as helps; a retry at every depth of a
-     * chain of calls would multiply them. */
-    JdHttpd_AddHeader(req, "x-retry", "no");
-    if (info->retry_after > 0) {
-        JdHttpd_AddHeader(req, "retry-after", text);
+    if (nd->dialect->tells_outcome) {
+        JdHttpd_AddHeader(req, "x-outcome",
+                          info->is_not_run ? "not-run" : "unknown");
+        JdHttpd_AddHeader(req, "x-reason", info->name);
+        /* This node has tried as often as helps; a retry at every depth of a
+         * chain of calls would multiply them. */
+        JdHttpd_AddHeader(req, "x-retry", "no");
     }
+    add_retry_after(nd, req, retry_after);
     JdHttpd_ReplyJson(req, info->http_status,
                       json_pack("{s:s, s:b, s:s}", "refused", info->name,
                                 "not_run", info->is_not_run, "node",
                                 nd->settings.node));
 }
 
+/*
+ * Gives the final answer.  What a target may have got cannot be called not
+ * run, whatever became of the last try.
+ */
 static void
 end_refused(JdCall *call, JdReason reason)
 {
     h2o_req_t *req = call->req;
     JdNode *nd = call->node;
+    unsigned wait = call->retry_after;
 
+    if (call->has_run && JdReason_Info(reason)->is_not_run) {
+        reason = JD_REASON_BROKEN;
+    }
+    if (wait == 0 || !JdReason_Info(reason)->is_not_run) {
+        wait = JdReason_Info(reason)->retry_after;
+    }
     /* What the target's node refused was counted there. */
     if (call->tries == 0 || reason == JD_REASON_DEADLINE ||
         reason == JD_REASON_BROKEN) {
@@ -75,7 +103,7 @@
     }
     free_call(call);
     if (req != NULL) {
-        JdForward_ReplyRefusal(nd, req, reason);
+        JdForward_ReplyRefusal(nd, req, reason, wait);
     }
 }
 
@@ -102,9 +130,11 @@
         JdHttpd_AddHeader(req, h->name, value);
         g_free(value);
     }
-    JdHttpd_AddHeader(req, "x-outcome", "ran");
-    JdHttpd_AddHeader(req, "x-config-version", version);
-    h2o_send_inline(req, (const char *)msg->body.data, msg->body.len);
+    if (nd->dialect->tells_outcome) {
+        JdHttpd_AddHeader(req, "x-outcome", "ran");
+        JdHttpd_AddHeader(req, "x-config-version", version);
+    }
+    JdHttpd_SendBody(req, (const char *)msg->body.data, msg->body.len);
 }
 
 static void
@@ -152,19 +182,21 @@
 }
 
 static bool
-may_retry(JdCall *call, JdReason reason)
+may_retry(JdCall *call, JdReason reason, bool was_sent)
 {
     const JdReasonInfo *info = JdReason_Info(reason);
     JdNode *nd = call->node;
 
-    if (!info->is_retry_useful || call->tries >= TRIES_MOST ||
-        call->req == NULL || JdClock_Now(&nd->loop.clock) >= call->deadline) {
+    if (!info->is_retry_useful || call->tries >= JD_TRIES_MAX ||
+        call->sends >= call->route.attempts || call->req == NULL ||
+        JdClock_Now(&nd->loop.clock) >= call->deadline) {
         return false;
     }
     if (!info->is_not_run && !is_idempotent(call)) {
         return false;
     }
-    if (!JdBudget_Take(budget_of(nd, call->route.service))) {
+    /* A node that refused before its target saw the request costs no work. */
+    if (was_sent && !JdBudget_Take(budget_of(nd, call->route.service))) {
         nd->counters.value[JD_C_R_BUDGET]++;
         return false;
     }
@@ -173,20 +205,37 @@
     return true;
 }
 
+static void
+note_failure(JdCall *call, const JdFailure *why)
+{
+    unsigned wait = why->retry_after;
+
+    if (why->was_sent) {
+        call->sends++;
+        call->has_run =
+            call->has_run || !JdReason_Info(why->reason)->is_not_run;
+    }
+    if (wait != 0 && (call->retry_after == 0 || wait < call->retry_after)) {
+        call->retry_after = wait;
+    }
+    g_strlcpy(call->avoid[call->tries - 1], call->target, JD_NAME_MAX);
+}
+
 /* A try failed: tries another target, or gives the final answer at once. */
 void
-JdForward_TryAgain(JdCall *call, JdReason reason, unsigned load)
+JdForward_TryAgain(JdCall *call, const JdFailure *why)
 {
-    char avoid[JD_NAME_MAX];
-
     JdLane_Leave(call);
-    JdChooser_Failed(&call->node->chooser, call->target, reason, load);
-    if (!may_retry(call, reason)) {
-        end_refused(call, reason);
+    JdTimer_Cancel(&call->node->loop.clock, &call->patience);
+    JdChooser_Failed(&call->node->chooser, call->target, why->reason,
+                     why->load);
+    note_failure(call, why);
+    call->reason = why->reason;
+    if (!may_retry(call, why->reason, why->was_sent)) {
+        end_refused(call, why->reason);
         return;
     }
-    g_strlcpy(avoid, call->target, sizeof(avoid));
-    try_target(call, avoid);
+    try_target(call);
 }
 
 static void
@@ -222,18 +271,19 @@
 static void
 on_impatience(void *ctx)
 {
+    JdFailure why = {.reason = JD_REASON_DEADLINE, .was_sent = true};
     JdCall *call = ctx;
-    char avoid[JD_NAME_MAX];
 
-    if (!may_retry(call, JD_REASON_BROKEN)) {
+    if (call->sends + 1 >= call->route.attempts ||
+        !may_retry(call, JD_REASON_BROKEN, true)) {
         return;
     }
+    note_failure(call, &why);
     send_cancel(call);
     JdLane_Leave(call);
-    JdChooser_Failed(&call->node->chooser, call->target, JD_REASON_DEADLINE,
-                     0);
-    g_strlcpy(avoid, call->target, sizeof(avoid));
-    try_target(call, avoid);
+    JdChooser_Failed(&call->node->chooser, call->target, why.reason, 0);
+    call->reason = why.reason;
+    try_target(call);
 }
 
 /* Limits a try of idempotent work to a multiple of the usual time. */
@@ -244,7 +294,7 @@
     uint64_t wait = PATIENCE_UNKNOWN;
     uint64_t left = call->deadline - call->sent_at;
 
-    if (!is_idempotent(call) || call->tries >= TRIES_MOST) {
+    if (!is_idempotent(call) || call->tries >= JD_TRIES_MAX) {
         return;
     }
     if (ts != NULL && ts->latency > 0) {
@@ -260,28 +310,43 @@
     JdTimer_Arm(&call->node->loop.clock, &call->patience, wait);
 }
 
+/* Prepares the message of one more try at a member. */
 static void
-try_target(JdCall *call, const char *avoid)
+begin_try(JdCall *call, JdMember *mb)
 {
     JdNode *nd = call->node;
     uint64_t now = JdClock_Now(&nd->loop.clock);
-    JdMember *mb = JdChooser_Pick(&nd->chooser, call->route.endpoint_set,
-                                  avoid, &call->tier);
-    JdLane *lane = NULL;
+    uint64_t wanted = call->started + call->route.latency;
 
-    if (mb == NULL) {
-        end_refused(call, JD_REASON_NO_TARGET);
-        return;
-    }
     call->tries++;
     /* An answer to an earlier try must not pass for one to this try. */
     call->id = ++nd->next_call;
     call->msg->id = call->id;
     call->sent_at = now;
-    arm_patience(call, mb);
     g_strlcpy(call->target, mb->id, sizeof(call->target));
     call->msg->left_ms = (uint32_t)((call->deadline - now) / JD_US_PER_MS);
+    call->msg->latency_ms =
+        wanted > now ? (uint32_t)((wanted - now) / JD_US_PER_MS) : 0;
     JdChooser_Sent(&nd->chooser, mb);
+}
+
+static void
+try_target(JdCall *call)
+{
+    JdFailure down = {.reason = JD_REASON_TARGET_DOWN};
+    JdNode *nd = call->node;
+    JdAvoid avoid = {call->avoid, call->tries};
+    JdMember *mb = JdChooser_Pick(&nd->chooser, call->route.endpoint_set,
+                                  &avoid, &call->tier);
+    JdLane *lane = NULL;
+
+    if (mb == NULL) {
+        end_refused(call,
+                    call->tries == 0 ? JD_REASON_NO_TARGET : call->reason);
+        return;
+    }
+    begin_try(call, mb);
+    arm_patience(call, mb);
     if (strcmp(mb->id, nd->settings.node) == 0) {
         run_here(call);
         return;
@@ -291,7 +356,7 @@
     }
     lane = JdLane_Get(nd, mb, !is_idempotent(call));
     if (lane == NULL) {
-        JdForward_TryAgain(call, JD_REASON_TARGET_DOWN, 0);
+        JdForward_TryAgain(call, &down);
         return;
     }
     send_to(call, lane);
@@ -328,12 +393,15 @@
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += msg->body.len;
     }
     if (msg->reason != JD_REASON_NONE || msg->status == 0) {
-        JdReason reason =
-            msg->reason == JD_REASON_NONE || msg->reason >= JD_REASON_MAX
-                ? JD_REASON_BROKEN
-                : (JdReason)msg->reason;
+        JdFailure why = {.reason = JD_REASON_BROKEN,
+                         .was_sent = msg->sent,
+                         .load = msg->load,
+                         .retry_after = msg->retry_after_ms};
 
-        JdForward_TryAgain(call, reason, msg->load);
+        if (msg->reason != JD_REASON_NONE && msg->reason < JD_REASON_MAX) {
+            why.reason = (JdReason)msg->reason;
+        }
+        JdForward_TryAgain(call, &why);
         return;
     }
     JdLane_Leave(call);
@@ -341,6 +409,7 @@
     end_answered(call, msg);
 }
 
+/* The time is up.  What became of the present try is not known. */
 static void
 on_deadline(void *ctx)
 {
@@ -394,27 +463,56 @@
     JdTimer_Arm(&nd->loop.clock, &call->timer, timeout);
     JdBudget_First(budget_of(nd, call->route.service),
                    call->route.retry_percent);
-    try_target(call, NULL);
+    try_target(call);
 }
 
-/* Ends one call whose caller left; ending it can end others as well. */
-static bool
-drop_one_caller(JdNode *nd)
+/* Calls whose callers are looked after in one round. */
+#define WATCH_MOST 512
+
+static JdCall *
+find_call_of(JdNode *nd, const h2o_req_t *req)
 {
     JdCall *call;
 
     TAILQ_FOREACH(call, &nd->calls, link)
     {
-        h2o_req_t *req = call->req;
+        if (call->req == req) {
+            return call;
+        }
+    }
+    return NULL;
+}
+
+/* Ends the calls whose callers left; ending one can end others as well. */
+static void
+drop_callers(JdNode *nd)
+{
+    struct pollfd pfds[WATCH_MOST];
+    h2o_req_t *reqs[WATCH_MOST];
+    nfds_t n = 0;
+    JdCall *call;
 
-        if (req != NULL && JdHttpd_HasCallerLeft(req)) {
+    TAILQ_FOREACH(call, &nd->calls, link)
+    {
+        if (n < WATCH_MOST && call->req != NULL &&
+            JdHttpd_WatchCaller(call->req, &pfds[n])) {
+            reqs[n++] = call->req;
+        }
+    }
+    if (n == 0 || poll(pfds, n, 0) <= 0) {
+        return;
+    }
+    for (nfds_t i = 0; i < n; i++) {
+        if (!JdHttpd_HasCallerLeft(&pfds[i])) {
+            continue;
+        }
+        call = find_call_of(nd, reqs[i]);
+        if (call != NULL) {
             abandon(call);
             /* The library closes the connection once it writes to it. */
-            JdForward_ReplyRefusal(nd, req, JD_REASON_CANCELLED);
-            return true;
+            JdForward_ReplyRefusal(nd, reqs[i], JD_REASON_CANCELLED, 0);
         }
     }
-    return false;
 }
 
 static void
@@ -424,8 +522,7 @@
 
     JdTimer_Arm(&nd->loop.clock, &nd->tend, TEND_EVERY);
     JdLane_Tend(nd);
-    while (drop_one_caller(nd)) {
-    }
+    drop_callers(nd);
 }
 
 /* Initializes the path of requests. */
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -14,6 +14,9 @@
     uint64_t pinged;
 } JdLane;
 
+/* Nodes that one request is passed to at the most. */
+#define JD_TRIES_MAX 4
+
 struct JdCall {
     TAILQ_ENTRY(JdCall) link;
     TAILQ_ENTRY(JdCall) lane_link;
@@ -24,10 +27,16 @@
     JdConfig *config;
     JdRoute route;
     Jd__Request *msg; /* owned */
+    uint64_t started;
     uint64_t deadline;
     uint64_t sent_at;
-    unsigned tries;
-    char target[JD_NAME_MAX];
+    unsigned tries;           /* nodes that it was passed to */
+    unsigned sends;           /* targets that may have got it */
+    bool has_run;             /* a target may have run it */
+    JdReason reason;          /* why the last try failed */
+    unsigned retry_after;     /* ms, the least that a refusal told, 0: none */
+    char target[JD_NAME_MAX]; /* node of the present try */
+    char avoid[JD_TRIES_MAX][JD_NAME_MAX]; /* nodes of earlier tries */
     JdTier tier;
     JdLane *lane; /* NULL: the target beside this node */
     JdTimer timer;
@@ -42,9 +51,18 @@
 void JdLane_Tend(JdNode *nd);
 
 /* forward.c */
-void JdForward_TryAgain(JdCall *call, JdReason reason, unsigned load);
+/* How a try ended without an answer. */
+typedef struct JdFailure {
+    JdReason reason;
+    bool was_sent;        /* the target may have got the request */
+    unsigned load;        /* of the target, in percent of its slots */
+    unsigned retry_after; /* ms until the target would take it, 0: unknown */
+} JdFailure;
+
+void JdForward_TryAgain(JdCall *call, const JdFailure *why);
 void JdForward_Begin(JdCall *call, uint64_t timeout);
 void JdForward_OnRequestGone(void *data);
-void JdForward_ReplyRefusal(JdNode *nd, h2o_req_t *req, JdReason reason);
+void JdForward_ReplyRefusal(JdNode *nd, h2o_req_t *req, JdReason reason,
+                            unsigned retry_after);
 
 #endif
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -727,7 +727,7 @@
   assert(message->base.descriptor == &jd__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor jd__member__field_descriptors[13] =
+static const ProtobufCFieldDescriptor jd__member__field_descriptors[14] =
 {
   {
     "id",
@@ -885,6 +885,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_started",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Member, target_started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__member__field_indices_by_name[] = {
   7,   /* field[7] = admin */
@@ -899,12 +911,13 @@
   10,   /* field[10] = service */
   12,   /* field[12] = slots */
   3,   /* field[3] = state */
+  13,   /* field[13] = target_started */
   8,   /* field[8] = via */
 };
 static const ProtobufCIntRange jd__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor jd__member__descriptor =
 {
@@ -914,7 +927,7 @@
   "Jd__Member",
   "jd",
   sizeof(Jd__Member),
-  13,
+  14,
   jd__member__field_descriptors,
   jd__member__field_indices_by_name,
   1,  jd__member__number_ranges,
@@ -1645,7 +1658,7 @@
   (ProtobufCMessageInit) jd__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[11] =
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[16] =
 {
   {
     "id",
@@ -1779,24 +1792,89 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "request_id",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Request, request_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller_service",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Request, caller_service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Request, latency_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idempotent",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Request, idempotent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "host",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Request, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
   5,   /* field[5] = body */
+  12,   /* field[12] = caller_service */
   9,   /* field[9] = config_version */
   4,   /* field[4] = header */
+  15,   /* field[15] = host */
   0,   /* field[0] = id */
+  14,   /* field[14] = idempotent */
   8,   /* field[8] = key */
+  13,   /* field[13] = latency_ms */
   6,   /* field[6] = left_ms */
   2,   /* field[2] = method */
   10,   /* field[10] = once */
   3,   /* field[3] = path */
   7,   /* field[7] = priority */
+  11,   /* field[11] = request_id */
   1,   /* field[1] = service */
 };
 static const ProtobufCIntRange jd__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor jd__request__descriptor =
 {
@@ -1806,14 +1884,14 @@
   "Jd__Request",
   "jd",
   sizeof(Jd__Request),
-  11,
+  16,
   jd__request__field_descriptors,
   jd__request__field_indices_by_name,
   1,  jd__request__number_ranges,
   (ProtobufCMessageInit) jd__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[8] =
 {
   {
     "id",
@@ -1899,6 +1977,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Response, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -1907,12 +1997,13 @@
   6,   /* field[6] = load */
   4,   /* field[4] = reason */
   5,   /* field[5] = retry_after_ms */
+  7,   /* field[7] = sent */
   1,   /* field[1] = status */
 };
 static const ProtobufCIntRange jd__response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jd__response__descriptor =
 {
@@ -1922,7 +2013,7 @@
   "Jd__Response",
   "jd",
   sizeof(Jd__Response),
-  7,
+  8,
   jd__response__field_descriptors,
   jd__response__field_indices_by_name,
   1,  jd__response__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -78,10 +78,14 @@
   char *service;
   char *endpoint_set;
   uint32_t slots;
+  /*
+   * start of the target's process, 0: unknown
+   */
+  uint64_t target_started;
 };
 #define JD__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__member__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Jd__Candidate
@@ -282,10 +286,24 @@
   char *key;
   uint64_t config_version;
   protobuf_c_boolean once;
+  /*
+   * the caller's, empty: none
+   */
+  char *request_id;
+  /*
+   * service beside the node that took it
+   */
+  char *caller_service;
+  /*
+   * time until an answer is wanted, 0: past
+   */
+  uint32_t latency_ms;
+  protobuf_c_boolean idempotent;
+  char *host;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Jd__Response
@@ -308,10 +326,14 @@
    * running and waiting work, per 100 slots
    */
   uint32_t load;
+  /*
+   * the target was sent the request
+   */
+  protobuf_c_boolean sent;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Jd__Cancel
--- a/peer/lane.c
+++ b/peer/lane.c
@@ -40,6 +40,9 @@
 fail_lane(JdNode *nd, JdLane *lane, bool was_open)
 {
     JdLane *known = g_hash_table_lookup(nd->request_conns, lane->address);
+    JdFailure why = {.reason =
+                         was_open ? JD_REASON_BROKEN : JD_REASON_TARGET_DOWN,
+                     .was_sent = was_open};
     JdCall *call;
 
     if (known == lane) {
@@ -47,8 +50,7 @@
     }
     while ((call = TAILQ_FIRST(&lane->calls)) != NULL) {
         JdLane_Leave(call);
-        JdForward_TryAgain(
-            call, was_open ? JD_REASON_BROKEN : JD_REASON_TARGET_DOWN, 0);
+        JdForward_TryAgain(call, &why);
     }
     g_free(lane);
 }
--- a/peer/link.c
+++ b/peer/link.c
@@ -156,23 +156,40 @@
     bool is_starting = nd->tree.state == JD_MEMBER_STARTING;
 
     note_applied(nd);
-    JdFollow_Changed(nd);
+    nd->source->changed(nd);
     if (nd->tree.is_ready && is_starting) {
         JdLogging_Event(JD_EVENT_READY, "version=%" G_GUINT64_FORMAT,
                         nd->store.config->version);
-        JdTree_SetState(&nd->tree,
-                        nd->has_target ? JD_MEMBER_DOWN : JD_MEMBER_READY);
+        JdWorker_OnReady(nd);
     }
 }
 
+static void
+read_directory(void *ctx)
+{
+    ((JdNode *)ctx)->source->read_directory(ctx);
+}
+
+static void
+announce(void *ctx)
+{
+    ((JdNode *)ctx)->source->announce(ctx);
+}
+
+static void
+read_log(void *ctx, bool on)
+{
+    ((JdNode *)ctx)->source->read_log(ctx, on);
+}
+
 static const JdTreeOps tree_ops = {
     .dial = dial,
     .send = send_frame,
     .close = close_conn,
     .backlog = backlog,
-    .read_directory = JdFollow_ReadDirectory,
-    .announce = JdFollow_Announce,
-    .read_log = JdFollow_ReadLog,
+    .read_directory = read_directory,
+    .announce = announce,
+    .read_log = read_log,
     .changed = on_changed,
 };
 
--- a/regress/script_store.c
+++ b/regress/script_store.c
@@ -70,11 +70,14 @@
 }
 
 static void
-show_route(const char *path)
+show_route(const char *path, uint64_t draw)
 {
+    JdRouteKey key = {.host = path, .host_len = strcspn(path, "/")};
     JdRoute r;
 
-    if (!JdConfig_Route(log_store.config, path, strlen(path), &r)) {
+    key.path = path + key.host_len;
+    key.path_len = strlen(key.path);
+    if (!JdConfig_Route(log_store.config, &key, draw, &r)) {
         printf("%s: no route\n", path);
         return;
     }
@@ -99,6 +102,24 @@
     print_status(s, &err);
 }
 
+/* Installs {"version": N, "doc": {...}} as a whole document. */
+static void
+install(const char *text)
+{
+    JdError err = {0};
+    json_t *js;
+    JdStatus s = JdConfig_Parse(text, strlen(text), &js, &err);
+
+    if (s == JD_OK) {
+        s = JdStore_Install(
+            &log_store, json_object_get(js, "doc"),
+            (uint64_t)json_integer_value(json_object_get(js, "version")),
+            &err);
+        json_decref(js);
+    }
+    print_status(s, &err);
+}
+
 static void
 restore(void)
 {
@@ -130,7 +151,11 @@
                    ln->words > 3 ? ln->word[3] : NULL);
     }
     else if (strcmp(cmd, "route") == 0) {
-        show_route(ln->word[2]);
+        show_route(ln->word[2],
+                   ln->words > 3 ? strtoull(ln->word[3], NULL, 10) : 0);
+    }
+    else if (strcmp(cmd, "install") == 0) {
+        install(ln->rest);
     }
     else if (strcmp(cmd, "checkpoint") == 0) {
         free(checkpoint);
--- a/targets/targetd.c
+++ b/targets/targetd.c
@@ -134,8 +134,8 @@
 static void
 call_next(Job *job)
 {
-    job->call = JdHttpc_Send(&targetd.next, "GET", targetd.next_path, NULL,
-                             NULL, 0, 10 * JD_US_PER_S, on_next, job);
+    job->call = JdHttpc_Get(&targetd.next, targetd.next_path, 10 * JD_US_PER_S,
+                            on_next, job);
 }
 
 static void
@@ -187,9 +187,11 @@
     JdTimer_Arm(&targetd.loop.clock, &targetd.look, LOOK_EVERY);
     for (job = TAILQ_FIRST(&targetd.jobs); job != NULL; job = next) {
         h2o_req_t *req = job->req;
+        struct pollfd pfd;
 
         next = TAILQ_NEXT(job, link);
-        if (JdHttpd_HasCallerLeft(req)) {
+        if (JdHttpd_WatchCaller(req, &pfd) && poll(&pfd, 1, 0) > 0 &&
+            JdHttpd_HasCallerLeft(&pfd)) {
             targetd.cancelled++;
             end_job(job);
             /* The library closes the connection once it writes to it. */
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -22,6 +22,7 @@
     JdClaim claim;   /* of the request's key, where it needs one */
     JdReason reason; /* given once the claim is released */
     JdTimer lapse;   /* ends an item whose claim lapsed before sending */
+    bool was_sent;   /* the target may have got it */
     bool is_orphan;  /* nobody waits for the answer any more */
 };
 
@@ -62,13 +63,18 @@
 }
 
 static void
-refuse(JdNode *nd, uint64_t id, JdConn *origin, JdReason reason)
+refuse(JdNode *nd, uint64_t id, JdConn *origin, JdReason reason, bool was_sent)
 {
     Jd__Response msg = JD__RESPONSE__INIT;
 
     msg.id = id;
     msg.reason = reason;
-    msg.retry_after_ms = JdReason_Info(reason)->retry_after * 1000;
+    msg.sent = was_sent;
+    msg.retry_after_ms = JdReason_Info(reason)->retry_after;
+    if (reason == JD_REASON_QUEUE_FULL || reason == JD_REASON_TOO_LATE) {
+        msg.retry_after_ms =
+            (uint32_t)(JdAdmit_RetryAfter(&nd->admit) / JD_US_PER_MS);
+    }
     nd->counters.value[JdReason_Info(reason)->counter]++;
     send_response(nd, origin, &msg);
 }
@@ -78,7 +84,7 @@
 end_refused(JdItem *it, JdReason reason)
 {
     if (!it->is_orphan) {
-        refuse(it->node, it->msg->id, it->origin, reason);
+        refuse(it->node, it->msg->id, it->origin, reason, it->was_sent);
     }
     free_item(it);
 }
@@ -115,34 +121,6 @@
     return true;
 }
 
-static bool
-has_header(const JdHttpAnswer *ans, const char *name, const char *value)
-{
-    for (size_t i = 0; i < ans->headers; i++) {
-        const JdHttpHeader *h = &ans->header[i];
-
-        if (h->name_len == strlen(name) &&
-            memcmp(h->name, name, h->name_len) == 0 &&
-            h->value_len == strlen(value) &&
-            memcmp(h->value, value, h->value_len) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/*
- * The target says itself that it shed the request without running it.  A
- * refusal that it passes on from a service behind it is an answer like any
- * other: the retries that help were made there.
- */
-static bool
-is_shed(const JdHttpAnswer *ans)
-{
-    return ans->status == 503 && has_header(ans, "x-outcome", "not-run") &&
-           !has_header(ans, "x-retry", "no");
-}
-
 static void
 pass_answer(JdItem *it, const JdHttpAnswer *ans)
 {
@@ -152,6 +130,7 @@
     Jd__Response msg = JD__RESPONSE__INIT;
 
     msg.id = it->msg->id;
+    msg.sent = true;
     msg.status = (uint32_t)ans->status;
     msg.body.data = (uint8_t *)ans->body;
     msg.body.len = ans->body_len;
@@ -180,14 +159,14 @@
 static void hold_slot(JdItem *it);
 
 static JdReason
-reason_of(const JdHttpAnswer *ans)
+reason_of(const JdNode *nd, const JdHttpAnswer *ans)
 {
     switch (ans->end) {
     case JD_HTTP_ANSWERED:
         if (ans->body_len > ANSWER_MOST) {
             return JD_REASON_BROKEN;
         }
-        return is_shed(ans) ? JD_REASON_SHED : JD_REASON_NONE;
+        return nd->dialect->is_not_run(ans) ? JD_REASON_SHED : JD_REASON_NONE;
     case JD_HTTP_NOT_SENT:
         return JD_REASON_TARGET_DOWN;
     case JD_HTTP_TIMED_OUT:
@@ -202,14 +181,16 @@
 {
     JdItem *it = ctx;
     JdNode *nd = it->node;
-    JdReason reason = reason_of(ans);
+    JdReason reason = reason_of(nd, ans);
 
     it->call = NULL;
+    it->was_sent = ans->end != JD_HTTP_NOT_SENT;
     if (reason == JD_REASON_TARGET_DOWN) {
+        JdTarget_Lost(&nd->life);
         JdTree_SetState(&nd->tree, JD_MEMBER_DOWN);
     }
     if (reason == JD_REASON_DEADLINE) {
-        refuse(nd, it->msg->id, it->origin, reason);
+        refuse(nd, it->msg->id, it->origin, reason, it->was_sent);
         hold_slot(it);
         return;
     }
@@ -226,10 +207,19 @@
     }
 }
 
+static void
+add_field(GString *out, const JdDialect *dl, JdField field, const char *value)
+{
+    if (dl->header[field] != NULL && value[0] != '\0') {
+        g_string_append_printf(out, "%s: %s\r\n", dl->header[field], value);
+    }
+}
+
 static char *
-format_headers(const Jd__Request *msg, uint64_t left)
+format_headers(const JdNode *nd, const Jd__Request *msg, uint64_t left)
 {
     GString *out = g_string_new(NULL);
+    char ms[24];
 
     for (size_t i = 0; i < msg->n_header; i++) {
         const Jd__Header *h = msg->header[i];
@@ -237,11 +227,39 @@
         g_string_append_printf(out, "%s: %.*s\r\n", h->name, (int)h->value.len,
                                (const char *)h->value.data);
     }
-    g_string_append_printf(out, "x-timeout-ms: %" G_GUINT64_FORMAT "\r\n",
-                           left / JD_US_PER_MS);
+    g_snprintf(ms, sizeof(ms), "%" G_GUINT64_FORMAT, left / JD_US_PER_MS);
+    add_field(out, nd->dialect, JD_FIELD_REQUEST_ID, msg->request_id);
+    add_field(out, nd->dialect, JD_FIELD_TIMEOUT_MS, ms);
+    add_field(out, nd->dialect, JD_FIELD_CALLER_SERVICE, msg->caller_service);
+    add_field(out, nd->dialect, JD_FIELD_TARGET_ID, nd->life.id);
     return g_string_free(out, FALSE);
 }
 
+static void
+send_to_target(JdItem *it, uint64_t left)
+{
+    JdNode *nd = it->node;
+    const Jd__Request *msg = it->msg;
+    char *headers = format_headers(nd, msg, left);
+    JdHttpRequest rq = {.method = msg->method,
+                        .path = msg->path,
+                        .headers = headers,
+                        .body = msg->body.data,
+                        .len = msg->body.len,
+                        .timeout = left};
+
+    if (msg->host[0] != '\0') {
+        rq.host = msg->host;
+    }
+    if (nd->dialect->header[JD_FIELD_REQUEST_ID] != NULL &&
+        msg->request_id[0] != '\0') {
+        rq.echo_name = nd->dialect->header[JD_FIELD_REQUEST_ID];
+        rq.echo = msg->request_id;
+    }
+    it->call = JdHttpc_Send(&nd->target, &rq, on_answer, it);
+    g_free(headers);
+}
+
 /* The work has a slot: sends it to the target. */
 static void
 on_start(void *ctx, JdWork *work)
@@ -249,7 +267,6 @@
     JdNode *nd = ctx;
     JdItem *it = item_of(work);
     uint64_t left = work->deadline - JdClock_Now(&nd->loop.clock);
-    char *headers;
 
     if (it->claim.key[0] != '\0' &&
         !JdClaims_IsUsable(&nd->claims, &it->claim)) {
@@ -257,11 +274,7 @@
         JdTimer_Arm(&nd->loop.clock, &it->lapse, 0);
         return;
     }
-    headers = format_headers(it->msg, left);
-    it->call = JdHttpc_Send(&nd->target, it->msg->method, it->msg->path,
-                            headers, it->msg->body.data, it->msg->body.len,
-                            left, on_answer, it);
-    g_free(headers);
+    send_to_target(it, left);
 }
 
 static void
@@ -347,6 +360,22 @@
     JdClaims_Take(&nd->claims, &it->claim, it->msg->key);
 }
 
+/* Whether the target beside this node is the one that is asked for. */
+static JdReason
+check_target(const JdNode *nd, const Jd__Request *msg)
+{
+    if (!nd->has_target || strcmp(msg->service, nd->settings.service) != 0) {
+        return JD_REASON_NO_TARGET;
+    }
+    if (nd->announces && !nd->life.is_known) {
+        return JD_REASON_TARGET_DOWN;
+    }
+    if (nd->announces && nd->life.is_draining) {
+        return JD_REASON_DRAINING;
+    }
+    return JD_REASON_NONE;
+}
+
 /*
  * Takes a request for the target; the message is the worker's from here on.
  * `origin` is the connection it came over, or NULL for a caller of this node.
@@ -354,10 +383,11 @@
 void
 JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin)
 {
+    JdReason reason = check_target(nd, msg);
     JdItem *it;
 
-    if (!nd->has_target || strcmp(msg->service, nd->settings.service) != 0) {
-        refuse(nd, msg->id, origin, JD_REASON_NO_TARGET);
+    if (reason != JD_REASON_NONE) {
+        refuse(nd, msg->id, origin, reason, false);
         jd__request__free_unpacked(msg, NULL);
         return;
     }
@@ -474,6 +504,67 @@
     }
 }
 
+/* ---- the target's own word --------------------------------------------- */
+
+static JdMemberState
+state_of_target(const JdNode *nd)
+{
+    if (!nd->life.is_known) {
+        return JD_MEMBER_DOWN;
+    }
+    return nd->life.is_draining || nd->is_draining ? JD_MEMBER_DRAINING
+                                                   : JD_MEMBER_READY;
+}
+
+/* Announces what is known of the target. */
+static void
+announce_target(JdNode *nd)
+{
+    if (nd->tree.is_ready) {
+        JdTree_SetTarget(&nd->tree, nd->life.started, nd->life.slots,
+                         state_of_target(nd));
+    }
+}
+
+/* Takes a heartbeat of the target beside this node. */
+void
+JdWorker_Heartbeat(JdNode *nd, const JdHeartbeat *hb)
+{
+    JdBeat beat;
+
+    if (strcmp(hb->service, nd->settings.service) != 0 ||
+        strcmp(hb->address, nd->settings.target_address) != 0) {
+        nd->counters.value[JD_C_BEAT_FOREIGN]++;
+        JdLogging_Event(JD_EVENT_TARGET, "foreign=1 id=%s service=%s", hb->id,
+                        hb->service);
+        return;
+    }
+    beat = JdTarget_Heartbeat(&nd->life, hb, JdClock_Now(&nd->loop.clock));
+    if (beat == JD_BEAT_OLD) {
+        nd->counters.value[JD_C_BEAT_OLD]++;
+        return;
+    }
+    JdAdmit_SetSlots(&nd->admit, hb->slots);
+    if (beat == JD_BEAT_NEWS) {
+        JdLogging_Event(JD_EVENT_TARGET,
+                        "id=%s started=%" G_GUINT64_FORMAT
+                        " seq=%" G_GUINT64_FORMAT " draining=%d slots=%u",
+                        hb->id, hb->started, hb->seq, nd->life.is_draining,
+                        hb->slots);
+    }
+    announce_target(nd);
+}
+
+/* A process of the target leaves: it gets no new work. */
+void
+JdWorker_TargetLeaves(JdNode *nd, const char *id, uint64_t started)
+{
+    JdLogging_Event(JD_EVENT_TARGET, "id=%s left=1", id);
+    if (JdTarget_Leave(&nd->life, id, started)) {
+        announce_target(nd);
+    }
+}
+
 /* Health is a weak hint: only its absence counts. */
 static void
 on_health(void *ctx, const JdHttpAnswer *ans)
@@ -501,8 +592,21 @@
                 nd->settings.health_ms * JD_US_PER_MS);
     if (!nd->is_health_pending) {
         nd->is_health_pending = true;
-        JdHttpc_Send(&nd->target, "GET", "/health", NULL, NULL, 0,
-                     nd->settings.health_ms * JD_US_PER_MS * 2, on_health, nd);
+        JdHttpc_Get(&nd->target, "/health",
+                    nd->settings.health_ms * JD_US_PER_MS * 2, on_health, nd);
+    }
+}
+
+/* The node became ready: what its target said meanwhile counts from now on. */
+void
+JdWorker_OnReady(JdNode *nd)
+{
+    if (nd->announces) {
+        announce_target(nd);
+    }
+    else {
+        JdTree_SetState(&nd->tree,
+                        nd->has_target ? JD_MEMBER_DOWN : JD_MEMBER_READY);
     }
 }
 
@@ -524,7 +628,7 @@
     }
     s = JdHttpc_Init(&nd->target, &nd->loop, nd->settings.target_address,
                      nd->settings.connections, err);
-    if (s == JD_OK) {
+    if (s == JD_OK && !nd->announces) {
         JdTimer_Arm(&nd->loop.clock, &nd->health, 0);
     }
     return s;
