--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 TIDY_FLAGS = -std=gnu11 -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -Iinclude -Ipeer \
              -Ilib -Ilib/tree $(shell pkg-config --cflags $(PKGS))
 CFLAGS += -std=gnu11 $(OPT) $(WARN) $(SAN)
-LDLIBS += -lh2o-evloop -lssl -lcrypto -lm $(shell pkg-config --libs $(PKGS))
+LDLIBS += -lh2o-evloop -lhttp_parser -lssl -lcrypto -lm $(shell pkg-config --libs $(PKGS))
 
 LIB_SRC = $(wildcard lib/*.c lib/*/*.c) peer/frame.pb-c.c
 BASE_SRC = $(wildcard base/*.c)
--- a/base/base.h
+++ b/base/base.h
@@ -6,8 +6,8 @@
 #define H2O_USE_LIBUV 0
 #endif
 #include <h2o.h>
-#include <h2o/http1client.h>
 #include <glib.h>
+#include <http_parser.h>
 #include <jansson.h>
 #include <netinet/in.h>
 #include <poll.h>
@@ -94,6 +94,9 @@
 
 #define JD_HTTP_HEADERS_MAX 64
 
+const JdHttpHeader *JdHttpHeader_Find(const JdHttpHeader *header, size_t n,
+                                      const char *name);
+
 typedef struct JdHttpAnswer {
     JdHttpEnd end;
     int status;
@@ -118,21 +121,23 @@
     const char *echo;      /* NULL: not checked */
 } JdHttpRequest;
 
-/* A client of one server, with a pool of connections kept alive. */
+typedef struct JdHttpCall JdHttpCall;
+
+/* A client of one server, with connections that it keeps alive. */
 typedef struct JdHttpc {
     JdLoop *loop;
-    h2o_http1client_ctx_t client;
-    h2o_timeout_t io_timeout;
-    h2o_socketpool_t pool;
+    struct sockaddr_in address;
     char host[JD_ADDRESS_MAX];
+    size_t most; /* connections at a time */
+    size_t open;
+    uint64_t idle_time; /* us for which an idle connection is kept */
+    TAILQ_HEAD(JdHttpIdle, Conn) idle;             /* last used first */
+    TAILQ_HEAD(JdHttpWaiting, JdHttpCall) waiting; /* for a connection */
 } JdHttpc;
 
-typedef struct JdHttpCall JdHttpCall;
-
 JdStatus JdHttpc_Init(JdHttpc *hc, JdLoop *lp, const char *address,
                       size_t connections, JdError *err);
 void JdHttpc_Finish(JdHttpc *hc);
-void JdHttpc_SetIdle(JdHttpc *hc, uint64_t us);
 JdHttpCall *JdHttpc_Send(JdHttpc *hc, const JdHttpRequest *rq, JdHttpDone done,
                          void *ctx);
 JdHttpCall *JdHttpc_Get(JdHttpc *hc, const char *path, uint64_t timeout,
@@ -141,6 +146,48 @@
                                       const char *name);
 void JdHttpc_Cancel(JdHttpCall *call);
 
+/* ---- server.c: HTTP server for callers --------------------------------- */
+
+typedef struct JdServerConn JdServerConn;
+typedef struct JdServerReq JdServerReq;
+
+/* One request; it is the handler's until it is answered or its caller left. */
+typedef struct JdServerRequest {
+    const char *method;
+    const char *path; /* with its query; not terminated */
+    size_t path_len;
+    JdHttpHeader header[JD_HTTP_HEADERS_MAX];
+    size_t headers;
+    GByteArray *body;
+    void *user; /* state of the handler */
+} JdServerRequest;
+
+typedef struct JdServerOps {
+    void (*request)(void *ctx, JdServerRequest *rq);
+    /* The caller left before its answer. */
+    void (*gone)(void *ctx, JdServerRequest *rq);
+} JdServerOps;
+
+typedef struct JdServer {
+    JdLoop *loop;
+    h2o_socket_t *listener;
+    size_t body_most;
+    bool is_ending; /* each connection ends with its next answers */
+    const JdServerOps *ops;
+    void *ctx;
+    TAILQ_HEAD(JdServerConns, JdServerConn) conns;
+} JdServer;
+
+JdStatus JdServer_Init(JdServer *sv, JdLoop *lp, const char *address,
+                       size_t body_most, const JdServerOps *ops, void *ctx,
+                       JdError *err);
+void JdServer_EndConnections(JdServer *sv);
+void JdServer_StopAccepting(JdServer *sv);
+const JdHttpHeader *JdServer_Header(const JdServerRequest *rq,
+                                    const char *name);
+void JdServer_Reply(JdServerRequest *rq, int status, const char *headers,
+                    const void *body, size_t len);
+
 /* ---- settings.c: checked settings -------------------------------------- */
 
 typedef enum JdSettingType {
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -1,9 +1,13 @@
 /*
  * HTTP client of one server.  Each call ends exactly once, through its
  * callback or by JdHttpc_Cancel, and says what is known of its effect.
+ *
+ * Parsing is http_parser's; connections are kept here, because what may be
+ * read from a connection decides what may be said of a request: an answer
+ * without a length is whole only if its connection was closed in order, an
+ * answer to another request is passed over, and a connection is used again
+ * only if nothing was left on it.
  */
-#include <poll.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,97 +15,151 @@
 
 #include "base.h"
 
-/* Time for which an idle connection is kept, in ms. */
-#define IDLE_MS 5000
-/* Timeout of the library itself, above every timeout of ours, in ms. */
-#define LIBRARY_MS 600000
+/* Time for which an idle connection is kept, unless the server says less. */
+#define IDLE_MOST (5 * JD_US_PER_S)
+/* Time before the server's own limit at which a connection is given up. */
+#define IDLE_MARGIN (500 * JD_US_PER_MS)
+#define STATUS_INFORMATIONAL_MOST 199
+
+/* One connection; it carries one call at a time. */
+typedef struct Conn {
+    TAILQ_ENTRY(Conn) link;
+    JdHttpc *httpc;
+    h2o_socket_t *sock;
+    JdHttpCall *call; /* NULL: idle */
+    http_parser parser;
+    uint64_t idle_until;
+    bool is_open;
+    bool is_kept; /* stands in the list of idle connections */
+} Conn;
+
+/* A header of the answer under way, as offsets into its texts. */
+typedef struct HeaderAt {
+    size_t name;
+    size_t name_len;
+    size_t value;
+    size_t value_len;
+} HeaderAt;
 
 struct JdHttpCall {
+    TAILQ_ENTRY(JdHttpCall) link; /* waits for a connection */
     JdHttpc *httpc;
-    h2o_http1client_t *client;
+    Conn *conn;
     JdTimer timer;
     JdHttpDone done;
     void *ctx;
     GByteArray *request;
+    const char *echo_name;
+    char *echo;        /* what the answer has to repeat, or NULL */
+    GByteArray *texts; /* of the headers */
     GByteArray *body;
-    h2o_iovec_t iov;
+    HeaderAt at[JD_HTTP_HEADERS_MAX];
     JdHttpAnswer answer;
-    GByteArray *head; /* copies of the header texts */
-    size_t expect;    /* content-length, or SIZE_MAX */
-    const char *echo_name;
-    char *echo; /* what the answer has to repeat, or NULL */
+    bool is_waiting;
     bool is_sent;
     bool is_head;
-    bool is_chunked;
+    bool is_value; /* the last text was a header's value */
+    bool is_complete;
 };
 
+static void start_waiting(JdHttpc *hc);
+
 /* Initializes a client that keeps up to `connections` open. */
 JdStatus
 JdHttpc_Init(JdHttpc *hc, JdLoop *lp, const char *address, size_t connections,
              JdError *err)
 {
-    struct sockaddr_in sin;
-    JdStatus s = JdAddress_Parse(address, &sin, err);
+    JdStatus s;
 
     memset(hc, 0, sizeof(*hc));
+    s = JdAddress_Parse(address, &hc->address, err);
     if (s != JD_OK) {
         return s;
     }
     hc->loop = lp;
+    hc->most = connections;
+    hc->idle_time = IDLE_MOST;
+    TAILQ_INIT(&hc->idle);
+    TAILQ_INIT(&hc->waiting);
     g_strlcpy(hc->host, address, sizeof(hc->host));
-    h2o_timeout_init(lp->loop, &hc->io_timeout, LIBRARY_MS);
-    hc->client.loop = lp->loop;
-    hc->client.io_timeout = &hc->io_timeout;
-    h2o_socketpool_init_by_address(&hc->pool, (struct sockaddr *)&sin,
-                                   sizeof(sin), 0, connections);
-    h2o_socketpool_set_timeout(&hc->pool, lp->loop, IDLE_MS);
     return JD_OK;
 }
 
-/* Sets the time for which an idle connection is kept. */
-void
-JdHttpc_SetIdle(JdHttpc *hc, uint64_t us)
+/* ---- connections ------------------------------------------------------- */
+
+static void
+close_conn(Conn *cn)
 {
-    hc->pool.timeout = us / JD_US_PER_MS;
+    JdHttpc *hc = cn->httpc;
+
+    if (cn->is_kept) {
+        TAILQ_REMOVE(&hc->idle, cn, link);
+    }
+    hc->open--;
+    h2o_socket_close(cn->sock);
+    g_free(cn);
 }
 
 /* Closes idle connections.  No call may be open. */
 void
 JdHttpc_Finish(JdHttpc *hc)
 {
-    h2o_socketpool_dispose(&hc->pool);
-    h2o_timeout_dispose(hc->loop->loop, &hc->io_timeout);
+    Conn *cn;
+
+    while ((cn = TAILQ_FIRST(&hc->idle)) != NULL) {
+        close_conn(cn);
+    }
 }
 
 static void
 free_call(JdHttpCall *call)
 {
-    JdTimer_Cancel(&call->httpc->loop->clock, &call->timer);
+    JdHttpc *hc = call->httpc;
+
+    JdTimer_Cancel(&hc->loop->clock, &call->timer);
+    if (call->is_waiting) {
+        TAILQ_REMOVE(&hc->waiting, call, link);
+    }
     g_byte_array_unref(call->request);
     g_byte_array_unref(call->body);
-    g_byte_array_unref(call->head);
+    g_byte_array_unref(call->texts);
     g_free(call->echo);
     g_free(call);
 }
 
+/* Ends a call; its connection must be off it already. */
 static void
 finish(JdHttpCall *call, JdHttpEnd end)
 {
+    JdHttpc *hc = call->httpc;
+
     call->answer.end = end;
     call->answer.body = (const char *)call->body->data;
     call->answer.body_len = call->body->len;
     call->done(call->ctx, &call->answer);
     free_call(call);
+    start_waiting(hc);
+}
+
+/* Takes a call off its connection, which is closed. */
+static void
+drop_conn(JdHttpCall *call)
+{
+    if (call->conn != NULL) {
+        close_conn(call->conn);
+        call->conn = NULL;
+    }
 }
 
 /* Ends a call without its callback.  What was sent may still take effect. */
 void
 JdHttpc_Cancel(JdHttpCall *call)
 {
-    if (call->client != NULL) {
-        h2o_http1client_cancel(call->client);
-    }
+    JdHttpc *hc = call->httpc;
+
+    drop_conn(call);
     free_call(call);
+    start_waiting(hc);
 }
 
 static void
@@ -109,33 +167,112 @@
 {
     JdHttpCall *call = ctx;
 
-    if (call->client != NULL) {
-        h2o_http1client_cancel(call->client);
-        call->client = NULL;
-    }
+    drop_conn(call);
     finish(call, call->is_sent ? JD_HTTP_TIMED_OUT : JD_HTTP_NOT_SENT);
 }
 
-/* Returns whether a connection that ended was closed in order, not reset. */
-static bool
-is_closed_in_order(const h2o_http1client_t *client)
+/* The connection of a call ended before its answer was whole. */
+static void
+fail(JdHttpCall *call)
 {
-    struct pollfd pfd = {.fd = h2o_socket_get_fd(client->sock),
-                         .events = POLLIN};
+    drop_conn(call);
+    finish(call, call->is_sent ? JD_HTTP_BROKEN : JD_HTTP_NOT_SENT);
+}
+
+/* ---- answers ----------------------------------------------------------- */
 
-    return poll(&pfd, 1, 0) >= 0 && (pfd.revents & (POLLERR | POLLHUP)) == 0;
+static void
+reset_answer(JdHttpCall *call)
+{
+    memset(&call->answer, 0, sizeof(call->answer));
+    g_byte_array_set_size(call->texts, 0);
+    g_byte_array_set_size(call->body, 0);
+    call->is_value = true;
+    call->is_complete = false;
 }
 
-/* A body without a length is whole when its connection was closed in order. */
-static bool
-is_whole(const JdHttpCall *call, const h2o_http1client_t *client)
+static int
+on_name(http_parser *hp, const char *at, size_t n)
 {
-    if (call->expect != SIZE_MAX) {
-        return call->expect == call->body->len;
+    JdHttpCall *call = ((Conn *)hp->data)->call;
+    HeaderAt *h;
+
+    if (call->is_value) {
+        if (call->answer.headers == JD_HTTP_HEADERS_MAX) {
+            return 1;
+        }
+        h = &call->at[call->answer.headers++];
+        memset(h, 0, sizeof(*h));
+        h->name = call->texts->len;
+        call->is_value = false;
     }
-    return call->is_chunked || is_closed_in_order(client);
+    h = &call->at[call->answer.headers - 1];
+    h->name_len += n;
+    g_byte_array_append(call->texts, (const guint8 *)at, (guint)n);
+    return 0;
+}
+
+static int
+on_value(http_parser *hp, const char *at, size_t n)
+{
+    JdHttpCall *call = ((Conn *)hp->data)->call;
+    HeaderAt *h = &call->at[call->answer.headers - 1];
+
+    if (!call->is_value) {
+        h->value = call->texts->len;
+        call->is_value = true;
+    }
+    h->value_len += n;
+    g_byte_array_append(call->texts, (const guint8 *)at, (guint)n);
+    return 0;
+}
+
+/* Points the headers at their texts, which no longer move. */
+static int
+on_headers(http_parser *hp)
+{
+    JdHttpCall *call = ((Conn *)hp->data)->call;
+    const char *texts = (const char *)call->texts->data;
+
+    call->answer.status = (int)hp->status_code;
+    for (size_t i = 0; i < call->answer.headers; i++) {
+        JdHttpHeader *h = &call->answer.header[i];
+
+        h->name = texts + call->at[i].name;
+        h->name_len = call->at[i].name_len;
+        h->value = texts + call->at[i].value;
+        h->value_len = call->at[i].value_len;
+    }
+    /* 1: an answer to HEAD has no body, whatever its headers say. */
+    return call->is_head ? 1 : 0;
+}
+
+static int
+on_body(http_parser *hp, const char *at, size_t n)
+{
+    JdHttpCall *call = ((Conn *)hp->data)->call;
+
+    g_byte_array_append(call->body, (const guint8 *)at, (guint)n);
+    return 0;
+}
+
+static int
+on_complete(http_parser *hp)
+{
+    ((Conn *)hp->data)->call->is_complete = true;
+    /* What follows is not part of this answer. */
+    http_parser_pause(hp, 1);
+    return 0;
 }
 
+static const http_parser_settings parser_settings = {
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
 static bool
 is_own(const JdHttpCall *call)
 {
@@ -149,130 +286,239 @@
            memcmp(h->value, call->echo, h->value_len) == 0;
 }
 
-/* The answer is there: keeps its connection only if nothing is amiss. */
+/* Returns how long the server keeps an idle connection. */
+static uint64_t
+idle_time(const JdHttpCall *call)
+{
+    const JdHttpHeader *h = JdHttpAnswer_Find(&call->answer, "keep-alive");
+    uint64_t most = call->httpc->idle_time;
+    const char *p;
+    uint64_t told;
+
+    if (h == NULL) {
+        return most;
+    }
+    p = g_strstr_len(h->value, (gssize)h->value_len, "timeout=");
+    if (p == NULL) {
+        return most;
+    }
+    told = strtoull(p + strlen("timeout="), NULL, 10) * JD_US_PER_S;
+    told = told > IDLE_MARGIN ? told - IDLE_MARGIN : 0;
+    return told < most ? told : most;
+}
+
+/* The answer is there: keeps its connection only if nothing is left on it. */
 static void
-finish_answer(JdHttpCall *call, h2o_http1client_t *client, bool whole)
+finish_answer(JdHttpCall *call)
 {
-    bool own = is_own(call);
+    Conn *cn = call->conn;
+    JdHttpc *hc = call->httpc;
+    bool is_clean =
+        cn->sock->input->size == 0 && !h2o_socket_is_writing(cn->sock);
+    uint64_t wait = idle_time(call);
+
+    if (!is_clean || wait == 0 || !http_should_keep_alive(&cn->parser)) {
+        drop_conn(call);
+    }
+    else {
+        call->conn = NULL;
+        cn->call = NULL;
+        cn->is_kept = true;
+        cn->idle_until = JdClock_Now(&hc->loop->clock) + wait;
+        TAILQ_INSERT_HEAD(&hc->idle, cn, link);
+    }
+    finish(call, JD_HTTP_ANSWERED);
+}
 
-    if (!whole || !own || h2o_socket_is_writing(client->sock)) {
-        h2o_socket_close(h2o_http1client_steal_socket(client));
+/*
+ * An answer is complete.  Returns whether it was passed over, since it is
+ * informational or belongs to another request, and the next one is awaited.
+ */
+static bool
+pass_over(Conn *cn)
+{
+    JdHttpCall *call = cn->call;
+
+    if (call->answer.status > STATUS_INFORMATIONAL_MOST && is_own(call)) {
+        return false;
+    }
+    if (!http_should_keep_alive(&cn->parser)) {
+        return false;
     }
-    call->client = NULL;
-    if (!whole) {
-        finish(call, JD_HTTP_BROKEN);
+    reset_answer(call);
+    http_parser_init(&cn->parser, HTTP_RESPONSE);
+    return true;
+}
+
+/* Ends a call whose answer is complete. */
+static void
+settle(JdHttpCall *call)
+{
+    if (is_own(call)) {
+        finish_answer(call);
         return;
     }
-    finish(call, own ? JD_HTTP_ANSWERED : JD_HTTP_CROSSED);
+    drop_conn(call);
+    finish(call, JD_HTTP_CROSSED);
 }
 
-static int
-on_body(h2o_http1client_t *client, const char *err)
+static void
+take_input(Conn *cn)
 {
-    JdHttpCall *call = client->data;
+    JdHttpCall *call = cn->call;
+
+    while (cn->sock->input->size > 0) {
+        size_t n =
+            http_parser_execute(&cn->parser, &parser_settings,
+                                cn->sock->input->bytes, cn->sock->input->size);
+
+        h2o_buffer_consume(&cn->sock->input, n);
+        if (call->is_complete) {
+            if (!pass_over(cn)) {
+                settle(call);
+                return;
+            }
+        }
+        else if (HTTP_PARSER_ERRNO(&cn->parser) != HPE_OK) {
+            fail(call);
+            return;
+        }
+    }
+}
 
-    if (err != NULL && err != h2o_http1client_error_is_eos) {
-        call->client = NULL;
-        finish(call, JD_HTTP_BROKEN);
-        return -1;
+/* The server closed in order, which can be the end of an answer. */
+static void
+take_end(JdHttpCall *call)
+{
+    http_parser_execute(&call->conn->parser, &parser_settings, NULL, 0);
+    if (call->is_complete && call->answer.status != 0) {
+        settle(call);
     }
-    g_byte_array_append(call->body, (const guint8 *)client->sock->input->bytes,
-                        (guint)client->sock->input->size);
-    h2o_buffer_consume(&client->sock->input, client->sock->input->size);
-    if (err == h2o_http1client_error_is_eos) {
-        finish_answer(call, client, is_whole(call, client));
+    else {
+        fail(call);
     }
-    return 0;
 }
 
-/* Notes how the end of the body will be known. */
 static void
-note_framing(JdHttpCall *call)
+on_read(h2o_socket_t *sock, const char *err)
 {
-    const JdHttpHeader *length =
-        JdHttpAnswer_Find(&call->answer, "content-length");
+    Conn *cn = sock->data;
+
+    if (cn->call == NULL) {
+        /* Nothing is expected on an idle connection. */
+        close_conn(cn);
+        return;
+    }
+    if (err == NULL) {
+        take_input(cn);
+    }
+    else if (err == h2o_socket_error_closed) {
+        take_end(cn->call);
+    }
+    else {
+        fail(cn->call);
+    }
+}
 
-    call->is_chunked =
-        JdHttpAnswer_Find(&call->answer, "transfer-encoding") != NULL;
-    if (length != NULL && !call->is_chunked) {
-        char *text = g_strndup(length->value, length->value_len);
+/* ---- requests ---------------------------------------------------------- */
 
-        call->expect = strtoull(text, NULL, 10);
-        g_free(text);
+static void
+on_written(h2o_socket_t *sock, const char *err)
+{
+    Conn *cn = sock->data;
+
+    if (err != NULL && cn->call != NULL) {
+        fail(cn->call);
     }
 }
 
-/* Copies the headers, since the library's buffer is reused for the body. */
 static void
-copy_headers(JdHttpCall *call, const h2o_header_t *headers, size_t n)
+write_request(Conn *cn)
 {
-    size_t used = 0;
+    JdHttpCall *call = cn->call;
+    h2o_iovec_t iov = h2o_iovec_init(call->request->data, call->request->len);
 
-    for (size_t i = 0; i < n; i++) {
-        used += headers[i].name->len + headers[i].value.len;
+    reset_answer(call);
+    http_parser_init(&cn->parser, HTTP_RESPONSE);
+    cn->parser.data = cn;
+    call->is_sent = true;
+    h2o_socket_write(cn->sock, &iov, 1, on_written);
+}
+
+static void
+on_connect(h2o_socket_t *sock, const char *err)
+{
+    Conn *cn = sock->data;
+
+    if (err != NULL) {
+        fail(cn->call);
+        return;
     }
-    g_byte_array_set_size(call->head, (guint)used);
-    used = 0;
-    for (size_t i = 0; i < n && call->answer.headers < JD_HTTP_HEADERS_MAX;
-         i++) {
-        JdHttpHeader *h = &call->answer.header[call->answer.headers++];
-        guint8 *at = call->head->data + used;
+    cn->is_open = true;
+    h2o_socket_read_start(sock, on_read);
+    write_request(cn);
+}
 
-        memcpy(at, headers[i].name->base, headers[i].name->len);
-        h->name = (const char *)at;
-        h->name_len = headers[i].name->len;
-        at += h->name_len;
-        memcpy(at, headers[i].value.base, headers[i].value.len);
-        h->value = (const char *)at;
-        h->value_len = headers[i].value.len;
-        used += h->name_len + h->value_len;
+static Conn *
+take_idle(JdHttpc *hc)
+{
+    uint64_t now = JdClock_Now(&hc->loop->clock);
+    Conn *cn, *next;
+
+    for (cn = TAILQ_FIRST(&hc->idle); cn != NULL; cn = next) {
+        next = TAILQ_NEXT(cn, link);
+        if (cn->idle_until <= now) {
+            close_conn(cn);
+            continue;
+        }
+        TAILQ_REMOVE(&hc->idle, cn, link);
+        cn->is_kept = false;
+        return cn;
     }
-    note_framing(call);
+    return NULL;
 }
 
-static h2o_http1client_body_cb
-on_head(h2o_http1client_t *client, const char *err, int minor, int status,
-        h2o_iovec_t msg, h2o_header_t *headers, size_t n, int rlen)
+static void
+start_call(JdHttpCall *call)
 {
-    JdHttpCall *call = client->data;
+    JdHttpc *hc = call->httpc;
+    Conn *cn = take_idle(hc);
 
-    (void)minor;
-    (void)msg;
-    (void)rlen;
-    if (err != NULL && err != h2o_http1client_error_is_eos) {
-        call->client = NULL;
-        finish(call, JD_HTTP_BROKEN);
-        return NULL;
+    if (cn != NULL) {
+        cn->call = call;
+        call->conn = cn;
+        write_request(cn);
+        return;
     }
-    call->answer.status = status;
-    copy_headers(call, headers, n);
-    if (err == h2o_http1client_error_is_eos) {
-        finish_answer(call, client,
-                      call->is_head || call->expect == SIZE_MAX ||
-                          call->expect == 0);
-        return NULL;
+    cn = g_new0(Conn, 1);
+    cn->httpc = hc;
+    cn->call = call;
+    cn->sock =
+        h2o_socket_connect(hc->loop->loop, (struct sockaddr *)&hc->address,
+                           sizeof(hc->address), on_connect);
+    if (cn->sock == NULL) {
+        g_free(cn);
+        /* Deferred, since the call has not been returned yet. */
+        JdTimer_Arm(&hc->loop->clock, &call->timer, 0);
+        return;
     }
-    return on_body;
+    cn->sock->data = cn;
+    call->conn = cn;
+    hc->open++;
 }
 
-static h2o_http1client_head_cb
-on_connect(h2o_http1client_t *client, const char *err, h2o_iovec_t **bufs,
-           size_t *n, int *is_head)
+/* Starts the calls that waited for a connection. */
+static void
+start_waiting(JdHttpc *hc)
 {
-    JdHttpCall *call = client->data;
+    JdHttpCall *call;
 
-    if (err != NULL) {
-        /* Deferred, since the call may not have been returned yet. */
-        call->client = NULL;
-        JdTimer_Arm(&call->httpc->loop->clock, &call->timer, 0);
-        return NULL;
+    while ((call = TAILQ_FIRST(&hc->waiting)) != NULL &&
+           (hc->open < hc->most || !TAILQ_EMPTY(&hc->idle))) {
+        TAILQ_REMOVE(&hc->waiting, call, link);
+        call->is_waiting = false;
+        start_call(call);
     }
-    call->is_sent = true;
-    call->iov = h2o_iovec_init(call->request->data, call->request->len);
-    *bufs = &call->iov;
-    *n = 1;
-    *is_head = call->is_head;
-    return on_head;
 }
 
 static GByteArray *
@@ -300,7 +546,7 @@
 
 /*
  * Sends a request.  The callback comes within the request's timeout, never
- * before this call returns unless no connection could be started.
+ * before this call returns.
  */
 JdHttpCall *
 JdHttpc_Send(JdHttpc *hc, const JdHttpRequest *rq, JdHttpDone done, void *ctx)
@@ -310,19 +556,23 @@
     call->httpc = hc;
     call->done = done;
     call->ctx = ctx;
-    call->expect = SIZE_MAX;
     call->is_head = strcmp(rq->method, "HEAD") == 0;
     call->request = format_request(hc, rq);
+    call->texts = g_byte_array_new();
     call->body = g_byte_array_new();
-    call->head = g_byte_array_new();
     if (rq->echo != NULL) {
         call->echo_name = rq->echo_name;
         call->echo = g_strdup(rq->echo);
     }
     JdTimer_Init(&call->timer, on_timeout, call);
     JdTimer_Arm(&hc->loop->clock, &call->timer, rq->timeout);
-    h2o_http1client_connect_with_pool(&call->client, call, &hc->client,
-                                      &hc->pool, on_connect);
+    if (hc->open >= hc->most && TAILQ_EMPTY(&hc->idle)) {
+        call->is_waiting = true;
+        TAILQ_INSERT_TAIL(&hc->waiting, call, link);
+    }
+    else {
+        start_call(call);
+    }
     return call;
 }
 
@@ -336,18 +586,24 @@
     return JdHttpc_Send(hc, &rq, done, ctx);
 }
 
-/* Returns the first header of that name in an answer, or NULL. */
+/* Returns the first header of that name, or NULL. */
 const JdHttpHeader *
-JdHttpAnswer_Find(const JdHttpAnswer *ans, const char *name)
+JdHttpHeader_Find(const JdHttpHeader *header, size_t n, const char *name)
 {
-    size_t n = strlen(name);
+    size_t len = strlen(name);
 
-    for (size_t i = 0; i < ans->headers; i++) {
-        const JdHttpHeader *h = &ans->header[i];
-
-        if (h->name_len == n && g_ascii_strncasecmp(h->name, name, n) == 0) {
-            return h;
+    for (size_t i = 0; i < n; i++) {
+        if (header[i].name_len == len &&
+            g_ascii_strncasecmp(header[i].name, name, len) == 0) {
+            return &header[i];
         }
     }
     return NULL;
 }
+
+/* Returns the first header of that name in an answer, or NULL. */
+const JdHttpHeader *
+JdHttpAnswer_Find(const JdHttpAnswer *ans, const char *name)
+{
+    return JdHttpHeader_Find(ans->header, ans->headers, name);
+}
--- /dev/null
+++ b/base/server.c
@@ -0,0 +1,587 @@
+/*
+ * HTTP/1.1 server for callers.  Requests that a caller sends before the first
+ * one is answered are handed over at once; answers go back in the order of the
+ * requests.  Reading goes on while requests wait, so a caller that leaves is
+ * noticed, also behind requests that were not answered.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <glib.h>
+
+#include "base.h"
+
+/* Requests of one connection that may wait for their answers. */
+#define PENDING_MOST 64
+/* Bytes of the headers of one request. */
+#define HEAD_MOST 65536
+/* Time for which a connection may be idle, above that of callers. */
+#define IDLE_TIME (75 * JD_US_PER_S)
+/* Time for a caller to close after the last answer was sent. */
+#define LINGER_TIME JD_US_PER_S
+
+typedef enum ConnState {
+    CONN_OPEN,
+    CONN_LAST,    /* nothing is read any more; the last answers go out */
+    CONN_LINGER,  /* all is sent; waits for the caller's end */
+    CONN_CLOSING, /* freed on the next round of the loop */
+    CONN_STATE_MAX
+} ConnState;
+
+struct JdServerConn {
+    TAILQ_ENTRY(JdServerConn) link;
+    JdServer *server;
+    h2o_socket_t *sock;
+    http_parser parser;
+    JdServerReq *reading; /* the request that is not whole yet */
+    TAILQ_HEAD(PendingHead, JdServerReq) pending;
+    unsigned pending_count;
+    ConnState state;
+    h2o_buffer_t *out; /* waits for the write under way */
+    h2o_buffer_t *sending;
+    bool is_writing;
+    bool is_taking; /* requests are being taken from the input */
+    JdTimer timer;  /* idle, linger, or the end */
+};
+
+/* A header, as offsets into the request's texts. */
+typedef struct HeaderAt {
+    size_t name;
+    size_t name_len;
+    size_t value;
+    size_t value_len;
+} HeaderAt;
+
+struct JdServerReq {
+    TAILQ_ENTRY(JdServerReq) link;
+    JdServerConn *conn;
+    GByteArray *texts; /* target, then headers */
+    size_t url_len;
+    HeaderAt at[JD_HTTP_HEADERS_MAX];
+    bool is_value; /* the last text was a header's value */
+    bool is_too_large;
+    bool is_whole;
+    bool keeps_alive;
+    GByteArray *answer; /* NULL: not answered yet */
+    JdServerRequest pub;
+};
+
+static void flush(JdServerConn *cn);
+static void take_input(JdServerConn *cn);
+
+/* ---- ends -------------------------------------------------------------- */
+
+static void
+free_req(JdServerReq *rq)
+{
+    g_byte_array_unref(rq->texts);
+    g_byte_array_unref(rq->pub.body);
+    if (rq->answer != NULL) {
+        g_byte_array_unref(rq->answer);
+    }
+    g_free(rq);
+}
+
+static void
+on_reap(void *ctx)
+{
+    JdServerConn *cn = ctx;
+
+    TAILQ_REMOVE(&cn->server->conns, cn, link);
+    h2o_buffer_dispose(&cn->out);
+    h2o_buffer_dispose(&cn->sending);
+    g_free(cn);
+}
+
+/*
+ * Closes a connection; the requests that wait on it are told that their caller
+ * is gone.  Its memory stays until the next round of the loop.
+ */
+static void
+close_conn(JdServerConn *cn)
+{
+    JdServer *sv = cn->server;
+    JdServerReq *rq;
+
+    if (cn->state == CONN_CLOSING) {
+        return;
+    }
+    cn->state = CONN_CLOSING;
+    h2o_socket_close(cn->sock);
+    cn->sock = NULL;
+    if (cn->reading != NULL) {
+        free_req(cn->reading);
+        cn->reading = NULL;
+    }
+    while ((rq = TAILQ_FIRST(&cn->pending)) != NULL) {
+        TAILQ_REMOVE(&cn->pending, rq, link);
+        if (rq->answer == NULL) {
+            sv->ops->gone(sv->ctx, &rq->pub);
+        }
+        free_req(rq);
+    }
+    cn->pending_count = 0;
+    cn->timer.fire = on_reap;
+    JdTimer_Arm(&sv->loop->clock, &cn->timer, 0);
+}
+
+static void
+on_idle(void *ctx)
+{
+    JdServerConn *cn = ctx;
+
+    if (cn->state == CONN_OPEN && cn->pending_count > 0) {
+        JdTimer_Arm(&cn->server->loop->clock, &cn->timer, IDLE_TIME);
+        return;
+    }
+    close_conn(cn);
+}
+
+/* ---- answers ----------------------------------------------------------- */
+
+/* All is sent: a close with unread bytes would reset what is on its way. */
+static void
+linger(JdServerConn *cn)
+{
+    cn->state = CONN_LINGER;
+    shutdown(h2o_socket_get_fd(cn->sock), SHUT_WR);
+    JdTimer_Arm(&cn->server->loop->clock, &cn->timer, LINGER_TIME);
+}
+
+static void
+on_written(h2o_socket_t *sock, const char *err)
+{
+    JdServerConn *cn = sock->data;
+
+    cn->is_writing = false;
+    h2o_buffer_consume(&cn->sending, cn->sending->size);
+    if (err != NULL) {
+        close_conn(cn);
+        return;
+    }
+    flush(cn);
+}
+
+static void
+start_write(JdServerConn *cn)
+{
+    h2o_buffer_t *b = cn->sending;
+    h2o_iovec_t iov;
+
+    cn->sending = cn->out;
+    cn->out = b;
+    iov = h2o_iovec_init(cn->sending->bytes, cn->sending->size);
+    cn->is_writing = true;
+    h2o_socket_write(cn->sock, &iov, 1, on_written);
+}
+
+static void
+append(JdServerConn *cn, const void *data, size_t n)
+{
+    h2o_iovec_t at = h2o_buffer_reserve(&cn->out, n);
+
+    memcpy(at.base, data, n);
+    cn->out->size += n;
+}
+
+/* Sends the answers that are next in order. */
+static void
+flush(JdServerConn *cn)
+{
+    JdServerReq *rq;
+
+    while ((rq = TAILQ_FIRST(&cn->pending)) != NULL && rq->answer != NULL) {
+        append(cn, rq->answer->data, rq->answer->len);
+        TAILQ_REMOVE(&cn->pending, rq, link);
+        cn->pending_count--;
+        free_req(rq);
+    }
+    if (cn->is_writing) {
+        return;
+    }
+    if (cn->out->size > 0) {
+        start_write(cn);
+    }
+    else if (cn->state == CONN_LAST && cn->pending_count == 0) {
+        linger(cn);
+    }
+}
+
+static const char *
+phrase_of(int status)
+{
+    switch (status) {
+#define PHRASE(num, name, text)                                               \
+    case num:                                                                 \
+        return #text;
+        HTTP_STATUS_MAP(PHRASE)
+#undef PHRASE
+    default:
+        return "Unknown";
+    }
+}
+
+/* Whether this answer is the last one on its connection. */
+static bool
+is_last(const JdServerReq *rq)
+{
+    const JdServerConn *cn = rq->conn;
+
+    if (TAILQ_NEXT(rq, link) != NULL) {
+        return false;
+    }
+    return !rq->keeps_alive || cn->server->is_ending || cn->state == CONN_LAST;
+}
+
+/*
+ * Answers a request.  `headers` is NULL or complete lines that end in CRLF.
+ * The request is no longer the caller's to use.
+ */
+void
+JdServer_Reply(JdServerRequest *pub, int status, const char *headers,
+               const void *body, size_t len)
+{
+    JdServerReq *rq =
+        (JdServerReq *)((char *)pub - offsetof(JdServerReq, pub));
+    JdServerConn *cn = rq->conn;
+    GString *head = g_string_new(NULL);
+
+    if (is_last(rq) && cn->state == CONN_OPEN) {
+        cn->state = CONN_LAST;
+    }
+    g_string_printf(
+        head, "HTTP/1.1 %d %s\r\n%scontent-length: %zu\r\n%s\r\n", status,
+        phrase_of(status),
+        cn->state == CONN_LAST && is_last(rq) ? "connection: close\r\n" : "",
+        len, headers == NULL ? "" : headers);
+    rq->answer = g_byte_array_sized_new((guint)(head->len + len));
+    g_byte_array_append(rq->answer, (guint8 *)head->str, (guint)head->len);
+    if (len > 0 && strcmp(pub->method, "HEAD") != 0) {
+        g_byte_array_append(rq->answer, body, (guint)len);
+    }
+    g_string_free(head, TRUE);
+    flush(cn);
+    take_input(cn);
+}
+
+/* ---- requests ---------------------------------------------------------- */
+
+static JdServerReq *
+reading_of(http_parser *hp)
+{
+    return ((JdServerConn *)hp->data)->reading;
+}
+
+static int
+on_begin(http_parser *hp)
+{
+    JdServerConn *cn = hp->data;
+    JdServerReq *rq = g_new0(JdServerReq, 1);
+
+    rq->conn = cn;
+    rq->texts = g_byte_array_new();
+    rq->pub.body = g_byte_array_new();
+    rq->is_value = true;
+    cn->reading = rq;
+    return 0;
+}
+
+static int
+add_text(JdServerReq *rq, const char *at, size_t n)
+{
+    if (rq->texts->len + n > HEAD_MOST) {
+        rq->is_too_large = true;
+        return 1;
+    }
+    g_byte_array_append(rq->texts, (const guint8 *)at, (guint)n);
+    return 0;
+}
+
+static int
+on_url(http_parser *hp, const char *at, size_t n)
+{
+    JdServerReq *rq = reading_of(hp);
+
+    rq->url_len += n;
+    return add_text(rq, at, n);
+}
+
+static int
+on_name(http_parser *hp, const char *at, size_t n)
+{
+    JdServerReq *rq = reading_of(hp);
+    HeaderAt *h;
+
+    if (rq->is_value) {
+        if (rq->pub.headers == JD_HTTP_HEADERS_MAX) {
+            rq->is_too_large = true;
+            return 1;
+        }
+        h = &rq->at[rq->pub.headers++];
+        h->name = rq->texts->len;
+        rq->is_value = false;
+    }
+    h = &rq->at[rq->pub.headers - 1];
+    h->name_len += n;
+    return add_text(rq, at, n);
+}
+
+static int
+on_value(http_parser *hp, const char *at, size_t n)
+{
+    JdServerReq *rq = reading_of(hp);
+    HeaderAt *h = &rq->at[rq->pub.headers - 1];
+
+    if (!rq->is_value) {
+        h->value = rq->texts->len;
+        rq->is_value = true;
+    }
+    h->value_len += n;
+    return add_text(rq, at, n);
+}
+
+/* Points what the request says at its texts, which no longer move. */
+static int
+on_headers(http_parser *hp)
+{
+    JdServerReq *rq = reading_of(hp);
+    const char *texts = (const char *)rq->texts->data;
+    const JdHttpHeader *h;
+
+    rq->pub.method = http_method_str((enum http_method)hp->method);
+    rq->pub.path = texts;
+    rq->pub.path_len = rq->url_len;
+    for (size_t i = 0; i < rq->pub.headers; i++) {
+        JdHttpHeader *to = &rq->pub.header[i];
+
+        to->name = texts + rq->at[i].name;
+        to->name_len = rq->at[i].name_len;
+        to->value = texts + rq->at[i].value;
+        to->value_len = rq->at[i].value_len;
+    }
+    h = JdServer_Header(&rq->pub, "expect");
+    if (h != NULL && rq->conn->pending_count == 0) {
+        static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+        append(rq->conn, text, sizeof(text) - 1);
+        flush(rq->conn);
+    }
+    return 0;
+}
+
+static int
+on_body(http_parser *hp, const char *at, size_t n)
+{
+    JdServerReq *rq = reading_of(hp);
+
+    if (rq->pub.body->len + n > rq->conn->server->body_most) {
+        rq->is_too_large = true;
+        return 1;
+    }
+    g_byte_array_append(rq->pub.body, (const guint8 *)at, (guint)n);
+    return 0;
+}
+
+static int
+on_complete(http_parser *hp)
+{
+    JdServerReq *rq = reading_of(hp);
+
+    rq->keeps_alive = http_should_keep_alive(hp) != 0;
+    rq->is_whole = true;
+    /* It is handed over outside the parser, which must not be reentered. */
+    http_parser_pause(hp, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+/* Returns the first header of that name in a request, or NULL. */
+const JdHttpHeader *
+JdServer_Header(const JdServerRequest *pub, const char *name)
+{
+    return JdHttpHeader_Find(pub->header, pub->headers, name);
+}
+
+static void
+enqueue(JdServerConn *cn, JdServerReq *rq)
+{
+    cn->reading = NULL;
+    TAILQ_INSERT_TAIL(&cn->pending, rq, link);
+    cn->pending_count++;
+}
+
+static void
+hand_over(JdServerConn *cn)
+{
+    JdServer *sv = cn->server;
+    JdServerReq *rq = cn->reading;
+
+    enqueue(cn, rq);
+    if (!rq->keeps_alive) {
+        cn->state = CONN_LAST;
+    }
+    sv->ops->request(sv->ctx, &rq->pub);
+}
+
+/* What cannot be read ends the connection, after the answers before it. */
+static void
+refuse_unreadable(JdServerConn *cn)
+{
+    JdServerReq *rq = cn->reading;
+
+    if (rq == NULL) {
+        close_conn(cn);
+        return;
+    }
+    if (rq->pub.method == NULL) {
+        rq->pub.method = "";
+    }
+    enqueue(cn, rq);
+    cn->state = CONN_LAST;
+    JdServer_Reply(&rq->pub, rq->is_too_large ? 413 : 400, NULL, NULL, 0);
+}
+
+static void
+take_input(JdServerConn *cn)
+{
+    if (cn->is_taking) {
+        return;
+    }
+    cn->is_taking = true;
+    while (cn->state == CONN_OPEN && cn->sock->input->size > 0 &&
+           cn->pending_count < PENDING_MOST) {
+        size_t n =
+            http_parser_execute(&cn->parser, &parser_settings,
+                                cn->sock->input->bytes, cn->sock->input->size);
+
+        h2o_buffer_consume(&cn->sock->input, n);
+        if (cn->reading != NULL && cn->reading->is_whole) {
+            http_parser_pause(&cn->parser, 0);
+            hand_over(cn);
+        }
+        else if (HTTP_PARSER_ERRNO(&cn->parser) != HPE_OK) {
+            refuse_unreadable(cn);
+        }
+    }
+    cn->is_taking = false;
+}
+
+static void
+on_read(h2o_socket_t *sock, const char *err)
+{
+    JdServerConn *cn = sock->data;
+
+    if (err != NULL) {
+        /* Also one that closes only its sending side counts as gone. */
+        close_conn(cn);
+        return;
+    }
+    if (cn->state != CONN_OPEN) {
+        /* Not read: the answers before it end the connection. */
+        h2o_buffer_consume(&sock->input, sock->input->size);
+        return;
+    }
+    if (cn->pending_count == 0) {
+        JdTimer_Arm(&cn->server->loop->clock, &cn->timer, IDLE_TIME);
+    }
+    take_input(cn);
+}
+
+/* ---- the server -------------------------------------------------------- */
+
+static void
+add_conn(JdServer *sv, h2o_socket_t *sock)
+{
+    JdServerConn *cn = g_new0(JdServerConn, 1);
+
+    cn->server = sv;
+    cn->sock = sock;
+    sock->data = cn;
+    TAILQ_INIT(&cn->pending);
+    h2o_buffer_init(&cn->out, &h2o_socket_buffer_prototype);
+    h2o_buffer_init(&cn->sending, &h2o_socket_buffer_prototype);
+    http_parser_init(&cn->parser, HTTP_REQUEST);
+    cn->parser.data = cn;
+    JdTimer_Init(&cn->timer, on_idle, cn);
+    JdTimer_Arm(&sv->loop->clock, &cn->timer, IDLE_TIME);
+    TAILQ_INSERT_TAIL(&sv->conns, cn, link);
+    h2o_socket_read_start(sock, on_read);
+}
+
+static void
+on_accept(h2o_socket_t *listener, const char *err)
+{
+    JdServer *sv = listener->data;
+    h2o_socket_t *sock;
+
+    if (err != NULL) {
+        return;
+    }
+    while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
+        add_conn(sv, sock);
+    }
+}
+
+/* Starts a server on an address; bodies above `body_most` bytes get 413. */
+JdStatus
+JdServer_Init(JdServer *sv, JdLoop *lp, const char *address, size_t body_most,
+              const JdServerOps *ops, void *ctx, JdError *err)
+{
+    JdStatus s;
+    int fd;
+
+    memset(sv, 0, sizeof(*sv));
+    TAILQ_INIT(&sv->conns);
+    sv->loop = lp;
+    sv->body_most = body_most;
+    sv->ops = ops;
+    sv->ctx = ctx;
+    s = JdListen(address, &fd, err);
+    if (s != JD_OK) {
+        return s;
+    }
+    sv->listener =
+        h2o_evloop_socket_create(lp->loop, fd, H2O_SOCKET_FLAG_DONT_READ);
+    sv->listener->data = sv;
+    h2o_socket_read_start(sv->listener, on_accept);
+    return JD_OK;
+}
+
+/* From now on each connection ends with its next answers. */
+void
+JdServer_EndConnections(JdServer *sv)
+{
+    sv->is_ending = true;
+}
+
+/* Takes no new connections, and closes those that are idle. */
+void
+JdServer_StopAccepting(JdServer *sv)
+{
+    JdServerConn *cn, *next;
+
+    if (sv->listener == NULL) {
+        return;
+    }
+    h2o_socket_close(sv->listener);
+    sv->listener = NULL;
+    sv->is_ending = true;
+    for (cn = TAILQ_FIRST(&sv->conns); cn != NULL; cn = next) {
+        next = TAILQ_NEXT(cn, link);
+        if (cn->state == CONN_OPEN && cn->pending_count == 0 &&
+            cn->reading == NULL) {
+            close_conn(cn);
+        }
+    }
+}
--- a/caller/front.c
+++ b/caller/front.c
@@ -1,16 +1,25 @@
 /* Callers: the HTTP server that takes their requests. */
-#include "../node/node.h"
+#include "../peer/forward.h"
 
 static void
-on_request(void *ctx, h2o_req_t *req)
+on_request(void *ctx, JdServerRequest *req)
 {
     JdIntake_Start(ctx, req);
 }
 
+static void
+on_gone(void *ctx, JdServerRequest *req)
+{
+    (void)ctx;
+    JdForward_CallerLeft(req->user);
+}
+
+static const JdServerOps ops = {on_request, on_gone};
+
 /* Takes requests of callers. */
 JdStatus
 JdFront_Init(JdNode *nd, JdError *err)
 {
-    return JdHttpd_Init(&nd->caller, &nd->loop, nd->settings.caller_address,
-                        nd->settings.body_most, on_request, nd, err);
+    return JdServer_Init(&nd->caller, &nd->loop, nd->settings.caller_address,
+                         nd->settings.body_most, &ops, nd, err);
 }
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -12,15 +12,16 @@
 } Ask;
 
 static bool
-is_named(const h2o_header_t *h, const char *name)
+is_named(const JdHttpHeader *h, const char *name)
 {
-    return h2o_memis(h->name->base, h->name->len, name, strlen(name));
+    return h->name_len == strlen(name) &&
+           g_ascii_strncasecmp(h->name, name, h->name_len) == 0;
 }
 
 /* Headers of the connection, and those that this system sets itself, end
  * here. */
 static bool
-is_forwarded(const JdDialect *dl, const h2o_header_t *h)
+is_forwarded(const JdDialect *dl, const JdHttpHeader *h)
 {
     static const char *const dropped[] = {
         "connection",
@@ -49,8 +50,9 @@
 
 /* Copies a caller's request into a message that does not point into it. */
 static Jd__Request *
-copy_request(const JdCall *call, const h2o_req_t *req, const Ask *ask)
+copy_request(const JdCall *call, const JdServerRequest *req, const Ask *ask)
 {
+    const JdHttpHeader *host = JdServer_Header(req, "host");
     Jd__Header header[JD_HTTP_HEADERS_MAX];
     Jd__Header *list[JD_HTTP_HEADERS_MAX];
     Jd__Request msg = JD__REQUEST__INIT;
@@ -61,33 +63,33 @@
 
     msg.id = call->id;
     msg.service = (char *)call->route.service;
-    msg.method = g_string_chunk_insert_len(texts, req->method.base,
-                                           (gssize)req->method.len);
-    msg.path = g_string_chunk_insert_len(texts, req->path.base,
-                                         (gssize)req->path.len);
-    for (size_t i = 0;
-         i < req->headers.size && msg.n_header < JD_HTTP_HEADERS_MAX; i++) {
-        const h2o_header_t *h = &req->headers.entries[i];
+    msg.method = (char *)req->method;
+    msg.path =
+        g_string_chunk_insert_len(texts, req->path, (gssize)req->path_len);
+    for (size_t i = 0; i < req->headers; i++) {
+        const JdHttpHeader *h = &req->header[i];
         Jd__Header *to = &header[msg.n_header];
 
         if (!is_forwarded(call->node->dialect, h)) {
             continue;
         }
         jd__header__init(to);
-        to->name = g_string_chunk_insert_len(texts, h->name->base,
-                                             (gssize)h->name->len);
-        to->value.data = (uint8_t *)h->value.base;
-        to->value.len = h->value.len;
+        to->name =
+            g_string_chunk_insert_len(texts, h->name, (gssize)h->name_len);
+        to->value.data = (uint8_t *)h->value;
+        to->value.len = h->value_len;
         list[msg.n_header++] = to;
     }
     msg.header = list;
-    msg.host = g_string_chunk_insert_len(texts, req->authority.base,
-                                         (gssize)req->authority.len);
+    if (host != NULL) {
+        msg.host = g_string_chunk_insert_len(texts, host->value,
+                                             (gssize)host->value_len);
+    }
     msg.request_id = (char *)ask->request_id;
     msg.caller_service = (char *)call->node->settings.service;
     msg.idempotent = call->route.idempotent;
-    msg.body.data = (uint8_t *)req->entity.base;
-    msg.body.len = req->entity.len;
+    msg.body.data = req->body->data;
+    msg.body.len = req->body->len;
     msg.priority = call->route.priority;
     msg.key = (char *)ask->key;
     msg.once = call->route.once;
@@ -101,21 +103,35 @@
     return copy;
 }
 
+/* Copies a value as text.  Returns false when it does not fit. */
+static bool
+copy_value(const JdHttpHeader *h, char *buf, size_t size)
+{
+    if (h->value_len >= size) {
+        return false;
+    }
+    memcpy(buf, h->value, h->value_len);
+    buf[h->value_len] = '\0';
+    return true;
+}
+
 /*
  * Reads how long the caller waits into `timeout`, unless that is shorter.
  * Returns false when it is malformed.
  */
 static bool
-read_timeout(const JdDialect *dl, const h2o_req_t *req, uint64_t *timeout)
+read_timeout(const JdDialect *dl, const JdServerRequest *req,
+             uint64_t *timeout)
 {
-    const char *name = dl->header[JD_FIELD_TIMEOUT_MS];
+    const JdHttpHeader *h =
+        JdServer_Header(req, dl->header[JD_FIELD_TIMEOUT_MS]);
     char text[16];
     guint64 ms;
 
-    if (h2o_find_header_by_str(&req->headers, name, strlen(name), -1) < 0) {
+    if (h == NULL) {
         return true;
     }
-    if (!JdHttpd_Header(req, name, text, sizeof(text)) ||
+    if (!copy_value(h, text, sizeof(text)) ||
         !g_ascii_string_to_unsigned(text, 10, 1, 3600000, &ms, NULL)) {
         return false;
     }
@@ -126,34 +142,40 @@
 }
 
 static bool
-find_route(JdNode *nd, const h2o_req_t *req, JdRoute *route)
+find_route(JdNode *nd, const JdServerRequest *req, JdRoute *route)
 {
-    JdRouteKey key = {.host = req->authority.base,
-                      .host_len = req->authority.len,
-                      .path = req->path.base,
-                      .path_len = req->path.len};
+    const JdHttpHeader *host = JdServer_Header(req, "host");
+    JdRouteKey key = {.path = req->path, .path_len = req->path_len};
+
+    if (host != NULL) {
+        key.host = host->value;
+        key.host_len = host->value_len;
+    }
 
     return JdConfig_Route(nd->store.config, &key,
                           JdRandom_Below(&nd->tree.random, UINT32_MAX), route);
 }
 
 static bool
-needs_key(const h2o_req_t *req, const Ask *ask)
+needs_key(const JdServerRequest *req, const Ask *ask)
 {
     return ask->route.once && ask->key[0] == '\0' &&
-           !JdHttpd_IsMethod(req, "GET") && !JdHttpd_IsMethod(req, "HEAD");
+           strcmp(req->method, "GET") != 0 && strcmp(req->method, "HEAD") != 0;
 }
 
 /* Reads and checks what can be refused before a call is made of it. */
 static JdReason
-read_request(JdNode *nd, const h2o_req_t *req, Ask *ask)
+read_request(JdNode *nd, const JdServerRequest *req, Ask *ask)
 {
     const char *id_name = nd->dialect->header[JD_FIELD_REQUEST_ID];
+    const JdHttpHeader *id =
+        id_name == NULL ? NULL : JdServer_Header(req, id_name);
+    const JdHttpHeader *key = JdServer_Header(req, "idempotency-key");
     bool lacks_version =
         nd->source->needs_version && nd->store.config->version == 0;
 
-    if (id_name != NULL) {
-        JdHttpd_Header(req, id_name, ask->request_id, sizeof(ask->request_id));
+    if (id != NULL) {
+        copy_value(id, ask->request_id, sizeof(ask->request_id));
     }
     if (!nd->tree.is_ready || lacks_version) {
         return JD_REASON_NOT_READY;
@@ -162,14 +184,11 @@
         return JD_REASON_NO_ROUTE;
     }
     ask->timeout = ask->route.deadline;
-    if (!read_timeout(nd->dialect, req, &ask->timeout) ||
-        req->headers.size > JD_HTTP_HEADERS_MAX) {
+    if (!read_timeout(nd->dialect, req, &ask->timeout)) {
         return JD_REASON_BAD_REQUEST;
     }
-    if (h2o_find_header_by_str(&req->headers, H2O_STRLIT("idempotency-key"),
-                               -1) >= 0 &&
-        (!JdHttpd_Header(req, "idempotency-key", ask->key, sizeof(ask->key)) ||
-         ask->key[0] == '\0')) {
+    if (key != NULL &&
+        (!copy_value(key, ask->key, sizeof(ask->key)) || ask->key[0] == '\0')) {
         return JD_REASON_BAD_REQUEST;
     }
     return needs_key(req, ask) ? JD_REASON_KEY_MISSING : JD_REASON_NONE;
@@ -177,7 +196,7 @@
 
 /* Takes a caller's request. */
 void
-JdIntake_Start(JdNode *nd, h2o_req_t *req)
+JdIntake_Start(JdNode *nd, JdServerRequest *req)
 {
     Ask ask = {.timeout = 0};
     JdReason reason = read_request(nd, req, &ask);
@@ -198,9 +217,7 @@
     call->started = JdClock_Now(&nd->loop.clock);
     call->deadline = call->started + ask.timeout;
     call->msg = copy_request(call, req, &ask);
-    call->gone = h2o_mem_alloc_shared(&req->pool, sizeof(JdCall *),
-                                      JdForward_OnRequestGone);
-    *call->gone = call;
+    req->user = call;
     TAILQ_INSERT_TAIL(&nd->calls, call, link);
     nd->call_count++;
     JdForward_Begin(call, ask.timeout);
--- a/node/drain.c
+++ b/node/drain.c
@@ -38,7 +38,7 @@
 
     if (now >= nd->linger_until) {
         JdAdmit_Close(&nd->admit);
-        JdHttpd_StopAccepting(&nd->caller);
+        JdServer_StopAccepting(&nd->caller);
     }
     if (now >= nd->drain_until) {
         if (!is_idle) {
@@ -75,7 +75,7 @@
     JdLogging_Event(JD_EVENT_DRAINING, "calls=%u running=%u", nd->call_count,
                     nd->admit.running);
     JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
-    JdHttpd_EndConnections(&nd->caller);
+    JdServer_EndConnections(&nd->caller);
     nd->linger_until = now + nd->settings.linger_ms * JD_US_PER_MS;
     nd->drain_until = now + nd->settings.drain_ms * JD_US_PER_MS;
     JdTimer_Init(&nd->drain, look, nd);
--- a/node/node.h
+++ b/node/node.h
@@ -81,7 +81,7 @@
     JdReader reader;
     JdLog log;
     JdConnSet conns;
-    JdHttpd caller;
+    JdServer caller;
     JdHttpd admin;
     JdApplied applied[JD_APPLIED_MAX];
     unsigned applied_len; /* counts on past the size of the ring */
@@ -127,7 +127,7 @@
 JdStatus JdLink_Init(JdNode *nd, JdError *err);
 
 /* caller/intake.c: requests of callers */
-void JdIntake_Start(JdNode *nd, h2o_req_t *req);
+void JdIntake_Start(JdNode *nd, JdServerRequest *req);
 
 /* peer/forward.c: requests to the target's node, and their answers */
 void JdForward_Init(JdNode *nd);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -11,8 +11,8 @@
 #define PATIENCE_TIMES 8
 #define PATIENCE_LEAST (50 * JD_US_PER_MS)
 #define PATIENCE_UNKNOWN (500 * JD_US_PER_MS)
-/* Period of the checks on calls and connections. */
-#define TEND_EVERY (100 * JD_US_PER_MS)
+/* Period of the checks on connections. */
+#define TEND_EVERY (250 * JD_US_PER_MS)
 
 static void try_target(JdCall *call);
 
@@ -25,9 +25,6 @@
 
     JdTimer_Cancel(&nd->loop.clock, &call->timer);
     JdTimer_Cancel(&nd->loop.clock, &call->patience);
-    if (call->gone != NULL) {
-        *call->gone = NULL;
-    }
     TAILQ_REMOVE(&nd->calls, call, link);
     nd->call_count--;
     JdConfig_Unref(call->config);
@@ -38,20 +35,18 @@
 }
 
 static void
-add_retry_after(const JdNode *nd, h2o_req_t *req, unsigned ms)
+add_retry_after(const JdNode *nd, GString *head, unsigned ms)
 {
-    char text[16];
-
     if (ms == 0) {
         return;
     }
     if (nd->dialect->has_fractions) {
-        g_snprintf(text, sizeof(text), "%u.%03u", ms / 1000, ms % 1000);
+        g_string_append_printf(head, "retry-after: %u.%03u\r\n", ms / 1000,
+                               ms % 1000);
     }
     else {
-        g_snprintf(text, sizeof(text), "%u", (ms + 999) / 1000);
+        g_string_append_printf(head, "retry-after: %u\r\n", (ms + 999) / 1000);
     }
-    JdHttpd_AddHeader(req, "retry-after", text);
 }
 
 /*
@@ -59,24 +54,27 @@
  * `retry_after` is in ms, 0 where coming back does not help.
  */
 void
-JdForward_ReplyRefusal(JdNode *nd, h2o_req_t *req, JdReason reason,
+JdForward_ReplyRefusal(JdNode *nd, JdServerRequest *req, JdReason reason,
                        unsigned retry_after)
 {
     const JdReasonInfo *info = JdReason_Info(reason);
+    GString *head = g_string_new("content-type: application/json\r\n");
+    char body[JD_TEXT_MAX];
 
     if (nd->dialect->tells_outcome) {
-        JdHttpd_AddHeader(req, "x-outcome",
-                          info->is_not_run ? "not-run" : "unknown");
-        JdHttpd_AddHeader(req, "x-reason", info->name);
         /* This node has tried as often as helps; a retry at every depth of a
          * chain of calls would multiply them. */
-        JdHttpd_AddHeader(req, "x-retry", "no");
-    }
-    add_retry_after(nd, req, retry_after);
-    JdHttpd_ReplyJson(req, info->http_status,
-                      json_pack("{s:s, s:b, s:s}", "refused", info->name,
-                                "not_run", info->is_not_run, "node",
-                                nd->settings.node));
+        g_string_append_printf(
+            head, "x-outcome: %s\r\nx-reason: %s\r\nx-retry: no\r\n",
+            info->is_not_run ? "not-run" : "unknown", info->name);
+    }
+    add_retry_after(nd, head, retry_after);
+    g_snprintf(body, sizeof(body),
+               "{\"refused\": \"%s\", \"not_run\": %s, \"node\": \"%s\"}",
+               info->name, info->is_not_run ? "true" : "false",
+               nd->settings.node);
+    JdServer_Reply(req, info->http_status, head->str, body, strlen(body));
+    g_string_free(head, TRUE);
 }
 
 /*
@@ -86,7 +84,7 @@
 static void
 end_refused(JdCall *call, JdReason reason)
 {
-    h2o_req_t *req = call->req;
+    JdServerRequest *req = call->req;
     JdNode *nd = call->node;
     unsigned wait = call->retry_after;
 
@@ -110,31 +108,29 @@
 static void
 end_answered(JdCall *call, const Jd__Response *msg)
 {
-    h2o_req_t *req = call->req;
+    JdServerRequest *req = call->req;
     JdNode *nd = call->node;
-    char version[24];
+    GString *head = g_string_new(NULL);
 
-    g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
-               call->config->version);
-    nd->counters.value[JD_C_ANSWERED]++;
-    free_call(call);
-    if (req == NULL) {
-        return;
-    }
-    req->res.status = (int)msg->status;
-    req->res.reason = "OK";
     for (size_t i = 0; i < msg->n_header; i++) {
         const Jd__Header *h = msg->header[i];
-        char *value = g_strndup((const char *)h->value.data, h->value.len);
 
-        JdHttpd_AddHeader(req, h->name, value);
-        g_free(value);
+        g_string_append_printf(head, "%s: %.*s\r\n", h->name,
+                               (int)h->value.len, (const char *)h->value.data);
     }
     if (nd->dialect->tells_outcome) {
-        JdHttpd_AddHeader(req, "x-outcome", "ran");
-        JdHttpd_AddHeader(req, "x-config-version", version);
+        g_string_append_printf(head,
+                               "x-outcome: ran\r\n"
+                               "x-config-version: %" G_GUINT64_FORMAT "\r\n",
+                               call->config->version);
+    }
+    nd->counters.value[JD_C_ANSWERED]++;
+    free_call(call);
+    if (req != NULL) {
+        JdServer_Reply(req, (int)msg->status, head->str, msg->body.data,
+                       msg->body.len);
     }
-    JdHttpd_SendBody(req, (const char *)msg->body.data, msg->body.len);
+    g_string_free(head, TRUE);
 }
 
 static void
@@ -437,19 +433,12 @@
     free_call(call);
 }
 
-/* The request's memory goes away, answered or not. */
+/* The caller of a request left before it was answered. */
 void
-JdForward_OnRequestGone(void *data)
+JdForward_CallerLeft(JdCall *call)
 {
-    JdCall **slot = data;
-
-    if (*slot != NULL) {
-        JdCall *call = *slot;
-
-        call->gone = NULL;
-        call->req = NULL;
-        abandon(call);
-    }
+    call->req = NULL;
+    abandon(call);
 }
 
 /* Starts a call whose request is checked and copied. */
@@ -466,55 +455,6 @@
     try_target(call);
 }
 
-/* Calls whose callers are looked after in one round. */
-#define WATCH_MOST 512
-
-static JdCall *
-find_call_of(JdNode *nd, const h2o_req_t *req)
-{
-    JdCall *call;
-
-    TAILQ_FOREACH(call, &nd->calls, link)
-    {
-        if (call->req == req) {
-            return call;
-        }
-    }
-    return NULL;
-}
-
-/* Ends the calls whose callers left; ending one can end others as well. */
-static void
-drop_callers(JdNode *nd)
-{
-    struct pollfd pfds[WATCH_MOST];
-    h2o_req_t *reqs[WATCH_MOST];
-    nfds_t n = 0;
-    JdCall *call;
-
-    TAILQ_FOREACH(call, &nd->calls, link)
-    {
-        if (n < WATCH_MOST && call->req != NULL &&
-            JdHttpd_WatchCaller(call->req, &pfds[n])) {
-            reqs[n++] = call->req;
-        }
-    }
-    if (n == 0 || poll(pfds, n, 0) <= 0) {
-        return;
-    }
-    for (nfds_t i = 0; i < n; i++) {
-        if (!JdHttpd_HasCallerLeft(&pfds[i])) {
-            continue;
-        }
-        call = find_call_of(nd, reqs[i]);
-        if (call != NULL) {
-            abandon(call);
-            /* The library closes the connection once it writes to it. */
-            JdForward_ReplyRefusal(nd, reqs[i], JD_REASON_CANCELLED, 0);
-        }
-    }
-}
-
 static void
 on_tend(void *ctx)
 {
@@ -522,7 +462,6 @@
 
     JdTimer_Arm(&nd->loop.clock, &nd->tend, TEND_EVERY);
     JdLane_Tend(nd);
-    drop_callers(nd);
 }
 
 /* Initializes the path of requests. */
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -22,8 +22,7 @@
     TAILQ_ENTRY(JdCall) lane_link;
     JdNode *node;
     uint64_t id;
-    h2o_req_t *req;       /* NULL: the caller left */
-    struct JdCall **gone; /* cleared when the call ends first */
+    JdServerRequest *req; /* NULL: the caller left */
     JdConfig *config;
     JdRoute route;
     Jd__Request *msg; /* owned */
@@ -61,8 +60,8 @@
 
 void JdForward_TryAgain(JdCall *call, const JdFailure *why);
 void JdForward_Begin(JdCall *call, uint64_t timeout);
-void JdForward_OnRequestGone(void *data);
-void JdForward_ReplyRefusal(JdNode *nd, h2o_req_t *req, JdReason reason,
+void JdForward_CallerLeft(JdCall *call);
+void JdForward_ReplyRefusal(JdNode *nd, JdServerRequest *req, JdReason reason,
                             unsigned retry_after);
 
 #endif
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -109,7 +109,7 @@
 {
     static const char *const dropped[] = {
         "connection", "content-length", "transfer-encoding",
-        "keep-alive", "server",         "date",
+        "keep-alive", "server",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++) {
