Structured logs: a JSON line for each decision, through GLib with a writer of ours

One object a line on standard output: state changes, and for requests the node that took it (outcome, route, version, tries, sends, time held and left), each failed try (target, reason, load, tier) and the target's node (running, queued, slots, service time).

--- a/base/base.h
+++ b/base/base.h
@@ -224,26 +224,56 @@
 
 /* ---- logging.c ---------------------------------------------------------- */
 
-/* Changes of state that are worth a line. */
+/* Decisions and changes of state that are worth a line. */
 typedef enum JdEvent {
     JD_EVENT_STARTED,
+    JD_EVENT_RELOADED,
     JD_EVENT_READY,
+    JD_EVENT_VERSION, /* a version came into force */
     JD_EVENT_PARENT,
     JD_EVENT_LEAD,
     JD_EVENT_HEAD,
+    JD_EVENT_STORE, /* the store was lost or is back */
+    JD_EVENT_MEMBER,
     JD_EVENT_HALTED,
     JD_EVENT_LOG_EXPIRED,
-    JD_EVENT_REFUSED,
+    JD_EVENT_REFUSED, /* a document was refused */
     JD_EVENT_TARGET,
+    JD_EVENT_LANE,    /* a connection to another node ended */
+    JD_EVENT_RETRY,   /* a try of a request failed, another follows */
+    JD_EVENT_REQUEST, /* the end of a request, at the node that took it */
+    JD_EVENT_WORK,    /* work that was refused or failed beside its target */
     JD_EVENT_DRAINING,
     JD_EVENT_STOPPED,
     JD_EVENT_FAILED,
     JD_EVENT_MAX
 } JdEvent;
 
-void JdLogging_Init(const char *program);
-void JdLogging_Event(JdEvent event, const char *fmt, ...)
-    __attribute__((format(printf, 2, 3)));
+/* One field of a line. */
+typedef struct JdLogField {
+    const char *name; /* lower-case */
+    const char *text; /* NULL: a number */
+    int64_t number;
+} JdLogField;
+
+#define JD_TEXT(name, value)                                                  \
+    {                                                                         \
+        name, value, 0                                                        \
+    }
+#define JD_NUMBER(name, value)                                                \
+    {                                                                         \
+        name, NULL, (int64_t)(value)                                          \
+    }
+
+/* JD_LOG(event, JD_TEXT(...), JD_NUMBER(...)): fields are evaluated once. */
+#define JD_LOG(event, ...)                                                    \
+    JdLogging_Write(event, (const JdLogField[]){__VA_ARGS__},                 \
+                    sizeof((const JdLogField[]){__VA_ARGS__}) /               \
+                        sizeof(JdLogField))
+
+void JdLogging_Init(const char *program, JdLoop *lp);
+void JdLogging_Finish(void);
+void JdLogging_Write(JdEvent event, const JdLogField *fields, size_t n);
 char *JdCounters_Format(const JdCounters *ctr);
 
 #endif
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -187,8 +187,8 @@
     if (!read_timeout(nd->dialect, req, &ask->timeout)) {
         return JD_REASON_BAD_REQUEST;
     }
-    if (key != NULL &&
-        (!copy_value(key, ask->key, sizeof(ask->key)) || ask->key[0] == '\0')) {
+    if (key != NULL && (!copy_value(key, ask->key, sizeof(ask->key)) ||
+                        ask->key[0] == '\0')) {
         return JD_REASON_BAD_REQUEST;
     }
     return needs_key(req, ask) ? JD_REASON_KEY_MISSING : JD_REASON_NONE;
@@ -205,6 +205,10 @@
     nd->counters.value[JD_C_REQUESTS]++;
     if (reason != JD_REASON_NONE) {
         nd->counters.value[JdReason_Info(reason)->counter]++;
+        JD_LOG(JD_EVENT_REQUEST, JD_TEXT("id", ask.request_id),
+               JD_TEXT("outcome", JdReason_Info(reason)->name),
+               JD_NUMBER("version", nd->store.config->version),
+               JD_NUMBER("ready", nd->tree.is_ready));
         JdForward_ReplyRefusal(nd, req, reason,
                                JdReason_Info(reason)->retry_after);
         return;
--- a/fault/faultd.c
+++ b/fault/faultd.c
@@ -554,7 +554,7 @@
     if (admin == NULL || ports == NULL) {
         return JdProgram_Usage(NAME, "--admin and --port are required");
     }
-    JdLogging_Init(NAME);
+    JdLogging_Init(NAME, NULL);
     JdLoop_Init(&fd.loop);
     TAILQ_INIT(&fd.pairs);
     fd.network = (uint32_t)network & 0xff;
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -246,6 +246,8 @@
     JD_TIER_MAX
 } JdTier;
 
+const char *JdTier_Name(JdTier tier);
+
 /* Members that are not to be chosen again for a request. */
 typedef struct JdAvoid {
     char (*id)[JD_NAME_MAX];
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -28,6 +28,19 @@
 /* Draws before a target that is still cold is taken all the same. */
 #define DRAWS_MOST 8
 
+static const char *const tier_names[JD_TIER_MAX] = {
+    [JD_TIER_DOMAIN] = "domain",
+    [JD_TIER_REGION] = "region",
+    [JD_TIER_FAR] = "far",
+};
+
+/* Returns the name of a tier. */
+const char *
+JdTier_Name(JdTier tier)
+{
+    return tier < JD_TIER_MAX ? tier_names[tier] : "none";
+}
+
 static JdTargetStat *
 stat_of(const JdChooser *ch, JdMember *mb)
 {
--- a/log/follow.c
+++ b/log/follow.c
@@ -18,12 +18,11 @@
         JdTree_LogHeard(&nd->tree, nd->reader.is_caught_up);
     }
     if (nd->reader.is_expired && !was_expired) {
-        JdLogging_Event(JD_EVENT_LOG_EXPIRED, "next=%" G_GUINT64_FORMAT,
-                        nd->store.next_offset);
+        JD_LOG(JD_EVENT_LOG_EXPIRED, JD_NUMBER("next", nd->store.next_offset));
     }
     if (nd->store.halted) {
-        JdLogging_Event(JD_EVENT_HALTED, "rules=%u known=%u", nd->store.rules,
-                        JD_RULES_NEWEST);
+        JD_LOG(JD_EVENT_HALTED, JD_NUMBER("rules", nd->store.rules),
+               JD_NUMBER("known", JD_RULES_NEWEST));
     }
 }
 
@@ -70,8 +69,8 @@
     if (nd->settings.poll_ms != 0) {
         return;
     }
-    JdLogging_Event(JD_EVENT_LEAD, "reading=%d version=%" G_GUINT64_FORMAT, on,
-                    nd->store.config->version);
+    JD_LOG(JD_EVENT_LEAD, JD_NUMBER("reading", on),
+           JD_NUMBER("version", nd->store.config->version));
     if (on) {
         JdReader_Start(&nd->reader);
     }
@@ -109,8 +108,7 @@
     (void)at;
     JdTree_Announced(&nd->tree, status, offset);
     if (!was_head && nd->tree.head_rank != 0) {
-        JdLogging_Event(JD_EVENT_HEAD, "rank=%" G_GUINT64_FORMAT,
-                        nd->tree.head_rank);
+        JD_LOG(JD_EVENT_HEAD, JD_NUMBER("rank", nd->tree.head_rank));
     }
 }
 
--- a/log/logd.c
+++ b/log/logd.c
@@ -383,7 +383,7 @@
     if (listen == NULL) {
         return JdProgram_Usage(NAME, "--listen is required");
     }
-    JdLogging_Init(NAME);
+    JdLogging_Init(NAME, NULL);
     JdLoop_Init(&logd.loop);
     logd.streams = g_hash_table_new(g_str_hash, g_str_equal);
     logd.keep = (uint64_t)keep;
--- a/node/drain.c
+++ b/node/drain.c
@@ -15,8 +15,8 @@
 {
     JdNode *nd = ctx;
 
-    JdLogging_Event(JD_EVENT_STOPPED, "calls=%u running=%u", nd->call_count,
-                    nd->admit.running);
+    JD_LOG(JD_EVENT_STOPPED, JD_NUMBER("calls", nd->call_count),
+           JD_NUMBER("running", nd->admit.running));
     JdLoop_Stop(&nd->loop);
 }
 
@@ -72,8 +72,9 @@
         return;
     }
     nd->is_draining = true;
-    JdLogging_Event(JD_EVENT_DRAINING, "calls=%u running=%u", nd->call_count,
-                    nd->admit.running);
+    JD_LOG(JD_EVENT_DRAINING, JD_NUMBER("signal", signal),
+           JD_NUMBER("calls", nd->call_count),
+           JD_NUMBER("running", nd->admit.running));
     JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
     JdServer_EndConnections(&nd->caller);
     nd->linger_until = now + nd->settings.linger_ms * JD_US_PER_MS;
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -65,17 +65,22 @@
 {
     JdError err = {0};
 
-    JdLogging_Init(node.settings.node);
     JdLoop_Init(&node.loop);
+    JdLogging_Init(node.settings.node, &node.loop);
     JdLoop_CatchSignals(&node.loop, JdDrain_OnSignal, &node);
     if (start(&node, &err) != JD_OK) {
-        JdLogging_Event(JD_EVENT_FAILED, "settings=%s status=%s text=%s", file,
-                        JdStatus_Name(err.status), err.text);
+        JD_LOG(JD_EVENT_FAILED, JD_TEXT("settings", file),
+               JD_TEXT("status", JdStatus_Name(err.status)),
+               JD_TEXT("text", err.text));
+        JdLogging_Finish();
         return 1;
     }
-    JdLogging_Event(JD_EVENT_STARTED, "preset=%s",
-                    JdPreset_Name(node.settings.preset));
+    JD_LOG(JD_EVENT_STARTED, JD_TEXT("program", NAME),
+           JD_TEXT("release", JD_VERSION_TEXT),
+           JD_TEXT("preset", JdPreset_Name(node.settings.preset)),
+           JD_NUMBER("incarnation", node.tree.self.incarnation));
     JdLoop_Run(&node.loop);
+    JdLogging_Finish();
     return 0;
 }
 
--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -157,7 +157,7 @@
         puts("jacinthctl " JD_VERSION_TEXT);
         return 0;
     }
-    JdLogging_Init("jacinthctl");
+    JdLogging_Init("jacinthctl", NULL);
     Ctl_Init(&ctl);
     return dispatch(&ctl, argc, argv);
 }
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -77,6 +77,26 @@
     g_string_free(head, TRUE);
 }
 
+/* One line at the end of a request that was not answered by a target. */
+static void
+log_end(const JdCall *call, JdReason reason)
+{
+    uint64_t now = JdClock_Now(&call->node->loop.clock);
+
+    JD_LOG(JD_EVENT_REQUEST, JD_TEXT("id", call->msg->request_id),
+           JD_TEXT("outcome", JdReason_Info(reason)->name),
+           JD_TEXT("route", call->route.prefix),
+           JD_TEXT("service", call->route.service),
+           JD_NUMBER("version", call->config->version),
+           JD_TEXT("last", JdReason_Info(call->reason)->name),
+           JD_TEXT("target", call->target), JD_NUMBER("tries", call->tries),
+           JD_NUMBER("sends", call->sends),
+           JD_NUMBER("has_run", call->has_run),
+           JD_NUMBER("held_ms", (now - call->started) / JD_US_PER_MS),
+           JD_NUMBER("left_ms", ((int64_t)call->deadline - (int64_t)now) /
+                                    (int64_t)JD_US_PER_MS));
+}
+
 /*
  * Gives the final answer.  What a target may have got cannot be called not
  * run, whatever became of the last try.
@@ -99,6 +119,7 @@
         reason == JD_REASON_BROKEN) {
         nd->counters.value[JdReason_Info(reason)->counter]++;
     }
+    log_end(call, reason);
     free_call(call);
     if (req != NULL) {
         JdForward_ReplyRefusal(nd, req, reason, wait);
@@ -201,6 +222,20 @@
     return true;
 }
 
+static void
+log_try(const JdCall *call, const JdFailure *why)
+{
+    uint64_t now = JdClock_Now(&call->node->loop.clock);
+
+    JD_LOG(JD_EVENT_RETRY, JD_TEXT("id", call->msg->request_id),
+           JD_TEXT("target", call->target),
+           JD_TEXT("reason", JdReason_Info(why->reason)->name),
+           JD_NUMBER("was_sent", why->was_sent), JD_NUMBER("load", why->load),
+           JD_NUMBER("try", call->tries),
+           JD_NUMBER("took_ms", (now - call->sent_at) / JD_US_PER_MS),
+           JD_TEXT("tier", JdTier_Name(call->tier)));
+}
+
 static void
 note_failure(JdCall *call, const JdFailure *why)
 {
@@ -227,6 +262,7 @@
                      why->load);
     note_failure(call, why);
     call->reason = why->reason;
+    log_try(call, why);
     if (!may_retry(call, why->reason, why->was_sent)) {
         end_refused(call, why->reason);
         return;
@@ -275,6 +311,7 @@
         return;
     }
     note_failure(call, &why);
+    log_try(call, &why);
     send_cancel(call);
     JdLane_Leave(call);
     JdChooser_Failed(&call->node->chooser, call->target, why.reason, 0);
--- a/peer/link.c
+++ b/peer/link.c
@@ -144,6 +144,9 @@
         return;
     }
     ap = &nd->applied[nd->applied_len % JD_APPLIED_MAX];
+    JD_LOG(JD_EVENT_VERSION, JD_NUMBER("version", version),
+           JD_NUMBER("source_age_ms",
+                     JdTree_SourceAge(&nd->tree) / JD_US_PER_MS));
     ap->version = version;
     ap->at = JdLoop_WallClock();
     nd->applied_len++;
@@ -158,8 +161,8 @@
     note_applied(nd);
     nd->source->changed(nd);
     if (nd->tree.is_ready && is_starting) {
-        JdLogging_Event(JD_EVENT_READY, "version=%" G_GUINT64_FORMAT,
-                        nd->store.config->version);
+        JD_LOG(JD_EVENT_READY,
+               JD_NUMBER("version", nd->store.config->version));
         JdWorker_OnReady(nd);
     }
 }
--- a/targets/targetd.c
+++ b/targets/targetd.c
@@ -343,7 +343,7 @@
     if (listen == NULL || targetd.name == NULL) {
         return JdProgram_Usage(NAME, "--listen and --name are required");
     }
-    JdLogging_Init(NAME);
+    JdLogging_Init(NAME, NULL);
     JdLoop_Init(&targetd.loop);
     TAILQ_INIT(&targetd.jobs);
     targetd.keys =
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -63,11 +63,27 @@
 }
 
 static void
-refuse(JdNode *nd, uint64_t id, JdConn *origin, JdReason reason, bool was_sent)
+log_refusal(const JdNode *nd, const Jd__Request *request, JdReason reason,
+            bool was_sent)
+{
+    JD_LOG(JD_EVENT_WORK, JD_TEXT("id", request->request_id),
+           JD_TEXT("outcome", JdReason_Info(reason)->name),
+           JD_NUMBER("was_sent", was_sent),
+           JD_NUMBER("running", nd->admit.running),
+           JD_NUMBER("queued", nd->admit.queued),
+           JD_NUMBER("slots", nd->admit.slots),
+           JD_NUMBER("service_ms", nd->admit.service_time / JD_US_PER_MS),
+           JD_NUMBER("left_ms", request->left_ms),
+           JD_TEXT("target", nd->life.id));
+}
+
+static void
+refuse(JdNode *nd, const Jd__Request *request, JdConn *origin, JdReason reason,
+       bool was_sent)
 {
     Jd__Response msg = JD__RESPONSE__INIT;
 
-    msg.id = id;
+    msg.id = request->id;
     msg.reason = reason;
     msg.sent = was_sent;
     msg.retry_after_ms = JdReason_Info(reason)->retry_after;
@@ -76,6 +92,7 @@
             (uint32_t)(JdAdmit_RetryAfter(&nd->admit) / JD_US_PER_MS);
     }
     nd->counters.value[JdReason_Info(reason)->counter]++;
+    log_refusal(nd, request, reason, was_sent);
     send_response(nd, origin, &msg);
 }
 
@@ -84,7 +101,7 @@
 end_refused(JdItem *it, JdReason reason)
 {
     if (!it->is_orphan) {
-        refuse(it->node, it->msg->id, it->origin, reason, it->was_sent);
+        refuse(it->node, it->msg, it->origin, reason, it->was_sent);
     }
     free_item(it);
 }
@@ -190,7 +207,7 @@
         JdTree_SetState(&nd->tree, JD_MEMBER_DOWN);
     }
     if (reason == JD_REASON_DEADLINE) {
-        refuse(nd, it->msg->id, it->origin, reason, it->was_sent);
+        refuse(nd, it->msg, it->origin, reason, it->was_sent);
         hold_slot(it);
         return;
     }
@@ -387,7 +404,7 @@
     JdItem *it;
 
     if (reason != JD_REASON_NONE) {
-        refuse(nd, msg->id, origin, reason, false);
+        refuse(nd, msg, origin, reason, false);
         jd__request__free_unpacked(msg, NULL);
         return;
     }
@@ -535,8 +552,9 @@
     if (strcmp(hb->service, nd->settings.service) != 0 ||
         strcmp(hb->address, nd->settings.target_address) != 0) {
         nd->counters.value[JD_C_BEAT_FOREIGN]++;
-        JdLogging_Event(JD_EVENT_TARGET, "foreign=1 id=%s service=%s", hb->id,
-                        hb->service);
+        JD_LOG(JD_EVENT_TARGET, JD_TEXT("outcome", "foreign"),
+               JD_TEXT("target", hb->id), JD_TEXT("service", hb->service),
+               JD_TEXT("address", hb->address));
         return;
     }
     beat = JdTarget_Heartbeat(&nd->life, hb, JdClock_Now(&nd->loop.clock));
@@ -546,11 +564,10 @@
     }
     JdAdmit_SetSlots(&nd->admit, hb->slots);
     if (beat == JD_BEAT_NEWS) {
-        JdLogging_Event(JD_EVENT_TARGET,
-                        "id=%s started=%" G_GUINT64_FORMAT
-                        " seq=%" G_GUINT64_FORMAT " draining=%d slots=%u",
-                        hb->id, hb->started, hb->seq, nd->life.is_draining,
-                        hb->slots);
+        JD_LOG(JD_EVENT_TARGET,
+               JD_TEXT("outcome", hb->is_draining ? "draining" : "ready"),
+               JD_TEXT("target", hb->id), JD_NUMBER("started", hb->started),
+               JD_NUMBER("seq", hb->seq), JD_NUMBER("slots", hb->slots));
     }
     announce_target(nd);
 }
@@ -559,7 +576,8 @@
 void
 JdWorker_TargetLeaves(JdNode *nd, const char *id, uint64_t started)
 {
-    JdLogging_Event(JD_EVENT_TARGET, "id=%s left=1", id);
+    JD_LOG(JD_EVENT_TARGET, JD_TEXT("outcome", "left"), JD_TEXT("target", id),
+           JD_NUMBER("started", started));
     if (JdTarget_Leave(&nd->life, id, started)) {
         announce_target(nd);
     }
