A second try of idempotent work no longer cancels the first

Cause: after half of the time left a lookup's first try was cancelled for a second one, and when that was refused nothing was left: 502 for work that its target was about to answer, which after a SIGTERM is LOST. Ruled out by the log lines of the requests named: a closed lane, a crossed answer.

--- a/caller/intake.c
+++ b/caller/intake.c
@@ -61,7 +61,6 @@
     uint8_t *buf;
     size_t n;
 
-    msg.id = call->id;
     msg.service = (char *)call->route.service;
     msg.method = (char *)req->method;
     msg.path =
@@ -209,8 +208,7 @@
                JD_TEXT("outcome", JdReason_Info(reason)->name),
                JD_NUMBER("version", nd->store.config->version),
                JD_NUMBER("ready", nd->tree.is_ready));
-        JdForward_ReplyRefusal(nd, req, reason,
-                               JdReason_Info(reason)->retry_after);
+        JdReply_Refuse(nd, req, reason, JdReason_Info(reason)->retry_after);
         return;
     }
     call = g_new0(JdCall, 1);
@@ -222,7 +220,5 @@
     call->deadline = call->started + ask.timeout;
     call->msg = copy_request(call, req, &ask);
     req->user = call;
-    TAILQ_INSERT_TAIL(&nd->calls, call, link);
-    nd->call_count++;
-    JdForward_Begin(call, ask.timeout);
+    JdForward_Begin(call);
 }
--- /dev/null
+++ b/caller/reply.c
@@ -0,0 +1,71 @@
+/* Answers to callers: a target's, or a refusal with its reason. */
+#include <string.h>
+
+#include "../peer/forward.h"
+
+static void
+add_retry_after(const JdNode *nd, GString *head, unsigned ms)
+{
+    if (ms == 0) {
+        return;
+    }
+    if (nd->dialect->has_fractions) {
+        g_string_append_printf(head, "retry-after: %u.%03u\r\n", ms / 1000,
+                               ms % 1000);
+    }
+    else {
+        g_string_append_printf(head, "retry-after: %u\r\n", (ms + 999) / 1000);
+    }
+}
+
+/*
+ * Tells a caller that its request was refused or given up, and why;
+ * `retry_after` is in ms, 0 where coming back does not help.
+ */
+void
+JdReply_Refuse(JdNode *nd, JdServerRequest *req, JdReason reason,
+               unsigned retry_after)
+{
+    const JdReasonInfo *info = JdReason_Info(reason);
+    GString *head = g_string_new("content-type: application/json\r\n");
+    char body[JD_TEXT_MAX];
+
+    if (nd->dialect->tells_outcome) {
+        /* This node has tried as often as helps; a retry at every depth of a
+         * chain of calls would multiply them. */
+        g_string_append_printf(
+            head, "x-outcome: %s\r\nx-reason: %s\r\nx-retry: no\r\n",
+            info->is_not_run ? "not-run" : "unknown", info->name);
+    }
+    add_retry_after(nd, head, retry_after);
+    g_snprintf(body, sizeof(body),
+               "{\"refused\": \"%s\", \"not_run\": %s, \"node\": \"%s\"}",
+               info->name, info->is_not_run ? "true" : "false",
+               nd->settings.node);
+    JdServer_Reply(req, info->http_status, head->str, body, strlen(body));
+    g_string_free(head, TRUE);
+}
+
+/* Passes a target's answer on; `version` is the one the request was under. */
+void
+JdReply_Answer(JdNode *nd, JdServerRequest *req, uint64_t version,
+               const Jd__Response *msg)
+{
+    GString *head = g_string_new(NULL);
+
+    for (size_t i = 0; i < msg->n_header; i++) {
+        const Jd__Header *h = msg->header[i];
+
+        g_string_append_printf(head, "%s: %.*s\r\n", h->name,
+                               (int)h->value.len, (const char *)h->value.data);
+    }
+    if (nd->dialect->tells_outcome) {
+        g_string_append_printf(head,
+                               "x-outcome: ran\r\n"
+                               "x-config-version: %" G_GUINT64_FORMAT "\r\n",
+                               version);
+    }
+    JdServer_Reply(req, (int)msg->status, head->str, msg->body.data,
+                   msg->body.len);
+    g_string_free(head, TRUE);
+}
--- a/load/fleet.sh
+++ b/load/fleet.sh
@@ -62,7 +62,7 @@
 
 fleet_start_log() {
 	"$FLEET_BIN/jd-logd" --listen $FLEET_LOG "$@" \
-	    2>>"$FLEET_DIR/log.err" &
+	    >>"$FLEET_DIR/log.log" 2>>"$FLEET_DIR/log.err" &
 	fleet_note log
 	fleet_until 100 fleet_get http://$FLEET_LOG/stats
 }
@@ -98,7 +98,7 @@
 	    --port $FLEET_LINK_PEER=7000 --port $FLEET_LINK_LOG=6000 \
 	    --regions 1,2/3,4 --domain-us 1000 \
 	    --region-us 20000 --region-bits 30000000 \
-	    2>>"$FLEET_DIR/fault.err" &
+	    >>"$FLEET_DIR/fault.log" 2>>"$FLEET_DIR/fault.err" &
 	fleet_note links
 	fleet_until 100 fleet_get http://127.$FLEET_NET.250.1:7500/stats
 }
@@ -129,7 +129,7 @@
 
 fleet_start_node() { # D I
 	"$FLEET_BIN/jacinthd" --settings "$FLEET_DIR/$1-$2.json" \
-	    2>>"$FLEET_DIR/$1-$2.err" &
+	    >>"$FLEET_DIR/$1-$2.log" 2>>"$FLEET_DIR/$1-$2.err" &
 	fleet_note $1-$2
 }
 
@@ -137,7 +137,7 @@
 	"$FLEET_BIN/jd-targetd" --listen "127.$FLEET_NET.$1.$2:9000" \
 	    --name "${FLEET_DOMAINS[$1]}-$2" --service-us "${3:-0}" \
 	    --slots "${TARGET_SLOTS:-0}" \
-	    2>>"$FLEET_DIR/$1-$2.target.err" &
+	    >>"$FLEET_DIR/$1-$2.target.log" 2>>"$FLEET_DIR/$1-$2.target.err" &
 	fleet_note target-$1-$2
 }
 
@@ -153,7 +153,7 @@
 		    >/dev/null && continue
 		pid=${FLEET_PID[$name]}
 		echo "no answer: $name $(ps -o stat=,time=,wchan= -p "$pid")"
-		tail -n 3 "$FLEET_DIR/$name.err"
+		tail -n 3 "$FLEET_DIR/$name.err" "$FLEET_DIR/$name.log"
 		! command -v gdb >/dev/null ||
 		    timeout 20 gdb -p "$pid" -batch -ex bt 2>/dev/null |
 		    grep '^#' | head -n 20
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -1,14 +1,17 @@
 /*
- * Requests of callers: choice of a target, tries and answers.  A request keeps
- * the configuration version it began with.
+ * Requests of callers: choice of targets, tries and their ends.  A request
+ * keeps the configuration version it began with.  One try is under way at a
+ * time, but for idempotent work whose target takes far longer than usual: it
+ * gets a second one, and the first answer counts.
  */
 #include <string.h>
 
 #include "forward.h"
 
-/* Time for a try of idempotent work: a multiple of the target's usual time,
- * at least the second figure, and the third while its time is not known. */
-#define PATIENCE_TIMES 8
+/* Time after which idempotent work gets a second try: a multiple of the
+ * target's usual time, at least the second figure, and the third while its
+ * time is not known. */
+#define PATIENCE_TIMES 4
 #define PATIENCE_LEAST (50 * JD_US_PER_MS)
 #define PATIENCE_UNKNOWN (500 * JD_US_PER_MS)
 /* Period of the checks on connections. */
@@ -16,65 +19,67 @@
 
 static void try_target(JdCall *call);
 
-/* ---- answers to callers ------------------------------------------------ */
+/* ---- the end of a call ------------------------------------------------- */
 
 static void
-free_call(JdCall *call)
+cancel_try(JdTry *tr)
 {
-    JdNode *nd = call->node;
+    JdNode *nd = tr->call->node;
+    Jd__Cancel msg = JD__CANCEL__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
 
-    JdTimer_Cancel(&nd->loop.clock, &call->timer);
-    JdTimer_Cancel(&nd->loop.clock, &call->patience);
-    TAILQ_REMOVE(&nd->calls, call, link);
-    nd->call_count--;
-    JdConfig_Unref(call->config);
-    if (call->msg != NULL) {
-        jd__request__free_unpacked(call->msg, NULL);
+    if (tr->lane == NULL) {
+        JdWorker_Cancel(nd, tr->id, NULL);
+        return;
     }
-    g_free(call);
+    msg.id = tr->id;
+    frame.version = nd->store.config->version;
+    frame.body_case = JD__FRAME__BODY_CANCEL;
+    frame.cancel = &msg;
+    JdConn_Send(tr->lane->conn, &frame);
+}
+
+static const char *
+target_of(const JdTry *tr)
+{
+    return tr->call->target[tr - tr->call->tries];
 }
 
 static void
-add_retry_after(const JdNode *nd, GString *head, unsigned ms)
+end_try(JdTry *tr)
 {
-    if (ms == 0) {
-        return;
-    }
-    if (nd->dialect->has_fractions) {
-        g_string_append_printf(head, "retry-after: %u.%03u\r\n", ms / 1000,
-                               ms % 1000);
-    }
-    else {
-        g_string_append_printf(head, "retry-after: %u\r\n", (ms + 999) / 1000);
-    }
+    JdLane_Leave(tr);
+    tr->is_active = false;
+    tr->call->active--;
 }
 
-/*
- * Tells a caller that its request was refused or given up, and why;
- * `retry_after` is in ms, 0 where coming back does not help.
- */
-void
-JdForward_ReplyRefusal(JdNode *nd, JdServerRequest *req, JdReason reason,
-                       unsigned retry_after)
+/* Cancels the tries that are still under way; `reason` says why. */
+static void
+cancel_tries(JdCall *call, JdReason reason)
 {
-    const JdReasonInfo *info = JdReason_Info(reason);
-    GString *head = g_string_new("content-type: application/json\r\n");
-    char body[JD_TEXT_MAX];
-
-    if (nd->dialect->tells_outcome) {
-        /* This node has tried as often as helps; a retry at every depth of a
-         * chain of calls would multiply them. */
-        g_string_append_printf(
-            head, "x-outcome: %s\r\nx-reason: %s\r\nx-retry: no\r\n",
-            info->is_not_run ? "not-run" : "unknown", info->name);
+    for (unsigned i = 0; i < call->try_count; i++) {
+        JdTry *tr = &call->tries[i];
+
+        if (tr->is_active) {
+            cancel_try(tr);
+            JdChooser_Failed(&call->node->chooser, target_of(tr), reason, 0);
+            end_try(tr);
+        }
     }
-    add_retry_after(nd, head, retry_after);
-    g_snprintf(body, sizeof(body),
-               "{\"refused\": \"%s\", \"not_run\": %s, \"node\": \"%s\"}",
-               info->name, info->is_not_run ? "true" : "false",
-               nd->settings.node);
-    JdServer_Reply(req, info->http_status, head->str, body, strlen(body));
-    g_string_free(head, TRUE);
+}
+
+static void
+free_call(JdCall *call)
+{
+    JdNode *nd = call->node;
+
+    JdTimer_Cancel(&nd->loop.clock, &call->timer);
+    JdTimer_Cancel(&nd->loop.clock, &call->patience);
+    TAILQ_REMOVE(&nd->calls, call, link);
+    nd->call_count--;
+    JdConfig_Unref(call->config);
+    jd__request__free_unpacked(call->msg, NULL);
+    g_free(call);
 }
 
 /* One line at the end of a request that was not answered by a target. */
@@ -82,6 +87,7 @@
 log_end(const JdCall *call, JdReason reason)
 {
     uint64_t now = JdClock_Now(&call->node->loop.clock);
+    unsigned last = call->try_count;
 
     JD_LOG(JD_EVENT_REQUEST, JD_TEXT("id", call->msg->request_id),
            JD_TEXT("outcome", JdReason_Info(reason)->name),
@@ -89,8 +95,8 @@
            JD_TEXT("service", call->route.service),
            JD_NUMBER("version", call->config->version),
            JD_TEXT("last", JdReason_Info(call->reason)->name),
-           JD_TEXT("target", call->target), JD_NUMBER("tries", call->tries),
-           JD_NUMBER("sends", call->sends),
+           JD_TEXT("target", last == 0 ? "" : call->target[last - 1]),
+           JD_NUMBER("tries", last), JD_NUMBER("sends", call->sends),
            JD_NUMBER("has_run", call->has_run),
            JD_NUMBER("held_ms", (now - call->started) / JD_US_PER_MS),
            JD_NUMBER("left_ms", ((int64_t)call->deadline - (int64_t)now) /
@@ -115,14 +121,15 @@
         wait = JdReason_Info(reason)->retry_after;
     }
     /* What the target's node refused was counted there. */
-    if (call->tries == 0 || reason == JD_REASON_DEADLINE ||
+    if (call->try_count == 0 || reason == JD_REASON_DEADLINE ||
         reason == JD_REASON_BROKEN) {
         nd->counters.value[JdReason_Info(reason)->counter]++;
     }
     log_end(call, reason);
+    cancel_tries(call, reason);
     free_call(call);
     if (req != NULL) {
-        JdForward_ReplyRefusal(nd, req, reason, wait);
+        JdReply_Refuse(nd, req, reason, wait);
     }
 }
 
@@ -131,47 +138,14 @@
 {
     JdServerRequest *req = call->req;
     JdNode *nd = call->node;
-    GString *head = g_string_new(NULL);
-
-    for (size_t i = 0; i < msg->n_header; i++) {
-        const Jd__Header *h = msg->header[i];
+    uint64_t version = call->config->version;
 
-        g_string_append_printf(head, "%s: %.*s\r\n", h->name,
-                               (int)h->value.len, (const char *)h->value.data);
-    }
-    if (nd->dialect->tells_outcome) {
-        g_string_append_printf(head,
-                               "x-outcome: ran\r\n"
-                               "x-config-version: %" G_GUINT64_FORMAT "\r\n",
-                               call->config->version);
-    }
     nd->counters.value[JD_C_ANSWERED]++;
+    cancel_tries(call, JD_REASON_CANCELLED);
     free_call(call);
     if (req != NULL) {
-        JdServer_Reply(req, (int)msg->status, head->str, msg->body.data,
-                       msg->body.len);
+        JdReply_Answer(nd, req, version, msg);
     }
-    g_string_free(head, TRUE);
-}
-
-static void
-send_cancel(JdCall *call)
-{
-    Jd__Cancel msg = JD__CANCEL__INIT;
-    Jd__Frame frame = JD__FRAME__INIT;
-
-    if (call->tries == 0) {
-        return;
-    }
-    if (call->lane == NULL) {
-        JdWorker_Cancel(call->node, call->id, NULL);
-        return;
-    }
-    msg.id = call->id;
-    frame.version = call->node->store.config->version;
-    frame.body_case = JD__FRAME__BODY_CANCEL;
-    frame.cancel = &msg;
-    JdConn_Send(call->lane->conn, &frame);
 }
 
 /* ---- tries ------------------------------------------------------------- */
@@ -198,14 +172,21 @@
            strcmp(m, "HEAD") == 0 || strcmp(m, "OPTIONS") == 0;
 }
 
+/* Whether one more target may get the request, tries under way counted. */
+static bool
+has_attempts(const JdCall *call)
+{
+    return call->try_count < JD_TRIES_MAX &&
+           call->sends + call->active < call->route.attempts;
+}
+
 static bool
 may_retry(JdCall *call, JdReason reason, bool was_sent)
 {
     const JdReasonInfo *info = JdReason_Info(reason);
     JdNode *nd = call->node;
 
-    if (!info->is_retry_useful || call->tries >= JD_TRIES_MAX ||
-        call->sends >= call->route.attempts || call->req == NULL ||
+    if (!info->is_retry_useful || !has_attempts(call) || call->req == NULL ||
         JdClock_Now(&nd->loop.clock) >= call->deadline) {
         return false;
     }
@@ -223,17 +204,18 @@
 }
 
 static void
-log_try(const JdCall *call, const JdFailure *why)
+log_try(const JdTry *tr, const JdFailure *why)
 {
+    const JdCall *call = tr->call;
     uint64_t now = JdClock_Now(&call->node->loop.clock);
 
     JD_LOG(JD_EVENT_RETRY, JD_TEXT("id", call->msg->request_id),
-           JD_TEXT("target", call->target),
+           JD_TEXT("target", target_of(tr)),
            JD_TEXT("reason", JdReason_Info(why->reason)->name),
            JD_NUMBER("was_sent", why->was_sent), JD_NUMBER("load", why->load),
-           JD_NUMBER("try", call->tries),
-           JD_NUMBER("took_ms", (now - call->sent_at) / JD_US_PER_MS),
-           JD_TEXT("tier", JdTier_Name(call->tier)));
+           JD_NUMBER("try", tr - call->tries + 1),
+           JD_NUMBER("took_ms", (now - tr->sent_at) / JD_US_PER_MS),
+           JD_TEXT("tier", JdTier_Name(tr->tier)));
 }
 
 static void
@@ -241,6 +223,7 @@
 {
     unsigned wait = why->retry_after;
 
+    call->reason = why->reason;
     if (why->was_sent) {
         call->sends++;
         call->has_run =
@@ -249,20 +232,26 @@
     if (wait != 0 && (call->retry_after == 0 || wait < call->retry_after)) {
         call->retry_after = wait;
     }
-    g_strlcpy(call->avoid[call->tries - 1], call->target, JD_NAME_MAX);
 }
 
-/* A try failed: tries another target, or gives the final answer at once. */
+/*
+ * A try failed: waits for another one that is under way, tries another target,
+ * or gives the final answer at once.
+ */
 void
-JdForward_TryAgain(JdCall *call, const JdFailure *why)
+JdForward_TryFailed(JdTry *tr, const JdFailure *why)
 {
-    JdLane_Leave(call);
-    JdTimer_Cancel(&call->node->loop.clock, &call->patience);
-    JdChooser_Failed(&call->node->chooser, call->target, why->reason,
+    JdCall *call = tr->call;
+
+    JdChooser_Failed(&call->node->chooser, target_of(tr), why->reason,
                      why->load);
+    end_try(tr);
     note_failure(call, why);
-    call->reason = why->reason;
-    log_try(call, why);
+    log_try(tr, why);
+    if (call->active > 0) {
+        return;
+    }
+    JdTimer_Cancel(&call->node->loop.clock, &call->patience);
     if (!may_retry(call, why->reason, why->was_sent)) {
         end_refused(call, why->reason);
         return;
@@ -282,52 +271,44 @@
 }
 
 static void
-send_to(JdCall *call, JdLane *lane)
+send_to(JdTry *tr, JdLane *lane)
 {
-    JdNode *nd = call->node;
+    JdNode *nd = tr->call->node;
     Jd__Frame frame = JD__FRAME__INIT;
     size_t n;
 
-    JdLane_Enter(lane, call);
+    JdLane_Enter(lane, tr);
     frame.version = nd->store.config->version;
     frame.body_case = JD__FRAME__BODY_REQUEST;
-    frame.request = call->msg;
+    frame.request = tr->call->msg;
     n = JdConn_Send(lane->conn, &frame);
     nd->counters.value[JD_C_REQUEST_BYTES] += n;
-    if (call->tier == JD_TIER_FAR) {
+    if (tr->tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += n;
     }
 }
 
-/* The target is slow beyond what it was: another one may take the work. */
+/* The target takes far longer than usual: another one gets the work as well,
+ * and the first answer counts. */
 static void
 on_impatience(void *ctx)
 {
-    JdFailure why = {.reason = JD_REASON_DEADLINE, .was_sent = true};
     JdCall *call = ctx;
 
-    if (call->sends + 1 >= call->route.attempts ||
-        !may_retry(call, JD_REASON_BROKEN, true)) {
-        return;
+    if (may_retry(call, JD_REASON_BROKEN, true)) {
+        try_target(call);
     }
-    note_failure(call, &why);
-    log_try(call, &why);
-    send_cancel(call);
-    JdLane_Leave(call);
-    JdChooser_Failed(&call->node->chooser, call->target, why.reason, 0);
-    call->reason = why.reason;
-    try_target(call);
 }
 
-/* Limits a try of idempotent work to a multiple of the usual time. */
+/* Limits the wait for idempotent work to a multiple of the usual time. */
 static void
 arm_patience(JdCall *call, const JdMember *mb)
 {
     const JdTargetStat *ts = mb->user;
+    uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
     uint64_t wait = PATIENCE_UNKNOWN;
-    uint64_t left = call->deadline - call->sent_at;
 
-    if (!is_idempotent(call) || call->tries >= JD_TRIES_MAX) {
+    if (!is_idempotent(call) || !has_attempts(call)) {
         return;
     }
     if (ts != NULL && ts->latency > 0) {
@@ -337,30 +318,33 @@
         wait = PATIENCE_LEAST;
     }
     /* Another try needs time as well. */
-    if (wait > left / 2) {
-        wait = left / 2;
-    }
-    JdTimer_Arm(&call->node->loop.clock, &call->patience, wait);
+    JdTimer_Arm(&call->node->loop.clock, &call->patience,
+                wait < left / 2 ? wait : left / 2);
 }
 
 /* Prepares the message of one more try at a member. */
-static void
-begin_try(JdCall *call, JdMember *mb)
+static JdTry *
+begin_try(JdCall *call, JdMember *mb, JdTier tier)
 {
     JdNode *nd = call->node;
     uint64_t now = JdClock_Now(&nd->loop.clock);
     uint64_t wanted = call->started + call->route.latency;
-
-    call->tries++;
-    /* An answer to an earlier try must not pass for one to this try. */
-    call->id = ++nd->next_call;
-    call->msg->id = call->id;
-    call->sent_at = now;
-    g_strlcpy(call->target, mb->id, sizeof(call->target));
+    JdTry *tr = &call->tries[call->try_count];
+
+    tr->call = call;
+    tr->id = ++nd->next_call;
+    tr->is_active = true;
+    tr->sent_at = now;
+    tr->tier = tier;
+    g_strlcpy(call->target[call->try_count], mb->id, JD_NAME_MAX);
+    call->try_count++;
+    call->active++;
+    call->msg->id = tr->id;
     call->msg->left_ms = (uint32_t)((call->deadline - now) / JD_US_PER_MS);
     call->msg->latency_ms =
         wanted > now ? (uint32_t)((wanted - now) / JD_US_PER_MS) : 0;
     JdChooser_Sent(&nd->chooser, mb);
+    return tr;
 }
 
 static void
@@ -368,42 +352,50 @@
 {
     JdFailure down = {.reason = JD_REASON_TARGET_DOWN};
     JdNode *nd = call->node;
-    JdAvoid avoid = {call->avoid, call->tries};
-    JdMember *mb = JdChooser_Pick(&nd->chooser, call->route.endpoint_set,
-                                  &avoid, &call->tier);
-    JdLane *lane = NULL;
+    JdAvoid avoid = {call->target, call->try_count};
+    JdTier tier;
+    JdMember *mb =
+        JdChooser_Pick(&nd->chooser, call->route.endpoint_set, &avoid, &tier);
+    JdLane *lane;
+    JdTry *tr;
 
     if (mb == NULL) {
-        end_refused(call,
-                    call->tries == 0 ? JD_REASON_NO_TARGET : call->reason);
+        if (call->active == 0) {
+            end_refused(call, call->try_count == 0 ? JD_REASON_NO_TARGET
+                                                   : call->reason);
+        }
         return;
     }
-    begin_try(call, mb);
+    tr = begin_try(call, mb, tier);
     arm_patience(call, mb);
     if (strcmp(mb->id, nd->settings.node) == 0) {
         run_here(call);
         return;
     }
-    if (call->tier == JD_TIER_FAR) {
+    if (tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_CROSS_REGION]++;
     }
     lane = JdLane_Get(nd, mb, !is_idempotent(call));
     if (lane == NULL) {
-        JdForward_TryAgain(call, &down);
+        JdForward_TryFailed(tr, &down);
         return;
     }
-    send_to(call, lane);
+    send_to(tr, lane);
 }
 
-static JdCall *
-find_call(JdNode *nd, uint64_t id)
+/* ---- answers ----------------------------------------------------------- */
+
+static JdTry *
+find_try(JdNode *nd, uint64_t id)
 {
     JdCall *call;
 
     TAILQ_FOREACH_REVERSE(call, &nd->calls, JdCallHead, link)
     {
-        if (call->id == id) {
-            return call;
+        for (unsigned i = 0; i < call->try_count; i++) {
+            if (call->tries[i].id == id && call->tries[i].is_active) {
+                return &call->tries[i];
+            }
         }
     }
     return NULL;
@@ -413,16 +405,14 @@
 void
 JdForward_Respond(JdNode *nd, const Jd__Response *msg)
 {
-    JdCall *call = find_call(nd, msg->id);
-    uint64_t took;
+    JdTry *tr = find_try(nd, msg->id);
 
-    if (call == NULL) {
+    if (tr == NULL) {
         nd->counters.value[JD_C_LATE_ANSWERS]++;
         return;
     }
-    took = JdClock_Now(&nd->loop.clock) - call->sent_at;
     nd->counters.value[JD_C_REQUEST_BYTES] += msg->body.len;
-    if (call->tier == JD_TIER_FAR) {
+    if (tr->tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += msg->body.len;
     }
     if (msg->reason != JD_REASON_NONE || msg->status == 0) {
@@ -434,59 +424,46 @@
         if (msg->reason != JD_REASON_NONE && msg->reason < JD_REASON_MAX) {
             why.reason = (JdReason)msg->reason;
         }
-        JdForward_TryAgain(call, &why);
+        JdForward_TryFailed(tr, &why);
         return;
     }
-    JdLane_Leave(call);
-    JdChooser_Answered(&nd->chooser, call->target, took, msg->load);
-    end_answered(call, msg);
+    JdChooser_Answered(&nd->chooser, target_of(tr),
+                       JdClock_Now(&nd->loop.clock) - tr->sent_at, msg->load);
+    end_try(tr);
+    end_answered(tr->call, msg);
 }
 
-/* The time is up.  What became of the present try is not known. */
+/* The time is up.  What became of the tries under way is not known. */
 static void
 on_deadline(void *ctx)
 {
     JdCall *call = ctx;
 
-    send_cancel(call);
-    JdLane_Leave(call);
-    JdChooser_Failed(&call->node->chooser, call->target, JD_REASON_DEADLINE,
-                     0);
+    call->has_run = call->has_run || call->active > 0;
     end_refused(call, JD_REASON_DEADLINE);
 }
 
-/* ---- callers ----------------------------------------------------------- */
-
-/* The caller is gone: nobody waits for the answer. */
-static void
-abandon(JdCall *call)
-{
-    JdNode *nd = call->node;
-
-    send_cancel(call);
-    JdLane_Leave(call);
-    JdChooser_Failed(&nd->chooser, call->target, JD_REASON_CANCELLED, 0);
-    nd->counters.value[JD_C_R_CANCELLED]++;
-    free_call(call);
-}
-
-/* The caller of a request left before it was answered. */
+/* The caller of a request left before it was answered: nobody waits. */
 void
 JdForward_CallerLeft(JdCall *call)
 {
     call->req = NULL;
-    abandon(call);
+    call->node->counters.value[JD_C_R_CANCELLED]++;
+    cancel_tries(call, JD_REASON_CANCELLED);
+    free_call(call);
 }
 
 /* Starts a call whose request is checked and copied. */
 void
-JdForward_Begin(JdCall *call, uint64_t timeout)
+JdForward_Begin(JdCall *call)
 {
     JdNode *nd = call->node;
 
     JdTimer_Init(&call->timer, on_deadline, call);
     JdTimer_Init(&call->patience, on_impatience, call);
-    JdTimer_Arm(&nd->loop.clock, &call->timer, timeout);
+    JdTimer_Arm(&nd->loop.clock, &call->timer, call->deadline - call->started);
+    TAILQ_INSERT_TAIL(&nd->calls, call, link);
+    nd->call_count++;
     JdBudget_First(budget_of(nd, call->route.service),
                    call->route.retry_percent);
     try_target(call);
--- a/peer/lane.c
+++ b/peer/lane.c
@@ -13,14 +13,14 @@
  * a new connection. */
 #define PROVED_WITHIN (1000 * JD_US_PER_MS)
 
-/* Takes a call off its connection, if it is on one. */
+/* Takes a try off its connection, if it is on one. */
 void
-JdLane_Leave(JdCall *call)
+JdLane_Leave(JdTry *tr)
 {
-    if (call->lane != NULL) {
-        TAILQ_REMOVE(&call->lane->calls, call, lane_link);
-        call->lane->outstanding--;
-        call->lane = NULL;
+    if (tr->lane != NULL) {
+        TAILQ_REMOVE(&tr->lane->tries, tr, lane_link);
+        tr->lane->outstanding--;
+        tr->lane = NULL;
     }
 }
 
@@ -35,7 +35,7 @@
     g_free(lane);
 }
 
-/* All calls on a lane fail; those that were not sent certainly did not run. */
+/* All tries on a lane fail; those that were not sent certainly did not run. */
 static void
 fail_lane(JdNode *nd, JdLane *lane, bool was_open)
 {
@@ -43,14 +43,16 @@
     JdFailure why = {.reason =
                          was_open ? JD_REASON_BROKEN : JD_REASON_TARGET_DOWN,
                      .was_sent = was_open};
-    JdCall *call;
+    JdTry *tr;
 
     if (known == lane) {
         g_hash_table_remove(nd->request_conns, lane->address);
     }
-    while ((call = TAILQ_FIRST(&lane->calls)) != NULL) {
-        JdLane_Leave(call);
-        JdForward_TryAgain(call, &why);
+    JD_LOG(JD_EVENT_LANE, JD_TEXT("address", lane->address),
+           JD_TEXT("outcome", was_open ? "broken" : "not opened"),
+           JD_NUMBER("tries", lane->outstanding));
+    while ((tr = TAILQ_FIRST(&lane->tries)) != NULL) {
+        JdForward_TryFailed(tr, &why);
     }
     g_free(lane);
 }
@@ -96,7 +98,7 @@
     g_strlcpy(lane->address, mb->peer, sizeof(lane->address));
     lane->conn = conn;
     lane->used = JdClock_Now(&nd->loop.clock);
-    TAILQ_INIT(&lane->calls);
+    TAILQ_INIT(&lane->tries);
     conn->user = lane;
     conn->is_request = true;
     conn->is_cross_region = strcmp(mb->region, nd->settings.region) != 0;
@@ -168,14 +170,14 @@
     }
 }
 
-/* Puts a call on a connection. */
+/* Puts a try on a connection. */
 void
-JdLane_Enter(JdLane *lane, JdCall *call)
+JdLane_Enter(JdLane *lane, JdTry *tr)
 {
-    call->lane = lane;
-    TAILQ_INSERT_TAIL(&lane->calls, call, lane_link);
+    tr->lane = lane;
+    TAILQ_INSERT_TAIL(&lane->tries, tr, lane_link);
     lane->outstanding++;
-    lane->used = JdClock_Now(&call->node->loop.clock);
+    lane->used = JdClock_Now(&tr->call->node->loop.clock);
 }
 
 /* Looks after all connections that carry requests. */
--- a/regress/e2e/lib.sh
+++ b/regress/e2e/lib.sh
@@ -14,7 +14,7 @@
 die() {
 	echo "failed: $*"
 	fleet_diagnose
-	tail -n 5 "$FLEET_DIR"/*.err >&2
+	tail -n 5 "$FLEET_DIR"/*.err "$FLEET_DIR"/*.log >&2
 	exit 1
 }
 
