--- a/caller/intake.c
+++ b/caller/intake.c
@@ -87,6 +87,7 @@
     msg.request_id = (char *)ask->request_id;
     msg.caller_service = (char *)call->node->settings.service;
     msg.idempotent = call->route.idempotent;
+    msg.route = (char *)call->route.prefix;
     msg.body.data = req->body->data;
     msg.body.len = req->body->len;
     msg.priority = call->route.priority;
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -39,11 +39,21 @@
 
 #define JD_PRIORITIES 4
 
+/* The usual time of some kind of work, as a moving average. */
+typedef struct JdEstimate {
+    uint64_t mean; /* us, 0: unknown */
+} JdEstimate;
+
+void JdEstimate_Add(JdEstimate *est, uint64_t took);
+
 typedef struct JdWork {
     TAILQ_ENTRY(JdWork) link;
     uint64_t deadline;
+    uint64_t wanted;   /* time by which its answer is wanted, 0: no matter */
+    uint64_t expected; /* us that it will run, 0: as long as others */
     uint64_t started_at;
     unsigned priority; /* 0 is served first */
+    bool is_late;      /* can no longer be answered when it is wanted */
     bool is_queued;
     bool is_running;
 } JdWork;
@@ -60,7 +70,7 @@
     unsigned queue_most;
     unsigned running;
     unsigned queued;
-    uint64_t service_time; /* us, moving average; 0: unknown */
+    JdEstimate service; /* of all work */
     bool is_closed;
     TAILQ_HEAD(JdWorkHead, JdWork) queue;
     JdClock *clock;
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -1,8 +1,13 @@
 /*
  * Admission in front of one target.  The target's own node is the only place
- * that runs this part for it, so its limit on running work is exact.  The
- * queue is short, ordered by priority and then by deadline, and work that can
- * no longer end by its deadline is refused before it runs.
+ * that runs this part for it, so its limit on running work is exact.
+ *
+ * The load that it answers is one above the target's capacity.  A queue in
+ * order of deadlines would then serve everything just before its deadline,
+ * and nothing when it is wanted.  So work is queued only where it can be
+ * answered in the time wanted; what comes too late for that anyhow is served
+ * after it, in gaps; and what cannot end by its deadline is refused as soon
+ * as that is known.
  */
 #include <string.h>
 
@@ -38,16 +43,22 @@
     JdTimer_Cancel(ad->clock, &ad->expire);
 }
 
-static bool
-can_end_in_time(const JdAdmit *ad, const JdWork *work, unsigned ahead)
+/* Adds one more measurement. */
+void
+JdEstimate_Add(JdEstimate *est, uint64_t took)
 {
-    uint64_t now = JdClock_Now(ad->clock);
-    uint64_t wait = ad->service_time * ahead / ad->slots;
-
-    if (work->deadline <= now) {
-        return false;
+    if (est->mean == 0) {
+        est->mean = took;
+    }
+    else {
+        est->mean += took / AVERAGE_OF - est->mean / AVERAGE_OF;
     }
-    return now + wait + ad->service_time <= work->deadline;
+}
+
+static uint64_t
+expected(const JdAdmit *ad, const JdWork *work)
+{
+    return work->expected != 0 ? work->expected : ad->service.mean;
 }
 
 static bool
@@ -56,24 +67,45 @@
     if (a->priority != b->priority) {
         return a->priority < b->priority;
     }
+    if (a->is_late != b->is_late) {
+        return b->is_late;
+    }
+    if (!a->is_late && a->wanted != b->wanted) {
+        return a->wanted < b->wanted;
+    }
     return a->deadline < b->deadline;
 }
 
-/* Counts the queued work that is served before this one. */
-static unsigned
-count_ahead(const JdAdmit *ad, const JdWork *work)
+/* Returns the us until a slot is free for work behind `ahead` us of others. */
+static uint64_t
+wait_behind(const JdAdmit *ad, uint64_t ahead)
+{
+    return (ahead + ad->service.mean) / ad->slots;
+}
+
+/* Returns the us that queued work which is served before this one will run. */
+static uint64_t
+sum_ahead(const JdAdmit *ad, const JdWork *work)
 {
     const JdWork *w;
-    unsigned n = 0;
+    uint64_t sum = 0;
 
     TAILQ_FOREACH(w, &ad->queue, link)
     {
-        if (goes_before(work, w)) {
+        if (w == work || goes_before(work, w)) {
             break;
         }
-        n++;
+        sum += expected(ad, w);
     }
-    return n;
+    return sum;
+}
+
+static bool
+ends_by(const JdAdmit *ad, const JdWork *work, uint64_t wait, uint64_t by)
+{
+    uint64_t now = JdClock_Now(ad->clock);
+
+    return by > now && now + wait + expected(ad, work) <= by;
 }
 
 static void
@@ -147,6 +179,24 @@
     arm_expire(ad);
 }
 
+/* Refuses queued work that can no longer end by its deadline. */
+static void
+refuse_hopeless(JdAdmit *ad)
+{
+    uint64_t ahead = 0;
+    JdWork *w, *next;
+
+    for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
+        next = TAILQ_NEXT(w, link);
+        if (ends_by(ad, w, wait_behind(ad, ahead), w->deadline)) {
+            ahead += expected(ad, w);
+            continue;
+        }
+        dequeue(ad, w);
+        ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
+    }
+}
+
 static void
 start_queued(JdAdmit *ad)
 {
@@ -154,13 +204,14 @@
 
     while (ad->running < ad->slots && (w = TAILQ_FIRST(&ad->queue)) != NULL) {
         dequeue(ad, w);
-        if (can_end_in_time(ad, w, 0)) {
+        if (ends_by(ad, w, 0, w->deadline)) {
             run(ad, w);
         }
         else {
             ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
         }
     }
+    refuse_hopeless(ad);
     arm_expire(ad);
 }
 
@@ -178,6 +229,27 @@
     return true;
 }
 
+/* Whether work that would have to wait may do so. */
+static JdReason
+check_queue(JdAdmit *ad, JdWork *work)
+{
+    uint64_t wait;
+
+    if (work->wanted == 0) {
+        work->wanted = work->deadline;
+    }
+    /* Late for any target, however idle. */
+    work->is_late = !ends_by(ad, work, 0, work->wanted);
+    wait = wait_behind(ad, sum_ahead(ad, work));
+    if (!ends_by(ad, work, wait, work->deadline)) {
+        return JD_REASON_TOO_LATE;
+    }
+    if (!work->is_late && !ends_by(ad, work, wait, work->wanted)) {
+        return JD_REASON_TOO_LATE;
+    }
+    return JD_REASON_NONE;
+}
+
 /*
  * Offers work.  Returns JD_REASON_NONE when it was started or queued; `start`
  * may have been called already.  Any other reason is a refusal, and the work
@@ -186,20 +258,23 @@
 JdReason
 JdAdmit_Offer(JdAdmit *ad, JdWork *work)
 {
+    JdReason reason;
+
     work->is_queued = false;
     work->is_running = false;
     if (ad->is_closed) {
         return JD_REASON_DRAINING;
     }
     if (ad->running < ad->slots && ad->queued == 0) {
-        if (!can_end_in_time(ad, work, 0)) {
+        if (!ends_by(ad, work, 0, work->deadline)) {
             return JD_REASON_TOO_LATE;
         }
         run(ad, work);
         return JD_REASON_NONE;
     }
-    if (!can_end_in_time(ad, work, count_ahead(ad, work) + 1)) {
-        return JD_REASON_TOO_LATE;
+    reason = check_queue(ad, work);
+    if (reason != JD_REASON_NONE) {
+        return reason;
     }
     if (ad->queued >= ad->queue_most && !displace(ad, work)) {
         return JD_REASON_QUEUE_FULL;
@@ -220,11 +295,8 @@
 
     work->is_running = false;
     ad->running--;
-    if (is_whole && ad->service_time == 0) {
-        ad->service_time = took;
-    }
-    else if (is_whole) {
-        ad->service_time += took / AVERAGE_OF - ad->service_time / AVERAGE_OF;
+    if (is_whole) {
+        JdEstimate_Add(&ad->service, took);
     }
     start_queued(ad);
 }
@@ -257,7 +329,7 @@
 uint64_t
 JdAdmit_RetryAfter(const JdAdmit *ad)
 {
-    uint64_t wait = ad->service_time * (ad->queued + 1) / ad->slots;
+    uint64_t wait = ad->service.mean * (ad->queued + 1) / ad->slots;
 
     if (wait < RETRY_LEAST) {
         return RETRY_LEAST;
--- a/node/node.h
+++ b/node/node.h
@@ -98,6 +98,7 @@
     JdTarget life;  /* what the target says of itself, if it does */
     JdHttpc target;
     JdAdmit admit;
+    GHashTable *estimates; /* JdEstimate by route */
     TAILQ_HEAD(JdItemHead, JdItem) items;
     JdClaims claims;
     char claim_stream[JD_PATH_MAX];
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -300,10 +300,14 @@
   uint32_t latency_ms;
   protobuf_c_boolean idempotent;
   char *host;
+  /*
+   * by which its usual time is known
+   */
+  char *route;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Jd__Response
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -72,7 +72,7 @@
            JD_NUMBER("running", nd->admit.running),
            JD_NUMBER("queued", nd->admit.queued),
            JD_NUMBER("slots", nd->admit.slots),
-           JD_NUMBER("service_ms", nd->admit.service_time / JD_US_PER_MS),
+           JD_NUMBER("service_ms", nd->admit.service.mean / JD_US_PER_MS),
            JD_NUMBER("left_ms", request->left_ms),
            JD_TEXT("target", nd->life.id));
 }
@@ -193,6 +193,34 @@
     }
 }
 
+/* An error may come sooner than an answer takes: only answers are measured. */
+#define ERRORS_FROM 400
+
+static JdEstimate *
+estimate_of(JdNode *nd, const char *route)
+{
+    JdEstimate *est = g_hash_table_lookup(nd->estimates, route);
+
+    if (est == NULL) {
+        est = g_new0(JdEstimate, 1);
+        g_hash_table_insert(nd->estimates, g_strdup(route), est);
+    }
+    return est;
+}
+
+/* The target is done with work; `is_measure` where its time is typical. */
+static void
+note_time(JdItem *it, bool is_measure)
+{
+    JdNode *nd = it->node;
+
+    if (is_measure) {
+        JdEstimate_Add(estimate_of(nd, it->msg->route),
+                       JdClock_Now(&nd->loop.clock) - it->work.started_at);
+    }
+    JdAdmit_Done(&nd->admit, &it->work, is_measure);
+}
+
 static void
 on_answer(void *ctx, const JdHttpAnswer *ans)
 {
@@ -211,7 +239,7 @@
         hold_slot(it);
         return;
     }
-    JdAdmit_Done(&nd->admit, &it->work, reason == JD_REASON_NONE);
+    note_time(it, reason == JD_REASON_NONE && ans->status < ERRORS_FROM);
     if (reason == JD_REASON_NONE) {
         pass_answer(it, ans);
         free_item(it);
@@ -416,6 +444,15 @@
         msg->priority < JD_PRIORITIES ? msg->priority : JD_PRIORITIES - 1;
     it->work.deadline =
         JdClock_Now(&nd->loop.clock) + msg->left_ms * JD_US_PER_MS;
+    if (msg->latency_ms > 0) {
+        it->work.wanted =
+            JdClock_Now(&nd->loop.clock) + msg->latency_ms * JD_US_PER_MS;
+    }
+    else {
+        /* The time at which it was wanted is past. */
+        it->work.wanted = 1;
+    }
+    it->work.expected = estimate_of(nd, msg->route)->mean;
     JdTimer_Init(&it->lapse, on_lapse, it);
     TAILQ_INSERT_TAIL(&nd->items, it, link);
     if (needs_claim(msg)) {
@@ -635,6 +672,8 @@
     JdStatus s;
 
     TAILQ_INIT(&nd->items);
+    nd->estimates =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     JdAdmit_Init(&nd->admit, (unsigned)nd->settings.slots,
                  (unsigned)nd->settings.queue, &nd->loop.clock, &admit_ops,
                  nd);
