Settings read again on SIGHUP or when the file changes; a stop takes no more requests

Change: settings are checked and applied whole, or refused and the old kept; a connection that is to end takes no more requests and ends with those it has.

--- a/base/base.h
+++ b/base/base.h
@@ -137,6 +137,7 @@
 
 JdStatus JdHttpc_Init(JdHttpc *hc, JdLoop *lp, const char *address,
                       size_t connections, JdError *err);
+JdStatus JdHttpc_SetAddress(JdHttpc *hc, const char *address, JdError *err);
 void JdHttpc_Finish(JdHttpc *hc);
 JdHttpCall *JdHttpc_Send(JdHttpc *hc, const JdHttpRequest *rq, JdHttpDone done,
                          void *ctx);
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -111,6 +111,21 @@
     }
 }
 
+/* Sends what follows to another server; calls under way go on. */
+JdStatus
+JdHttpc_SetAddress(JdHttpc *hc, const char *address, JdError *err)
+{
+    struct sockaddr_in sin;
+    JdStatus s = JdAddress_Parse(address, &sin, err);
+
+    if (s == JD_OK) {
+        JdHttpc_Finish(hc);
+        hc->address = sin;
+        g_strlcpy(hc->host, address, sizeof(hc->host));
+    }
+    return s;
+}
+
 static void
 free_call(JdHttpCall *call)
 {
--- a/base/loop.c
+++ b/base/loop.c
@@ -93,7 +93,7 @@
     }
 }
 
-/* Delivers SIGTERM and SIGINT on the loop. */
+/* Delivers SIGTERM, SIGINT and SIGHUP on the loop. */
 void
 JdLoop_CatchSignals(JdLoop *lp, void (*fn)(void *ctx, int signal), void *ctx)
 {
@@ -105,6 +105,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     sigprocmask(SIG_BLOCK, &set, NULL);
     sock = h2o_evloop_socket_create(
         lp->loop, signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC),
--- a/base/program.c
+++ b/base/program.c
@@ -1,5 +1,6 @@
 /* What the programs do alike: options, signals, the run of the loop. */
 #include <locale.h>
+#include <signal.h>
 #include <stdio.h>
 
 #include "base.h"
@@ -50,8 +51,9 @@
 static void
 on_signal(void *ctx, int signal)
 {
-    (void)signal;
-    JdLoop_Stop(ctx);
+    if (signal != SIGHUP) {
+        JdLoop_Stop(ctx);
+    }
 }
 
 /* Runs a program without state to save until a signal ends it. */
--- a/base/server.c
+++ b/base/server.c
@@ -192,6 +192,9 @@
 {
     JdServerReq *rq;
 
+    if (cn->state == CONN_CLOSING || cn->state == CONN_LINGER) {
+        return;
+    }
     while ((rq = TAILQ_FIRST(&cn->pending)) != NULL && rq->answer != NULL) {
         append(cn, rq->answer->data, rq->answer->len);
         TAILQ_REMOVE(&cn->pending, rq, link);
@@ -223,16 +226,25 @@
     }
 }
 
+/* Takes no more requests; those that wait are answered, then it ends. */
+static void
+stop_reading(JdServerConn *cn)
+{
+    if (cn->state != CONN_OPEN) {
+        return;
+    }
+    cn->state = CONN_LAST;
+    if (cn->reading != NULL) {
+        free_req(cn->reading);
+        cn->reading = NULL;
+    }
+}
+
 /* Whether this answer is the last one on its connection. */
 static bool
 is_last(const JdServerReq *rq)
 {
-    const JdServerConn *cn = rq->conn;
-
-    if (TAILQ_NEXT(rq, link) != NULL) {
-        return false;
-    }
-    return !rq->keeps_alive || cn->server->is_ending || cn->state == CONN_LAST;
+    return rq->conn->state == CONN_LAST && TAILQ_NEXT(rq, link) == NULL;
 }
 
 /*
@@ -248,14 +260,13 @@
     JdServerConn *cn = rq->conn;
     GString *head = g_string_new(NULL);
 
-    if (is_last(rq) && cn->state == CONN_OPEN) {
-        cn->state = CONN_LAST;
+    if (cn->server->is_ending) {
+        stop_reading(cn);
     }
-    g_string_printf(
-        head, "HTTP/1.1 %d %s\r\n%scontent-length: %zu\r\n%s\r\n", status,
-        phrase_of(status),
-        cn->state == CONN_LAST && is_last(rq) ? "connection: close\r\n" : "",
-        len, headers == NULL ? "" : headers);
+    g_string_printf(head, "HTTP/1.1 %d %s\r\n%scontent-length: %zu\r\n%s\r\n",
+                    status, phrase_of(status),
+                    is_last(rq) ? "connection: close\r\n" : "", len,
+                    headers == NULL ? "" : headers);
     rq->answer = g_byte_array_sized_new((guint)(head->len + len));
     g_byte_array_append(rq->answer, (guint8 *)head->str, (guint)head->len);
     if (len > 0 && strcmp(pub->method, "HEAD") != 0) {
@@ -429,7 +440,7 @@
 
     enqueue(cn, rq);
     if (!rq->keeps_alive) {
-        cn->state = CONN_LAST;
+        stop_reading(cn);
     }
     sv->ops->request(sv->ctx, &rq->pub);
 }
@@ -448,7 +459,7 @@
         rq->pub.method = "";
     }
     enqueue(cn, rq);
-    cn->state = CONN_LAST;
+    stop_reading(cn);
     JdServer_Reply(&rq->pub, rq->is_too_large ? 413 : 400, NULL, NULL, 0);
 }
 
@@ -558,14 +569,15 @@
     return JD_OK;
 }
 
-/* From now on each connection ends with its next answers. */
+/* From now on each connection ends with its next answer, and those that wait
+ * with it. */
 void
 JdServer_EndConnections(JdServer *sv)
 {
     sv->is_ending = true;
 }
 
-/* Takes no new connections, and closes those that are idle. */
+/* Takes no new connections and no more requests on the open ones. */
 void
 JdServer_StopAccepting(JdServer *sv)
 {
@@ -579,9 +591,7 @@
     sv->is_ending = true;
     for (cn = TAILQ_FIRST(&sv->conns); cn != NULL; cn = next) {
         next = TAILQ_NEXT(cn, link);
-        if (cn->state == CONN_OPEN && cn->pending_count == 0 &&
-            cn->reading == NULL) {
-            close_conn(cn);
-        }
+        stop_reading(cn);
+        flush(cn);
     }
 }
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -274,6 +274,8 @@
 void JdTree_Finish(JdTree *tr);
 void JdTree_Start(JdTree *tr);
 void JdTree_Leave(JdTree *tr);
+void JdTree_SetService(JdTree *tr, const char *service,
+                       const char *endpoint_set);
 void JdTree_SetTarget(JdTree *tr, uint64_t started, unsigned slots,
                       JdMemberState state);
 void JdTree_SetState(JdTree *tr, JdMemberState state);
--- a/lib/tree/news.c
+++ b/lib/tree/news.c
@@ -197,6 +197,18 @@
     _JdTree_CheckReading(tr);
 }
 
+/* Another service stands beside this node; a change of state follows. */
+void
+JdTree_SetService(JdTree *tr, const char *service, const char *endpoint_set)
+{
+    _Jd_CopyText(tr->self.service, sizeof(tr->self.service), service);
+    _Jd_CopyText(tr->self.endpoint_set, sizeof(tr->self.endpoint_set),
+                 endpoint_set);
+    if (!tr->is_leaving) {
+        _JdTree_AnnounceSelf(tr);
+    }
+}
+
 /* Sets what the target beside this node is and announces a change. */
 void
 JdTree_SetTarget(JdTree *tr, uint64_t started, unsigned slots,
--- a/node/drain.c
+++ b/node/drain.c
@@ -3,6 +3,8 @@
  * short time, new connections too, since callers learn of it late; then it
  * refuses new work as not run, finishes what runs and exits.
  */
+#include <signal.h>
+
 #include "node.h"
 
 /* Period in which a drain looks whether it is over. */
@@ -64,6 +66,10 @@
     JdNode *nd = ctx;
     uint64_t now = JdClock_Now(&nd->loop.clock);
 
+    if (signal == SIGHUP) {
+        JdReload_OnSignal(nd);
+        return;
+    }
     if (nd->is_draining) {
         if (signal != 0) {
             nd->counters.value[JD_C_DRAIN_FORCED]++;
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -79,6 +79,7 @@
            JD_TEXT("release", JD_VERSION_TEXT),
            JD_TEXT("preset", JdPreset_Name(node.settings.preset)),
            JD_NUMBER("incarnation", node.tree.self.incarnation));
+    JdReload_Init(&node, file);
     JdLoop_Run(&node.loop);
     JdLogging_Finish();
     return 0;
--- a/node/node.h
+++ b/node/node.h
@@ -2,6 +2,9 @@
 #ifndef JD_NODE_H
 #define JD_NODE_H
 
+#include <sys/types.h>
+#include <time.h>
+
 #include <glib.h>
 
 #include "../base/base.h"
@@ -66,6 +69,15 @@
 
 #define JD_APPLIED_MAX 4096
 
+/* The settings file as it was read last. */
+typedef struct JdReload {
+    const char *file;
+    struct timespec changed;
+    ino_t inode;
+    off_t size;
+    JdTimer timer;
+} JdReload;
+
 typedef struct JdCall JdCall;
 typedef struct JdItem JdItem;
 
@@ -114,6 +126,9 @@
     uint64_t next_call;
     JdTimer tend;
 
+    /* node/reload.c */
+    JdReload reload;
+
     /* node/drain.c */
     bool is_draining;
     JdTimer drain;
@@ -136,6 +151,7 @@
 
 /* targets/worker.c: work for the target beside this node */
 JdStatus JdWorker_Init(JdNode *nd, JdError *err);
+void JdWorker_SetTarget(JdNode *nd, const JdSettings *s);
 void JdWorker_OnReady(JdNode *nd);
 void JdWorker_Heartbeat(JdNode *nd, const JdHeartbeat *hb);
 void JdWorker_TargetLeaves(JdNode *nd, const char *id, uint64_t started);
@@ -152,6 +168,10 @@
 /* operator/admin.c: counters and state over HTTP */
 JdStatus JdAdmin_Init(JdNode *nd, JdError *err);
 
+/* node/reload.c: changed settings */
+void JdReload_Init(JdNode *nd, const char *file);
+void JdReload_OnSignal(JdNode *nd);
+
 /* node/drain.c: planned stops */
 void JdDrain_OnSignal(void *ctx, int signal);
 
--- a/node/source.h
+++ b/node/source.h
@@ -19,6 +19,8 @@
     void (*read_log)(void *ctx, bool on);
     /* A version came into force. */
     void (*changed)(struct JdNode *nd);
+    /* The settings were read again; may be NULL. */
+    void (*settings_changed)(struct JdNode *nd);
 } JdSource;
 
 #endif
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -652,6 +652,28 @@
     }
 }
 
+/*
+ * Another target stands beside this node.  Work at the old one goes on over
+ * the connections it has; nothing new is sent until the new one is heard.
+ */
+void
+JdWorker_SetTarget(JdNode *nd, const JdSettings *s)
+{
+    JdError err = {0};
+
+    g_strlcpy(nd->settings.service, s->service, sizeof(nd->settings.service));
+    g_strlcpy(nd->settings.endpoint_set, s->endpoint_set,
+              sizeof(nd->settings.endpoint_set));
+    g_strlcpy(nd->settings.target_address, s->target_address,
+              sizeof(nd->settings.target_address));
+    if (JdHttpc_SetAddress(&nd->target, s->target_address, &err) != JD_OK) {
+        JD_LOG(JD_EVENT_FAILED, JD_TEXT("text", err.text));
+    }
+    JdTarget_Lost(&nd->life);
+    JdTree_SetService(&nd->tree, s->service, s->endpoint_set);
+    announce_target(nd);
+}
+
 /* The node became ready: what its target said meanwhile counts from now on. */
 void
 JdWorker_OnReady(JdNode *nd)
