--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -143,6 +143,8 @@
     void (*read_directory)(void *ctx);
     /* Appends this node to the directory; JdTree_Announced follows. */
     void (*announce)(void *ctx);
+    /* Takes a head that is gone out of the directory; may be NULL. */
+    void (*withdraw)(void *ctx, const char *id);
     /* Starts or stops reading the config stream. */
     void (*read_log)(void *ctx, bool on);
     /* A version came into force, or readiness changed. */
@@ -235,6 +237,7 @@
     unsigned directory_len;
     uint64_t log_heard; /* time of the log's last word to this node */
     uint64_t appointed_at;
+    uint64_t lead_since;
     JdUplink parent;
     JdUplink trial; /* a candidate that may become the parent */
     JdTimer trial_timeout;
--- a/lib/tree/head.c
+++ b/lib/tree/head.c
@@ -13,6 +13,10 @@
 #define APPOINT_EVERY (3 * JD_US_PER_S)
 /* Period in which heads renew their directory record, below its retention. */
 #define RENEW_EVERY (600 * JD_US_PER_S)
+/* Time for which a head is lost before it is taken out of the directory. */
+#define LOST_AFTER (3 * JD_US_PER_S)
+/* Time for a head in the directory to show up among the members. */
+#define UNSEEN_AFTER (30 * JD_US_PER_S)
 
 /*
  * Waits before volunteering.  The eighth root makes short waits rare, so that
@@ -157,6 +161,10 @@
     bool is_volunteer = tr->is_volunteer;
 
     tr->is_volunteer = false;
+    if (ans->status == JD_OK) {
+        /* What is no longer told is gone. */
+        tr->directory_len = 0;
+    }
     for (size_t i = 0; ans->status == JD_OK && i < ans->records; i++) {
         take_directory_record(tr, &ans->record[i]);
     }
@@ -222,6 +230,58 @@
     }
 }
 
+/*
+ * Whether an entry of the directory is of a head that is gone: by its own
+ * word, lost for a while, or never seen although this node has led for long.
+ */
+static bool
+is_gone(const JdTree *tr, const JdDirectoryEntry *de)
+{
+    const JdMember *mb = JdMembers_Find(&tr->members, de->id);
+    uint64_t now = JdClock_Now(tr->clock);
+
+    if (mb == NULL) {
+        return now - tr->lead_since > UNSEEN_AFTER;
+    }
+    if (mb->incarnation < de->incarnation) {
+        return false;
+    }
+    if (mb->state == JD_MEMBER_LEFT) {
+        return true;
+    }
+    return mb->state == JD_MEMBER_LOST && now - mb->changed > LOST_AFTER;
+}
+
+/*
+ * Takes one entry of a gone head out of the directory, so that nodes that
+ * start do not wait for it.
+ */
+static void
+withdraw_gone(JdTree *tr)
+{
+    if (!tr->is_lead || tr->ops->withdraw == NULL) {
+        return;
+    }
+    for (unsigned i = 0; i < tr->directory_len; i++) {
+        JdDirectoryEntry *de = &tr->directory[i];
+
+        if (strcmp(de->id, tr->self.id) != 0 && is_gone(tr, de)) {
+            tr->ops->withdraw(tr->ctx, de->id);
+            *de = tr->directory[--tr->directory_len];
+            return;
+        }
+    }
+}
+
+/* Puts this head into the directory again; others may have thought it lost. */
+void
+_JdTree_RenewHead(JdTree *tr)
+{
+    if (tr->head_rank != 0) {
+        announce(tr);
+    }
+}
+
 /* The first head of a domain sees to it that there are enough of them. */
 void
 _JdTree_CheckHeads(JdTree *tr)
@@ -232,6 +292,7 @@
     if (tr->head_rank == 0 || tr->is_leaving) {
         return;
     }
+    withdraw_gone(tr);
     if (now - tr->announced_at > RENEW_EVERY) {
         announce(tr);
     }
--- a/lib/tree/libtree.h
+++ b/lib/tree/libtree.h
@@ -39,6 +39,7 @@
 void _JdTree_ArmVolunteer(JdTree *tr);
 void _JdTree_CheckHeads(JdTree *tr);
 void _JdTree_Volunteer(JdTree *tr);
+void _JdTree_RenewHead(JdTree *tr);
 
 /* news.c */
 void _JdTree_InitNews(JdTree *tr);
--- a/lib/tree/news.c
+++ b/lib/tree/news.c
@@ -124,6 +124,7 @@
          tr->state != JD_MEMBER_LOST)) {
         tr->seq = msg->seq;
         _JdTree_AnnounceSelf(tr);
+        _JdTree_RenewHead(tr);
     }
 }
 
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -94,6 +94,7 @@
         return;
     }
     tr->is_lead = true;
+    tr->lead_since = JdClock_Now(tr->clock);
     tr->path_len = 0;
     /* Others may be leading for want of each other: looks again soon. */
     tr->improve_wait = tr->tune.volunteer / 4;
--- a/node/source.h
+++ b/node/source.h
@@ -17,6 +17,7 @@
     void (*read_directory)(void *ctx);
     void (*announce)(void *ctx);
     void (*read_log)(void *ctx, bool on);
+    void (*withdraw)(struct JdNode *nd, const char *id); /* may be NULL */
     /* A version came into force. */
     void (*changed)(struct JdNode *nd);
     /* The settings were read again; may be NULL. */
--- a/peer/link.c
+++ b/peer/link.c
@@ -201,6 +201,18 @@
     ((JdNode *)ctx)->source->announce(ctx);
 }
 
+static void
+withdraw(void *ctx, const char *id)
+{
+    JdNode *nd = ctx;
+
+    JD_LOG(JD_EVENT_HEAD, JD_TEXT("outcome", "withdrawn"),
+           JD_TEXT("head", id));
+    if (nd->source->withdraw != NULL) {
+        nd->source->withdraw(nd, id);
+    }
+}
+
 static void
 read_log(void *ctx, bool on)
 {
@@ -214,6 +226,7 @@
     .backlog = backlog,
     .read_directory = read_directory,
     .announce = announce,
+    .withdraw = withdraw,
     .read_log = read_log,
     .changed = on_changed,
     .parent = on_parent,
