--- a/Makefile
+++ b/Makefile
@@ -68,12 +68,22 @@
 	@$(MAKE) --no-print-directory -s all
 	@bash load/demo.sh
 
-UNIT_SRC = regress/unit/unit.c load/histogram.c node/settings.c
+UNIT_SRC = $(wildcard regress/unit/*.c) load/histogram.c node/settings.c \
+           platform/document.c platform/heartbeat.c platform/bounds.c
 $(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 
-tests: all $(BUILD)/unit $(BUILD)/script $(BUILD)/sim
+tests: all $(BUILD)/unit $(BUILD)/script $(BUILD)/sim $(BUILD)/jd-stored \
+       $(BUILD)/jd-workerd
+
+STAND_SRC = regress/stand/stored.c regress/stand/workerd.c
+$(BUILD)/jd-stored: $(call obj,regress/stand/stored.c) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+$(BUILD)/jd-workerd: $(call obj,regress/stand/workerd.c) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
 check: setup
 	@$(MAKE) --no-print-directory -s tests
@@ -148,6 +158,6 @@
 
 .PHONY: all tests check matrix mutants fuzz lint install bench setup demo clean
 
-ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) log/logd.c \
+ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) $(STAND_SRC) log/logd.c \
           targets/targetd.c fault/faultd.c
 -include $(patsubst %.c,$(BUILD)/%.d,$(ALL_SRC))
--- a/base/server.c
+++ b/base/server.c
@@ -285,10 +285,9 @@
     return ((JdServerConn *)hp->data)->reading;
 }
 
-static int
-on_begin(http_parser *hp)
+static JdServerReq *
+add_reading(JdServerConn *cn)
 {
-    JdServerConn *cn = hp->data;
     JdServerReq *rq = g_new0(JdServerReq, 1);
 
     rq->conn = cn;
@@ -296,6 +295,13 @@
     rq->pub.body = g_byte_array_new();
     rq->is_value = true;
     cn->reading = rq;
+    return rq;
+}
+
+static int
+on_begin(http_parser *hp)
+{
+    add_reading(hp->data);
     return 0;
 }
 
@@ -452,8 +458,7 @@
     JdServerReq *rq = cn->reading;
 
     if (rq == NULL) {
-        close_conn(cn);
-        return;
+        rq = add_reading(cn);
     }
     if (rq->pub.method == NULL) {
         rq->pub.method = "";
--- a/lib/request/route.c
+++ b/lib/request/route.c
@@ -93,6 +93,9 @@
     {
         sum += (uint64_t)json_integer_value(v);
     }
+    if (sum == 0) {
+        return;
+    }
     draw %= sum;
     json_object_foreach((json_t *)split, set, v)
     {
--- /dev/null
+++ b/regress/unit/platform.c
@@ -0,0 +1,174 @@
+/* What the adapter decodes: documents, heartbeats, bounds; and noise. */
+#include <string.h>
+
+#include <CUnit/Basic.h>
+
+#include "../../platform/platform.h"
+#include "unit.h"
+
+static const JdPlatformBounds bounds = {.stop_s = 6, .retry_share = 0.2};
+
+#define ROUTE                                                                 \
+    "\"hostname\":\"h.example\",\"path_prefix\":\"/a/\",\"type\":\"safe\","   \
+    "\"timeout_s\":0.8,\"target_latency_s\":0.4,\"priority\":1,"              \
+    "\"attempts\":2"
+#define DOCUMENT(route)                                                       \
+    "{\"version\":7,\"routes\":{\"r\":{" route "}},"                          \
+    "\"services\":{\"s\":{\"max_connections\":120},\"t\":{}}}"
+
+static JdStatus
+decode(const char *text, json_t **doc)
+{
+    uint64_t version;
+    JdError err = {0};
+
+    return JdPlatformDocument_Decode(text, strlen(text), &bounds, &version,
+                                     doc, &err);
+}
+
+static void
+test_document(void)
+{
+    JdRouteKey key = {"h.example", 9, "/a/1", 4};
+    JdConfig *cfg;
+    json_t *doc;
+    JdRoute rt;
+    JdError err;
+
+    CU_ASSERT_EQUAL_FATAL(decode(DOCUMENT(ROUTE ",\"service\":\"s\""), &doc),
+                          JD_OK);
+    CU_ASSERT_EQUAL_FATAL(JdConfig_FromJson(doc, 7, &cfg, &err), JD_OK);
+    CU_ASSERT_EQUAL(JdConfig_Validate(cfg, 1, &err), JD_OK);
+    CU_ASSERT_TRUE(JdConfig_Route(cfg, &key, 0, &rt));
+    CU_ASSERT_STRING_EQUAL(rt.service, "s");
+    CU_ASSERT_EQUAL(rt.deadline, 800 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(rt.latency, 400 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(rt.attempts, 2);
+    CU_ASSERT_EQUAL(rt.priority, 1);
+    CU_ASSERT_TRUE(rt.idempotent);
+    JdConfig_Unref(cfg);
+    json_decref(doc);
+}
+
+static void
+test_bad_documents(void)
+{
+    static const char *const bad[] = {
+        "",
+        "[]",
+        "{\"version\":7}",
+        "{\"version\":0,\"routes\":{},\"services\":{}}",
+        "{\"version\":\"7\",\"routes\":{},\"services\":{}}",
+        "{\"version\":7,\"routes\":[],\"services\":{}}",
+        "{\"version\":7,\"routes\":{\"r\":7},\"services\":{}}",
+        "{\"version\":7,\"routes\":{},\"services\":{\"s\":1}}",
+        DOCUMENT(ROUTE),
+        DOCUMENT(ROUTE ",\"weighted_clusters\":[]"),
+        DOCUMENT(ROUTE ",\"weighted_clusters\":[{\"service\":\"s\"}]"),
+        DOCUMENT("\"hostname\":\"h\",\"service\":\"s\""),
+    };
+    json_t *doc;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_NOT_EQUAL(decode(bad[i], &doc), JD_OK);
+        CU_ASSERT_PTR_NULL(doc);
+    }
+}
+
+#define BEAT(more)                                                            \
+    "{\"address\":\"1.2.3.4:5\",\"born\":99,\"info\":{\"service\":\"s\","     \
+    "\"version\":\"v1\",\"zone\":\"z\",\"slots\":6}," more "}"
+#define STATUS(state) "\"status\":{\"state\":\"" state "\",\"sequence\":4}"
+
+static void
+test_heartbeat(void)
+{
+    static const char good[] = BEAT(STATUS("draining"));
+    static const char *const bad[] = {
+        "",
+        "{\"address\": 7, ",
+        "[1]",
+        BEAT("\"status\":7"),
+        BEAT(STATUS("sleeping")),
+        BEAT("\"status\":{\"state\":\"ready\",\"sequence\":\"4\"}"),
+        "{\"address\":\"1.2.3.4:5\",\"info\":{\"service\":\"s\",\"slots\":6}"
+        "," STATUS("ready") "}",
+    };
+    JdHeartbeat hb;
+    JdError err;
+
+    CU_ASSERT_EQUAL(
+        JdPlatformHeartbeat_Decode("i-1", 3, good, strlen(good), &hb, &err),
+        JD_OK);
+    CU_ASSERT_STRING_EQUAL(hb.id, "i-1");
+    CU_ASSERT_EQUAL(hb.started, 99);
+    CU_ASSERT_EQUAL(hb.seq, 4);
+    CU_ASSERT_EQUAL(hb.slots, 6);
+    CU_ASSERT_TRUE(hb.is_draining);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        CU_ASSERT_NOT_EQUAL(JdPlatformHeartbeat_Decode(
+                                "i-1", 3, bad[i], strlen(bad[i]), &hb, &err),
+                            JD_OK);
+    }
+    CU_ASSERT_NOT_EQUAL(
+        JdPlatformHeartbeat_Decode("", 0, good, strlen(good), &hb, &err),
+        JD_OK);
+    CU_ASSERT_EQUAL(JdPlatformHeartbeat_Started(good, strlen(good)), 99);
+    CU_ASSERT_EQUAL(JdPlatformHeartbeat_Started("noise", 5), 0);
+}
+
+static void
+test_bounds(void)
+{
+    JdPlatformBounds b;
+
+    JdPlatformBounds_Parse("seed_lag_s=3,grace_s=4.5,retry_ratio=0.3", &b);
+    CU_ASSERT_DOUBLE_EQUAL(b.stop_s, 4.5, 1e-9);
+    CU_ASSERT_DOUBLE_EQUAL(b.retry_share, 0.3, 1e-9);
+    JdPlatformBounds_Parse("", &b);
+    CU_ASSERT_DOUBLE_EQUAL(b.stop_s, 6, 1e-9);
+}
+
+/* A document or heartbeat spoiled at random is refused or read, no more. */
+static void
+test_noise(void)
+{
+    static const char seedling[] = DOCUMENT(ROUTE ",\"service\":\"s\"");
+    static const char beat[] = BEAT(STATUS("ready"));
+    JdRandom rnd;
+
+    JdRandom_Init(&rnd, 11);
+    for (int i = 0; i < 3000; i++) {
+        char text[sizeof(seedling)];
+        char other[sizeof(beat)];
+        JdHeartbeat hb;
+        JdError err;
+        json_t *doc;
+
+        memcpy(text, seedling, sizeof(text));
+        memcpy(other, beat, sizeof(other));
+        for (int n = (int)JdRandom_Below(&rnd, 4); n >= 0; n--) {
+            text[JdRandom_Below(&rnd, sizeof(text) - 1)] =
+                (char)JdRandom_Below(&rnd, 256);
+            other[JdRandom_Below(&rnd, sizeof(other) - 1)] =
+                (char)JdRandom_Below(&rnd, 256);
+        }
+        text[sizeof(text) - 1] = '\0';
+        decode(text, &doc);
+        json_decref(doc);
+        JdPlatformHeartbeat_Decode("i", 1, other, sizeof(other) - 1, &hb,
+                                   &err);
+    }
+}
+
+void
+Unit_AddPlatform(void)
+{
+    CU_pSuite s = CU_add_suite("platform", NULL, NULL);
+
+    CU_add_test(s, "document", test_document);
+    CU_add_test(s, "bad documents", test_bad_documents);
+    CU_add_test(s, "heartbeat", test_heartbeat);
+    CU_add_test(s, "bounds", test_bounds);
+    CU_add_test(s, "noise", test_noise);
+}
--- /dev/null
+++ b/regress/unit/target.c
@@ -0,0 +1,98 @@
+/* The target beside a node, as its heartbeats tell. */
+#include <string.h>
+
+#include <CUnit/Basic.h>
+#include <glib.h>
+
+#include "jacinthdyke.h"
+#include "unit.h"
+
+static JdBeat
+beat(JdTarget *tg, const char *id, uint64_t started, uint64_t seq,
+     bool is_draining)
+{
+    JdHeartbeat hb = {.started = started,
+                      .seq = seq,
+                      .slots = 4,
+                      .is_draining = is_draining};
+
+    g_strlcpy(hb.id, id, sizeof(hb.id));
+    return JdTarget_Heartbeat(tg, &hb, 0);
+}
+
+static void
+test_order(void)
+{
+    JdTarget tg = {.seq = 0};
+
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 1, false), JD_BEAT_NEWS);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 3, false), JD_BEAT_SAME);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 2, true), JD_BEAT_OLD);
+    CU_ASSERT_FALSE(tg.is_draining);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 4, true), JD_BEAT_NEWS);
+    /* Draining is not taken back. */
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 5, false), JD_BEAT_SAME);
+    CU_ASSERT_TRUE(tg.is_draining);
+}
+
+/* A late word of an ended process changes nothing. */
+static void
+test_ended(void)
+{
+    JdTarget tg = {.seq = 0};
+
+    beat(&tg, "a", 100, 9, false);
+    CU_ASSERT_EQUAL(beat(&tg, "b", 200, 1, false), JD_BEAT_NEWS);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 10, false), JD_BEAT_OLD);
+    CU_ASSERT_STRING_EQUAL(tg.id, "b");
+    /* The same id again, with a later start, counts anew. */
+    CU_ASSERT_EQUAL(beat(&tg, "b", 300, 1, false), JD_BEAT_NEWS);
+    CU_ASSERT_EQUAL(tg.started, 300);
+    CU_ASSERT_EQUAL(beat(&tg, "b", 200, 7, true), JD_BEAT_OLD);
+    CU_ASSERT_FALSE(tg.is_draining);
+}
+
+static void
+test_leaving(void)
+{
+    JdTarget tg = {.seq = 0};
+
+    beat(&tg, "a", 100, 1, false);
+    CU_ASSERT_FALSE(JdTarget_Leave(&tg, "x", 0));
+    CU_ASSERT_TRUE(tg.is_known);
+    CU_ASSERT_TRUE(JdTarget_Leave(&tg, "a", 100));
+    CU_ASSERT_FALSE(tg.is_known);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 2, false), JD_BEAT_OLD);
+    CU_ASSERT_FALSE(tg.is_known);
+    /* A departure that was heard before any heartbeat counts as well. */
+    JdTarget_Leave(&tg, "b", 0);
+    CU_ASSERT_EQUAL(beat(&tg, "b", 150, 2, false), JD_BEAT_OLD);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 200, 1, false), JD_BEAT_NEWS);
+    CU_ASSERT_TRUE(tg.is_known);
+}
+
+/* One that refuses connections is unknown until it is heard again. */
+static void
+test_lost(void)
+{
+    JdTarget tg = {.seq = 0};
+
+    beat(&tg, "a", 100, 1, false);
+    JdTarget_Lost(&tg);
+    CU_ASSERT_FALSE(tg.is_known);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 1, false), JD_BEAT_OLD);
+    CU_ASSERT_FALSE(tg.is_known);
+    CU_ASSERT_EQUAL(beat(&tg, "a", 100, 2, false), JD_BEAT_NEWS);
+    CU_ASSERT_TRUE(tg.is_known);
+}
+
+void
+Unit_AddTarget(void)
+{
+    CU_pSuite s = CU_add_suite("target", NULL, NULL);
+
+    CU_add_test(s, "order", test_order);
+    CU_add_test(s, "ended", test_ended);
+    CU_add_test(s, "leaving", test_leaving);
+    CU_add_test(s, "lost", test_lost);
+}
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -7,6 +7,7 @@
 
 #include "../../load/load.h"
 #include "../../node/node.h"
+#include "unit.h"
 
 static int fired[4];
 
@@ -194,6 +195,10 @@
     CU_add_test(suite, "address", test_address);
     CU_add_test(suite, "histogram", test_histogram);
     CU_add_test(suite, "noise", test_noise);
+    Unit_AddHttp();
+    Unit_AddTarget();
+    Unit_AddPlatform();
+    Unit_AddHeads();
     CU_basic_set_mode(CU_BRM_SILENT);
     CU_basic_run_tests();
     CU_basic_show_failures(CU_get_failure_list());
--- /dev/null
+++ b/regress/unit/unit.h
@@ -0,0 +1,10 @@
+/* Unit tests by subject; each file adds its suite. */
+#ifndef UNIT_H
+#define UNIT_H
+
+void Unit_AddHttp(void);
+void Unit_AddTarget(void);
+void Unit_AddPlatform(void);
+void Unit_AddHeads(void);
+
+#endif
