--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
            peer/conn.c peer/link.c peer/forward.c peer/lane.c \
            targets/worker.c targets/once.c operator/admin.c
 CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
-          operator/view.c operator/fleet.c log/log.c
+          operator/view.c operator/fleet.c operator/explain.c log/log.c
 LOAD_SRC = $(wildcard load/*.c) operator/logview.c log/log.c
 PROGRAMS = jacinthd jacinthctl jd-logd jd-targetd jd-faultd jd-load
 
--- a/base/base.h
+++ b/base/base.h
@@ -277,4 +277,24 @@
 void JdLogging_Write(JdEvent event, const JdLogField *fields, size_t n);
 char *JdCounters_Format(const JdCounters *ctr);
 
+/* ---- latency.c: latency histograms -------------------------------------- */
+
+typedef enum JdLatencyKind {
+    JD_LATENCY_QUEUE,  /* until work had a slot */
+    JD_LATENCY_TARGET, /* at the target */
+    JD_LATENCY_TOTAL,  /* from request to answer */
+    JD_LATENCY_MAX
+} JdLatencyKind;
+
+#define JD_LATENCY_BUCKETS 13
+
+typedef struct JdLatencies {
+    GHashTable *series; /* by kind, service and outcome */
+} JdLatencies;
+
+void JdLatencies_Init(JdLatencies *ls);
+void JdLatencies_Add(JdLatencies *ls, JdLatencyKind kind, const char *service,
+                     const char *outcome, uint64_t us);
+void JdLatencies_Format(const JdLatencies *ls, GString *out);
+
 #endif
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -234,12 +234,20 @@
     uint64_t progress_at; /* last answer, or first send after idleness */
     uint64_t latency;     /* us, moving average */
     unsigned outstanding;
-    unsigned failures;  /* in a row */
-    unsigned ejections; /* in a row */
-    unsigned load;      /* percent of slots, as the target's node said */
+    unsigned failures;   /* in a row */
+    unsigned ejections;  /* in a row */
+    unsigned load;       /* percent of slots, as the target's node said */
+    unsigned sent_since; /* sent by this node since it said so */
+    uint64_t service;    /* us, usual time of work there, 0: unknown */
     uint64_t load_at;
 } JdTargetStat;
 
+/* What the node of a target tells of it with each answer. */
+typedef struct JdTargetReport {
+    unsigned load;    /* running and waiting work, in percent of its slots */
+    uint64_t service; /* us, usual time of its work, 0: unknown */
+} JdTargetReport;
+
 typedef struct JdChooser {
     JdMembers *members;
     JdClock *clock;
@@ -265,11 +273,11 @@
 } JdAvoid;
 
 JdMember *JdChooser_Pick(const JdChooser *ch, const char *endpoint_set,
-                         const JdAvoid *avoid, JdTier *tier);
+                         const JdAvoid *avoid, uint64_t wanted, JdTier *tier);
 void JdChooser_Sent(const JdChooser *ch, JdMember *mb);
 void JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
-                        unsigned load);
+                        const JdTargetReport *rep);
 void JdChooser_Failed(const JdChooser *ch, const char *id, JdReason reason,
-                      unsigned load);
+                      const JdTargetReport *rep);
 
 #endif
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -1,7 +1,9 @@
 /*
- * Choice of a target: the nearest tier that can serve, and the better of two
- * random targets in it by the work this node has there and the load its node
- * reported.  Targets that fail are ejected for a while and come back slowly.
+ * Choice of a target: the nearest tier that can serve in time, and the quicker
+ * of two random targets in it, by its usual time, the work this node has there
+ * and the load its node reported.  The load that it answers is one that
+ * differs by place and targets that differ in speed.  Targets that fail are
+ * ejected for a while and come back slowly.
  */
 #include <string.h>
 
@@ -22,6 +24,9 @@
 #define WARM_LEAST 10
 /* Age at which a reported load no longer counts. */
 #define LOAD_FRESH (500 * JD_US_PER_MS)
+/* Share of the time wanted that the own failure domain may take, in percent,
+ * before the region is asked. */
+#define NEAR_SHARE 50
 /* Load at which a target is full, in percent of its slots. */
 #define LOAD_FULL 200
 #define CANDIDATES_MOST 256
@@ -78,13 +83,42 @@
            JdClock_Now(ch->clock) - ts->progress_at > limit;
 }
 
-static unsigned
+/* Age of the last report, as a share of the time for which it counts: 1 when
+ * it no longer does. */
+static double
+report_age(const JdChooser *ch, const JdTargetStat *ts)
+{
+    uint64_t age = JdClock_Now(ch->clock) - ts->load_at;
+
+    return ts->load_at == 0 || age >= LOAD_FRESH
+               ? 1
+               : (double)age / (double)LOAD_FRESH;
+}
+
+/* Percent of the slots that the target's node told, fading with its age. */
+static double
 reported_load(const JdChooser *ch, const JdTargetStat *ts)
 {
-    bool is_fresh =
-        ts->load_at != 0 && JdClock_Now(ch->clock) - ts->load_at < LOAD_FRESH;
+    return ts->load * (1 - report_age(ch, ts));
+}
 
-    return is_fresh ? ts->load : 0;
+/*
+ * Work per slot that a request would meet.  A fresh report counts what others
+ * sent as well; what this node sent since comes on top.
+ */
+static double
+work_per_slot(const JdChooser *ch, JdMember *mb)
+{
+    const JdTargetStat *ts = stat_of(ch, mb);
+    double slots = mb->slots == 0 ? 1 : mb->slots;
+    double work = ts->outstanding;
+
+    if (report_age(ch, ts) < 1) {
+        double told = reported_load(ch, ts) * slots / 100 + ts->sent_since;
+
+        work = told > work ? told : work;
+    }
+    return (work + 1) / slots;
 }
 
 /* Share of the full weight in percent: less than 100 while warming up. */
@@ -99,15 +133,15 @@
     return WARM_LEAST + (unsigned)((100 - WARM_LEAST) * age / WARM_UP);
 }
 
-/* Work per slot that a request would meet; lower is better. */
+/* Time that a request would take, in us where the target's is known, else in
+ * units of a target's usual time. */
 static double
-cost(const JdChooser *ch, JdMember *mb)
+cost(const JdChooser *ch, JdMember *mb, double usual)
 {
     const JdTargetStat *ts = stat_of(ch, mb);
-    double slots = mb->slots == 0 ? 1 : mb->slots;
-    double work = 1 + ts->outstanding + reported_load(ch, ts) * slots / 100.0;
+    double service = ts->service == 0 ? usual : (double)ts->service;
 
-    return work / slots;
+    return service * work_per_slot(ch, mb);
 }
 
 static JdTier
@@ -204,54 +238,103 @@
     return i;
 }
 
+/* The mean service time of the candidates that are known, or 1. */
+static double
+usual_service(const JdChooser *ch, const Candidates *c)
+{
+    double sum = 0;
+    unsigned n = 0;
+
+    for (int t = 0; t < JD_TIER_MAX; t++) {
+        for (unsigned i = 0; i < c->count[t]; i++) {
+            uint64_t service = stat_of(ch, c->list[t][i])->service;
+
+            sum += (double)service;
+            n += service != 0;
+        }
+    }
+    return n == 0 ? 1 : sum / n;
+}
+
 static JdMember *
-pick_of_two(const JdChooser *ch, JdMember **list, unsigned n)
+pick_of_two(const JdChooser *ch, JdMember **list, unsigned n, double usual)
 {
     unsigned i = draw(ch, list, n);
     unsigned j = draw(ch, list, n);
 
-    return cost(ch, list[i]) <= cost(ch, list[j]) ? list[i] : list[j];
+    return cost(ch, list[i], usual) <= cost(ch, list[j], usual) ? list[i]
+                                                                : list[j];
+}
+
+/* Whether the own failure domain can serve without help. */
+static bool
+has_room(const Candidates *c, double near, uint64_t wanted)
+{
+    if (c->full[JD_TIER_DOMAIN] >= c->count[JD_TIER_DOMAIN]) {
+        return false;
+    }
+    return wanted == 0 || near <= (double)wanted * NEAR_SHARE / 100;
+}
+
+static JdMember *
+pick_in(const JdChooser *ch, const Candidates *c, JdTier tier, double usual)
+{
+    return c->count[tier] == 0 ? NULL
+                               : pick_of_two(ch, (JdMember **)c->list[tier],
+                                             c->count[tier], usual);
 }
 
 /*
- * The own failure domain serves unless all of it is full; then the region
- * does.  The far side is used only when the region has no target left.
+ * The own failure domain serves while it does so well within the time wanted;
+ * then the quicker of it and the region.  The far side of the paid link is
+ * used only when the region has no target left.
  */
-static JdTier
-pick_tier(const Candidates *c)
+static JdMember *
+pick_member(const JdChooser *ch, const Candidates *c, uint64_t wanted,
+            JdTier *tier)
 {
-    bool has_domain = c->count[JD_TIER_DOMAIN] > 0;
-    bool has_region = c->count[JD_TIER_REGION] > 0;
+    double usual = usual_service(ch, c);
+    JdMember *near = pick_in(ch, c, JD_TIER_DOMAIN, usual);
+    JdMember *region;
 
-    if (has_domain &&
-        (c->full[JD_TIER_DOMAIN] < c->count[JD_TIER_DOMAIN] || !has_region)) {
-        return JD_TIER_DOMAIN;
+    *tier = JD_TIER_DOMAIN;
+    if (near != NULL && has_room(c, cost(ch, near, usual), wanted)) {
+        return near;
+    }
+    region = pick_in(ch, c, JD_TIER_REGION, usual);
+    if (region == NULL && near == NULL) {
+        *tier = JD_TIER_FAR;
+        return pick_in(ch, c, JD_TIER_FAR, usual);
     }
-    if (has_region) {
-        return JD_TIER_REGION;
+    if (region == NULL ||
+        (near != NULL && cost(ch, near, usual) < cost(ch, region, usual))) {
+        return near;
     }
-    return c->count[JD_TIER_FAR] > 0 ? JD_TIER_FAR : JD_TIER_MAX;
+    *tier = JD_TIER_REGION;
+    return region;
 }
 
 /*
  * Picks a target of an endpoint set, or NULL when none is known.  `avoid`
- * names the members that were tried, or is NULL.
+ * names the members that were tried, or is NULL; `wanted` is the time in us
+ * within which an answer is wanted, 0 where there is none.
  */
 JdMember *
 JdChooser_Pick(const JdChooser *ch, const char *endpoint_set,
-               const JdAvoid *avoid, JdTier *tier)
+               const JdAvoid *avoid, uint64_t wanted, JdTier *tier)
 {
     const JdMemberSet *set = JdMembers_Set(ch->members, endpoint_set);
     static Candidates c;
+    JdMember *mb;
 
     if (set == NULL) {
         return NULL;
     }
     for (int s = STRICT; s < STRICTNESS_MAX; s++) {
         collect(ch, set, avoid, (Strictness)s, &c);
-        *tier = pick_tier(&c);
-        if (*tier != JD_TIER_MAX) {
-            return pick_of_two(ch, c.list[*tier], c.count[*tier]);
+        mb = pick_member(ch, &c, wanted, tier);
+        if (mb != NULL) {
+            return mb;
         }
     }
     return NULL;
@@ -267,6 +350,7 @@
         ts->progress_at = JdClock_Now(ch->clock);
     }
     ts->outstanding++;
+    ts->sent_since++;
 }
 
 /* A try at a member is over; returns NULL when it is no longer known. */
@@ -287,16 +371,20 @@
 }
 
 static void
-note_load(const JdChooser *ch, JdTargetStat *ts, unsigned load)
+note_report(const JdChooser *ch, JdTargetStat *ts, const JdTargetReport *rep)
 {
-    ts->load = load;
+    ts->load = rep->load;
+    ts->sent_since = 0;
+    if (rep->service != 0) {
+        ts->service = rep->service;
+    }
     ts->load_at = JdClock_Now(ch->clock);
 }
 
-/* A target answered after `took` us; `load` is in percent of its slots. */
+/* A target answered after `took` us. */
 void
 JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
-                   unsigned load)
+                   const JdTargetReport *rep)
 {
     JdMember *mb;
     JdTargetStat *ts = take_back(ch, id, &mb);
@@ -308,7 +396,7 @@
     ts->failures = 0;
     ts->ejections = 0;
     ts->latency = ts->latency == 0 ? took : (ts->latency * 7 + took) / 8;
-    note_load(ch, ts, load);
+    note_report(ch, ts, rep);
 }
 
 /* Half of a set at the most may be ejected. */
@@ -345,10 +433,10 @@
     ch->counters->value[JD_C_EJECTED]++;
 }
 
-/* A try at a member failed. */
+/* A try at a member failed; `rep` is what its node told. */
 void
 JdChooser_Failed(const JdChooser *ch, const char *id, JdReason reason,
-                 unsigned load)
+                 const JdTargetReport *rep)
 {
     JdMember *mb;
     JdTargetStat *ts = take_back(ch, id, &mb);
@@ -361,7 +449,7 @@
     case JD_REASON_TOO_LATE:
         /* The node is well and says that its target has enough to do. */
         ts->progress_at = JdClock_Now(ch->clock);
-        note_load(ch, ts, load);
+        note_report(ch, ts, rep);
         return;
     case JD_REASON_CANCELLED:
         return;
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -34,6 +34,7 @@
         JdPlatform_Attach(&platform, nd);
     }
     JdStore_Init(&nd->store, &nd->counters);
+    JdLatencies_Init(&nd->latencies);
     s = JdLink_Init(nd, err);
     if (s == JD_OK) {
         s = JdWorker_Init(nd, err);
--- a/node/node.h
+++ b/node/node.h
@@ -88,6 +88,7 @@
     const JdSource *source;
     void *adapter; /* state of an adapter, or NULL */
     JdCounters counters;
+    JdLatencies latencies;
     JdStore store;
     JdTree tree;
     JdReader reader;
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -12,10 +12,13 @@
 static void
 on_metrics(JdNode *nd, h2o_req_t *req)
 {
-    char *text = JdCounters_Format(&nd->counters);
+    char *counters = JdCounters_Format(&nd->counters);
+    GString *out = g_string_new(counters);
 
-    JdHttpd_Reply(req, 200, "text/plain; version=0.0.4", text, strlen(text));
-    g_free(text);
+    JdLatencies_Format(&nd->latencies, out);
+    JdHttpd_Reply(req, 200, "text/plain; version=0.0.4", out->str, out->len);
+    g_string_free(out, TRUE);
+    g_free(counters);
 }
 
 static json_t *
--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -9,6 +9,8 @@
 
 /* Time for which a command waits by default, in s. */
 #define TIMEOUT_S 10
+/* Log files of one story. */
+#define FILES_MOST 100000
 
 static const struct {
     const char *name;
@@ -33,6 +35,8 @@
      "VERSION            wait until a version is in force everywhere"},
     {"drain", CtlFleet_Drain, 1, 1,
      "NODE              make a node and its target leave"},
+    {"explain", CtlExplain_Explain, 2, FILES_MOST,
+     "ID FILE...      tell the story of a request from log files"},
 };
 
 /* Prints a failure and returns its exit code. */
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -5,7 +5,7 @@
 #include "../base/base.h"
 
 /* Largest frame, in bytes. */
-#define JD_FRAME_MOST (16U << 20)
+#define JD_FRAME_MOST (72U << 20)
 
 typedef struct JdConn JdConn;
 
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -57,12 +57,15 @@
 static void
 cancel_tries(JdCall *call, JdReason reason)
 {
+    static const JdTargetReport nothing;
+
     for (unsigned i = 0; i < call->try_count; i++) {
         JdTry *tr = &call->tries[i];
 
         if (tr->is_active) {
             cancel_try(tr);
-            JdChooser_Failed(&call->node->chooser, target_of(tr), reason, 0);
+            JdChooser_Failed(&call->node->chooser, target_of(tr), reason,
+                             &nothing);
             end_try(tr);
         }
     }
@@ -82,6 +85,15 @@
     g_free(call);
 }
 
+static void
+note_total(JdCall *call, const char *outcome)
+{
+    JdNode *nd = call->node;
+
+    JdLatencies_Add(&nd->latencies, JD_LATENCY_TOTAL, call->route.service,
+                    outcome, JdClock_Now(&nd->loop.clock) - call->started);
+}
+
 /* One line at the end of a request that was not answered by a target. */
 static void
 log_end(const JdCall *call, JdReason reason)
@@ -126,6 +138,7 @@
         nd->counters.value[JdReason_Info(reason)->counter]++;
     }
     log_end(call, reason);
+    note_total(call, JdReason_Info(reason)->name);
     cancel_tries(call, reason);
     free_call(call);
     if (req != NULL) {
@@ -141,6 +154,7 @@
     uint64_t version = call->config->version;
 
     nd->counters.value[JD_C_ANSWERED]++;
+    note_total(call, "answered");
     cancel_tries(call, JD_REASON_CANCELLED);
     free_call(call);
     if (req != NULL) {
@@ -212,7 +226,8 @@
     JD_LOG(JD_EVENT_RETRY, JD_TEXT("id", call->msg->request_id),
            JD_TEXT("target", target_of(tr)),
            JD_TEXT("reason", JdReason_Info(why->reason)->name),
-           JD_NUMBER("was_sent", why->was_sent), JD_NUMBER("load", why->load),
+           JD_NUMBER("was_sent", why->was_sent),
+           JD_NUMBER("load", why->report.load),
            JD_NUMBER("try", tr - call->tries + 1),
            JD_NUMBER("took_ms", (now - tr->sent_at) / JD_US_PER_MS),
            JD_TEXT("tier", JdTier_Name(tr->tier)));
@@ -244,7 +259,7 @@
     JdCall *call = tr->call;
 
     JdChooser_Failed(&call->node->chooser, target_of(tr), why->reason,
-                     why->load);
+                     &why->report);
     end_try(tr);
     note_failure(call, why);
     log_try(tr, why);
@@ -347,6 +362,16 @@
     return tr;
 }
 
+/* Returns the us left until an answer is wanted; 1 where that is past. */
+static uint64_t
+wanted_in(const JdCall *call)
+{
+    uint64_t now = JdClock_Now(&call->node->loop.clock);
+    uint64_t wanted = call->started + call->route.latency;
+
+    return wanted > now ? wanted - now : 1;
+}
+
 static void
 try_target(JdCall *call)
 {
@@ -354,8 +379,8 @@
     JdNode *nd = call->node;
     JdAvoid avoid = {call->target, call->try_count};
     JdTier tier;
-    JdMember *mb =
-        JdChooser_Pick(&nd->chooser, call->route.endpoint_set, &avoid, &tier);
+    JdMember *mb = JdChooser_Pick(&nd->chooser, call->route.endpoint_set,
+                                  &avoid, wanted_in(call), &tier);
     JdLane *lane;
     JdTry *tr;
 
@@ -405,6 +430,7 @@
 void
 JdForward_Respond(JdNode *nd, const Jd__Response *msg)
 {
+    JdTargetReport report = {msg->load, msg->service_us};
     JdTry *tr = find_try(nd, msg->id);
 
     if (tr == NULL) {
@@ -418,7 +444,7 @@
     if (msg->reason != JD_REASON_NONE || msg->status == 0) {
         JdFailure why = {.reason = JD_REASON_BROKEN,
                          .was_sent = msg->sent,
-                         .load = msg->load,
+                         .report = report,
                          .retry_after = msg->retry_after_ms};
 
         if (msg->reason != JD_REASON_NONE && msg->reason < JD_REASON_MAX) {
@@ -428,7 +454,7 @@
         return;
     }
     JdChooser_Answered(&nd->chooser, target_of(tr),
-                       JdClock_Now(&nd->loop.clock) - tr->sent_at, msg->load);
+                       JdClock_Now(&nd->loop.clock) - tr->sent_at, &report);
     end_try(tr);
     end_answered(tr->call, msg);
 }
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -53,8 +53,8 @@
 /* How a try ended without an answer. */
 typedef struct JdFailure {
     JdReason reason;
-    bool was_sent;        /* the target may have got the request */
-    unsigned load;        /* of the target, in percent of its slots */
+    bool was_sent; /* the target may have got the request */
+    JdTargetReport report;
     unsigned retry_after; /* ms until the target would take it, 0: unknown */
 } JdFailure;
 
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1904,7 +1904,7 @@
   (ProtobufCMessageInit) jd__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[8] =
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[9] =
 {
   {
     "id",
@@ -2002,6 +2002,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Response, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -2011,12 +2023,13 @@
   4,   /* field[4] = reason */
   5,   /* field[5] = retry_after_ms */
   7,   /* field[7] = sent */
+  8,   /* field[8] = service_us */
   1,   /* field[1] = status */
 };
 static const ProtobufCIntRange jd__response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor jd__response__descriptor =
 {
@@ -2026,7 +2039,7 @@
   "Jd__Response",
   "jd",
   sizeof(Jd__Response),
-  8,
+  9,
   jd__response__field_descriptors,
   jd__response__field_indices_by_name,
   1,  jd__response__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -334,10 +334,14 @@
    * the target was sent the request
    */
   protobuf_c_boolean sent;
+  /*
+   * usual time of work there, 0: unknown
+   */
+  uint64_t service_us;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0 }
 
 
 struct  Jd__Cancel
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -174,14 +174,14 @@
 
 /* Picks many times without sending and prints the shares. */
 static void
-pick(unsigned n)
+pick(unsigned n, uint64_t wanted)
 {
     GHashTable *count = g_hash_table_new(g_str_hash, g_str_equal);
     GList *names, *l;
     JdTier tier;
 
     for (unsigned i = 0; i < n; i++) {
-        JdMember *mb = JdChooser_Pick(&chooser, "set", NULL, &tier);
+        JdMember *mb = JdChooser_Pick(&chooser, "set", NULL, wanted, &tier);
         gpointer k;
 
         if (mb == NULL) {
@@ -209,19 +209,23 @@
 
     init_members();
     if (strcmp(cmd, "pick") == 0) {
-        pick((unsigned)strtoul(id, NULL, 10));
+        pick((unsigned)strtoul(id, NULL, 10), ms(ln->word[3]));
     }
     else if (strcmp(cmd, "sent") == 0) {
         JdChooser_Sent(&chooser, JdMembers_Find(&members, id));
     }
     else if (strcmp(cmd, "answered") == 0) {
-        JdChooser_Answered(&chooser, id, ms(ln->word[3]),
-                           (unsigned)strtoul(ln->word[4], NULL, 10));
+        JdTargetReport rep = {(unsigned)strtoul(ln->word[4], NULL, 10),
+                              ms(ln->word[5])};
+
+        JdChooser_Answered(&chooser, id, ms(ln->word[3]), &rep);
     }
     else {
+        JdTargetReport rep = {0, 0};
+
         for (int r = 0; r < JD_REASON_MAX; r++) {
             if (strcmp(ln->word[3], JdReason_Info((JdReason)r)->name) == 0) {
-                JdChooser_Failed(&chooser, id, (JdReason)r, 0);
+                JdChooser_Failed(&chooser, id, (JdReason)r, &rep);
             }
         }
     }
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -22,8 +22,9 @@
     JdClaim claim;   /* of the request's key, where it needs one */
     JdReason reason; /* given once the claim is released */
     JdTimer lapse;   /* ends an item whose claim lapsed before sending */
-    bool was_sent;   /* the target may have got it */
-    bool is_orphan;  /* nobody waits for the answer any more */
+    uint64_t offered_at;
+    bool was_sent;  /* the target may have got it */
+    bool is_orphan; /* nobody waits for the answer any more */
 };
 
 static JdItem *
@@ -52,6 +53,7 @@
     Jd__Frame frame = JD__FRAME__INIT;
 
     msg->load = JdAdmit_Load(&nd->admit);
+    msg->service_us = nd->admit.service.mean;
     if (origin == NULL) {
         JdForward_Respond(nd, msg);
         return;
@@ -230,6 +232,10 @@
 
     it->call = NULL;
     it->was_sent = ans->end != JD_HTTP_NOT_SENT;
+    JdLatencies_Add(&nd->latencies, JD_LATENCY_TARGET, it->msg->service,
+                    reason == JD_REASON_NONE ? "answered"
+                                             : JdReason_Info(reason)->name,
+                    JdClock_Now(&nd->loop.clock) - it->work.started_at);
     if (reason == JD_REASON_TARGET_DOWN) {
         JdTarget_Lost(&nd->life);
         JdTree_SetState(&nd->tree, JD_MEMBER_DOWN);
@@ -311,7 +317,11 @@
 {
     JdNode *nd = ctx;
     JdItem *it = item_of(work);
-    uint64_t left = work->deadline - JdClock_Now(&nd->loop.clock);
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+    uint64_t left = work->deadline - now;
+
+    JdLatencies_Add(&nd->latencies, JD_LATENCY_QUEUE, it->msg->service,
+                    "started", now - it->offered_at);
 
     if (it->claim.key[0] != '\0' &&
         !JdClaims_IsUsable(&nd->claims, &it->claim)) {
@@ -452,6 +462,7 @@
         /* The time at which it was wanted is past. */
         it->work.wanted = 1;
     }
+    it->offered_at = JdClock_Now(&nd->loop.clock);
     it->work.expected = estimate_of(nd, msg->route)->mean;
     JdTimer_Init(&it->lapse, on_lapse, it);
     TAILQ_INSERT_TAIL(&nd->items, it, link);
