--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -70,7 +70,9 @@
     unsigned queue_most;
     unsigned running;
     unsigned queued;
-    JdEstimate service; /* of all work */
+    JdEstimate service;           /* of all work */
+    double recent[JD_PRIORITIES]; /* us of work started, fading */
+    uint64_t recent_at;
     bool is_closed;
     TAILQ_HEAD(JdWorkHead, JdWork) queue;
     JdClock *clock;
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -9,12 +9,19 @@
  * after it, in gaps; and what cannot end by its deadline is refused as soon
  * as that is known.
  */
+#include <math.h>
 #include <string.h>
 
 #include "libjd.h"
 
 /* Samples over which the moving average runs. */
 #define AVERAGE_OF 8
+/* Spread of the time of work, in percent of its mean. */
+#define SPREAD_SHARE 70
+/* Time over which the load by priority is measured, in us. */
+#define RECENT_TIME 1e6
+/* The most of the slots that higher priorities are thought to take. */
+#define SHARE_MOST 0.9
 /* Bounds on the wait that refused work is told. */
 #define RETRY_LEAST (50 * JD_US_PER_MS)
 #define RETRY_MOST (2000 * JD_US_PER_MS)
@@ -76,11 +83,44 @@
     return a->deadline < b->deadline;
 }
 
-/* Returns the us until a slot is free for work behind `ahead` us of others. */
+/* Lets the measure of started work fade with the time since the last look. */
+static void
+fade_recent(JdAdmit *ad)
+{
+    uint64_t now = JdClock_Now(ad->clock);
+    double keep = exp(-(double)(now - ad->recent_at) / RECENT_TIME);
+
+    for (int p = 0; p < JD_PRIORITIES; p++) {
+        ad->recent[p] *= keep;
+    }
+    ad->recent_at = now;
+}
+
+/* Returns the share of the slots that work of higher priorities takes. */
+static double
+share_above(JdAdmit *ad, unsigned priority)
+{
+    double sum = 0;
+
+    fade_recent(ad);
+    for (unsigned p = 0; p < priority && p < JD_PRIORITIES; p++) {
+        sum += ad->recent[p];
+    }
+    sum /= RECENT_TIME * ad->slots;
+    return sum < SHARE_MOST ? sum : SHARE_MOST;
+}
+
+/*
+ * Returns the us until a slot is free for work behind `ahead` us of others.
+ * Work of higher priorities that comes meanwhile goes first: only what it
+ * leaves of the slots serves those that wait.
+ */
 static uint64_t
-wait_behind(const JdAdmit *ad, uint64_t ahead)
+wait_behind(JdAdmit *ad, uint64_t ahead, unsigned priority)
 {
-    return (ahead + ad->service.mean) / ad->slots;
+    double left = ad->slots * (1 - share_above(ad, priority));
+
+    return (uint64_t)((double)(ahead + ad->service.mean) / left);
 }
 
 /* Returns the us that queued work which is served before this one will run. */
@@ -100,6 +140,14 @@
     return sum;
 }
 
+/* Time beyond the usual one that work may take: the mean is not enough for
+ * most of it to be in time. */
+static uint64_t
+spread(const JdAdmit *ad, const JdWork *work)
+{
+    return expected(ad, work) * SPREAD_SHARE / 100;
+}
+
 static bool
 ends_by(const JdAdmit *ad, const JdWork *work, uint64_t wait, uint64_t by)
 {
@@ -138,6 +186,8 @@
 {
     work->is_running = true;
     work->started_at = JdClock_Now(ad->clock);
+    fade_recent(ad);
+    ad->recent[work->priority] += (double)expected(ad, work);
     ad->running++;
     ad->ops->start(ad->ctx, work);
 }
@@ -179,6 +229,25 @@
     arm_expire(ad);
 }
 
+/*
+ * Puts work that waited too long to be answered in time behind the work that
+ * can be: serving it first would make that late as well.
+ */
+static void
+demote_late(JdAdmit *ad)
+{
+    JdWork *w, *next;
+
+    for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
+        next = TAILQ_NEXT(w, link);
+        if (!w->is_late && !ends_by(ad, w, 0, w->wanted)) {
+            dequeue(ad, w);
+            w->is_late = true;
+            enqueue(ad, w);
+        }
+    }
+}
+
 /* Refuses queued work that can no longer end by its deadline. */
 static void
 refuse_hopeless(JdAdmit *ad)
@@ -188,7 +257,7 @@
 
     for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
         next = TAILQ_NEXT(w, link);
-        if (ends_by(ad, w, wait_behind(ad, ahead), w->deadline)) {
+        if (ends_by(ad, w, wait_behind(ad, ahead, w->priority), w->deadline)) {
             ahead += expected(ad, w);
             continue;
         }
@@ -202,6 +271,7 @@
 {
     JdWork *w;
 
+    demote_late(ad);
     while (ad->running < ad->slots && (w = TAILQ_FIRST(&ad->queue)) != NULL) {
         dequeue(ad, w);
         if (ends_by(ad, w, 0, w->deadline)) {
@@ -239,12 +309,13 @@
         work->wanted = work->deadline;
     }
     /* Late for any target, however idle. */
-    work->is_late = !ends_by(ad, work, 0, work->wanted);
-    wait = wait_behind(ad, sum_ahead(ad, work));
+    work->is_late = !ends_by(ad, work, spread(ad, work), work->wanted);
+    wait = wait_behind(ad, sum_ahead(ad, work), work->priority);
     if (!ends_by(ad, work, wait, work->deadline)) {
         return JD_REASON_TOO_LATE;
     }
-    if (!work->is_late && !ends_by(ad, work, wait, work->wanted)) {
+    if (!work->is_late &&
+        !ends_by(ad, work, wait + spread(ad, work), work->wanted)) {
         return JD_REASON_TOO_LATE;
     }
     return JD_REASON_NONE;
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -6,5 +6,6 @@
 void Unit_AddTarget(void);
 void Unit_AddPlatform(void);
 void Unit_AddHeads(void);
+void Unit_AddOverload(void);
 
 #endif
