--- a/lib/tree/preset.c
+++ b/lib/tree/preset.c
@@ -18,7 +18,7 @@
             .join_wait = 200 * JD_US_PER_MS,
             .batch = 0,
             .news_delay = 20 * JD_US_PER_MS,
-            .stale = 2500 * JD_US_PER_MS,
+            .stale = 1700 * JD_US_PER_MS,
             .improve = 3 * JD_US_PER_S,
             .volunteer = 1000 * JD_US_PER_MS,
         },
