--- a/node/node.h
+++ b/node/node.h
@@ -152,14 +152,17 @@
 
 /* targets/worker.c: work for the target beside this node */
 JdStatus JdWorker_Init(JdNode *nd, JdError *err);
-void JdWorker_SetTarget(JdNode *nd, const JdSettings *s);
-void JdWorker_OnReady(JdNode *nd);
-void JdWorker_Heartbeat(JdNode *nd, const JdHeartbeat *hb);
-void JdWorker_TargetLeaves(JdNode *nd, const char *id, uint64_t started);
 void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
 void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdWorker_ConnClosed(JdNode *nd, const JdConn *origin);
 
+/* targets/presence.c: whether the target beside this node takes work */
+void JdPresence_Init(JdNode *nd);
+void JdPresence_SetTarget(JdNode *nd, const JdSettings *s);
+void JdPresence_OnReady(JdNode *nd);
+void JdPresence_Heartbeat(JdNode *nd, const JdHeartbeat *hb);
+void JdPresence_TargetLeaves(JdNode *nd, const char *id, uint64_t started);
+
 /* targets/once.c: claims of the target's service on the log */
 void JdOnce_Init(JdNode *nd, const JdClaimsOps *decided);
 
--- a/node/reload.c
+++ b/node/reload.c
@@ -58,7 +58,7 @@
     nd->settings.drain_ms = s->drain_ms;
     nd->settings.platform = s->platform;
     if (is_other_target) {
-        JdWorker_SetTarget(nd, s);
+        JdPresence_SetTarget(nd, s);
     }
     if (nd->source->settings_changed != NULL) {
         nd->source->settings_changed(nd);
--- a/operator/explain.c
+++ b/operator/explain.c
@@ -47,8 +47,7 @@
     [JD_REASON_SHED] = "the target itself refused to run it",
     [JD_REASON_DEADLINE] = "its time was up before a target had answered",
     [JD_REASON_BROKEN] =
-        "a connection broke after it was sent: the target or its node died, "
-        "or spoiled the answer",
+        "a connection broke after it was sent: target or node died or failed",
     [JD_REASON_CANCELLED] = "its caller left",
     [JD_REASON_BAD_REQUEST] = "it was malformed",
     [JD_REASON_KEY_MISSING] = "its route needs an idempotency key",
--- a/peer/link.c
+++ b/peer/link.c
@@ -163,7 +163,7 @@
     if (nd->tree.is_ready && is_starting) {
         JD_LOG(JD_EVENT_READY,
                JD_NUMBER("version", nd->store.config->version));
-        JdWorker_OnReady(nd);
+        JdPresence_OnReady(nd);
     }
 }
 
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -200,6 +200,7 @@
     Unit_AddPlatform();
     Unit_AddHeads();
     Unit_AddOverload();
+    Unit_AddFollower();
     CU_basic_set_mode(CU_BRM_SILENT);
     CU_basic_run_tests();
     CU_basic_show_failures(CU_get_failure_list());
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -7,5 +7,6 @@
 void Unit_AddPlatform(void);
 void Unit_AddHeads(void);
 void Unit_AddOverload(void);
+void Unit_AddFollower(void);
 
 #endif
