Timers run inside the library's round; a fault soak of our own

Cause: timers ran between two rounds of the library. A socket that a timer writes to and closes, as the tree does with a silent parent (a beat, then the close), is freed at the start of the next round while it still stands in the list of pending callbacks; a callback before it that opens a socket gets the same memory, and the list leads to itself. Ruled out: sockets closed twice, a close inside a callback (the library defers both). Change: what is due runs as a callback of the library (JdLoop_Step), where the list is drained before anything is freed. unit/loop: ends by SIGALRM before, passes after. regress/soak: real processes behind the link emulator, signals, a store that misbehaves, workers that drain, leave and begin again; judged from callers' and workers' records. make soak.

--- a/Makefile
+++ b/Makefile
@@ -75,9 +75,13 @@
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 
 tests: all $(BUILD)/unit $(BUILD)/script $(BUILD)/sim $(BUILD)/jd-stored \
-       $(BUILD)/jd-workerd
+       $(BUILD)/jd-workerd $(BUILD)/jd-observe
 
-STAND_SRC = regress/stand/stored.c regress/stand/workerd.c
+STAND_SRC = regress/stand/stored.c regress/stand/workerd.c \
+            regress/soak/observe.c
+$(BUILD)/jd-observe: $(call obj,regress/soak/observe.c) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 $(BUILD)/jd-stored: $(call obj,regress/stand/stored.c) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
@@ -133,6 +137,12 @@
 	@$(MAKE) --no-print-directory -s all
 	@bash regress/matrix.sh
 
+# The fault soak: SOAK="SEED COUNT SECONDS NODES".
+SOAK ?= 1 50 20 8
+soak: setup
+	@$(MAKE) --no-print-directory -s tests
+	@bash regress/soak/soak.sh $(SOAK)
+
 mutants: setup
 	@bash regress/mutants.sh
 
@@ -156,7 +166,7 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all tests check matrix mutants fuzz lint install bench setup demo clean
+.PHONY: all tests soak check matrix mutants fuzz lint install bench setup demo clean
 
 ALL_SRC = $(LIB_SRC) $(BASE_SRC) $(NODE_SRC) $(CTL_SRC) $(LOAD_SRC) $(SCRIPT_SRC) $(SIM_SRC) $(UNIT_SRC) $(STAND_SRC) log/logd.c \
           targets/targetd.c fault/faultd.c
--- a/base/base.h
+++ b/base/base.h
@@ -18,6 +18,8 @@
 
 typedef struct JdLoop {
     h2o_loop_t *loop;
+    h2o_timeout_t at_once; /* of the library, of no length */
+    h2o_timeout_entry_t due;
     JdClock clock;
     bool is_stopping;
     bool is_spinning; /* never sleeps, for timers finer than 1 ms */
@@ -28,6 +30,7 @@
 void JdLoop_Init(JdLoop *lp);
 void JdLoop_Finish(JdLoop *lp);
 void JdLoop_Run(JdLoop *lp);
+void JdLoop_Step(JdLoop *lp, uint64_t most);
 void JdLoop_Stop(JdLoop *lp);
 void JdLoop_CatchSignals(JdLoop *lp, void (*fn)(void *ctx, int signal),
                          void *ctx);
--- a/base/loop.c
+++ b/base/loop.c
@@ -35,6 +35,15 @@
     return (uint64_t)ts.tv_sec * JD_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
 }
 
+/* Runs the timers that are due, as a callback of the library. */
+static void
+on_due(h2o_timeout_entry_t *entry)
+{
+    JdLoop *lp = (JdLoop *)((char *)entry - offsetof(JdLoop, due));
+
+    JdClock_RunDue(&lp->clock);
+}
+
 /* Initializes a loop on the monotonic clock. */
 void
 JdLoop_Init(JdLoop *lp)
@@ -42,6 +51,8 @@
     memset(lp, 0, sizeof(*lp));
     signal(SIGPIPE, SIG_IGN);
     lp->loop = h2o_evloop_create();
+    h2o_timeout_init(lp->loop, &lp->at_once, 0);
+    lp->due.cb = on_due;
     JdClock_Init(&lp->clock, read_monotonic, NULL);
 }
 
@@ -50,9 +61,29 @@
 JdLoop_Finish(JdLoop *lp)
 {
     h2o_evloop_run(lp->loop, 0);
+    h2o_timeout_dispose(lp->loop, &lp->at_once);
     h2o_evloop_destroy(lp->loop);
 }
 
+/*
+ * Waits for sockets up to `most` us and runs what is due.  Timers run inside
+ * the library's round: a socket that is written to and closed outside of it is
+ * freed while it still stands in the library's list of pending callbacks, and
+ * the next socket in its place sends the library around for ever.
+ */
+void
+JdLoop_Step(JdLoop *lp, uint64_t most)
+{
+    uint64_t wait = JdClock_UntilNext(&lp->clock, most);
+
+    if (wait == 0 && lp->clock.timers.tqh_first != NULL) {
+        h2o_timeout_link(lp->loop, &lp->at_once, &lp->due);
+    }
+    /* Rounded up, since the library waits in whole milliseconds. */
+    h2o_evloop_run(lp->loop,
+                   (int32_t)((wait + JD_US_PER_MS - 1) / JD_US_PER_MS));
+}
+
 /* Runs until JdLoop_Stop is called. */
 void
 JdLoop_Run(JdLoop *lp)
@@ -60,16 +91,7 @@
     /* What was written before has callbacks that wait for a round. */
     h2o_evloop_run(lp->loop, 0);
     while (!lp->is_stopping) {
-        uint64_t most = lp->is_spinning ? 0 : WAIT_MOST;
-        uint64_t wait = JdClock_UntilNext(&lp->clock, most);
-
-        /* Rounded up, since the library waits in whole milliseconds. */
-        h2o_evloop_run(lp->loop,
-                       (int32_t)((wait + JD_US_PER_MS - 1) / JD_US_PER_MS));
-        if (JdClock_RunDue(&lp->clock) > 0) {
-            /* The library runs callbacks of writes only after it polls. */
-            h2o_evloop_run(lp->loop, 0);
-        }
+        JdLoop_Step(lp, lp->is_spinning ? 0 : WAIT_MOST);
     }
 }
 
--- a/regress/e2e/platform.sh
+++ b/regress/e2e/platform.sh
@@ -1,41 +1,7 @@
 # On the users' platform: the adapter against stand-ins of the store and of
 # workers, over real sockets.
 . regress/e2e/lib.sh
-DOMAINS="1 3"
-
-p_settings() { # D I SERVICE
-	local ip=127.$FLEET_NET.$1.$2
-	cat >"$FLEET_DIR/$1-$2.json" <<EOF
-{"node": "${FLEET_DOMAINS[$1]}-$2", "region": "${FLEET_REGIONS[$1]}",
- "failure_domain": "${FLEET_DOMAINS[$1]}", "peer": "$ip:7000",
- "caller": "$ip:8000", "admin": "$ip:8100",
- "target": {"address": "$ip:9000", "service": "$3", "endpoint_set": "$3"},
- "platform": {"store": "$FLEET_LOG", "ready": "$ip:8200",
-  "control": "$ip:8300", "bounds": "grace_s=6,retry_ratio=0.2"}}
-EOF
-}
-
-p_start_worker() { # D I SERVICE ID
-	local ip=127.$FLEET_NET.$1.$2
-	"$FLEET_BIN/jd-workerd" --listen "$ip:9000" --node "$ip:8300" \
-	    --id "$4" --service "$3" >>"$FLEET_DIR/$1-$2.worker.log" 2>&1 &
-	fleet_note worker-$1-$2
-}
-
-p_store() { # QUERY
-	fleet_get "http://$FLEET_LOG/-/control?$1" >/dev/null
-}
-
-p_worker() { # D-I QUERY
-	fleet_get "http://127.$FLEET_NET.${1%-*}.${1#*-}:9000/-/control?$2" \
-	    >/dev/null
-}
-
-# The operator writes the document on standard input.
-p_put() {
-	curl -sf -m 3 -X POST --data-binary @- -o /dev/null \
-	    "http://$FLEET_LOG/-/put?topic=keyed.op&key=config"
-}
+. regress/stand/platform.sh
 
 p_document() { # VERSION SERVICE [MORE-ROUTES]
 	cat <<EOF
@@ -50,10 +16,6 @@
 EOF
 }
 
-p_ready() { # D-I
-	fleet_get "http://127.$FLEET_NET.${1%-*}.${1#*-}:8200/ready"
-}
-
 p_all_ready() {
 	local n
 	for n in 1-1 1-2 3-1 3-2; do
@@ -87,9 +49,7 @@
 	fleet_sum "$2" "$1"
 }
 
-"$FLEET_BIN/jd-stored" --listen $FLEET_LOG >>"$FLEET_DIR/store.log" 2>&1 &
-fleet_note store
-fleet_until 100 fleet_get http://$FLEET_LOG/-/stats || die "store"
+p_start_store || die "store"
 for n in 1-1:kiln 1-2:ops 3-1:kiln 3-2:ops; do
 	s=${n#*:} n=${n%:*}
 	p_settings ${n%-*} ${n#*-} $s
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -7,6 +7,7 @@
  *                           nothing|noise, leave=1 (deregisters)
  *   /-/stats                requests that ran, by path
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -40,18 +41,33 @@
     uint64_t acknowledged;
     uint64_t refused_by_node;
     GHashTable *by_path;
+    FILE *record; /* what ran and what was acknowledged, or NULL */
     int slots;
     int beat_ms;
 } wk;
 
 /* ---- what it says of itself -------------------------------------------- */
 
+/* Adds a line to the record: time in us, id of this process, what, which. */
+static void
+record(const char *what, const char *which)
+{
+    if (wk.record != NULL) {
+        fprintf(wk.record, "%" G_GUINT64_FORMAT " %s %s %s\n",
+                JdLoop_WallClock(), wk.id, what, which);
+        fflush(wk.record);
+    }
+}
+
+/* `ctx` says what was told, where it means that no new work may come. */
 static void
 on_acknowledged(void *ctx, const JdHttpAnswer *ans)
 {
-    (void)ctx;
     if (ans->end == JD_HTTP_ANSWERED && ans->status == 200) {
         wk.acknowledged++;
+        if (ctx != NULL) {
+            record("leaving", ctx);
+        }
     }
     else if (ans->end == JD_HTTP_ANSWERED) {
         wk.refused_by_node++;
@@ -69,7 +85,10 @@
                         .timeout = ANSWER_TIME};
 
     g_snprintf(path, sizeof(path), "/Instances.%s/%s", call, wk.id);
-    JdHttpc_Send(&wk.node, &rq, on_acknowledged, NULL);
+    JdHttpc_Send(&wk.node, &rq, on_acknowledged,
+                 strcmp(call, "Deregister") == 0   ? "left"
+                 : strcmp(wk.say, "draining") == 0 ? "draining"
+                                                   : NULL);
 }
 
 static void
@@ -156,9 +175,12 @@
     Job *job = g_new0(Job, 1);
     Job **slot = h2o_mem_alloc_shared(&req->pool, sizeof(Job *), on_gone);
     char *path = g_strndup(req->path.base, req->path.len);
+    char id[JD_NAME_MAX] = "";
 
     *slot = job;
     job->req = req;
+    JdHttpd_Header(req, "jacinthdyke-request-id", id, sizeof(id));
+    record("ran", id);
     wk.ran++;
     g_hash_table_insert(
         wk.by_path, path,
@@ -251,6 +273,7 @@
 {
     gchar *node = NULL;
     gchar *id = NULL;
+    gchar *file = NULL;
     gint work_ms = 5;
     GOptionEntry entries[] = {
         {"listen", 'l', 0, G_OPTION_ARG_STRING, &wk.listen, "address",
@@ -260,6 +283,8 @@
         {"id", 'i', 0, G_OPTION_ARG_STRING, &id, "id of this process", "ID"},
         {"service", 's', 0, G_OPTION_ARG_STRING, &wk.service, "service",
          "NAME"},
+        {"record", 'r', 0, G_OPTION_ARG_FILENAME, &file,
+         "file to which what ran is written", "FILE"},
         {"slots", 0, 0, G_OPTION_ARG_INT, &wk.slots, "slots", "N"},
         {"beat-ms", 0, 0, G_OPTION_ARG_INT, &wk.beat_ms, "between heartbeats",
          "MS"},
@@ -282,6 +307,9 @@
         wk.service == NULL) {
         return JdProgram_Usage(NAME, "listen, node, id, service are required");
     }
+    if (file != NULL) {
+        wk.record = fopen(file, "a");
+    }
     g_strlcpy(wk.id, id, sizeof(wk.id));
     g_strlcpy(wk.mode, "ok", sizeof(wk.mode));
     g_strlcpy(wk.say, "ready", sizeof(wk.say));
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -29,8 +29,7 @@
 run_loop(void)
 {
     for (int i = 0; i < ROUNDS; i++) {
-        h2o_evloop_run(loop.loop, 1);
-        JdClock_RunDue(&loop.clock);
+        JdLoop_Step(&loop, JD_US_PER_MS);
     }
 }
 
@@ -41,8 +40,7 @@
     uint64_t end = JdClock_Now(&loop.clock) + TIMEOUT;
 
     while (*count < wanted && JdClock_Now(&loop.clock) < end) {
-        h2o_evloop_run(loop.loop, 1);
-        JdClock_RunDue(&loop.clock);
+        JdLoop_Step(&loop, JD_US_PER_MS);
     }
     run_loop();
 }
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -201,6 +201,7 @@
     Unit_AddHeads();
     Unit_AddOverload();
     Unit_AddFollower();
+    Unit_AddLoop();
     CU_basic_set_mode(CU_BRM_SILENT);
     CU_basic_run_tests();
     CU_basic_show_failures(CU_get_failure_list());
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -8,5 +8,6 @@
 void Unit_AddHeads(void);
 void Unit_AddOverload(void);
 void Unit_AddFollower(void);
+void Unit_AddLoop(void);
 
 #endif
