--- a/node/node.h
+++ b/node/node.h
@@ -171,6 +171,7 @@
 
 /* operator/admin.c: counters and state over HTTP */
 JdStatus JdAdmin_Init(JdNode *nd, JdError *err);
+void JdAdmin_ReplyMetrics(JdNode *nd, h2o_req_t *req);
 
 /* node/reload.c: changed settings */
 void JdReload_Init(JdNode *nd, const char *file);
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -9,8 +9,9 @@
 
 #define BODY_MOST 4096
 
-static void
-on_metrics(JdNode *nd, h2o_req_t *req)
+/* Answers with all counters and histograms, as text for monitoring tools. */
+void
+JdAdmin_ReplyMetrics(JdNode *nd, h2o_req_t *req)
 {
     char *counters = JdCounters_Format(&nd->counters);
     GString *out = g_string_new(counters);
@@ -175,7 +176,7 @@
     JdNode *nd = ctx;
 
     if (JdHttpd_IsPath(req, "/metrics")) {
-        on_metrics(nd, req);
+        JdAdmin_ReplyMetrics(nd, req);
     }
     else if (JdHttpd_IsPath(req, "/status")) {
         JdHttpd_ReplyJson(req, 200, make_status(nd));
