A departure without a start ends what started before it, not the id for good

Found by reading: a node that heard a departure of a process it did not know took every later heartbeat of that id for a late one, also of a process that started again under the same id. unit/target: red before, green after.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -200,7 +200,7 @@
     JD_BEAT_MAX
 } JdBeat;
 
-/* A process that has left; `started` is 0 when it was not told. */
+/* A process that has left, and all with its id that started before. */
 typedef struct JdTargetGone {
     char id[JD_NAME_MAX];
     uint64_t started;
@@ -222,7 +222,8 @@
 } JdTarget;
 
 JdBeat JdTarget_Heartbeat(JdTarget *tg, const JdHeartbeat *hb, uint64_t now);
-bool JdTarget_Leave(JdTarget *tg, const char *id, uint64_t started);
+bool JdTarget_Leave(JdTarget *tg, const char *id, uint64_t started,
+                    uint64_t wall);
 void JdTarget_Lost(JdTarget *tg);
 
 /* ---- choice.c: which target takes a request ---------------------------- */
--- a/lib/request/target.c
+++ b/lib/request/target.c
@@ -13,8 +13,7 @@
     for (unsigned i = 0; i < JD_TARGET_GONE_MAX; i++) {
         const JdTargetGone *gone = &tg->gone[i];
 
-        if (strcmp(gone->id, id) == 0 &&
-            (gone->started == 0 || started <= gone->started)) {
+        if (strcmp(gone->id, id) == 0 && started <= gone->started) {
             return true;
         }
     }
@@ -67,11 +66,13 @@
 }
 
 /*
- * The target says that a process leaves; `started` is 0 when it does not tell.
- * Returns whether it is the one that this node sends to.
+ * The target says that a process leaves; `started` is 0 when it does not tell:
+ * then it is the one that is known by that id, or any that started before
+ * `wall`, in ms since 1970.  Returns whether it is the one that this node
+ * sends to.
  */
 bool
-JdTarget_Leave(JdTarget *tg, const char *id, uint64_t started)
+JdTarget_Leave(JdTarget *tg, const char *id, uint64_t started, uint64_t wall)
 {
     JdTargetGone *gone = &tg->gone[tg->next_gone++ % JD_TARGET_GONE_MAX];
     bool is_own =
@@ -79,8 +80,8 @@
 
     _Jd_CopyText(gone->id, sizeof(gone->id), id);
     gone->started = started;
-    if (is_own && started == 0) {
-        gone->started = tg->started;
+    if (started == 0) {
+        gone->started = is_own ? tg->started : wall;
     }
     if (is_own) {
         tg->is_known = false;
--- a/regress/unit/target.c
+++ b/regress/unit/target.c
@@ -58,15 +58,18 @@
     JdTarget tg = {.seq = 0};
 
     beat(&tg, "a", 100, 1, false);
-    CU_ASSERT_FALSE(JdTarget_Leave(&tg, "x", 0));
+    CU_ASSERT_FALSE(JdTarget_Leave(&tg, "x", 0, 120));
     CU_ASSERT_TRUE(tg.is_known);
-    CU_ASSERT_TRUE(JdTarget_Leave(&tg, "a", 100));
+    CU_ASSERT_TRUE(JdTarget_Leave(&tg, "a", 100, 120));
     CU_ASSERT_FALSE(tg.is_known);
     CU_ASSERT_EQUAL(beat(&tg, "a", 100, 2, false), JD_BEAT_OLD);
     CU_ASSERT_FALSE(tg.is_known);
     /* A departure that was heard before any heartbeat counts as well. */
-    JdTarget_Leave(&tg, "b", 0);
+    JdTarget_Leave(&tg, "b", 0, 160);
     CU_ASSERT_EQUAL(beat(&tg, "b", 150, 2, false), JD_BEAT_OLD);
+    /* The same id that starts again later is another process. */
+    CU_ASSERT_EQUAL(beat(&tg, "b", 170, 1, false), JD_BEAT_NEWS);
+    CU_ASSERT_TRUE(tg.is_known);
     CU_ASSERT_EQUAL(beat(&tg, "a", 200, 1, false), JD_BEAT_NEWS);
     CU_ASSERT_TRUE(tg.is_known);
 }
--- a/targets/presence.c
+++ b/targets/presence.c
@@ -62,7 +62,8 @@
 {
     JD_LOG(JD_EVENT_TARGET, JD_TEXT("outcome", "left"), JD_TEXT("target", id),
            JD_NUMBER("started", started));
-    if (JdTarget_Leave(&nd->life, id, started)) {
+    if (JdTarget_Leave(&nd->life, id, started,
+                       JdLoop_WallClock() / JD_US_PER_MS)) {
         announce_target(nd);
     }
 }
