--- a/load/storms.sh
+++ b/load/storms.sh
@@ -89,7 +89,7 @@
 
 root_key() {
 	fleet_ctl --json --node 127.$FLEET_NET.1.1:8100 status |
-	    sed 's/.*"root_admin":"127\.0\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/'
+	    sed 's/.*"root_admin":"127\.[0-9]*\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/'
 }
 
 fleet_start_links && fleet_start_log || exit 1
--- a/regress/e2e/distribution.sh
+++ b/regress/e2e/distribution.sh
@@ -13,7 +13,7 @@
 }
 root() {
 	fleet_ctl --json --node $E2E_ADMIN status |
-	    sed 's/.*"root_admin":"127\.0\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/'
+	    sed 's/.*"root_admin":"127\.[0-9]*\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/'
 }
 # Waits until the nodes given, or all, hold the newest version.
 in_force() { # D-I...
--- a/regress/matrix.sh
+++ b/regress/matrix.sh
@@ -24,7 +24,7 @@
 	local d
 	for d in 1 2 3 4; do
 		fleet_ctl --json --node 127.$FLEET_NET.$d.2:8100 status 2>/dev/null |
-		    sed -n 's/.*"root_admin":"127\.0\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/p'
+		    sed -n 's/.*"root_admin":"127\.[0-9]*\.\([0-9]*\)\.\([0-9]*\):.*/\1-\2/p'
 	done | sort | uniq -c | sort -rn | awk 'NR == 1 { print $2 }'
 }
 
