The soak ends the processes that it started

The names of processes were local to the function that sourced them, and the trap that was to end them ran after it: nothing was ended.

--- a/regress/soak/soak.sh
+++ b/regress/soak/soak.sh
@@ -23,8 +23,11 @@
 	. load/fleet.sh
 	. regress/stand/platform.sh
 	. regress/soak/events.sh
-	trap 'fleet_end' EXIT
-	soak_run "$1"
+	local rc=0
+	soak_run "$1" || rc=1
+	# The names of processes are local to this function, as it sourced them.
+	fleet_end
+	return $rc
 }
 
 for seed in $(seq "$SEED" $((SEED + COUNT - 1))); do
