--- a/base/httpc.c
+++ b/base/httpc.c
@@ -29,7 +29,6 @@
     JdHttpCall *call; /* NULL: idle */
     http_parser parser;
     uint64_t idle_until;
-    bool is_open;
     bool is_kept; /* stands in the list of idle connections */
 } Conn;
 
@@ -430,7 +429,6 @@
         fail(cn->call);
         return;
     }
-    cn->is_open = true;
     h2o_socket_read_start(sock, on_read);
     write_request(cn);
 }
