--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -195,6 +195,7 @@
 typedef struct JdCandidate {
     char id[JD_NAME_MAX];
     char address[JD_ADDRESS_MAX];
+    bool is_away; /* a head of another failure domain */
 } JdCandidate;
 
 /* One record of the directory stream: a node that is or was a head. */
@@ -231,6 +232,7 @@
     bool is_leaving;
     bool is_volunteer; /* reads the directory in order to volunteer */
     bool is_directory_read;
+    uint64_t searched_rank; /* newest head of the domain in this search */
     uint64_t tried_rank; /* newest head of the domain that did not answer */
     uint64_t announced_at;
     JdDirectoryEntry directory[JD_DIRECTORY_MAX];
--- a/lib/tree/candidate.c
+++ b/lib/tree/candidate.c
@@ -19,9 +19,13 @@
     uint64_t rank;
     uint64_t score; /* place in the list, lowest first */
     bool is_lost;
+    bool is_away;
 } Head;
 
 #define HEADS_MOST 512
+/* Heads of other domains that a node which is no head tries in one search:
+ * while it waits for them it cannot see that its own domain has a new one. */
+#define AWAY_MOST 2
 
 typedef struct HeadList {
     Head head[HEADS_MOST];
@@ -127,14 +131,25 @@
     return x->score < y->score ? -1 : x->score > y->score;
 }
 
+/*
+ * Returns the place of a head within its class.  Heads join by rank, so that
+ * no cycle can form.  Other nodes are spread over the heads by rendezvous
+ * order; away from home each search has another order, since it tries few.
+ */
+static uint64_t
+order_of(const JdTree *tr, const Head *h, Class c)
+{
+    uint64_t seed = _Jd_HashText(tr->self.id, c == CLASS_HOME ? 0 : tr->seeks);
+
+    return tr->head_rank != 0 ? h->rank & (UINT64_MAX >> 8)
+                              : _Jd_HashText(h->id, seed) >> 8;
+}
+
 /* Gives each candidate its place: lost ones last, then class, then order. */
 static void
 score(const JdTree *tr, Head *h, Class c)
 {
-    uint64_t seed = _Jd_HashText(tr->self.id, 0);
-    /* Rendezvous order spreads the nodes of a domain over its heads. */
-    uint64_t order = c == CLASS_HOME ? _Jd_HashText(h->id, seed) >> 8
-                                     : h->rank & (UINT64_MAX >> 8);
+    uint64_t order = order_of(tr, h, c);
     bool was_parent = strcmp(h->id, tr->parent.id) == 0 &&
                       tr->parent.state != JD_LINK_ATTACHED;
 
@@ -142,6 +157,28 @@
         (uint64_t)(h->is_lost || was_parent) << 62 | (uint64_t)c << 58 | order;
 }
 
+/* Copies the list to the tree; a node that is no head tries few away. */
+static void
+take_candidates(JdTree *tr, const HeadList *hl, unsigned n)
+{
+    unsigned away = 0;
+
+    tr->candidates = 0;
+    tr->next_candidate = 0;
+    for (unsigned i = 0; i < n && tr->candidates < JD_CANDIDATES_MAX; i++) {
+        const Head *h = &hl->head[i];
+        JdCandidate *c = &tr->candidate[tr->candidates];
+
+        if (h->is_away && tr->head_rank == 0 && ++away > AWAY_MOST) {
+            continue;
+        }
+        _Jd_CopyText(c->id, sizeof(c->id), h->id);
+        _Jd_CopyText(c->address, sizeof(c->address), h->address);
+        c->is_away = h->is_away;
+        tr->candidates++;
+    }
+}
+
 /* Lists the candidates in the order in which they are tried. */
 void
 _JdTree_BuildCandidates(JdTree *tr)
@@ -155,19 +192,14 @@
 
         if (c != CLASS_NONE) {
             hl->head[n] = hl->head[i];
+            hl->head[n].is_away = c != CLASS_HOME;
             score(tr, &hl->head[n], c);
             n++;
         }
     }
     qsort(hl->head, n, sizeof(Head), compare_heads);
-    tr->candidates = 0;
-    tr->next_candidate = 0;
-    for (unsigned i = 0; i < n && i < JD_CANDIDATES_MAX; i++) {
-        JdCandidate *c = &tr->candidate[tr->candidates++];
-
-        _Jd_CopyText(c->id, sizeof(c->id), hl->head[i].id);
-        _Jd_CopyText(c->address, sizeof(c->address), hl->head[i].address);
-    }
+    take_candidates(tr, hl, n);
+    tr->searched_rank = _JdTree_NewestRankAtHome(tr);
     g_free(hl);
 }
 
@@ -193,6 +225,7 @@
     for (unsigned i = 0; i < n; i++) {
         _Jd_CopyText(list[i].id, JD_NAME_MAX, head[i].id);
         _Jd_CopyText(list[i].address, JD_ADDRESS_MAX, head[i].address);
+        list[i].is_away = false;
     }
     for (unsigned i = 0; i < keep && n < JD_CANDIDATES_MAX; i++) {
         list[n++] = tr->candidate[tr->next_candidate + i];
--- a/lib/tree/head.c
+++ b/lib/tree/head.c
@@ -33,10 +33,6 @@
     if (tr->is_announcing || tr->volunteer.armed || tr->is_leaving) {
         return;
     }
-    /* A node that was a head before its restart is expected back. */
-    if (tr->was_head && tr->seeks == 0) {
-        wait = 0;
-    }
     JdTimer_Arm(tr->clock, &tr->volunteer, wait);
 }
 
@@ -82,6 +78,12 @@
     _JdTree_AnnounceSelf(tr);
     _JdTree_DropTrial(tr);
     JdTimer_Cancel(tr->clock, &tr->seek);
+    if (tr->parent.state != JD_LINK_ATTACHED && !tr->is_ready) {
+        /* Its domain waits for a version, so it reads one before it looks for
+         * an earlier head.  Each that leads for a moment costs one read. */
+        _JdTree_Lead(tr);
+        return;
+    }
     _JdTree_Seek(tr);
 }
 
@@ -159,6 +161,7 @@
 JdTree_Directory(JdTree *tr, const JdLogAnswer *ans)
 {
     bool is_volunteer = tr->is_volunteer;
+    bool was_head = tr->was_head;
 
     tr->is_volunteer = false;
     if (ans->status == JD_OK) {
@@ -174,9 +177,19 @@
         announce(tr);
         return;
     }
-    if (tr->parent.state != JD_LINK_ATTACHED) {
-        _JdTree_Seek(tr);
+    if (tr->was_head && !was_head && tr->head_rank == 0) {
+        /* A node that was a head before its restart is expected back. */
+        announce(tr);
+    }
+    if (tr->parent.state == JD_LINK_ATTACHED) {
+        return;
+    }
+    if (tr->head_rank == 0 &&
+        _JdTree_NewestRankAtHome(tr) > tr->searched_rank) {
+        /* A new head at home goes before one that is tried elsewhere. */
+        _JdTree_DropTrial(tr);
     }
+    _JdTree_Seek(tr);
 }
 
 void
--- a/lib/tree/libtree.h
+++ b/lib/tree/libtree.h
@@ -28,6 +28,7 @@
 void _JdTree_CheckUplink(JdTree *tr);
 void _JdTree_Seek(JdTree *tr);
 void _JdTree_DropTrial(JdTree *tr);
+void _JdTree_Lead(JdTree *tr);
 
 /* candidate.c */
 void _JdTree_BuildCandidates(JdTree *tr);
--- a/lib/tree/preset.c
+++ b/lib/tree/preset.c
@@ -20,7 +20,7 @@
             .news_delay = 20 * JD_US_PER_MS,
             .stale = 1700 * JD_US_PER_MS,
             .improve = 3 * JD_US_PER_S,
-            .volunteer = 1000 * JD_US_PER_MS,
+            .volunteer = 300 * JD_US_PER_MS,
         },
     [JD_PRESET_CONTROL_BYTES] =
         {
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -86,9 +86,9 @@
     }
 }
 
-/* Becomes a leader: there is nobody above this node. */
-static void
-lead(JdTree *tr)
+/* Becomes a leader: there is nobody above this node, so far as it knows. */
+void
+_JdTree_Lead(JdTree *tr)
 {
     if (tr->is_lead) {
         return;
@@ -104,6 +104,14 @@
     _JdTree_AnnounceSelf(tr);
 }
 
+/* No head of the own failure domain took this node: it needs a new one. */
+static void
+on_no_head_at_home(JdTree *tr)
+{
+    tr->tried_rank = tr->searched_rank;
+    _JdTree_ArmVolunteer(tr);
+}
+
 /* No candidate took this node. */
 static void
 on_exhausted(JdTree *tr)
@@ -113,11 +121,10 @@
         return;
     }
     if (tr->head_rank != 0) {
-        lead(tr);
+        _JdTree_Lead(tr);
         return;
     }
-    tr->tried_rank = _JdTree_NewestRankAtHome(tr);
-    _JdTree_ArmVolunteer(tr);
+    on_no_head_at_home(tr);
     arm_seek(tr);
 }
 
@@ -140,6 +147,10 @@
         tr->is_improving = false;
         return;
     }
+    if (c->is_away && tr->head_rank == 0 && !tr->is_improving) {
+        /* The wait for far heads must not delay a new one at home. */
+        on_no_head_at_home(tr);
+    }
     start_trial(tr, c);
 }
 
@@ -262,13 +273,25 @@
     }
 }
 
+/*
+ * Whether a node that accepted this one is of use.  A leader that has no
+ * version yet goes on reading for one, unless the other has it already: else
+ * leaders that start together would wait for each other.
+ */
+static bool
+is_wanted(const JdTree *tr, const Jd__Accept *msg)
+{
+    return msg->ready || tr->is_ready || !tr->is_lead;
+}
+
 void
 _JdTree_OnAccept(JdTree *tr, void *peer, const Jd__Accept *msg)
 {
     if (tr->trial.peer != peer || tr->trial.state != JD_LINK_JOINING) {
         return;
     }
-    if (!take_path(tr, msg->path, msg->n_path, msg->root_admin)) {
+    if (!is_wanted(tr, msg) ||
+        !take_path(tr, msg->path, msg->n_path, msg->root_admin)) {
         _JdTree_DropTrial(tr);
         try_next(tr);
         return;
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -58,14 +58,16 @@
 	sim)
 		# The fixed seeds, then those that once found a fault.
 		preset=${test%-seeds*}
-		unknown=
-		[ "${preset#unknown-}" = "$preset" ] || unknown=-u
+		opts=
+		[ "${preset#unknown-}" = "$preset" ] || opts=-u
+		[ "${preset#cold-}" = "$preset" ] || opts="-c -u -n 48"
 		preset=${preset#unknown-}
-		timeout 300 "$BUILD/sim" $unknown -p "$preset" \
+		preset=${preset#cold-}
+		timeout 300 "$BUILD/sim" $opts -p "$preset" \
 		    ${SIM_SEEDS:-1 40} >"$out/got" 2>&1
 		rc=$?
 		for seed in 137 228 316 372; do
-			timeout 60 "$BUILD/sim" $unknown -p "$preset" $seed \
+			timeout 60 "$BUILD/sim" $opts -p "$preset" $seed \
 			    >>"$out/got" 2>&1 || rc=1
 		done
 		verdict "$1" $rc
@@ -104,6 +106,7 @@
 	echo sim/convergence-seeds
 	echo sim/control-bytes-seeds
 	echo sim/unknown-convergence-seeds
+	echo sim/cold-convergence-seeds
 	echo soak/seeds
 	for f in regress/e2e/*.sh; do
 		f=${f##*/}
--- a/regress/sim/net.c
+++ b/regress/sim/net.c
@@ -82,7 +82,7 @@
     conn->end[0].node = a;
     conn->end[1].node = b;
     TAILQ_INSERT_TAIL(&sim.conns, conn, link);
-    if (sim.is_cut[a->domain][b->domain]) {
+    if (sim.is_cut[a->domain][b->domain] || b->is_dark) {
         conn->is_silent = true;
     }
     else {
--- a/regress/sim/sim.c
+++ b/regress/sim/sim.c
@@ -7,7 +7,10 @@
  *   - 4 s after the last fault every node holds the newest version and all
  *     nodes form one tree.
  *
- * usage: sim [-v] [-n NODES] [-p PRESET] FIRST_SEED [COUNT]
+ * With -c instead: some heads lose their machines for good, then all nodes
+ * lose power at once; each that comes back is ready within 1 s of its start.
+ *
+ * usage: sim [-cuv] [-n NODES] [-p PRESET] FIRST_SEED [COUNT]
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,10 +23,14 @@
 #define FAULTS_S 40
 #define HEALED_S 4
 #define ONE_TREE_S 12
+/* Heads whose machines are gone before all nodes lose power. */
+#define COLD_DARK 3
+#define COLD_READY (JD_US_PER_S)
 
 Sim sim;
 
 static bool is_verbose;
+static bool is_cold;
 /* Region of the log as nodes know it; empty: they do not. */
 static const char *log_region = "a";
 static JdPreset preset = JD_PRESET_CONVERGENCE;
@@ -443,13 +450,9 @@
     }
 }
 
-static bool
-run(uint64_t seed, unsigned nodes)
+static void
+run_faults(void)
 {
-    uint64_t versions;
-    bool is_good;
-
-    init_run(seed, nodes);
     run_for(3 * JD_US_PER_S);
     while (sim.now < FAULTS_S * JD_US_PER_S && sim.failure == NULL) {
         disturb();
@@ -464,6 +467,87 @@
         run_for(ONE_TREE_S * JD_US_PER_S);
         check_one_tree();
     }
+}
+
+/* ---- a loss of power at all machines ----------------------------------- */
+
+static void
+darken_heads(void)
+{
+    unsigned left = COLD_DARK;
+
+    for (unsigned i = 0; i < sim.nodes && left > 0; i++) {
+        SimNode *nd = &sim.node[i];
+
+        if (nd->tree.head_rank != 0) {
+            stop_node(nd);
+            nd->is_dark = true;
+            left--;
+        }
+    }
+}
+
+static void
+restart_lit(void)
+{
+    for (unsigned i = 0; i < sim.nodes; i++) {
+        if (sim.node[i].is_alive) {
+            stop_node(&sim.node[i]);
+        }
+    }
+    for (unsigned i = 0; i < sim.nodes; i++) {
+        if (!sim.node[i].is_dark) {
+            start_node(&sim.node[i]);
+        }
+    }
+}
+
+static bool
+is_all_ready(void)
+{
+    for (unsigned i = 0; i < sim.nodes; i++) {
+        if (!sim.node[i].is_dark && !sim.node[i].tree.is_ready) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+run_cold(void)
+{
+    uint64_t start;
+
+    append_patch();
+    run_for(6 * JD_US_PER_S);
+    darken_heads();
+    run_for(500 * JD_US_PER_MS);
+    restart_lit();
+    start = sim.now;
+    while (sim.failure == NULL && !is_all_ready()) {
+        if (sim.now - start > COLD_READY) {
+            Sim_Fail(NULL, "a node is not ready in time after the start");
+        }
+        step();
+    }
+    if (is_verbose) {
+        printf("ready after %.3f s\n", (double)(sim.now - start) / 1e6);
+    }
+}
+
+static bool
+run(uint64_t seed, unsigned nodes)
+{
+    uint64_t versions;
+    bool is_good;
+
+    init_run(seed, nodes);
+    if (is_cold) {
+        run_cold();
+    }
+    else {
+        run_faults();
+    }
     versions = sim.reference.config->version;
     is_good = sim.failure == NULL;
     if (is_good) {
@@ -520,8 +604,11 @@
     unsigned failed = 0;
     int c;
 
-    while ((c = getopt(argc, argv, "uvn:p:")) != -1) {
+    while ((c = getopt(argc, argv, "cuvn:p:")) != -1) {
         switch (c) {
+        case 'c':
+            is_cold = true;
+            break;
         case 'v':
             is_verbose = true;
             break;
--- a/regress/sim/sim.h
+++ b/regress/sim/sim.h
@@ -61,6 +61,7 @@
     JdClock clock;
     JdCounters counters;
     bool is_alive;
+    bool is_dark; /* its machine is gone: dials to it get no answer */
     bool is_frozen;
     uint64_t incarnation;
     uint64_t last_version;
