--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -233,7 +233,7 @@
     bool is_volunteer; /* reads the directory in order to volunteer */
     bool is_directory_read;
     uint64_t searched_rank; /* newest head of the domain in this search */
-    uint64_t tried_rank; /* newest head of the domain that did not answer */
+    uint64_t tried_rank;    /* newest head of the domain that did not answer */
     uint64_t announced_at;
     JdDirectoryEntry directory[JD_DIRECTORY_MAX];
     unsigned directory_len;
