A time of day that steps back no longer ends the process

Cause: the loop links an entry of the library that runs the due timers. The library goes by the time of day, taken once a round; where that stepped back since, the entry does not run in the round and was linked a second time, which the library's assertion answers by ending the process. Ruled out: entries of the library's own server (linked by itself only). Change: the entry is taken out before it is linked again. Test: unit/loop, clock steps back: ends by the same assertion before, passes after.

--- a/base/loop.c
+++ b/base/loop.c
@@ -77,6 +77,9 @@
     uint64_t wait = JdClock_UntilNext(&lp->clock, most);
 
     if (wait == 0 && lp->clock.timers.tqh_first != NULL) {
+        /* The library goes by the time of day: where that stepped back in the
+         * last round, the entry still stands there for a later time. */
+        h2o_timeout_unlink(&lp->due);
         h2o_timeout_link(lp->loop, &lp->at_once, &lp->due);
     }
     /* Rounded up, since the library waits in whole milliseconds. */
--- a/regress/unit/loop.c
+++ b/regress/unit/loop.c
@@ -17,6 +17,8 @@
 #define SOCKETS 8
 /* Far more than the rounds take, in s. */
 #define STUCK_AFTER 10
+/* A step of the time of day. */
+#define STEP_BACK_MS 5000
 
 static JdLoop loop;
 static JdTimer timer;
@@ -93,10 +95,42 @@
     CU_ASSERT_EQUAL(rounds, ROUNDS);
 }
 
+static void
+on_counted(void *ctx)
+{
+    ++*(unsigned *)ctx;
+}
+
+/*
+ * The time of day, by which the library measures its own timeouts, steps back
+ * between two rounds: timers of the steady clock go on.
+ */
+static void
+test_step_back(void)
+{
+    unsigned fired = 0;
+    JdTimer counted;
+    JdLoop lp;
+
+    JdLoop_Init(&lp);
+    JdTimer_Init(&counted, on_counted, &fired);
+    for (unsigned i = 1; i <= 3; i++) {
+        JdTimer_Arm(&lp.clock, &counted, 0);
+        /* The library took the time last before the step. */
+        lp.loop->_now += STEP_BACK_MS;
+        for (unsigned j = 0; j < 2; j++) {
+            JdLoop_Step(&lp, 0);
+        }
+        CU_ASSERT_EQUAL(fired, i);
+    }
+    JdLoop_Finish(&lp);
+}
+
 void
 Unit_AddLoop(void)
 {
     CU_pSuite s = CU_add_suite("loop", NULL, NULL);
 
+    CU_add_test(s, "clock steps back", test_step_back);
     CU_add_test(s, "write and close", test_write_and_close);
 }
