Slow targets are not taken for free ones

Ruled out: room elsewhere (the region's other targets ran below their slots), lost answers (their share is the same in the seconds before). Change: work that is cut off raises the estimate of its target, at its node and at the caller's; the choice adds the own run to the work in front; the own failure domain is left where its run alone takes three quarters of the time wanted.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -45,6 +45,7 @@
 } JdEstimate;
 
 void JdEstimate_Add(JdEstimate *est, uint64_t took);
+void JdEstimate_AddAtLeast(JdEstimate *est, uint64_t took);
 
 typedef struct JdWork {
     TAILQ_ENTRY(JdWork) link;
@@ -86,6 +87,7 @@
 void JdAdmit_Finish(JdAdmit *ad);
 JdReason JdAdmit_Offer(JdAdmit *ad, JdWork *work);
 void JdAdmit_Done(JdAdmit *ad, JdWork *work, bool is_whole);
+void JdAdmit_Cut(JdAdmit *ad, const JdWork *work);
 void JdAdmit_Withdraw(JdAdmit *ad, JdWork *work);
 void JdAdmit_SetSlots(JdAdmit *ad, unsigned slots);
 uint64_t JdAdmit_RetryAfter(const JdAdmit *ad);
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -62,6 +62,16 @@
     }
 }
 
+/* Adds a measurement that was ended early: it counts only where it raises
+ * the estimate. */
+void
+JdEstimate_AddAtLeast(JdEstimate *est, uint64_t took)
+{
+    if (took > est->mean) {
+        JdEstimate_Add(est, took);
+    }
+}
+
 static uint64_t
 expected(const JdAdmit *ad, const JdWork *work)
 {
@@ -372,6 +382,18 @@
     start_queued(ad);
 }
 
+/*
+ * Running work is cut off.  It takes at least as long as it has run so far;
+ * without this a target that turned too slow to end anything in time would
+ * keep the estimate of its better days.
+ */
+void
+JdAdmit_Cut(JdAdmit *ad, const JdWork *work)
+{
+    JdEstimate_AddAtLeast(&ad->service,
+                          JdClock_Now(ad->clock) - work->started_at);
+}
+
 /* The caller left: takes work out of the queue or frees its slot. */
 void
 JdAdmit_Withdraw(JdAdmit *ad, JdWork *work)
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -24,9 +24,11 @@
 #define WARM_LEAST 10
 /* Age at which a reported load no longer counts. */
 #define LOAD_FRESH (500 * JD_US_PER_MS)
-/* Share of the time wanted that the own failure domain may take, in percent,
- * before the region is asked. */
+/* Shares of the time wanted, in percent, that work in front of a request and
+ * its own run may take in the own failure domain before the region is asked.
+ */
 #define NEAR_SHARE 50
+#define NEAR_RUN_SHARE 75
 /* Load at which a target is full, in percent of its slots. */
 #define LOAD_FULL 200
 #define CANDIDATES_MOST 256
@@ -133,15 +135,23 @@
     return WARM_LEAST + (unsigned)((100 - WARM_LEAST) * age / WARM_UP);
 }
 
-/* Time that a request would take, in us where the target's is known, else in
- * units of a target's usual time. */
+/* Usual time of work at a target, in us; `usual` where it is not known. */
 static double
-cost(const JdChooser *ch, JdMember *mb, double usual)
+service_of(const JdChooser *ch, JdMember *mb, double usual)
 {
     const JdTargetStat *ts = stat_of(ch, mb);
-    double service = ts->service == 0 ? usual : (double)ts->service;
 
-    return service * work_per_slot(ch, mb);
+    return ts->service == 0 ? usual : (double)ts->service;
+}
+
+/*
+ * What is least at the better of two targets.  The own run counts beside the
+ * work that is there, so that a slow target is not taken for a free one.
+ */
+static double
+cost(const JdChooser *ch, JdMember *mb, double usual)
+{
+    return service_of(ch, mb, usual) * (1 + work_per_slot(ch, mb));
 }
 
 static JdTier
@@ -266,14 +276,19 @@
                                                                 : list[j];
 }
 
-/* Whether the own failure domain can serve without help. */
+/* Whether the own failure domain can serve in time without help. */
 static bool
-has_room(const Candidates *c, double near, uint64_t wanted)
+has_room(const JdChooser *ch, const Candidates *c, JdMember *near,
+         double usual, uint64_t wanted)
 {
+    double run = service_of(ch, near, usual);
+
     if (c->full[JD_TIER_DOMAIN] >= c->count[JD_TIER_DOMAIN]) {
         return false;
     }
-    return wanted == 0 || near <= (double)wanted * NEAR_SHARE / 100;
+    return wanted == 0 || (run <= (double)wanted * NEAR_RUN_SHARE / 100 &&
+                           run * work_per_slot(ch, near) <=
+                               (double)wanted * NEAR_SHARE / 100);
 }
 
 static JdMember *
@@ -298,7 +313,7 @@
     JdMember *region;
 
     *tier = JD_TIER_DOMAIN;
-    if (near != NULL && has_room(c, cost(ch, near, usual), wanted)) {
+    if (near != NULL && has_room(ch, c, near, usual, wanted)) {
         return near;
     }
     region = pick_in(ch, c, JD_TIER_REGION, usual);
@@ -456,6 +471,9 @@
     default:
         break;
     }
+    if (rep->service > ts->service) {
+        ts->service = rep->service;
+    }
     ts->failures++;
     if ((ts->failures >= EJECT_AFTER || reason == JD_REASON_TARGET_DOWN ||
          reason == JD_REASON_DRAINING) &&
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -57,15 +57,18 @@
 static void
 cancel_tries(JdCall *call, JdReason reason)
 {
-    static const JdTargetReport nothing;
+    uint64_t now = JdClock_Now(&call->node->loop.clock);
 
     for (unsigned i = 0; i < call->try_count; i++) {
         JdTry *tr = &call->tries[i];
 
         if (tr->is_active) {
+            /* It takes at least as long as it has run so far. */
+            JdTargetReport report = {.service = now - tr->sent_at};
+
             cancel_try(tr);
             JdChooser_Failed(&call->node->chooser, target_of(tr), reason,
-                             &nothing);
+                             &report);
             end_try(tr);
         }
     }
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -86,6 +86,9 @@
     else if (strcmp(cmd, "done") == 0) {
         JdAdmit_Done(&admit, &find_work(ln->word[2])->work, true);
     }
+    else if (strcmp(cmd, "cut") == 0) {
+        JdAdmit_Cut(&admit, &find_work(ln->word[2])->work);
+    }
     else if (strcmp(cmd, "withdraw") == 0) {
         JdAdmit_Withdraw(&admit, &find_work(ln->word[2])->work);
     }
@@ -221,7 +224,7 @@
         JdChooser_Answered(&chooser, id, ms(ln->word[3]), &rep);
     }
     else {
-        JdTargetReport rep = {0, 0};
+        JdTargetReport rep = {0, ms(ln->word[4])};
 
         for (int r = 0; r < JD_REASON_MAX; r++) {
             if (strcmp(ln->word[3], JdReason_Info((JdReason)r)->name) == 0) {
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -223,6 +223,17 @@
     JdAdmit_Done(&nd->admit, &it->work, is_measure);
 }
 
+/* Work that the target is at is cut off: it takes at least this long. */
+static void
+note_cut(JdItem *it)
+{
+    JdNode *nd = it->node;
+
+    JdEstimate_AddAtLeast(estimate_of(nd, it->msg->route),
+                          JdClock_Now(&nd->loop.clock) - it->work.started_at);
+    JdAdmit_Cut(&nd->admit, &it->work);
+}
+
 static void
 on_answer(void *ctx, const JdHttpAnswer *ans)
 {
@@ -241,6 +252,7 @@
         JdTree_SetState(&nd->tree, JD_MEMBER_DOWN);
     }
     if (reason == JD_REASON_DEADLINE) {
+        note_cut(it);
         refuse(nd, it->msg, it->origin, reason, it->was_sent);
         hold_slot(it);
         return;
@@ -518,6 +530,7 @@
         return;
     }
     if (it->work.is_running) {
+        note_cut(it);
         hold_slot(it);
         return;
     }
