An estimate by which work is refused fades until it is measured again

A stalled request of 700 ms was the first measurement of its route at a target; later requests with less time left were refused by it for good, since nothing refused is ever measured. Ruled out: the budget of retries (the policy allows one each), the patience of the first try. Change: an idle target is tried whatever its estimate says; a refusal in front of a free slot lowers the estimate by an eighth; a caller's node forgets a target's usual time after 5 s without word.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -46,6 +46,7 @@
 
 void JdEstimate_Add(JdEstimate *est, uint64_t took);
 void JdEstimate_AddAtLeast(JdEstimate *est, uint64_t took);
+void JdEstimate_Fade(JdEstimate *est);
 
 typedef struct JdWork {
     TAILQ_ENTRY(JdWork) link;
@@ -94,6 +95,7 @@
 void JdAdmit_Close(JdAdmit *ad);
 unsigned JdAdmit_Load(const JdAdmit *ad);
 bool JdAdmit_IsFull(const JdAdmit *ad);
+bool JdAdmit_HasSlot(const JdAdmit *ad);
 
 /* ---- budget.c: retries as a share of first tries ----------------------- */
 
@@ -244,6 +246,7 @@
     unsigned load;       /* percent of slots, as the target's node said */
     unsigned sent_since; /* sent by this node since it said so */
     uint64_t service;    /* us, usual time of work there, 0: unknown */
+    uint64_t service_at;
     uint64_t load_at;
 } JdTargetStat;
 
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -72,6 +72,14 @@
     }
 }
 
+/* Lowers an estimate by which work was refused though there was room for it,
+ * so that after some refusals it is measured again. */
+void
+JdEstimate_Fade(JdEstimate *est)
+{
+    est->mean -= est->mean / AVERAGE_OF;
+}
+
 static uint64_t
 expected(const JdAdmit *ad, const JdWork *work)
 {
@@ -331,6 +339,22 @@
     return JD_REASON_NONE;
 }
 
+/*
+ * Starts work that finds a free slot, if it can end in time.  What a target
+ * was last seen to need may be long past: an idle one is tried all the same.
+ */
+static JdReason
+start_at_once(JdAdmit *ad, JdWork *work)
+{
+    bool is_idle = ad->running == 0 && work->deadline > JdClock_Now(ad->clock);
+
+    if (!is_idle && !ends_by(ad, work, 0, work->deadline)) {
+        return JD_REASON_TOO_LATE;
+    }
+    run(ad, work);
+    return JD_REASON_NONE;
+}
+
 /*
  * Offers work.  Returns JD_REASON_NONE when it was started or queued; `start`
  * may have been called already.  Any other reason is a refusal, and the work
@@ -346,12 +370,8 @@
     if (ad->is_closed) {
         return JD_REASON_DRAINING;
     }
-    if (ad->running < ad->slots && ad->queued == 0) {
-        if (!ends_by(ad, work, 0, work->deadline)) {
-            return JD_REASON_TOO_LATE;
-        }
-        run(ad, work);
-        return JD_REASON_NONE;
+    if (JdAdmit_HasSlot(ad)) {
+        return start_at_once(ad, work);
     }
     reason = check_queue(ad, work);
     if (reason != JD_REASON_NONE) {
@@ -450,3 +470,10 @@
 {
     return ad->running >= ad->slots && ad->queued >= ad->queue_most;
 }
+
+/* Returns whether a slot is free and nothing waits for it. */
+bool
+JdAdmit_HasSlot(const JdAdmit *ad)
+{
+    return ad->running < ad->slots && ad->queued == 0;
+}
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -24,6 +24,8 @@
 #define WARM_LEAST 10
 /* Age at which a reported load no longer counts. */
 #define LOAD_FRESH (500 * JD_US_PER_MS)
+/* Age at which a target's usual time no longer counts: it is asked again. */
+#define SERVICE_FRESH (5 * JD_US_PER_S)
 /* Shares of the time wanted, in percent, that work in front of a request and
  * its own run may take in the own failure domain before the region is asked.
  */
@@ -135,13 +137,15 @@
     return WARM_LEAST + (unsigned)((100 - WARM_LEAST) * age / WARM_UP);
 }
 
-/* Usual time of work at a target, in us; `usual` where it is not known. */
+/* Usual time of work at a target, in us; `usual` where it is not known or was
+ * told too long ago. */
 static double
 service_of(const JdChooser *ch, JdMember *mb, double usual)
 {
     const JdTargetStat *ts = stat_of(ch, mb);
+    bool is_old = JdClock_Now(ch->clock) - ts->service_at > SERVICE_FRESH;
 
-    return ts->service == 0 ? usual : (double)ts->service;
+    return ts->service == 0 || is_old ? usual : (double)ts->service;
 }
 
 /*
@@ -392,6 +396,7 @@
     ts->sent_since = 0;
     if (rep->service != 0) {
         ts->service = rep->service;
+        ts->service_at = JdClock_Now(ch->clock);
     }
     ts->load_at = JdClock_Now(ch->clock);
 }
@@ -473,6 +478,7 @@
     }
     if (rep->service > ts->service) {
         ts->service = rep->service;
+        ts->service_at = JdClock_Now(ch->clock);
     }
     ts->failures++;
     if ((ts->failures >= EJECT_AFTER || reason == JD_REASON_TARGET_DOWN ||
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -366,8 +366,12 @@
 static void
 offer(JdItem *it)
 {
+    bool has_slot = JdAdmit_HasSlot(&it->node->admit);
     JdReason reason = JdAdmit_Offer(&it->node->admit, &it->work);
 
+    if (reason == JD_REASON_TOO_LATE && has_slot) {
+        JdEstimate_Fade(estimate_of(it->node, it->msg->route));
+    }
     if (reason != JD_REASON_NONE) {
         refuse_unsent(it, reason);
     }
