--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -100,12 +100,20 @@
 /* ---- budget.c: retries as a share of first tries ----------------------- */
 
 typedef struct JdBudget {
-    uint64_t credit; /* hundredths of a retry */
+    int64_t credit;  /* hundredths of a retry; below 0: owed */
+    int64_t reserve; /* the most of it that is saved up */
 } JdBudget;
 
+/* What a first try earns. */
+typedef struct JdBudgetRate {
+    unsigned percent;   /* retries for 100 first tries */
+    unsigned inherited; /* of 100 first tries, those made by retried runs */
+    unsigned nodes;     /* that share the budget, 0: not known */
+} JdBudgetRate;
+
 void JdBudget_Init(JdBudget *bg);
-void JdBudget_First(JdBudget *bg, unsigned percent);
-bool JdBudget_Take(JdBudget *bg);
+void JdBudget_First(JdBudget *bg, const JdBudgetRate *rate);
+bool JdBudget_Take(JdBudget *bg, unsigned priority);
 
 /* ---- claim.c: idempotency keys, claimed on the log --------------------- */
 
--- a/lib/request/budget.c
+++ b/lib/request/budget.c
@@ -1,36 +1,68 @@
 /*
  * The retry budget of a service: each first try earns a share of a retry, and
  * each retry spends a whole one.  Retries can therefore never exceed that
- * share of first tries by more than the small reserve.
+ * share of first tries by more than the reserve.
+ *
+ * The load that it answers is one of which targets refuse or fail a large
+ * share: there is not enough for all then, and what is left goes to the work
+ * of higher priority.  A run that is itself a retry makes its calls once more,
+ * which the service that is called feels as retries: they are charged to it.
  */
 #include "libjd.h"
 
-#define WHOLE UINT64_C(100)
-/* Retries that may be saved up. */
-#define RESERVE UINT64_C(10)
+#define WHOLE 100
+/* Retries that one node may save up, and all nodes together: they may spend
+ * them all at once. */
+#define RESERVE_MOST 10
+#define RESERVE_LEAST 2
+#define FLEET_RESERVE 400
+/* Percent of the reserve that each priority leaves to the one above it. */
+#define LEFT_ABOVE 10
 
-/* Initializes a budget with its reserve. */
+/* Initializes a budget with the largest reserve. */
 void
 JdBudget_Init(JdBudget *bg)
 {
-    bg->credit = RESERVE * WHOLE;
+    bg->reserve = RESERVE_MOST * WHOLE;
+    bg->credit = bg->reserve;
 }
 
-/* Counts a first try; `percent` retries are earned per 100 of them. */
+static void
+set_reserve(JdBudget *bg, unsigned nodes)
+{
+    unsigned share = nodes == 0 ? RESERVE_MOST : FLEET_RESERVE / nodes;
+
+    if (share > RESERVE_MOST) {
+        share = RESERVE_MOST;
+    }
+    if (share < RESERVE_LEAST) {
+        share = RESERVE_LEAST;
+    }
+    bg->reserve = share * WHOLE;
+}
+
+/* Counts a first try, which earns what `rate` says. */
 void
-JdBudget_First(JdBudget *bg, unsigned percent)
+JdBudget_First(JdBudget *bg, const JdBudgetRate *rate)
 {
-    bg->credit += percent;
-    if (bg->credit > RESERVE * WHOLE) {
-        bg->credit = RESERVE * WHOLE;
+    set_reserve(bg, rate->nodes);
+    bg->credit += (int64_t)rate->percent - (int64_t)rate->inherited;
+    if (bg->credit > bg->reserve) {
+        bg->credit = bg->reserve;
+    }
+    if (bg->credit < -bg->reserve) {
+        bg->credit = -bg->reserve;
     }
 }
 
-/* Takes one retry out of the budget.  Returns false when it is spent. */
+/* Takes one retry out of the budget.  Returns false when there is none for
+ * work of this priority. */
 bool
-JdBudget_Take(JdBudget *bg)
+JdBudget_Take(JdBudget *bg, unsigned priority)
 {
-    if (bg->credit < WHOLE) {
+    int64_t left = bg->reserve * LEFT_ABOVE / 100 * priority;
+
+    if (bg->credit < WHOLE + left) {
         return false;
     }
     bg->credit -= WHOLE;
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -211,7 +211,8 @@
         return false;
     }
     /* A node that refused before its target saw the request costs no work. */
-    if (was_sent && !JdBudget_Take(budget_of(nd, call->route.service))) {
+    if (was_sent && !JdBudget_Take(budget_of(nd, call->route.service),
+                                   call->msg->priority)) {
         nd->counters.value[JD_C_R_BUDGET]++;
         return false;
     }
@@ -349,6 +350,7 @@
     uint64_t wanted = call->started + call->route.latency;
     JdTry *tr = &call->tries[call->try_count];
 
+    call->msg->repeat = call->sends + call->active > 0;
     tr->call = call;
     tr->id = ++nd->next_call;
     tr->is_active = true;
@@ -482,6 +484,29 @@
     free_call(call);
 }
 
+/*
+ * Returns the percent of the requests for a service that come from runs which
+ * are retries.  Callers' own requests cannot be told from the target's calls;
+ * a target hardly calls its own service, so none are charged there.
+ */
+static unsigned
+inherited_share(const JdNode *nd, const char *service)
+{
+    return strcmp(service, nd->settings.service) == 0
+               ? 0
+               : JdWorker_RepeatShare(nd);
+}
+
+static void
+note_first_try(JdNode *nd, const JdRoute *route)
+{
+    JdBudgetRate rate = {.percent = route->retry_percent,
+                         .inherited = inherited_share(nd, route->service),
+                         .nodes = nd->tree.members.count};
+
+    JdBudget_First(budget_of(nd, route->service), &rate);
+}
+
 /* Starts a call whose request is checked and copied. */
 void
 JdForward_Begin(JdCall *call)
@@ -493,8 +518,7 @@
     JdTimer_Arm(&nd->loop.clock, &call->timer, call->deadline - call->started);
     TAILQ_INSERT_TAIL(&nd->calls, call, link);
     nd->call_count++;
-    JdBudget_First(budget_of(nd, call->route.service),
-                   call->route.retry_percent);
+    note_first_try(nd, &call->route);
     try_target(call);
 }
 
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1658,7 +1658,7 @@
   (ProtobufCMessageInit) jd__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[17] =
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[18] =
 {
   {
     "id",
@@ -1864,6 +1864,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "repeat",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Request, repeat),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
   5,   /* field[5] = body */
@@ -1880,6 +1892,7 @@
   10,   /* field[10] = once */
   3,   /* field[3] = path */
   7,   /* field[7] = priority */
+  17,   /* field[17] = repeat */
   11,   /* field[11] = request_id */
   16,   /* field[16] = route */
   1,   /* field[1] = service */
@@ -1887,7 +1900,7 @@
 static const ProtobufCIntRange jd__request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor jd__request__descriptor =
 {
@@ -1897,7 +1910,7 @@
   "Jd__Request",
   "jd",
   sizeof(Jd__Request),
-  17,
+  18,
   jd__request__field_descriptors,
   jd__request__field_indices_by_name,
   1,  jd__request__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -304,10 +304,14 @@
    * by which its usual time is known
    */
   char *route;
+  /*
+   * a target may have got it before
+   */
+  protobuf_c_boolean repeat;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Jd__Response
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -105,6 +105,9 @@
 run_budget(const Line *ln)
 {
     unsigned n = (unsigned)strtoul(ln->word[2], NULL, 10);
+    JdBudgetRate rate = {(unsigned)strtoul(ln->word[3], NULL, 10),
+                         (unsigned)strtoul(ln->word[4], NULL, 10),
+                         (unsigned)strtoul(ln->word[5], NULL, 10)};
     unsigned taken = 0;
 
     if (strcmp(ln->word[1], "init") == 0) {
@@ -112,12 +115,13 @@
     }
     else if (strcmp(ln->word[1], "first") == 0) {
         for (unsigned i = 0; i < n; i++) {
-            JdBudget_First(&budget, (unsigned)strtoul(ln->word[3], NULL, 10));
+            JdBudget_First(&budget, &rate);
         }
     }
     else {
         for (unsigned i = 0; i < n; i++) {
-            taken += JdBudget_Take(&budget);
+            taken += JdBudget_Take(&budget,
+                                   (unsigned)strtoul(ln->word[3], NULL, 10));
         }
         printf("%u of %u retries\n", taken, n);
     }
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -586,6 +586,22 @@
     }
 }
 
+/* Returns the share of retries among what runs at the target, in percent: as
+ * many of the calls that the target makes are retries as well. */
+unsigned
+JdWorker_RepeatShare(const JdNode *nd)
+{
+    unsigned running = 0, repeats = 0;
+    const JdItem *it;
+
+    TAILQ_FOREACH(it, &nd->items, link)
+    {
+        running += it->work.is_running;
+        repeats += it->work.is_running && it->msg->repeat;
+    }
+    return running == 0 ? 0 : repeats * 100 / running;
+}
+
 /* Initializes admission and the client of the target, if there is one. */
 JdStatus
 JdWorker_Init(JdNode *nd, JdError *err)
