Requests wait a moment for a node that starts

Ruled out: a quicker start (what is left of it are connections and reads over the slow link). Change: a request that comes in the first 0.8 s of a process, before there is a version or a target of its service, waits for them, for a quarter of its caller's time at the most; then it is refused, with the time until a node is ready as a rule.

--- a/caller/front.c
+++ b/caller/front.c
@@ -10,8 +10,9 @@
 static void
 on_gone(void *ctx, JdServerRequest *req)
 {
-    (void)ctx;
-    JdForward_CallerLeft(req->user);
+    if (!JdWaiting_CallerLeft(ctx, req)) {
+        JdForward_CallerLeft(req->user);
+    }
 }
 
 static const JdServerOps ops = {on_request, on_gone};
@@ -20,6 +21,8 @@
 JdStatus
 JdFront_Init(JdNode *nd, JdError *err)
 {
+    TAILQ_INIT(&nd->waiting);
+    nd->started_at = JdClock_Now(&nd->loop.clock);
     return JdServer_Init(&nd->caller, &nd->loop, nd->settings.caller_address,
                          nd->settings.body_most, &ops, nd, err);
 }
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -3,6 +3,11 @@
 
 #include "../peer/forward.h"
 
+/* Requests that may wait at once. */
+#define WAITING_MOST 256
+/* How long a caller that does not say so is taken to wait. */
+#define TIMEOUT_UNKNOWN JD_US_PER_S
+
 /* What a request asks for, as far as this node has to know it. */
 typedef struct Ask {
     char request_id[JD_NAME_MAX]; /* the caller's, or empty */
@@ -194,32 +199,102 @@
     return needs_key(req, ask) ? JD_REASON_KEY_MISSING : JD_REASON_NONE;
 }
 
-/* Takes a caller's request. */
-void
-JdIntake_Start(JdNode *nd, JdServerRequest *req)
+/*
+ * Whether a request may wait: this node has just started, and lacks a version
+ * or news of the targets.
+ */
+static bool
+may_wait(JdNode *nd, const JdServerRequest *req, const Ask *ask,
+         JdReason reason, uint64_t arrived)
 {
-    Ask ask = {.timeout = 0};
-    JdReason reason = read_request(nd, req, &ask);
-    JdCall *call;
+    uint64_t timeout = TIMEOUT_UNKNOWN;
+    bool is_early =
+        reason == JD_REASON_NOT_READY ||
+        (reason == JD_REASON_NONE &&
+         !JdChooser_HasTarget(&nd->chooser, ask->route.endpoint_set));
+
+    if (!is_early || nd->is_draining || nd->waiting_count > WAITING_MOST ||
+        !read_timeout(nd->dialect, req, &timeout)) {
+        return false;
+    }
+    return JdClock_Now(&nd->loop.clock) <
+           JdStart_WaitUntil(nd->started_at, arrived, timeout);
+}
+
+static unsigned
+retry_after(const JdNode *nd, JdReason reason, uint64_t now)
+{
+    return reason == JD_REASON_NOT_READY
+               ? (unsigned)(JdStart_RetryAfter(nd->started_at, now) /
+                            JD_US_PER_MS)
+               : JdReason_Info(reason)->retry_after;
+}
+
+static void
+refuse(JdNode *nd, JdServerRequest *req, const Ask *ask, JdReason reason,
+       uint64_t arrived)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    nd->counters.value[JdReason_Info(reason)->counter]++;
+    JD_LOG(JD_EVENT_REQUEST, JD_TEXT("id", ask->request_id),
+           JD_TEXT("outcome", JdReason_Info(reason)->name),
+           JD_NUMBER("version", nd->store.config->version),
+           JD_NUMBER("ready", nd->tree.is_ready),
+           JD_NUMBER("held_ms", (now - arrived) / JD_US_PER_MS));
+    JdReply_Refuse(nd, req, reason, retry_after(nd, reason, now));
+}
+
+static void
+begin_call(JdNode *nd, JdServerRequest *req, const Ask *ask, uint64_t arrived)
+{
+    JdCall *call = g_new0(JdCall, 1);
 
-    nd->counters.value[JD_C_REQUESTS]++;
-    if (reason != JD_REASON_NONE) {
-        nd->counters.value[JdReason_Info(reason)->counter]++;
-        JD_LOG(JD_EVENT_REQUEST, JD_TEXT("id", ask.request_id),
-               JD_TEXT("outcome", JdReason_Info(reason)->name),
-               JD_NUMBER("version", nd->store.config->version),
-               JD_NUMBER("ready", nd->tree.is_ready));
-        JdReply_Refuse(nd, req, reason, JdReason_Info(reason)->retry_after);
-        return;
-    }
-    call = g_new0(JdCall, 1);
     call->node = nd;
     call->req = req;
     call->config = JdConfig_Ref(nd->store.config);
-    call->route = ask.route;
-    call->started = JdClock_Now(&nd->loop.clock);
-    call->deadline = call->started + ask.timeout;
-    call->msg = copy_request(call, req, &ask);
+    call->route = ask->route;
+    call->started = arrived;
+    call->deadline = arrived + ask->timeout;
+    call->msg = copy_request(call, req, ask);
     req->user = call;
     JdForward_Begin(call);
 }
+
+/*
+ * Takes a request that arrived at some time: makes a call of it or refuses it.
+ * Returns false where it should wait for this node to be ready.
+ */
+bool
+JdIntake_Take(JdNode *nd, JdServerRequest *req, uint64_t arrived)
+{
+    Ask ask = {.timeout = 0};
+    JdReason reason = read_request(nd, req, &ask);
+
+    if (may_wait(nd, req, &ask, reason, arrived)) {
+        return false;
+    }
+    if (reason == JD_REASON_NONE &&
+        arrived + ask.timeout <= JdClock_Now(&nd->loop.clock)) {
+        reason = JD_REASON_TOO_LATE;
+    }
+    if (reason == JD_REASON_NONE) {
+        begin_call(nd, req, &ask, arrived);
+    }
+    else {
+        refuse(nd, req, &ask, reason, arrived);
+    }
+    return true;
+}
+
+/* A caller's request came. */
+void
+JdIntake_Start(JdNode *nd, JdServerRequest *req)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    nd->counters.value[JD_C_REQUESTS]++;
+    if (!JdIntake_Take(nd, req, now)) {
+        JdWaiting_Add(nd, req, now);
+    }
+}
--- /dev/null
+++ b/caller/waiting.c
@@ -0,0 +1,68 @@
+/* Requests that wait for this node to be ready. */
+#include "../peer/forward.h"
+
+/* Period in which a waiting request is looked at again. */
+#define LOOK_EVERY (20 * JD_US_PER_MS)
+
+struct JdWaiting {
+    TAILQ_ENTRY(JdWaiting) link;
+    JdNode *node;
+    JdServerRequest *req;
+    uint64_t arrived;
+    JdTimer timer;
+};
+
+static void
+free_waiting(JdWaiting *wt)
+{
+    JdTimer_Cancel(&wt->node->loop.clock, &wt->timer);
+    TAILQ_REMOVE(&wt->node->waiting, wt, link);
+    wt->node->waiting_count--;
+    g_free(wt);
+}
+
+static void
+on_look(void *ctx)
+{
+    JdWaiting *wt = ctx;
+
+    if (JdIntake_Take(wt->node, wt->req, wt->arrived)) {
+        free_waiting(wt);
+    }
+    else {
+        JdTimer_Arm(&wt->node->loop.clock, &wt->timer, LOOK_EVERY);
+    }
+}
+
+/* Puts a request aside; it is looked at again and again until it is taken. */
+void
+JdWaiting_Add(JdNode *nd, JdServerRequest *req, uint64_t arrived)
+{
+    JdWaiting *wt = g_new0(JdWaiting, 1);
+
+    wt->node = nd;
+    wt->req = req;
+    wt->arrived = arrived;
+    JdTimer_Init(&wt->timer, on_look, wt);
+    TAILQ_INSERT_TAIL(&nd->waiting, wt, link);
+    nd->waiting_count++;
+    nd->counters.value[JD_C_WAITED]++;
+    JdTimer_Arm(&nd->loop.clock, &wt->timer, LOOK_EVERY);
+}
+
+/* The caller of a request left.  Returns false where it does not wait. */
+bool
+JdWaiting_CallerLeft(JdNode *nd, const JdServerRequest *req)
+{
+    JdWaiting *wt;
+
+    TAILQ_FOREACH(wt, &nd->waiting, link)
+    {
+        if (wt->req == req) {
+            nd->counters.value[JD_C_R_CANCELLED]++;
+            free_waiting(wt);
+            return true;
+        }
+    }
+    return false;
+}
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -115,6 +115,12 @@
 void JdBudget_First(JdBudget *bg, const JdBudgetRate *rate);
 bool JdBudget_Take(JdBudget *bg, unsigned priority);
 
+/* ---- start.c: requests that come while a node starts ------------------- */
+
+uint64_t JdStart_WaitUntil(uint64_t started, uint64_t arrived,
+                           uint64_t timeout);
+uint64_t JdStart_RetryAfter(uint64_t started, uint64_t now);
+
 /* ---- claim.c: idempotency keys, claimed on the log --------------------- */
 
 /* Bytes of an idempotency key with its NUL. */
@@ -290,6 +296,7 @@
 
 JdMember *JdChooser_Pick(const JdChooser *ch, const char *endpoint_set,
                          const JdAvoid *avoid, uint64_t wanted, JdTier *tier);
+bool JdChooser_HasTarget(const JdChooser *ch, const char *endpoint_set);
 void JdChooser_Sent(const JdChooser *ch, JdMember *mb);
 void JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
                         const JdTargetReport *rep);
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -359,6 +359,25 @@
     return NULL;
 }
 
+/* Returns whether a target of an endpoint set is ready. */
+bool
+JdChooser_HasTarget(const JdChooser *ch, const char *endpoint_set)
+{
+    const JdMemberSet *set = JdMembers_Set(ch->members, endpoint_set);
+    const JdMember *mb;
+
+    if (set == NULL) {
+        return false;
+    }
+    TAILQ_FOREACH(mb, &set->members, set_link)
+    {
+        if (mb->state == JD_MEMBER_READY) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A request goes to a member. */
 void
 JdChooser_Sent(const JdChooser *ch, JdMember *mb)
--- a/node/node.h
+++ b/node/node.h
@@ -80,6 +80,7 @@
 
 typedef struct JdCall JdCall;
 typedef struct JdItem JdItem;
+typedef struct JdWaiting JdWaiting;
 
 typedef struct JdNode {
     JdLoop loop;
@@ -118,6 +119,11 @@
     JdTimer health;
     bool is_health_pending;
 
+    /* caller/waiting.c */
+    uint64_t started_at; /* of this process, on the loop's clock */
+    TAILQ_HEAD(JdWaitingHead, JdWaiting) waiting;
+    unsigned waiting_count;
+
     /* peer/forward.c */
     JdChooser chooser;
     GHashTable *budgets;
@@ -145,6 +151,11 @@
 
 /* caller/intake.c: requests of callers */
 void JdIntake_Start(JdNode *nd, JdServerRequest *req);
+bool JdIntake_Take(JdNode *nd, JdServerRequest *req, uint64_t arrived);
+
+/* caller/waiting.c: requests that wait for this node to be ready */
+void JdWaiting_Add(JdNode *nd, JdServerRequest *req, uint64_t arrived);
+bool JdWaiting_CallerLeft(JdNode *nd, const JdServerRequest *req);
 
 /* peer/forward.c: requests to the target's node, and their answers */
 void JdForward_Init(JdNode *nd);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -515,7 +515,8 @@
 
     JdTimer_Init(&call->timer, on_deadline, call);
     JdTimer_Init(&call->patience, on_impatience, call);
-    JdTimer_Arm(&nd->loop.clock, &call->timer, call->deadline - call->started);
+    JdTimer_Arm(&nd->loop.clock, &call->timer,
+                call->deadline - JdClock_Now(&nd->loop.clock));
     TAILQ_INSERT_TAIL(&nd->calls, call, link);
     nd->call_count++;
     note_first_try(nd, &call->route);
--- a/regress/e2e/platform.sh
+++ b/regress/e2e/platform.sh
@@ -171,3 +171,29 @@
 fleet_until 200 p_all_ready || die "not ready after all were killed"
 fleet_until 100 p_answers 1-2 /kiln/1 fourth || die "no answer after that"
 say "all killed and back"
+for n in 1-1 1-2 3-1 3-2; do
+	fleet_kill $n
+done
+for n in 1-1 1-2 3-1 3-2; do
+	fleet_start_node ${n%-*} ${n#*-}
+done
+reached() { # D-I
+	curl -s -m 5 -o "$FLEET_DIR/body" -H 'Host: shop.example' \
+	    "http://127.$FLEET_NET.${1%-*}.${1#*-}:8000/kiln/1"
+}
+early=
+for n in 1-1 1-2 3-1 3-2; do
+	fleet_until 200 reached $n &
+	early="$early $!"
+done
+wait $early
+sum() { # METRIC
+	local n total=0
+	for n in 1-1 1-2 3-1 3-2; do
+		total=$((total + $(p_metric $n $1)))
+	done
+	echo $total
+}
+say "requests at once wait for the start: $([ "$(sum \
+    requests_waited_total)" -ge 1 ] && echo yes || echo no)," \
+    "refused as not ready: $(sum refused_not_ready_total)"
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -9,5 +9,6 @@
 void Unit_AddOverload(void);
 void Unit_AddFollower(void);
 void Unit_AddLoop(void);
+void Unit_AddStart(void);
 
 #endif
