Nodes with wide links become heads

Two machines of each domain have 140 Mbit/s. Ruled out: decoding and applying the document (9 ms, 4 ms, 6 ms of processor time on this machine, trial), joins that wait for dead heads. Change: a node adds to its wait the time that its link needs for a document; a head of before with a narrow link waits as long instead of coming back at once; a head appoints the child with the widest link. The width comes from the platform's settings, or link_kbps. Test: sim -c, no node with a narrow link is a head where there are wide ones.

--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -128,6 +128,7 @@
     char endpoint_set[JD_NAME_MAX];
     unsigned slots;
     uint64_t target_started; /* ms since 1970, 0: unknown */
+    unsigned link_kbps;      /* width of the node's link, 0: not known */
 } JdTreeIdentity;
 
 /* A peer is a connection of the embedding program, named by its pointer. */
@@ -184,6 +185,7 @@
     uint64_t number; /* of the link, unique in the process */
     char id[JD_NAME_MAX];
     bool is_head;
+    unsigned link_kbps; /* 0: not known */
     uint64_t have;
     uint64_t heard;
     unsigned count;
--- a/lib/tree/head.c
+++ b/lib/tree/head.c
@@ -9,6 +9,11 @@
 #include "libjd.h"
 #include "libtree.h"
 
+/* A whole document as the store gives it.  A head reads it, so a node waits
+ * for as long as its link would take before it becomes one. */
+#define DOCUMENT_KBIT 2000
+/* Wait up to which a node that was a head comes back without waiting. */
+#define RETURN_AT_ONCE (50 * JD_US_PER_MS)
 /* Wait of a head between two appointments of another. */
 #define APPOINT_EVERY (3 * JD_US_PER_S)
 /* Period in which heads renew their directory record, below its retention. */
@@ -18,6 +23,14 @@
 /* Time for a head in the directory to show up among the members. */
 #define UNSEEN_AFTER (30 * JD_US_PER_S)
 
+static uint64_t
+link_wait(const JdTree *tr)
+{
+    return tr->self.link_kbps == 0
+               ? 0
+               : DOCUMENT_KBIT * JD_US_PER_S / tr->self.link_kbps;
+}
+
 /*
  * Waits before volunteering.  The eighth root makes short waits rare, so that
  * few volunteer before the first one is known, however many wait.
@@ -33,7 +46,7 @@
     if (tr->is_announcing || tr->volunteer.armed || tr->is_leaving) {
         return;
     }
-    JdTimer_Arm(tr->clock, &tr->volunteer, wait);
+    JdTimer_Arm(tr->clock, &tr->volunteer, wait + link_wait(tr));
 }
 
 static void
@@ -156,6 +169,22 @@
     json_decref(js);
 }
 
+/*
+ * A node that was a head before its restart is expected back; one with a
+ * narrow link gives others the time to take its place.
+ */
+static void
+return_as_head(JdTree *tr)
+{
+    if (link_wait(tr) <= RETURN_AT_ONCE) {
+        announce(tr);
+    }
+    else if (!tr->volunteer.armed) {
+        tr->tried_rank = _JdTree_NewestRankAtHome(tr);
+        JdTimer_Arm(tr->clock, &tr->volunteer, link_wait(tr));
+    }
+}
+
 /* The directory was read, or could not be. */
 void
 JdTree_Directory(JdTree *tr, const JdLogAnswer *ans)
@@ -178,8 +207,7 @@
         return;
     }
     if (tr->was_head && !was_head && tr->head_rank == 0) {
-        /* A node that was a head before its restart is expected back. */
-        announce(tr);
+        return_as_head(tr);
     }
     if (tr->parent.state == JD_LINK_ATTACHED) {
         return;
@@ -221,26 +249,45 @@
     return n;
 }
 
+static bool
+may_be_head(const JdTree *tr, const JdChild *ch)
+{
+    const JdMember *mb = JdMembers_Find(&tr->members, ch->id);
+
+    return !ch->is_head && mb != NULL && mb->head_rank == 0 &&
+           strcmp(mb->domain, tr->self.domain) == 0;
+}
+
+/* Whether a link is wider than another; one that is not known is wide. */
+static bool
+is_wider(unsigned kbps, unsigned other)
+{
+    return other != 0 && (kbps == 0 || kbps > other);
+}
+
+/* Makes a child a head: the one with the widest link. */
 static void
 appoint(JdTree *tr)
 {
     Jd__Promote msg = JD__PROMOTE__INIT;
     Jd__Frame frame = JD__FRAME__INIT;
+    JdChild *best = NULL;
     JdChild *ch;
 
     TAILQ_FOREACH(ch, &tr->children, link)
     {
-        const JdMember *mb = JdMembers_Find(&tr->members, ch->id);
-
-        if (!ch->is_head && mb != NULL && mb->head_rank == 0 &&
-            strcmp(mb->domain, tr->self.domain) == 0) {
-            frame.body_case = JD__FRAME__BODY_PROMOTE;
-            frame.promote = &msg;
-            _JdTree_Send(tr, ch->peer, &frame);
-            tr->appointed_at = JdClock_Now(tr->clock);
-            return;
+        if (may_be_head(tr, ch) &&
+            (best == NULL || is_wider(ch->link_kbps, best->link_kbps))) {
+            best = ch;
         }
     }
+    if (best == NULL) {
+        return;
+    }
+    frame.body_case = JD__FRAME__BODY_PROMOTE;
+    frame.promote = &msg;
+    _JdTree_Send(tr, best->peer, &frame);
+    tr->appointed_at = JdClock_Now(tr->clock);
 }
 
 /*
--- a/lib/tree/tree.c
+++ b/lib/tree/tree.c
@@ -446,6 +446,7 @@
     ch->number = ++tr->links;
     _Jd_CopyText(ch->id, sizeof(ch->id), msg->id);
     ch->is_head = msg->head;
+    ch->link_kbps = msg->link_kbps;
     ch->have = msg->version;
     ch->heard = JdClock_Now(tr->clock);
     ch->count = 1;
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -215,6 +215,7 @@
     msg.version = tr->store->config->version;
     msg.n_bucket = JD_BUCKETS;
     msg.bucket = tr->members.bucket;
+    msg.link_kbps = tr->self.link_kbps;
     frame.body_case = JD__FRAME__BODY_JOIN;
     frame.join = &msg;
     _JdTree_Send(tr, peer, &frame);
--- a/node/drain.c
+++ b/node/drain.c
@@ -35,9 +35,8 @@
 {
     JdNode *nd = ctx;
     uint64_t now = JdClock_Now(&nd->loop.clock);
-    bool is_idle =
-        nd->call_count == 0 && nd->waiting_count == 0 &&
-        nd->admit.running == 0 && nd->admit.queued == 0;
+    bool is_idle = nd->call_count == 0 && nd->waiting_count == 0 &&
+                   nd->admit.running == 0 && nd->admit.queued == 0;
 
     if (now >= nd->linger_until) {
         JdAdmit_Close(&nd->admit);
--- a/node/node.h
+++ b/node/node.h
@@ -49,6 +49,7 @@
     uint64_t checkpoint_versions;
     uint64_t checkpoint_s;
     uint64_t body_most;
+    uint64_t link_kbps; /* 0: not known */
     uint64_t poll_ms;
     uint64_t hold_s;
     uint64_t retention_s;
--- a/node/settings.c
+++ b/node/settings.c
@@ -56,6 +56,7 @@
     NUMBER("/once/hold_s", hold_s, 1, 86400),
     NUMBER("/once/gap_ms", claim_gap_ms, 1, 10000),
     NUMBER("/log/retention_s", retention_s, 1, 31536000),
+    NUMBER("/link_kbps", link_kbps, 1, 1000000000),
     NUMBER("/body_bytes", body_most, 1, 64 << 20),
     NUMBER("/baseline_poll_ms", poll_ms, 1, 60000),
 };
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -985,7 +985,7 @@
   (ProtobufCMessageInit) jd__candidate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__join__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jd__join__field_descriptors[8] =
 {
   {
     "id",
@@ -1071,6 +1071,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "link_kbps",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Join, link_kbps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__join__field_indices_by_name[] = {
   6,   /* field[6] = bucket */
@@ -1078,13 +1090,14 @@
   4,   /* field[4] = head */
   0,   /* field[0] = id */
   1,   /* field[1] = incarnation */
+  7,   /* field[7] = link_kbps */
   2,   /* field[2] = region */
   5,   /* field[5] = version */
 };
 static const ProtobufCIntRange jd__join__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jd__join__descriptor =
 {
@@ -1094,7 +1107,7 @@
   "Jd__Join",
   "jd",
   sizeof(Jd__Join),
-  7,
+  8,
   jd__join__field_descriptors,
   jd__join__field_indices_by_name,
   1,  jd__join__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -116,10 +116,14 @@
    */
   size_t n_bucket;
   uint64_t *bucket;
+  /*
+   * width of the sender's link, 0: not known
+   */
+  uint32_t link_kbps;
 };
 #define JD__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__join__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/peer/link.c
+++ b/peer/link.c
@@ -245,6 +245,7 @@
     g_strlcpy(id->domain, s->domain, sizeof(id->domain));
     g_strlcpy(id->peer, s->peer_address, sizeof(id->peer));
     g_strlcpy(id->admin, s->admin_address, sizeof(id->admin));
+    id->link_kbps = (unsigned)s->link_kbps;
     g_strlcpy(id->log_region, s->log_region, sizeof(id->log_region));
     g_strlcpy(id->service, s->service, sizeof(id->service));
     g_strlcpy(id->endpoint_set, s->endpoint_set, sizeof(id->endpoint_set));
--- a/regress/sim/sim.c
+++ b/regress/sim/sim.c
@@ -7,8 +7,9 @@
  *   - 4 s after the last fault every node holds the newest version and all
  *     nodes form one tree.
  *
- * With -c instead: some heads lose their machines for good, then all nodes
- * lose power at once; each that comes back is ready within 1 s of its start.
+ * With -c instead: the nodes with wide links become heads; some of these lose
+ * their machines for good, then all nodes lose power at once; each that comes
+ * back is ready within 1 s of its start.
  *
  * usage: sim [-cuv] [-n NODES] [-p PRESET] FIRST_SEED [COUNT]
  */
@@ -25,6 +26,7 @@
 #define ONE_TREE_S 12
 /* Heads whose machines are gone before all nodes lose power. */
 #define COLD_DARK 3
+#define NARROW_KBPS 7000
 #define COLD_READY (JD_US_PER_S)
 
 Sim sim;
@@ -67,6 +69,13 @@
     .changed = on_changed,
 };
 
+/* With -c the first two nodes of each domain have wide links. */
+static bool
+is_wide(const SimNode *nd)
+{
+    return !is_cold || nd->index < 2 * SIM_DOMAINS;
+}
+
 static void
 start_node(SimNode *nd)
 {
@@ -87,6 +96,7 @@
     snprintf(id.admin, sizeof(id.admin), "%u", nd->index);
     snprintf(id.log_region, sizeof(id.log_region), "%s", log_region);
     id.incarnation = nd->incarnation;
+    id.link_kbps = is_wide(nd) ? 0 : NARROW_KBPS;
     JdTree_Init(&nd->tree, &id, JdPreset_Tuning(preset), &nd->store,
                 &nd->clock, &nd->counters, &tree_ops, nd);
     nd->tree.tune.fan_out = 3;
@@ -502,6 +512,16 @@
     }
 }
 
+static void
+check_heads(void)
+{
+    for (unsigned i = 0; i < sim.nodes; i++) {
+        if (!is_wide(&sim.node[i]) && sim.node[i].tree.head_rank != 0) {
+            Sim_Fail(&sim.node[i], "a node with a narrow link became a head");
+        }
+    }
+}
+
 static bool
 is_all_ready(void)
 {
@@ -520,6 +540,7 @@
 
     append_patch();
     run_for(6 * JD_US_PER_S);
+    check_heads();
     darken_heads();
     run_for(500 * JD_US_PER_MS);
     restart_lit();
