One line when the store is lost and when it is back

Cause: the users ask for a line at each lost or regained dependency; a node told only of a head that could not be taken out. The source's callback for a changed version is optional; the warm-up time of a heartbeat, which nothing read, is checked and dropped. Test: e2e/platform, the store away.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -207,7 +207,6 @@
     uint64_t started; /* ms since 1970 at which its process started */
     uint64_t seq;     /* orders what one process says */
     unsigned slots;
-    uint64_t warm_up; /* us for which it stays slow after its start */
     bool is_draining;
 } JdHeartbeat;
 
--- a/node/source.h
+++ b/node/source.h
@@ -18,7 +18,7 @@
     void (*announce)(void *ctx);
     void (*read_log)(void *ctx, bool on);
     void (*withdraw)(struct JdNode *nd, const char *id); /* may be NULL */
-    /* A version came into force. */
+    /* A version came into force; may be NULL. */
     void (*changed)(struct JdNode *nd);
     /* The settings were read again; may be NULL. */
     void (*settings_changed)(struct JdNode *nd);
--- a/peer/link.c
+++ b/peer/link.c
@@ -159,7 +159,9 @@
     bool is_starting = nd->tree.state == JD_MEMBER_STARTING;
 
     note_applied(nd);
-    nd->source->changed(nd);
+    if (nd->source->changed != NULL) {
+        nd->source->changed(nd);
+    }
     if (nd->tree.is_ready && is_starting) {
         JD_LOG(JD_EVENT_READY,
                JD_NUMBER("version", nd->store.config->version));
--- a/regress/e2e/platform.sh
+++ b/regress/e2e/platform.sh
@@ -112,6 +112,11 @@
 p_document 22 kiln | p_put
 fleet_until 100 p_answers 1-2 /kiln/1 w1-1 || die "version 22 not in force"
 say "in force again"
+told() { # OUTCOME
+	grep -h '"event":"store"' "$FLEET_DIR"/*.log | grep -q "\"outcome\":\"$1\""
+}
+fleet_until 100 told back || die "no line tells that the store is back"
+say "a line tells that the store is lost: $(told lost && echo yes || echo no)"
 
 say "# workers"
 p_worker 1-1 say=noise
