--- a/lib/request/budget.c
+++ b/lib/request/budget.c
@@ -10,7 +10,7 @@
  */
 #include "libjd.h"
 
-#define WHOLE 100
+#define WHOLE INT64_C(100)
 /* Retries that one node may save up, and all nodes together: they may spend
  * them all at once. */
 #define RESERVE_MOST 10
