The far side is asked when three near targets had no room

The far side was used only where no near target was left to ask, which four tries reach on small fleets alone. Ruled out: the budget of retries (refused before sending costs none), slow targets taken for free ones (they got no more than their share). Change: after three near targets without room the last try goes to the far side, where 100 ms of the time wanted are left; a far target that had none either is left alone for a second. Test: parts/choice, the last cases.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -260,6 +260,7 @@
     unsigned sent_since; /* sent by this node since it said so */
     uint64_t service;    /* us, usual time of work there, 0: unknown */
     uint64_t service_at;
+    uint64_t full_at; /* time of its last refusal for lack of room, 0: none */
     uint64_t load_at;
 } JdTargetStat;
 
@@ -291,6 +292,7 @@
 typedef struct JdAvoid {
     char (*id)[JD_NAME_MAX];
     unsigned count;
+    unsigned full; /* of these, refused for lack of room */
 } JdAvoid;
 
 JdMember *JdChooser_Pick(const JdChooser *ch, const char *endpoint_set,
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -33,6 +33,12 @@
 #define NEAR_RUN_SHARE 75
 /* Load at which a target is full, in percent of its slots. */
 #define LOAD_FULL 200
+/* Near targets without room after which the far side is asked, and the time
+ * for which one that had none either is left alone. */
+#define SPILL_AFTER 3
+#define SPILL_PAUSE JD_US_PER_S
+/* Time wanted that has to be left for the far side. */
+#define SPILL_TIME (100 * JD_US_PER_MS)
 #define CANDIDATES_MOST 256
 /* Draws before a target that is still cold is taken all the same. */
 #define DRAWS_MOST 8
@@ -303,19 +309,48 @@
                                              c->count[tier], usual);
 }
 
+/*
+ * Returns a far target for work that several near ones had no room for, or
+ * NULL: where it could not be answered when it is wanted, and where the far
+ * side has no room either, as far as this node has heard.
+ */
+static JdMember *
+pick_spill(const JdChooser *ch, const Candidates *c, const JdAvoid *avoid,
+           uint64_t wanted, double usual)
+{
+    uint64_t now = JdClock_Now(ch->clock);
+    const JdTargetStat *ts;
+    JdMember *mb;
+
+    if (avoid == NULL || avoid->full < SPILL_AFTER || wanted < SPILL_TIME) {
+        return NULL;
+    }
+    mb = pick_in(ch, c, JD_TIER_FAR, usual);
+    if (mb == NULL) {
+        return NULL;
+    }
+    ts = stat_of(ch, mb);
+    return ts->full_at != 0 && now - ts->full_at < SPILL_PAUSE ? NULL : mb;
+}
+
 /*
  * The own failure domain serves while it does so well within the time wanted;
  * then the quicker of it and the region.  The far side of the paid link is
- * used only when the region has no target left.
+ * used only when the region has no target left, or no room.
  */
 static JdMember *
-pick_member(const JdChooser *ch, const Candidates *c, uint64_t wanted,
-            JdTier *tier)
+pick_member(const JdChooser *ch, const Candidates *c, const JdAvoid *avoid,
+            uint64_t wanted, JdTier *tier)
 {
     double usual = usual_service(ch, c);
     JdMember *near = pick_in(ch, c, JD_TIER_DOMAIN, usual);
+    JdMember *far = pick_spill(ch, c, avoid, wanted, usual);
     JdMember *region;
 
+    if (far != NULL) {
+        *tier = JD_TIER_FAR;
+        return far;
+    }
     *tier = JD_TIER_DOMAIN;
     if (near != NULL && has_room(ch, c, near, usual, wanted)) {
         return near;
@@ -351,7 +386,7 @@
     }
     for (int s = STRICT; s < STRICTNESS_MAX; s++) {
         collect(ch, set, avoid, (Strictness)s, &c);
-        mb = pick_member(ch, &c, wanted, tier);
+        mb = pick_member(ch, &c, avoid, wanted, tier);
         if (mb != NULL) {
             return mb;
         }
@@ -488,6 +523,7 @@
     case JD_REASON_TOO_LATE:
         /* The node is well and says that its target has enough to do. */
         ts->progress_at = JdClock_Now(ch->clock);
+        ts->full_at = ts->progress_at;
         note_report(ch, ts, rep);
         return;
     case JD_REASON_CANCELLED:
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -243,6 +243,8 @@
     unsigned wait = why->retry_after;
 
     call->reason = why->reason;
+    call->full += why->reason == JD_REASON_QUEUE_FULL ||
+                  why->reason == JD_REASON_TOO_LATE;
     if (why->was_sent) {
         call->sends++;
         call->has_run =
@@ -382,7 +384,7 @@
 {
     JdFailure down = {.reason = JD_REASON_TARGET_DOWN};
     JdNode *nd = call->node;
-    JdAvoid avoid = {call->target, call->try_count};
+    JdAvoid avoid = {call->target, call->try_count, call->full};
     JdTier tier;
     JdMember *mb = JdChooser_Pick(&nd->chooser, call->route.endpoint_set,
                                   &avoid, wanted_in(call), &tier);
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -43,6 +43,7 @@
     unsigned try_count;
     unsigned active;      /* tries that may still be answered */
     unsigned sends;       /* targets that may have got it, so far as known */
+    unsigned full;        /* targets that had no room */
     bool has_run;         /* a target may have run it */
     JdReason reason;      /* why the last try failed */
     unsigned retry_after; /* ms, the least that a refusal told, 0: none */
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -181,14 +181,15 @@
 
 /* Picks many times without sending and prints the shares. */
 static void
-pick(unsigned n, uint64_t wanted)
+pick(unsigned n, uint64_t wanted, unsigned full)
 {
+    JdAvoid avoid = {.full = full};
     GHashTable *count = g_hash_table_new(g_str_hash, g_str_equal);
     GList *names, *l;
     JdTier tier;
 
     for (unsigned i = 0; i < n; i++) {
-        JdMember *mb = JdChooser_Pick(&chooser, "set", NULL, wanted, &tier);
+        JdMember *mb = JdChooser_Pick(&chooser, "set", &avoid, wanted, &tier);
         gpointer k;
 
         if (mb == NULL) {
@@ -216,7 +217,8 @@
 
     init_members();
     if (strcmp(cmd, "pick") == 0) {
-        pick((unsigned)strtoul(id, NULL, 10), ms(ln->word[3]));
+        pick((unsigned)strtoul(id, NULL, 10), ms(ln->word[3]),
+             (unsigned)strtoul(ln->word[4], NULL, 10));
     }
     else if (strcmp(cmd, "sent") == 0) {
         JdChooser_Sent(&chooser, JdMembers_Find(&members, id));
