--- a/Makefile
+++ b/Makefile
@@ -100,7 +100,8 @@
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-SIM_SRC = regress/sim/sim.c regress/sim/net.c regress/sim/fakelog.c
+SIM_SRC = regress/sim/sim.c regress/sim/cold.c regress/sim/net.c \
+          regress/sim/fakelog.c
 $(BUILD)/sim: $(call obj,$(SIM_SRC)) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -298,6 +298,8 @@
 JdMember *JdChooser_Pick(const JdChooser *ch, const char *endpoint_set,
                          const JdAvoid *avoid, uint64_t wanted, JdTier *tier);
 bool JdChooser_HasTarget(const JdChooser *ch, const char *endpoint_set);
+
+/* outcome.c: what the choice learns from requests */
 void JdChooser_Sent(const JdChooser *ch, JdMember *mb);
 void JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
                         const JdTargetReport *rep);
--- a/lib/libjd.h
+++ b/lib/libjd.h
@@ -20,4 +20,8 @@
 void _JdDigest_Remove(JdDigest *dig, JdTable table, const char *name,
                       json_t *val);
 
+/* choice.c */
+JdTargetStat *_JdChooser_Stat(const JdChooser *ch, JdMember *mb);
+bool _JdChooser_IsEjected(const JdChooser *ch, const JdTargetStat *ts);
+
 #endif
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -11,11 +11,6 @@
 
 #include "libjd.h"
 
-/* Failures in a row after which a target is ejected. */
-#define EJECT_AFTER 3
-/* First and longest ejection. */
-#define EJECT_FIRST (500 * JD_US_PER_MS)
-#define EJECT_MOST (10 * JD_US_PER_S)
 /* Silence of a target with work outstanding that counts as a stall. */
 #define STALL_AFTER (500 * JD_US_PER_MS)
 /* Time over which a new or returning target gets its full share. */
@@ -56,8 +51,9 @@
     return tier < JD_TIER_MAX ? tier_names[tier] : "none";
 }
 
-static JdTargetStat *
-stat_of(const JdChooser *ch, JdMember *mb)
+/* Returns what this node has seen of a member's target. */
+JdTargetStat *
+_JdChooser_Stat(const JdChooser *ch, JdMember *mb)
 {
     JdTargetStat *ts = mb->user;
 
@@ -75,8 +71,8 @@
     return ts;
 }
 
-static bool
-is_ejected(const JdChooser *ch, const JdTargetStat *ts)
+bool
+_JdChooser_IsEjected(const JdChooser *ch, const JdTargetStat *ts)
 {
     return ts->ejected_until > JdClock_Now(ch->clock);
 }
@@ -119,7 +115,7 @@
 static double
 work_per_slot(const JdChooser *ch, JdMember *mb)
 {
-    const JdTargetStat *ts = stat_of(ch, mb);
+    const JdTargetStat *ts = _JdChooser_Stat(ch, mb);
     double slots = mb->slots == 0 ? 1 : mb->slots;
     double work = ts->outstanding;
 
@@ -148,7 +144,7 @@
 static double
 service_of(const JdChooser *ch, JdMember *mb, double usual)
 {
-    const JdTargetStat *ts = stat_of(ch, mb);
+    const JdTargetStat *ts = _JdChooser_Stat(ch, mb);
     bool is_old = JdClock_Now(ch->clock) - ts->service_at > SERVICE_FRESH;
 
     return ts->service == 0 || is_old ? usual : (double)ts->service;
@@ -192,11 +188,11 @@
 static bool
 is_usable(const JdChooser *ch, JdMember *mb, Strictness strict)
 {
-    const JdTargetStat *ts = stat_of(ch, mb);
+    const JdTargetStat *ts = _JdChooser_Stat(ch, mb);
 
     switch (strict) {
     case STRICT:
-        return mb->state == JD_MEMBER_READY && !is_ejected(ch, ts) &&
+        return mb->state == JD_MEMBER_READY && !_JdChooser_IsEjected(ch, ts) &&
                !is_stalled(ch, ts);
     case LENIENT:
         return mb->state == JD_MEMBER_READY;
@@ -233,7 +229,7 @@
             continue;
         }
         out->list[t][out->count[t]++] = mb;
-        if (reported_load(ch, stat_of(ch, mb)) >= LOAD_FULL) {
+        if (reported_load(ch, _JdChooser_Stat(ch, mb)) >= LOAD_FULL) {
             out->full[t]++;
         }
     }
@@ -251,7 +247,7 @@
     for (int tries = 0; tries < DRAWS_MOST; tries++) {
         i = (unsigned)JdRandom_Below(ch->random, n);
         if (JdRandom_Below(ch->random, 100) <
-            warmth(ch, stat_of(ch, list[i]))) {
+            warmth(ch, _JdChooser_Stat(ch, list[i]))) {
             break;
         }
     }
@@ -267,7 +263,7 @@
 
     for (int t = 0; t < JD_TIER_MAX; t++) {
         for (unsigned i = 0; i < c->count[t]; i++) {
-            uint64_t service = stat_of(ch, c->list[t][i])->service;
+            uint64_t service = _JdChooser_Stat(ch, c->list[t][i])->service;
 
             sum += (double)service;
             n += service != 0;
@@ -329,7 +325,7 @@
     if (mb == NULL) {
         return NULL;
     }
-    ts = stat_of(ch, mb);
+    ts = _JdChooser_Stat(ch, mb);
     return ts->full_at != 0 && now - ts->full_at < SPILL_PAUSE ? NULL : mb;
 }
 
@@ -412,133 +408,3 @@
     }
     return false;
 }
-
-/* A request goes to a member. */
-void
-JdChooser_Sent(const JdChooser *ch, JdMember *mb)
-{
-    JdTargetStat *ts = stat_of(ch, mb);
-
-    if (ts->outstanding == 0) {
-        ts->progress_at = JdClock_Now(ch->clock);
-    }
-    ts->outstanding++;
-    ts->sent_since++;
-}
-
-/* A try at a member is over; returns NULL when it is no longer known. */
-static JdTargetStat *
-take_back(const JdChooser *ch, const char *id, JdMember **mb)
-{
-    JdTargetStat *ts;
-
-    *mb = JdMembers_Find(ch->members, id);
-    if (*mb == NULL) {
-        return NULL;
-    }
-    ts = stat_of(ch, *mb);
-    if (ts->outstanding > 0) {
-        ts->outstanding--;
-    }
-    return ts;
-}
-
-static void
-note_report(const JdChooser *ch, JdTargetStat *ts, const JdTargetReport *rep)
-{
-    ts->load = rep->load;
-    ts->sent_since = 0;
-    if (rep->service != 0) {
-        ts->service = rep->service;
-        ts->service_at = JdClock_Now(ch->clock);
-    }
-    ts->load_at = JdClock_Now(ch->clock);
-}
-
-/* A target answered after `took` us. */
-void
-JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
-                   const JdTargetReport *rep)
-{
-    JdMember *mb;
-    JdTargetStat *ts = take_back(ch, id, &mb);
-
-    if (ts == NULL) {
-        return;
-    }
-    ts->progress_at = JdClock_Now(ch->clock);
-    ts->failures = 0;
-    ts->ejections = 0;
-    ts->latency = ts->latency == 0 ? took : (ts->latency * 7 + took) / 8;
-    note_report(ch, ts, rep);
-}
-
-/* Half of a set at the most may be ejected. */
-static bool
-may_eject(const JdChooser *ch, const JdMember *mb)
-{
-    unsigned n = 0;
-    JdMember *m;
-
-    if (mb->set == NULL) {
-        return false;
-    }
-    TAILQ_FOREACH(m, &mb->set->members, set_link)
-    {
-        if (is_ejected(ch, stat_of(ch, m))) {
-            n++;
-        }
-    }
-    return (n + 1) * 2 <= mb->set->count;
-}
-
-static void
-eject(const JdChooser *ch, JdTargetStat *ts)
-{
-    uint64_t wait = EJECT_FIRST << (ts->ejections < 5 ? ts->ejections : 5);
-
-    if (wait > EJECT_MOST) {
-        wait = EJECT_MOST;
-    }
-    ts->ejected_until = JdClock_Now(ch->clock) + wait;
-    ts->warm_from = ts->ejected_until;
-    ts->ejections++;
-    ts->failures = 0;
-    ch->counters->value[JD_C_EJECTED]++;
-}
-
-/* A try at a member failed; `rep` is what its node told. */
-void
-JdChooser_Failed(const JdChooser *ch, const char *id, JdReason reason,
-                 const JdTargetReport *rep)
-{
-    JdMember *mb;
-    JdTargetStat *ts = take_back(ch, id, &mb);
-
-    if (ts == NULL) {
-        return;
-    }
-    switch (reason) {
-    case JD_REASON_QUEUE_FULL:
-    case JD_REASON_TOO_LATE:
-        /* The node is well and says that its target has enough to do. */
-        ts->progress_at = JdClock_Now(ch->clock);
-        ts->full_at = ts->progress_at;
-        note_report(ch, ts, rep);
-        return;
-    case JD_REASON_CANCELLED:
-        return;
-    default:
-        break;
-    }
-    if (rep->service > ts->service) {
-        ts->service = rep->service;
-        ts->service_at = JdClock_Now(ch->clock);
-    }
-    ts->failures++;
-    if ((ts->failures >= EJECT_AFTER || reason == JD_REASON_TARGET_DOWN ||
-         reason == JD_REASON_DRAINING) &&
-        may_eject(ch, mb)) {
-        eject(ch, ts);
-    }
-}
--- /dev/null
+++ b/lib/request/outcome.c
@@ -0,0 +1,143 @@
+/*
+ * What the choice of targets learns from requests: answers, reports of load,
+ * and failures, after which a target is ejected for a while.  The load that it
+ * answers is one of which some targets fail a large share: they are found by
+ * their outcomes, and half of a set at the most is left out at a time.
+ */
+#include "libjd.h"
+
+/* Failures in a row after which a target is ejected. */
+#define EJECT_AFTER 3
+/* First and longest ejection. */
+#define EJECT_FIRST (500 * JD_US_PER_MS)
+#define EJECT_MOST (10 * JD_US_PER_S)
+
+/* A request goes to a member. */
+void
+JdChooser_Sent(const JdChooser *ch, JdMember *mb)
+{
+    JdTargetStat *ts = _JdChooser_Stat(ch, mb);
+
+    if (ts->outstanding == 0) {
+        ts->progress_at = JdClock_Now(ch->clock);
+    }
+    ts->outstanding++;
+    ts->sent_since++;
+}
+
+/* A try at a member is over; returns NULL when it is no longer known. */
+static JdTargetStat *
+take_back(const JdChooser *ch, const char *id, JdMember **mb)
+{
+    JdTargetStat *ts;
+
+    *mb = JdMembers_Find(ch->members, id);
+    if (*mb == NULL) {
+        return NULL;
+    }
+    ts = _JdChooser_Stat(ch, *mb);
+    if (ts->outstanding > 0) {
+        ts->outstanding--;
+    }
+    return ts;
+}
+
+static void
+note_report(const JdChooser *ch, JdTargetStat *ts, const JdTargetReport *rep)
+{
+    ts->load = rep->load;
+    ts->sent_since = 0;
+    if (rep->service != 0) {
+        ts->service = rep->service;
+        ts->service_at = JdClock_Now(ch->clock);
+    }
+    ts->load_at = JdClock_Now(ch->clock);
+}
+
+/* A target answered after `took` us. */
+void
+JdChooser_Answered(const JdChooser *ch, const char *id, uint64_t took,
+                   const JdTargetReport *rep)
+{
+    JdMember *mb;
+    JdTargetStat *ts = take_back(ch, id, &mb);
+
+    if (ts == NULL) {
+        return;
+    }
+    ts->progress_at = JdClock_Now(ch->clock);
+    ts->failures = 0;
+    ts->ejections = 0;
+    ts->latency = ts->latency == 0 ? took : (ts->latency * 7 + took) / 8;
+    note_report(ch, ts, rep);
+}
+
+/* Half of a set at the most may be ejected. */
+static bool
+may_eject(const JdChooser *ch, const JdMember *mb)
+{
+    unsigned n = 0;
+    JdMember *m;
+
+    if (mb->set == NULL) {
+        return false;
+    }
+    TAILQ_FOREACH(m, &mb->set->members, set_link)
+    {
+        if (_JdChooser_IsEjected(ch, _JdChooser_Stat(ch, m))) {
+            n++;
+        }
+    }
+    return (n + 1) * 2 <= mb->set->count;
+}
+
+static void
+eject(const JdChooser *ch, JdTargetStat *ts)
+{
+    uint64_t wait = EJECT_FIRST << (ts->ejections < 5 ? ts->ejections : 5);
+
+    if (wait > EJECT_MOST) {
+        wait = EJECT_MOST;
+    }
+    ts->ejected_until = JdClock_Now(ch->clock) + wait;
+    ts->warm_from = ts->ejected_until;
+    ts->ejections++;
+    ts->failures = 0;
+    ch->counters->value[JD_C_EJECTED]++;
+}
+
+/* A try at a member failed; `rep` is what its node told. */
+void
+JdChooser_Failed(const JdChooser *ch, const char *id, JdReason reason,
+                 const JdTargetReport *rep)
+{
+    JdMember *mb;
+    JdTargetStat *ts = take_back(ch, id, &mb);
+
+    if (ts == NULL) {
+        return;
+    }
+    switch (reason) {
+    case JD_REASON_QUEUE_FULL:
+    case JD_REASON_TOO_LATE:
+        /* The node is well and says that its target has enough to do. */
+        ts->progress_at = JdClock_Now(ch->clock);
+        ts->full_at = ts->progress_at;
+        note_report(ch, ts, rep);
+        return;
+    case JD_REASON_CANCELLED:
+        return;
+    default:
+        break;
+    }
+    if (rep->service > ts->service) {
+        ts->service = rep->service;
+        ts->service_at = JdClock_Now(ch->clock);
+    }
+    ts->failures++;
+    if ((ts->failures >= EJECT_AFTER || reason == JD_REASON_TARGET_DOWN ||
+         reason == JD_REASON_DRAINING) &&
+        may_eject(ch, mb)) {
+        eject(ch, ts);
+    }
+}
--- a/lib/tree/libtree.h
+++ b/lib/tree/libtree.h
@@ -8,7 +8,14 @@
 void _JdTree_Send(JdTree *tr, void *peer, Jd__Frame *frame);
 void _JdTree_CheckReady(JdTree *tr);
 void _JdTree_CheckReading(JdTree *tr);
+void _JdTree_Push(JdTree *tr, JdChild *ch);
+
+/* child.c */
 JdChild *_JdTree_FindChild(const JdTree *tr, const void *peer);
+void _JdTree_RemoveChild(JdTree *tr, JdChild *ch);
+void _JdTree_LoseChild(JdTree *tr, JdChild *ch);
+void _JdTree_OnJoin(JdTree *tr, void *peer, const Jd__Join *msg);
+void _JdTree_BeatChildren(JdTree *tr);
 
 /* beat.c */
 size_t _JdTree_ListPath(JdTree *tr, char **out);
--- a/lib/tree/tree.c
+++ b/lib/tree/tree.c
@@ -182,8 +182,8 @@
 }
 
 /* Sends what a child lacks, unless it is slow to take what it was sent. */
-static void
-push(JdTree *tr, JdChild *ch)
+void
+_JdTree_Push(JdTree *tr, JdChild *ch)
 {
     JdDelta dlt;
 
@@ -203,7 +203,7 @@
 
     TAILQ_FOREACH(ch, &tr->children, link)
     {
-        push(tr, ch);
+        _JdTree_Push(tr, ch);
     }
 }
 
@@ -326,203 +326,15 @@
     }
 }
 
-/* ---- children ---------------------------------------------------------- */
-
-/* Returns the child on a connection, or NULL. */
-JdChild *
-_JdTree_FindChild(const JdTree *tr, const void *peer)
-{
-    JdChild *ch;
-
-    TAILQ_FOREACH(ch, &tr->children, link)
-    {
-        if (ch->peer == peer) {
-            return ch;
-        }
-    }
-    return NULL;
-}
-
-static void
-remove_child(JdTree *tr, JdChild *ch)
-{
-    TAILQ_REMOVE(&tr->children, ch, link);
-    tr->child_count--;
-    g_free(ch);
-}
-
-/* A child fell silent or closed: it is suspect until it shows elsewhere. */
-static void
-lose_child(JdTree *tr, JdChild *ch)
-{
-    JdMember *mb = JdMembers_Find(&tr->members, ch->id);
-
-    tr->counters->value[JD_C_CHILD_LOST]++;
-    if (mb != NULL && strcmp(mb->via, tr->self.id) == 0) {
-        JdMembers_Suspect(&tr->members, mb, tr->tune.silence);
-    }
-    remove_child(tr, ch);
-}
-
-static void
-send_redirect(JdTree *tr, void *peer)
-{
-    Jd__Candidate cand[JD_CANDIDATES_MAX];
-    Jd__Candidate *list[JD_CANDIDATES_MAX];
-    Jd__Redirect msg = JD__REDIRECT__INIT;
-    Jd__Frame frame = JD__FRAME__INIT;
-    JdChild *ch;
-
-    TAILQ_FOREACH(ch, &tr->children, link)
-    {
-        const JdMember *mb = JdMembers_Find(&tr->members, ch->id);
-
-        if (ch->is_head || mb == NULL ||
-            msg.n_candidate == JD_CANDIDATES_MAX) {
-            continue;
-        }
-        jd__candidate__init(&cand[msg.n_candidate]);
-        cand[msg.n_candidate].id = ch->id;
-        cand[msg.n_candidate].peer = (char *)mb->peer;
-        list[msg.n_candidate] = &cand[msg.n_candidate];
-        msg.n_candidate++;
-    }
-    msg.candidate = list;
-    frame.body_case = JD__FRAME__BODY_REDIRECT;
-    frame.redirect = &msg;
-    _JdTree_Send(tr, peer, &frame);
-    tr->counters->value[JD_C_REDIRECTS]++;
-}
-
-static void
-send_accept(JdTree *tr, JdChild *ch)
-{
-    Jd__Accept msg = JD__ACCEPT__INIT;
-    Jd__Frame frame = JD__FRAME__INIT;
-    char *path[JD_TREE_PATH_MAX + 1];
-
-    msg.id = tr->self.id;
-    msg.domain = tr->self.domain;
-    msg.n_path = _JdTree_ListPath(tr, path);
-    msg.path = path;
-    msg.n_bucket = JD_BUCKETS;
-    msg.bucket = tr->members.bucket;
-    msg.ready = tr->is_ready;
-    msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
-    msg.root_admin = (char *)_JdTree_RootAdmin(tr);
-    frame.body_case = JD__FRAME__BODY_ACCEPT;
-    frame.accept = &msg;
-    _JdTree_Send(tr, ch->peer, &frame);
-}
-
-static bool
-is_own_ancestor(const JdTree *tr, const char *id)
-{
-    for (unsigned i = 0; i < tr->path_len; i++) {
-        if (strcmp(tr->path[i], id) == 0) {
-            return true;
-        }
-    }
-    return strcmp(tr->self.id, id) == 0;
-}
-
-/* Whether this node may take a child: it must lead or have a parent. */
-static bool
-can_take(const JdTree *tr, const Jd__Join *msg)
-{
-    bool is_attached = tr->is_lead || tr->parent.state == JD_LINK_ATTACHED;
-
-    return is_attached && !tr->is_leaving &&
-           tr->path_len + 1 < JD_TREE_PATH_MAX &&
-           !is_own_ancestor(tr, msg->id);
-}
-
-static void
-add_child(JdTree *tr, void *peer, const Jd__Join *msg)
-{
-    JdChild *ch = g_new0(JdChild, 1);
-
-    ch->peer = peer;
-    ch->number = ++tr->links;
-    _Jd_CopyText(ch->id, sizeof(ch->id), msg->id);
-    ch->is_head = msg->head;
-    ch->link_kbps = msg->link_kbps;
-    ch->have = msg->version;
-    ch->heard = JdClock_Now(tr->clock);
-    ch->count = 1;
-    ch->min_version = msg->version;
-    if (ch->is_head) {
-        /* Heads come first: more nodes wait behind them. */
-        TAILQ_INSERT_HEAD(&tr->children, ch, link);
-    }
-    else {
-        TAILQ_INSERT_TAIL(&tr->children, ch, link);
-    }
-    tr->child_count++;
-    send_accept(tr, ch);
-    _JdTree_SendMembers(tr, peer, msg->bucket, msg->n_bucket);
-    push(tr, ch);
-}
-
-static void
-on_join(JdTree *tr, void *peer, const Jd__Join *msg)
-{
-    JdChild *ch;
-
-    if (!can_take(tr, msg)) {
-        Jd__Redirect none = JD__REDIRECT__INIT;
-        Jd__Frame frame = JD__FRAME__INIT;
-
-        frame.body_case = JD__FRAME__BODY_REDIRECT;
-        frame.redirect = &none;
-        _JdTree_Send(tr, peer, &frame);
-        return;
-    }
-    TAILQ_FOREACH(ch, &tr->children, link)
-    {
-        /* The same node on a new connection; the old one is stale. */
-        if (strcmp(ch->id, msg->id) == 0) {
-            tr->ops->close(tr->ctx, ch->peer);
-            remove_child(tr, ch);
-            break;
-        }
-    }
-    if (!msg->head && tr->child_count >= tr->tune.fan_out) {
-        send_redirect(tr, peer);
-        return;
-    }
-    add_child(tr, peer, msg);
-}
-
 /* ---- beats ------------------------------------------------------------- */
 
-static void
-beat_children(JdTree *tr)
-{
-    uint64_t now = JdClock_Now(tr->clock);
-    JdChild *ch, *next;
-
-    for (ch = TAILQ_FIRST(&tr->children); ch != NULL; ch = next) {
-        next = TAILQ_NEXT(ch, link);
-        if (now - ch->heard > tr->tune.silence) {
-            tr->ops->close(tr->ctx, ch->peer);
-            lose_child(tr, ch);
-            continue;
-        }
-        if (ch->have < tr->store->config->version && !tr->batch.armed) {
-            push(tr, ch);
-        }
-        _JdTree_SendBeatDown(tr, ch, false);
-    }
-}
-
 static void
 on_beat(void *ctx)
 {
     JdTree *tr = ctx;
 
     JdTimer_Arm(tr->clock, &tr->beat, tr->tune.beat);
-    beat_children(tr);
+    _JdTree_BeatChildren(tr);
     if (tr->parent.state == JD_LINK_ATTACHED) {
         _JdTree_SendBeatUp(tr);
     }
@@ -541,7 +353,7 @@
 {
     switch (frame->body_case) {
     case JD__FRAME__BODY_JOIN:
-        on_join(tr, peer, frame->join);
+        _JdTree_OnJoin(tr, peer, frame->join);
         break;
     case JD__FRAME__BODY_ACCEPT:
         _JdTree_OnAccept(tr, peer, frame->accept);
@@ -552,7 +364,7 @@
     case JD__FRAME__BODY_BEAT:
         if (ch != NULL && frame->beat->moving) {
             /* It is not suspect: its new parent watches it. */
-            remove_child(tr, ch);
+            _JdTree_RemoveChild(tr, ch);
         }
         else if (ch != NULL) {
             _JdTree_OnBeatUp(ch, frame->beat);
@@ -603,7 +415,7 @@
     JdChild *ch = _JdTree_FindChild(tr, peer);
 
     if (ch != NULL) {
-        lose_child(tr, ch);
+        _JdTree_LoseChild(tr, ch);
         return;
     }
     _JdTree_UplinkClosed(tr, peer);
--- a/regress/sim/sim.c
+++ b/regress/sim/sim.c
@@ -24,10 +24,7 @@
 #define FAULTS_S 40
 #define HEALED_S 4
 #define ONE_TREE_S 12
-/* Heads whose machines are gone before all nodes lose power. */
-#define COLD_DARK 3
 #define NARROW_KBPS 7000
-#define COLD_READY (JD_US_PER_S)
 
 Sim sim;
 
@@ -38,6 +35,12 @@
 static JdPreset preset = JD_PRESET_CONVERGENCE;
 static const char *const domains[] = {"a1", "a2", "b1", "b2"};
 
+bool
+Sim_IsVerbose(void)
+{
+    return is_verbose;
+}
+
 /* Records the first failure of a run. */
 void
 Sim_Fail(const SimNode *node, const char *text)
@@ -70,14 +73,15 @@
 };
 
 /* With -c the first two nodes of each domain have wide links. */
-static bool
-is_wide(const SimNode *nd)
+bool
+Sim_IsWide(const SimNode *nd)
 {
     return !is_cold || nd->index < 2 * SIM_DOMAINS;
 }
 
-static void
-start_node(SimNode *nd)
+/* Starts a node with nothing but its settings. */
+void
+Sim_StartNode(SimNode *nd)
 {
     JdTreeIdentity id = {0};
 
@@ -96,7 +100,7 @@
     snprintf(id.admin, sizeof(id.admin), "%u", nd->index);
     snprintf(id.log_region, sizeof(id.log_region), "%s", log_region);
     id.incarnation = nd->incarnation;
-    id.link_kbps = is_wide(nd) ? 0 : NARROW_KBPS;
+    id.link_kbps = Sim_IsWide(nd) ? 0 : NARROW_KBPS;
     JdTree_Init(&nd->tree, &id, JdPreset_Tuning(preset), &nd->store,
                 &nd->clock, &nd->counters, &tree_ops, nd);
     nd->tree.tune.fan_out = 3;
@@ -104,8 +108,9 @@
     JdTree_Start(&nd->tree);
 }
 
-static void
-stop_node(SimNode *nd)
+/* Ends a node; its connections end with it. */
+void
+Sim_StopNode(SimNode *nd)
 {
     nd->is_alive = false;
     nd->is_frozen = false;
@@ -151,8 +156,9 @@
     }
 }
 
-static void
-step(void)
+/* Lets a moment pass for all nodes, the network and the log. */
+void
+Sim_Step(void)
 {
     sim.now += STEP;
     for (unsigned i = 0; i < sim.nodes; i++) {
@@ -193,13 +199,14 @@
                : 0);
 }
 
-static void
-run_for(uint64_t us)
+/* Runs for some time, or until something fails. */
+void
+Sim_RunFor(uint64_t us)
 {
     uint64_t end = sim.now + us;
 
     while (sim.now < end && sim.failure == NULL) {
-        step();
+        Sim_Step();
         if (is_verbose && sim.now % JD_US_PER_S == 0) {
             print_second();
         }
@@ -213,8 +220,8 @@
 }
 
 /* A patch against the newest version, an older one, or an invalid one. */
-static void
-append_patch(void)
+void
+Sim_AppendPatch(void)
 {
     uint64_t at = sim.reference.config->version;
     uint64_t base = below(5) == 0 && at > 0 ? at - 1 : at;
@@ -269,9 +276,9 @@
 
         if (nd->domain == domain || domain == SIM_DOMAINS) {
             if (nd->is_alive) {
-                stop_node(nd);
+                Sim_StopNode(nd);
             }
-            start_node(nd);
+            Sim_StartNode(nd);
         }
     }
 }
@@ -314,7 +321,7 @@
     thaw_all();
     for (unsigned i = 0; i < sim.nodes; i++) {
         if (!sim.node[i].is_alive) {
-            start_node(&sim.node[i]);
+            Sim_StartNode(&sim.node[i]);
         }
     }
 }
@@ -337,13 +344,13 @@
     case 0:
     case 1:
         if (nd->is_alive) {
-            stop_node(nd);
+            Sim_StopNode(nd);
         }
         break;
     case 2:
     case 3:
         if (!nd->is_alive) {
-            start_node(nd);
+            Sim_StartNode(nd);
         }
         break;
     case 4:
@@ -381,7 +388,7 @@
         }
         break;
     default:
-        append_patch();
+        Sim_AppendPatch();
         break;
     }
 }
@@ -434,7 +441,7 @@
     for (unsigned i = 0; i < nodes; i++) {
         sim.node[i].index = i;
         sim.node[i].domain = i % SIM_DOMAINS;
-        start_node(&sim.node[i]);
+        Sim_StartNode(&sim.node[i]);
     }
 }
 
@@ -443,7 +450,7 @@
 {
     for (unsigned i = 0; i < sim.nodes; i++) {
         if (sim.node[i].is_alive) {
-            stop_node(&sim.node[i]);
+            Sim_StopNode(&sim.node[i]);
         }
     }
     sim.is_log_down = true;
@@ -463,99 +470,22 @@
 static void
 run_faults(void)
 {
-    run_for(3 * JD_US_PER_S);
+    Sim_RunFor(3 * JD_US_PER_S);
     while (sim.now < FAULTS_S * JD_US_PER_S && sim.failure == NULL) {
         disturb();
-        run_for(below(600 * JD_US_PER_MS));
+        Sim_RunFor(below(600 * JD_US_PER_MS));
     }
     heal_all();
     if (sim.failure == NULL) {
-        run_for(HEALED_S * JD_US_PER_S);
+        Sim_RunFor(HEALED_S * JD_US_PER_S);
         check_end();
     }
     if (sim.failure == NULL) {
-        run_for(ONE_TREE_S * JD_US_PER_S);
+        Sim_RunFor(ONE_TREE_S * JD_US_PER_S);
         check_one_tree();
     }
 }
 
-/* ---- a loss of power at all machines ----------------------------------- */
-
-static void
-darken_heads(void)
-{
-    unsigned left = COLD_DARK;
-
-    for (unsigned i = 0; i < sim.nodes && left > 0; i++) {
-        SimNode *nd = &sim.node[i];
-
-        if (nd->tree.head_rank != 0) {
-            stop_node(nd);
-            nd->is_dark = true;
-            left--;
-        }
-    }
-}
-
-static void
-restart_lit(void)
-{
-    for (unsigned i = 0; i < sim.nodes; i++) {
-        if (sim.node[i].is_alive) {
-            stop_node(&sim.node[i]);
-        }
-    }
-    for (unsigned i = 0; i < sim.nodes; i++) {
-        if (!sim.node[i].is_dark) {
-            start_node(&sim.node[i]);
-        }
-    }
-}
-
-static void
-check_heads(void)
-{
-    for (unsigned i = 0; i < sim.nodes; i++) {
-        if (!is_wide(&sim.node[i]) && sim.node[i].tree.head_rank != 0) {
-            Sim_Fail(&sim.node[i], "a node with a narrow link became a head");
-        }
-    }
-}
-
-static bool
-is_all_ready(void)
-{
-    for (unsigned i = 0; i < sim.nodes; i++) {
-        if (!sim.node[i].is_dark && !sim.node[i].tree.is_ready) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static void
-run_cold(void)
-{
-    uint64_t start;
-
-    append_patch();
-    run_for(6 * JD_US_PER_S);
-    check_heads();
-    darken_heads();
-    run_for(500 * JD_US_PER_MS);
-    restart_lit();
-    start = sim.now;
-    while (sim.failure == NULL && !is_all_ready()) {
-        if (sim.now - start > COLD_READY) {
-            Sim_Fail(NULL, "a node is not ready in time after the start");
-        }
-        step();
-    }
-    if (is_verbose) {
-        printf("ready after %.3f s\n", (double)(sim.now - start) / 1e6);
-    }
-}
-
 static bool
 run(uint64_t seed, unsigned nodes)
 {
@@ -564,7 +494,7 @@
 
     init_run(seed, nodes);
     if (is_cold) {
-        run_cold();
+        SimCold_Run();
     }
     else {
         run_faults();
--- a/regress/sim/sim.h
+++ b/regress/sim/sim.h
@@ -112,7 +112,17 @@
 void SimLog_ReadLog(void *ctx, bool on);
 extern const JdReaderOps sim_reader_ops;
 
+/* cold.c: a loss of power at all machines */
+void SimCold_Run(void);
+
 /* sim.c */
+bool Sim_IsVerbose(void);
+bool Sim_IsWide(const SimNode *nd);
+void Sim_StartNode(SimNode *nd);
+void Sim_StopNode(SimNode *nd);
+void Sim_AppendPatch(void);
+void Sim_Step(void);
+void Sim_RunFor(uint64_t us);
 void Sim_Fail(const SimNode *node, const char *text);
 
 #endif
