A long answer of the store may take its time while bytes come

Found by reading, after the narrow links: a read of the newest document had 900 ms in all. On a link of 7 Mbit/s that is a document of 590 KB with nothing else on the link; above that a node could never read it, whatever it tried. A request that waits for the start of its node is out of the list while it is looked at, since an answer may end a connection with others that wait. Test: unit/http, slow answer (red without the change), stuck answer.

--- a/base/base.h
+++ b/base/base.h
@@ -142,7 +142,9 @@
     const char *headers; /* complete lines that end in CRLF, or NULL */
     const void *body;
     size_t len;
-    uint64_t timeout;      /* us */
+    uint64_t timeout; /* us */
+    uint64_t quiet;   /* us that may pass between two reads of an answer that
+                       * has begun; 0: all of it comes within the timeout */
     const char *echo_name; /* header in which the server repeats `echo` */
     const char *echo;      /* NULL: not checked */
 } JdHttpRequest;
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -20,6 +20,9 @@
 /* Time before the server's own limit at which a connection is given up. */
 #define IDLE_MARGIN (500 * JD_US_PER_MS)
 #define STATUS_INFORMATIONAL_MOST 199
+/* An answer that goes on for more than this many times the quiet time that its
+ * request allows is given up. */
+#define QUIET_TIMES 10
 
 /* One connection; it carries one call at a time. */
 typedef struct Conn {
@@ -36,6 +39,8 @@
     TAILQ_ENTRY(JdHttpCall) link; /* waits for a connection */
     JdHttpc *httpc;
     Conn *conn;
+    uint64_t quiet; /* as in the request */
+    uint64_t until; /* time after which progress no longer counts */
     JdTimer timer;
     JdHttpDone done;
     void *ctx;
@@ -374,6 +379,17 @@
     }
 }
 
+/* Bytes of an answer came: it has more time where the request allows that. */
+static void
+note_progress(JdHttpCall *call)
+{
+    JdClock *clk = &call->httpc->loop->clock;
+
+    if (call->quiet > 0 && JdClock_Now(clk) < call->until) {
+        JdTimer_Arm(clk, &call->timer, call->quiet);
+    }
+}
+
 static void
 on_read(h2o_socket_t *sock, const char *err)
 {
@@ -385,6 +401,7 @@
         return;
     }
     if (err == NULL) {
+        note_progress(cn->call);
         take_input(cn);
     }
     else if (err == h2o_socket_error_closed) {
@@ -540,6 +557,9 @@
     }
     JdTimer_Init(&call->timer, on_timeout, call);
     JdTimer_Arm(&hc->loop->clock, &call->timer, rq->timeout);
+    call->quiet = rq->quiet;
+    call->until =
+        JdClock_Now(&hc->loop->clock) + rq->timeout + rq->quiet * QUIET_TIMES;
     if (hc->open >= hc->most && TAILQ_EMPTY(&hc->idle)) {
         call->is_waiting = true;
         TAILQ_INSERT_TAIL(&hc->waiting, call, link);
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -213,7 +213,7 @@
         (reason == JD_REASON_NONE &&
          !JdChooser_HasTarget(&nd->chooser, ask->route.endpoint_set));
 
-    if (!is_early || nd->is_draining || nd->waiting_count > WAITING_MOST ||
+    if (!is_early || nd->is_draining || nd->waiting_count >= WAITING_MOST ||
         !read_timeout(nd->dialect, req, &timeout)) {
         return false;
     }
--- a/caller/waiting.c
+++ b/caller/waiting.c
@@ -13,12 +13,19 @@
 };
 
 static void
-free_waiting(JdWaiting *wt)
+insert(JdWaiting *wt)
+{
+    TAILQ_INSERT_TAIL(&wt->node->waiting, wt, link);
+    wt->node->waiting_count++;
+    JdTimer_Arm(&wt->node->loop.clock, &wt->timer, LOOK_EVERY);
+}
+
+static void
+remove_waiting(JdWaiting *wt)
 {
     JdTimer_Cancel(&wt->node->loop.clock, &wt->timer);
     TAILQ_REMOVE(&wt->node->waiting, wt, link);
     wt->node->waiting_count--;
-    g_free(wt);
 }
 
 static void
@@ -26,11 +33,14 @@
 {
     JdWaiting *wt = ctx;
 
+    /* Out of the list first: an answer may end its connection, and with it
+     * other requests that wait. */
+    remove_waiting(wt);
     if (JdIntake_Take(wt->node, wt->req, wt->arrived)) {
-        free_waiting(wt);
+        g_free(wt);
     }
     else {
-        JdTimer_Arm(&wt->node->loop.clock, &wt->timer, LOOK_EVERY);
+        insert(wt);
     }
 }
 
@@ -44,10 +54,8 @@
     wt->req = req;
     wt->arrived = arrived;
     JdTimer_Init(&wt->timer, on_look, wt);
-    TAILQ_INSERT_TAIL(&nd->waiting, wt, link);
-    nd->waiting_count++;
     nd->counters.value[JD_C_WAITED]++;
-    JdTimer_Arm(&nd->loop.clock, &wt->timer, LOOK_EVERY);
+    insert(wt);
 }
 
 /* The caller of a request left.  Returns false where it does not wait. */
@@ -60,7 +68,8 @@
     {
         if (wt->req == req) {
             nd->counters.value[JD_C_R_CANCELLED]++;
-            free_waiting(wt);
+            remove_waiting(wt);
+            g_free(wt);
             return true;
         }
     }
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -21,6 +21,9 @@
 /* Timeout of a call, and the most that a step waits for what must come. */
 #define TIMEOUT (3 * JD_US_PER_S)
 #define SHORT_TIMEOUT (50 * JD_US_PER_MS)
+/* Of an answer that comes in parts, far enough apart to last longer. */
+#define PARTS_TIMEOUT (600 * JD_US_PER_MS)
+#define PARTS 8
 #define LARGE (8U << 20)
 
 static JdLoop loop;
@@ -330,6 +333,56 @@
     JdHttpc_Finish(&client);
 }
 
+/* A long answer may take longer than its timeout while bytes come. */
+static void
+test_slow_answer(void)
+{
+    JdHttpRequest rq = {.method = "GET",
+                        .path = "/",
+                        .timeout = PARTS_TIMEOUT,
+                        .quiet = PARTS_TIMEOUT};
+    uint64_t begin;
+    Result a = {0};
+    int fd;
+
+    start_client();
+    JdHttpc_Send(&client, &rq, on_done, &a);
+    fd = take_connection();
+    begin = JdClock_Now(&loop.clock);
+    say(fd, "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n");
+    for (int i = 0; i < PARTS; i++) {
+        usleep(PARTS_TIMEOUT / 6);
+        say(fd, "x");
+    }
+    CU_ASSERT_TRUE(JdClock_Now(&loop.clock) - begin > PARTS_TIMEOUT);
+    run_until(&a.count, 1);
+    CU_ASSERT_EQUAL(a.end, JD_HTTP_ANSWERED);
+    CU_ASSERT_STRING_EQUAL(a.body, "xxxxxxxx");
+    close(fd);
+    end_client();
+}
+
+/* One that stops on the way is given up. */
+static void
+test_stuck_answer(void)
+{
+    JdHttpRequest rq = {.method = "GET",
+                        .path = "/",
+                        .timeout = SHORT_TIMEOUT,
+                        .quiet = SHORT_TIMEOUT};
+    Result a = {0};
+    int fd;
+
+    start_client();
+    JdHttpc_Send(&client, &rq, on_done, &a);
+    fd = take_connection();
+    say(fd, "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nx");
+    run_until(&a.count, 1);
+    CU_ASSERT_EQUAL(a.end, JD_HTTP_TIMED_OUT);
+    close(fd);
+    end_client();
+}
+
 /* ---- the server -------------------------------------------------------- */
 
 static JdServer server;
@@ -555,6 +608,8 @@
     CU_add_test(s, "spoiled", test_spoiled);
     CU_add_test(s, "early answer", test_early_answer);
     CU_add_test(s, "silence", test_silence);
+    CU_add_test(s, "slow answer", test_slow_answer);
+    CU_add_test(s, "stuck answer", test_stuck_answer);
     CU_add_test(s, "pipeline", test_pipeline);
     CU_add_test(s, "caller leaves", test_caller_leaves);
     CU_add_test(s, "bodies", test_bodies);
