--- a/regress/e2e/platform.sh
+++ b/regress/e2e/platform.sh
@@ -49,6 +49,17 @@
 	fleet_sum "$2" "$1"
 }
 
+# All nodes lose what they hold and start at once.
+p_restart_all() {
+	local n
+	for n in 1-1 1-2 3-1 3-2; do
+		fleet_kill $n
+	done
+	for n in 1-1 1-2 3-1 3-2; do
+		fleet_start_node ${n%-*} ${n#*-}
+	done
+}
+
 p_start_store || die "store"
 for n in 1-1:kiln 1-2:ops 3-1:kiln 3-2:ops; do
 	s=${n#*:} n=${n%:*}
@@ -167,21 +178,11 @@
 say "it ended"
 fleet_start_node 1 2
 fleet_until 200 p_ready 1-2 || die "1-2 is not back"
-for n in 1-1 1-2 3-1 3-2; do
-	fleet_kill $n
-done
-for n in 1-1 1-2 3-1 3-2; do
-	fleet_start_node ${n%-*} ${n#*-}
-done
+p_restart_all
 fleet_until 200 p_all_ready || die "not ready after all were killed"
 fleet_until 100 p_answers 1-2 /kiln/1 fourth || die "no answer after that"
 say "all killed and back"
-for n in 1-1 1-2 3-1 3-2; do
-	fleet_kill $n
-done
-for n in 1-1 1-2 3-1 3-2; do
-	fleet_start_node ${n%-*} ${n#*-}
-done
+p_restart_all
 reached() { # D-I
 	curl -s -m 5 -o "$FLEET_DIR/body" -H 'Host: shop.example' \
 	    "http://127.$FLEET_NET.${1%-*}.${1#*-}:8000/kiln/1"
