--- a/node/node.h
+++ b/node/node.h
@@ -167,7 +167,7 @@
 void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
 void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdWorker_ConnClosed(JdNode *nd, const JdConn *origin);
-unsigned JdWorker_RepeatShare(const JdNode *nd);
+unsigned JdWorker_RetryShare(const JdNode *nd);
 
 /* targets/presence.c: whether the target beside this node takes work */
 void JdPresence_Init(JdNode *nd);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -352,7 +352,7 @@
     uint64_t wanted = call->started + call->route.latency;
     JdTry *tr = &call->tries[call->try_count];
 
-    call->msg->repeat = call->sends + call->active > 0;
+    call->msg->retry = call->sends + call->active > 0;
     tr->call = call;
     tr->id = ++nd->next_call;
     tr->is_active = true;
@@ -496,7 +496,7 @@
 {
     return strcmp(service, nd->settings.service) == 0
                ? 0
-               : JdWorker_RepeatShare(nd);
+               : JdWorker_RetryShare(nd);
 }
 
 static void
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1878,12 +1878,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "repeat",
+    "retry",
     18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Jd__Request, repeat),
+    offsetof(Jd__Request, retry),
     NULL,
     NULL,
     0,             /* flags */
@@ -1905,8 +1905,8 @@
   10,   /* field[10] = once */
   3,   /* field[3] = path */
   7,   /* field[7] = priority */
-  17,   /* field[17] = repeat */
   11,   /* field[11] = request_id */
+  17,   /* field[17] = retry */
   16,   /* field[16] = route */
   1,   /* field[1] = service */
 };
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -311,7 +311,7 @@
   /*
    * a target may have got it before
    */
-  protobuf_c_boolean repeat;
+  protobuf_c_boolean retry;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -589,17 +589,17 @@
 /* Returns the share of retries among what runs at the target, in percent: as
  * many of the calls that the target makes are retries as well. */
 unsigned
-JdWorker_RepeatShare(const JdNode *nd)
+JdWorker_RetryShare(const JdNode *nd)
 {
-    unsigned running = 0, repeats = 0;
+    unsigned running = 0, retries = 0;
     const JdItem *it;
 
     TAILQ_FOREACH(it, &nd->items, link)
     {
         running += it->work.is_running;
-        repeats += it->work.is_running && it->msg->repeat;
+        retries += it->work.is_running && it->msg->retry;
     }
-    return running == 0 ? 0 : repeats * 100 / running;
+    return running == 0 ? 0 : retries * 100 / running;
 }
 
 /* Initializes admission and the client of the target, if there is one. */
