Follow a store that is restored from an older copy

Cause: the store may come back from a copy some seconds old, with offsets that are assigned again and a header that counts its copies. The follower took its position for valid, so that a version written at an offset that it had read already was missed until the next one; heads that do not read the store never learned that their directory record was gone, and would have registered again after 600 s.

A position is valid in its epoch only; a rank has the epoch before the offset; parents pass the epoch on, a head registers again in a new one, and an append answered from an earlier epoch is repeated. The fake store learns to copy itself and to return to the copy. The functions of e2e/platform that a second test needs move beside the fakes.

The product's own log has no epoch yet.

--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -54,6 +54,7 @@
     JD_ERR_OLDER_VERSION,    /* not newer than the current version */
     JD_ERR_HISTORY_GAP,      /* history between two versions is missing */
     JD_ERR_LOG_EXPIRED,      /* the log has expired the records to be read */
+    JD_ERR_EPOCH_CHANGED,    /* the source was restored during the read */
     JD_ERR_UNREACHABLE,      /* no connection, or no answer in time */
     JD_ERR_REFUSED,          /* the peer refused */
     JD_ERR_UNKNOWN_RESULT,   /* unknown whether the operation took effect */
--- a/include/jacinthdyke_reader.h
+++ b/include/jacinthdyke_reader.h
@@ -25,6 +25,8 @@
 typedef struct JdLogAnswer {
     /* JD_OK, JD_ERR_LOG_EXPIRED or JD_ERR_UNREACHABLE */
     JdStatus status;
+    uint64_t epoch;        /* rises when the log is restored from an older
+                              copy; 0: the log has none */
     uint64_t first_offset; /* oldest offset still stored */
     uint64_t next_offset;  /* offset that the next append will get */
     const JdRecord *record;
@@ -92,6 +94,8 @@
 /* The result of one read of the document. */
 typedef struct JdDocAnswer {
     JdStatus status; /* JD_OK, JD_ERR_LOG_EXPIRED, or why the read failed */
+    uint64_t epoch;  /* rises when the store is restored from an older
+                        copy; 0: the store has none */
     uint64_t next_position; /* position to read on from; never 0 with JD_OK */
     bool is_changed;        /* the answer contains a document */
     uint64_t version;
@@ -124,6 +128,7 @@
     void *ctx;
     JdTimer timer;
     uint64_t token; /* of the last read; results of others are ignored */
+    uint64_t epoch; /* of the store, to which the position belongs */
     uint64_t next_position; /* position to read on from; 0: read the newest */
     uint64_t read_sent_at;  /* time of the last read */
     unsigned failures;      /* consecutive failed reads */
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -244,6 +244,11 @@
     JdMemberState state; /* announced for this node and its target */
     uint64_t seq;
     uint64_t head_rank;
+    /* Highest epoch of the source that this node knows.  It rises when the
+       source is restored from an older copy, which lacks newer records. */
+    uint64_t source_epoch;
+    uint64_t registering_epoch; /* source_epoch when the append was sent */
+    uint64_t registered_epoch;  /* epoch that has this node's record */
     /* The directory lists an earlier process of this node as a head. */
     bool was_head;
     bool is_registering; /* an append to the directory is in flight */
@@ -314,7 +319,9 @@
 void JdTree_Closed(JdTree *tr, void *peer);
 void JdTree_HandleFrame(JdTree *tr, void *peer, const Jd__Frame *frame);
 void JdTree_DirectoryRead(JdTree *tr, const JdLogAnswer *ans);
-void JdTree_HeadRegistered(JdTree *tr, JdStatus status, uint64_t offset);
+void JdTree_HeadRegistered(JdTree *tr, JdStatus status, uint64_t epoch,
+                           uint64_t offset);
+void JdTree_SourceEpoch(JdTree *tr, uint64_t epoch);
 void JdTree_LogAnswered(JdTree *tr, bool caught_up);
 void JdTree_VersionApplied(JdTree *tr);
 void JdTree_Report(const JdTree *tr, JdTreeReport *out);
--- a/lib/config/follower.c
+++ b/lib/config/follower.c
@@ -3,6 +3,11 @@
  * key.  The author of the document numbers the versions, so numbers may be
  * skipped.  A document that cannot be parsed or is invalid is rejected and the
  * current version is kept.
+ *
+ * The store may be restored from an older copy, which starts a new epoch and
+ * assigns positions again.  A position is therefore valid only in the epoch in
+ * which it was read.  The version in force is kept until the store has a newer
+ * one.
  */
 #include <string.h>
 
@@ -103,6 +108,16 @@
     }
 }
 
+/* Schedules the next read, READ_INTERVAL after the start of the last one. */
+static void
+schedule_read(JdFollower *fl)
+{
+    uint64_t now = JdClock_Now(fl->clock);
+    uint64_t at = fl->read_sent_at + READ_INTERVAL;
+
+    JdTimer_Arm(fl->clock, &fl->timer, at > now ? at - now : 0);
+}
+
 /*
  * Handles the result of the read with this token.  Results of any read but the
  * last are ignored.
@@ -110,8 +125,7 @@
 void
 JdFollower_HandleAnswer(JdFollower *fl, uint64_t token, const JdDocAnswer *ans)
 {
-    uint64_t now = JdClock_Now(fl->clock);
-    uint64_t next_read_at = fl->read_sent_at + READ_INTERVAL;
+    bool is_position_stale = fl->next_position != 0 && ans->epoch != fl->epoch;
 
     if (!fl->is_running || token != fl->token) {
         return;
@@ -120,8 +134,7 @@
         /* Only intermediate documents have expired; the newest remains. */
         fl->store->counters->value[JD_C_LOG_EXPIRED]++;
         fl->next_position = 0;
-        JdTimer_Arm(fl->clock, &fl->timer,
-                    next_read_at > now ? next_read_at - now : 0);
+        schedule_read(fl);
         return;
     }
     if (ans->status != JD_OK) {
@@ -130,10 +143,11 @@
         return;
     }
     fl->failures = 0;
-    fl->next_position = ans->next_position;
+    fl->epoch = ans->epoch;
+    /* After a restore, documents before the position read from may be new. */
+    fl->next_position = is_position_stale ? 0 : ans->next_position;
     if (ans->is_changed) {
         install(fl, ans);
     }
-    JdTimer_Arm(fl->clock, &fl->timer,
-                next_read_at > now ? next_read_at - now : 0);
+    schedule_read(fl);
 }
--- a/lib/tree/child.c
+++ b/lib/tree/child.c
@@ -94,6 +94,7 @@
     msg.bucket = tr->members.bucket_digest;
     msg.ready = tr->is_ready;
     msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
+    msg.source_epoch = tr->source_epoch;
     msg.root_admin = (char *)_JdTree_RootAdmin(tr);
     frame.body_case = JD__FRAME__BODY_ACCEPT;
     frame.accept = &msg;
--- a/lib/tree/head.c
+++ b/lib/tree/head.c
@@ -25,6 +25,20 @@
 /* Time that a root waits for a head in the directory to become a member before
  * it removes the entry. */
 #define DEREGISTER_UNSEEN_DELAY (30 * JD_US_PER_S)
+/* Bits of a rank for the offset and, above them, for the epoch.  Candidates
+ * are sorted by 56 bits of the rank. */
+#define RANK_OFFSET_BITS 32
+#define RANK_EPOCH_MASK 0xffffffU
+
+/*
+ * Returns the rank of a head from the position of its first directory record.
+ * Offsets are assigned again after a restore, so the epoch comes first.
+ */
+static uint64_t
+make_rank(uint64_t epoch, uint64_t offset)
+{
+    return (epoch & RANK_EPOCH_MASK) << RANK_OFFSET_BITS | (offset + 1);
+}
 
 static uint64_t
 config_read_time(const JdTree *tr)
@@ -69,6 +83,7 @@
         return;
     }
     tr->is_registering = true;
+    tr->registering_epoch = tr->source_epoch;
     tr->register_sent_at = JdClock_Now(tr->clock);
     tr->ops->register_head(tr->ctx);
 }
@@ -82,15 +97,53 @@
     }
 }
 
-/* Handles the result of the directory append, whose offset gives the rank. */
+/* Registers this head again if a restore of the source may have removed its
+ * record. */
+static void
+restore_registration(JdTree *tr)
+{
+    if (tr->head_rank != 0 && tr->registered_epoch < tr->source_epoch) {
+        register_self(tr);
+    }
+}
+
+/*
+ * Records an epoch of the source that an answer or the parent names.  Records
+ * of earlier epochs may be gone or, if they were removed, be back: a head
+ * registers again, and a root reads the directory again.
+ */
+void
+JdTree_SourceEpoch(JdTree *tr, uint64_t epoch)
+{
+    if (epoch <= tr->source_epoch) {
+        return;
+    }
+    tr->source_epoch = epoch;
+    _JdTree_SendPathToChildren(tr);
+    restore_registration(tr);
+    if (tr->is_root) {
+        tr->ops->read_directory(tr->ctx);
+    }
+}
+
+/* Handles the result of the directory append.  Its position gives the rank of
+ * a new head. */
 void
-JdTree_HeadRegistered(JdTree *tr, JdStatus status, uint64_t offset)
+JdTree_HeadRegistered(JdTree *tr, JdStatus status, uint64_t epoch,
+                      uint64_t offset)
 {
     tr->is_registering = false;
-    if (status != JD_OK || tr->head_rank != 0) {
+    if (status != JD_OK) {
+        return;
+    }
+    /* An append that was sent after a restore is in the restored source. */
+    tr->registered_epoch =
+        epoch > tr->registering_epoch ? epoch : tr->registering_epoch;
+    if (tr->head_rank != 0) {
+        restore_registration(tr);
         return;
     }
-    tr->head_rank = offset + 1;
+    tr->head_rank = make_rank(epoch, offset);
     tr->counters->value[JD_C_PROMOTIONS]++;
     _JdTree_AnnounceSelf(tr);
     _JdTree_AbortJoin(tr);
@@ -142,7 +195,7 @@
 }
 
 static void
-add_directory_record(JdTree *tr, const JdRecord *rec)
+add_directory_record(JdTree *tr, const JdRecord *rec, uint64_t epoch)
 {
     const char *id, *region, *domain, *peer;
     json_int_t incarnation, rank;
@@ -161,7 +214,7 @@
         _Jd_CopyText(de.domain, sizeof(de.domain), domain);
         _Jd_CopyText(de.address, sizeof(de.address), peer);
         de.incarnation = (uint64_t)incarnation;
-        de.rank = rank > 0 ? (uint64_t)rank : rec->offset + 1;
+        de.rank = rank > 0 ? (uint64_t)rank : make_rank(epoch, rec->offset);
         if (strcmp(id, tr->self.id) == 0 &&
             de.incarnation != tr->self.incarnation) {
             tr->was_head = true;
@@ -203,7 +256,7 @@
         tr->directory_len = 0;
     }
     for (size_t i = 0; ans->status == JD_OK && i < ans->record_count; i++) {
-        add_directory_record(tr, &ans->record[i]);
+        add_directory_record(tr, &ans->record[i], ans->epoch);
     }
     tr->is_directory_read = true;
     if (is_promotion && ans->status == JD_OK && tr->head_rank == 0 &&
@@ -371,6 +424,7 @@
         return;
     }
     deregister_stale_entry(tr);
+    restore_registration(tr);
     if (now - tr->register_sent_at > RENEW_INTERVAL) {
         register_self(tr);
     }
--- a/lib/tree/heartbeat.c
+++ b/lib/tree/heartbeat.c
@@ -101,6 +101,7 @@
 
     msg.ready = tr->is_ready;
     msg.source_age_ms = (uint32_t)(JdTree_SourceAge(tr) / JD_US_PER_MS);
+    msg.source_epoch = tr->source_epoch;
     if (with_path) {
         msg.has_path = true;
         msg.n_path = _JdTree_GetPath(tr, path);
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -311,6 +311,7 @@
     tr->parent.is_ready = msg->ready;
     notify_parent_changed(tr, tr->parent.id);
     record_source_age(tr, msg->source_age_ms);
+    JdTree_SourceEpoch(tr, msg->source_epoch);
     if (strcmp(msg->domain, tr->self.domain) == 0) {
         JdTimer_Cancel(tr->clock, &tr->promotion_timer);
     }
@@ -345,6 +346,7 @@
     }
     tr->parent.is_ready = msg->ready;
     record_source_age(tr, msg->source_age_ms);
+    JdTree_SourceEpoch(tr, msg->source_epoch);
     if (!msg->has_path) {
         return;
     }
--- a/log/follow.c
+++ b/log/follow.c
@@ -109,7 +109,7 @@
     bool was_head = nd->tree.head_rank != 0;
 
     (void)at;
-    JdTree_HeadRegistered(&nd->tree, status, offset);
+    JdTree_HeadRegistered(&nd->tree, status, 0, offset);
     if (!was_head && nd->tree.head_rank != 0) {
         JD_LOG(JD_EVENT_HEAD, JD_NUMBER("rank", nd->tree.head_rank));
     }
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1114,7 +1114,7 @@
   (ProtobufCMessageInit) jd__join__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__accept__field_descriptors[7] =
+static const ProtobufCFieldDescriptor jd__accept__field_descriptors[8] =
 {
   {
     "id",
@@ -1200,6 +1200,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "source_epoch",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Accept, source_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__accept__field_indices_by_name[] = {
   3,   /* field[3] = bucket */
@@ -1209,11 +1221,12 @@
   4,   /* field[4] = ready */
   6,   /* field[6] = root_admin */
   5,   /* field[5] = source_age_ms */
+  7,   /* field[7] = source_epoch */
 };
 static const ProtobufCIntRange jd__accept__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor jd__accept__descriptor =
 {
@@ -1223,7 +1236,7 @@
   "Jd__Accept",
   "jd",
   sizeof(Jd__Accept),
-  7,
+  8,
   jd__accept__field_descriptors,
   jd__accept__field_indices_by_name,
   1,  jd__accept__number_ranges,
@@ -1268,7 +1281,7 @@
   (ProtobufCMessageInit) jd__redirect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor jd__beat__field_descriptors[10] =
 {
   {
     "ready",
@@ -1378,6 +1391,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "source_epoch",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Beat, source_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__beat__field_indices_by_name[] = {
   5,   /* field[5] = count */
@@ -1389,11 +1414,12 @@
   0,   /* field[0] = ready */
   4,   /* field[4] = root_admin */
   1,   /* field[1] = source_age_ms */
+  9,   /* field[9] = source_epoch */
 };
 static const ProtobufCIntRange jd__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor jd__beat__descriptor =
 {
@@ -1403,7 +1429,7 @@
   "Jd__Beat",
   "jd",
   sizeof(Jd__Beat),
-  9,
+  10,
   jd__beat__field_descriptors,
   jd__beat__field_indices_by_name,
   1,  jd__beat__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -149,10 +149,14 @@
   protobuf_c_boolean ready;
   uint32_t source_age_ms;
   char *root_admin;
+  /*
+   * as in Beat
+   */
+  uint64_t source_epoch;
 };
 #define JD__ACCEPT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__accept__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -201,10 +205,14 @@
    * the sender has moved to another parent
    */
   protobuf_c_boolean moving;
+  /*
+   * From a parent: highest epoch of the source that it knows.
+   */
+  uint64_t source_epoch;
 };
 #define JD__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__beat__descriptor) \
-    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/regress/sim/fakelog.c
+++ b/regress/sim/fakelog.c
@@ -189,15 +189,15 @@
     uint64_t offset = next_offset(req->stream);
 
     if (sim.is_log_down) {
-        JdTree_HeadRegistered(&req->node->tree, JD_ERR_REFUSED, 0);
+        JdTree_HeadRegistered(&req->node->tree, JD_ERR_REFUSED, 0, 0);
         return;
     }
     SimLog_Append(req->stream, req->record_text);
     if (sim.drops_log_responses) {
-        JdTree_HeadRegistered(&req->node->tree, JD_ERR_UNKNOWN_RESULT, 0);
+        JdTree_HeadRegistered(&req->node->tree, JD_ERR_UNKNOWN_RESULT, 0, 0);
         return;
     }
-    JdTree_HeadRegistered(&req->node->tree, JD_OK, offset);
+    JdTree_HeadRegistered(&req->node->tree, JD_OK, 0, offset);
 }
 
 /*
@@ -232,7 +232,7 @@
             answer_append(req);
         }
         else if (req->record_text != NULL) {
-            JdTree_HeadRegistered(&req->node->tree, JD_ERR_UNREACHABLE, 0);
+            JdTree_HeadRegistered(&req->node->tree, JD_ERR_UNREACHABLE, 0, 0);
         }
         else {
             answer_read(req, sim.is_log_down || is_log_unreachable(req->node)
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -48,3 +48,76 @@
 platform_is_ready() { # D-I
 	fleet_get "http://127.$FLEET_NET.${1%-*}.${1#*-}:8200/ready"
 }
+
+# A configuration with the routes /kiln/ (idempotent) and /order/.
+platform_document() { # VERSION SERVICE [MORE-ROUTES]
+	cat <<EOF
+{"version": $1, "routes": {"r-a": {"hostname": "shop.example",
+ "path_prefix": "/kiln/", "type": "safe", "timeout_s": 1.5,
+ "target_latency_s": 0.4, "priority": 2, "service": "$2", "attempts": 2},
+ "r-b": {"hostname": "shop.example", "path_prefix": "/order/",
+ "type": "unsafe", "timeout_s": 1.5, "target_latency_s": 0.4, "priority": 0,
+ "service": "$2", "attempts": 1}$3}, "services": {"kiln": {
+ "health_check": "/health", "max_connections": 120}, "ops": {
+ "health_check": "/health", "max_connections": 120}}, "limits": {}}
+EOF
+}
+
+platform_all_ready() {
+	local n
+	for n in 1-1 1-2 3-1 3-2; do
+		platform_is_ready $n || return 1
+	done
+}
+
+# Sends a request and prints the response's status, whether it has a server
+# signature and a Retry-After header, the worker that executed it and the
+# calling service.
+platform_request() { # D-I PATH CURL-OPTION...
+	local n=$1 path=$2
+	shift 2
+	curl -s -m 5 -D "$FLEET_DIR/head" -o "$FLEET_DIR/body" \
+	    -H "Host: ${REQUEST_HOST:-shop.example}" \
+	    -H 'Jacinthdyke-Request-Id: q1' "$@" \
+	    "http://127.$FLEET_NET.${n%-*}.${n#*-}:8000$path" ||
+	    echo "curl $?"
+	printf '%s' "$(awk 'NR == 1 { print $2 }' "$FLEET_DIR/head")"
+	tr -d '\r' <"$FLEET_DIR/head" | awk '
+	    tolower($1) == "jacinthdyke-server-signature:" { printf " signed" }
+	    tolower($1) == "retry-after:" { printf " retry-after" }'
+	sed -n 's/.*"worker":"\([^"]*\)","caller":"\([^"]*\)".*/ \1 from \2/p' \
+	    "$FLEET_DIR/body" | tr -d '\n'
+	echo
+}
+
+platform_served_by() { # D-I PATH WORKER-PATTERN
+	platform_request "$1" "$2" | grep -q "^200 .*$3"
+}
+
+platform_metric() { # D-I NAME
+	fleet_sum "$2" "$1"
+}
+
+# Kills all nodes, so that they lose their state, and starts them together.
+platform_restart_all() {
+	local n
+	for n in 1-1 1-2 3-1 3-2; do
+		fleet_kill $n
+	done
+	for n in 1-1 1-2 3-1 3-2; do
+		fleet_start_node ${n%-*} ${n#*-}
+	done
+}
+
+# Starts the store, four nodes in two regions and their workers: "kiln" at 1-1
+# and 3-1, "ops" at 1-2 and 3-2.
+platform_start_fleet() {
+	local n s
+	platform_start_store || return 1
+	for n in 1-1:kiln 1-2:ops 3-1:kiln 3-2:ops; do
+		s=${n#*:} n=${n%:*}
+		platform_write_settings ${n%-*} ${n#*-} $s
+		platform_start_worker ${n%-*} ${n#*-} $s w$n
+		fleet_start_node ${n%-*} ${n#*-}
+	done
+}
--- a/regress/stand/stored.c
+++ b/regress/stand/stored.c
@@ -35,6 +35,7 @@
     char name[JD_NAME_MAX];
     GPtrArray *records;    /* all records, indexed by offset */
     uint64_t first_offset; /* oldest offset that can be read */
+    guint copied_count;    /* records in the copy */
 } Topic;
 
 /* A response that is sent later, or never when the store is silent. */
@@ -56,6 +57,8 @@
     JdTimer check_timer;
     uint64_t calls;      /* of the store's protocol */
     uint64_t extra_wait; /* of reads */
+    uint64_t era;        /* 0: not sent */
+    bool sends_old_era;
     bool is_down;
     bool is_silent;
     bool drops_append_responses;
@@ -103,6 +106,18 @@
     }
 }
 
+static void
+add_era_header(h2o_req_t *req)
+{
+    char text[24];
+
+    if (store.era != 0) {
+        g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT,
+                   store.era - store.sends_old_era);
+        JdHttpd_AddHeader(req, "Store-Era", text);
+    }
+}
+
 static void
 reply_records(const PendingResponse *pr)
 {
@@ -117,6 +132,7 @@
         append_uint(out, rec->len, RECORD_LENGTH_BYTES);
         g_byte_array_append(out, (guint8 *)rec->content, (guint)rec->len);
     }
+    add_era_header(pr->req);
     JdHttpd_Reply(pr->req, 200, "application/octet-stream",
                   (const char *)out->data, out->len);
     g_byte_array_unref(out);
@@ -175,7 +191,8 @@
     uint64_t wait = JdHttpd_QueryNumber(req, "wait_ms", 0) * JD_US_PER_MS;
     PendingResponse *pr;
 
-    if (from_offset < tp->first_offset) {
+    if (from_offset < tp->first_offset || from_offset > tp->records->len) {
+        add_era_header(req);
         JdHttpd_ReplyJson(
             req, 410,
             json_pack("{s:I}", "first", (json_int_t)tp->first_offset));
@@ -274,6 +291,30 @@
     JdHttpd_Reply(req, 200, "text/plain", "ok\n", 3);
 }
 
+static void
+take_copy(void)
+{
+    for (unsigned i = 0; i < store.topic_count; i++) {
+        store.topics[i].copied_count = store.topics[i].records->len;
+    }
+}
+
+/* Returns to the copy.  Reads that wait are answered from it. */
+static void
+restore_copy(void)
+{
+    for (unsigned i = 0; i < store.topic_count; i++) {
+        Topic *tp = &store.topics[i];
+
+        /* The removed records are not freed. */
+        g_ptr_array_set_size(tp->records, (gint)tp->copied_count);
+        if (tp->first_offset > tp->copied_count) {
+            tp->first_offset = tp->copied_count;
+        }
+    }
+    store.era++;
+}
+
 static void
 on_control_request(h2o_req_t *req)
 {
@@ -284,6 +325,15 @@
     store.extra_wait =
         JdHttpd_QueryNumber(req, "slow_ms", store.extra_wait / JD_US_PER_MS) *
         JD_US_PER_MS;
+    store.era = JdHttpd_QueryNumber(req, "era", store.era);
+    store.sends_old_era =
+        JdHttpd_QueryNumber(req, "late", store.sends_old_era) != 0;
+    if (JdHttpd_QueryNumber(req, "copy", 0) != 0) {
+        take_copy();
+    }
+    if (JdHttpd_QueryNumber(req, "restore", 0) != 0) {
+        restore_copy();
+    }
     if (JdHttpd_QueryNumber(req, "forget", 0) != 0) {
         for (unsigned i = 0; i < store.topic_count; i++) {
             store.topics[i].first_offset = store.topics[i].records->len;
@@ -313,6 +363,10 @@
         return;
     }
     store.calls++;
+    /* A read may wait; its response has the era of the time of sending. */
+    if (!JdHttpd_IsPath(req, "/log-read")) {
+        add_era_header(req);
+    }
     if (JdHttpd_CopyQueryParam(req, "topic", name, sizeof(name))) {
         tp = get_topic(name);
     }
@@ -357,6 +411,7 @@
     }
     JdLogging_Init(NAME, NULL);
     JdLoop_Init(&store.loop);
+    store.era = 1;
     TAILQ_INIT(&store.pending);
     JdTimer_Init(&store.check_timer, send_due_responses, NULL);
     JdTimer_Arm(&store.loop.clock, &store.check_timer, CHECK_INTERVAL);
--- a/regress/unit/follower.c
+++ b/regress/unit/follower.c
@@ -10,6 +10,7 @@
 static unsigned reads_after;
 static uint64_t token;
 static uint64_t position;
+static uint64_t epoch; /* of the answers */
 static unsigned installed;
 static unsigned rejected;
 
@@ -59,6 +60,7 @@
 set_up(void)
 {
     reads_newest = reads_after = installed = rejected = 0;
+    epoch = 1;
     memset(&ctr, 0, sizeof(ctr));
     JdClock_Init(&clk, NULL, NULL);
     JdStore_Init(&store, &ctr);
@@ -81,6 +83,7 @@
 answer(uint64_t next, uint64_t version, const char *service)
 {
     JdDocAnswer ans = {.status = JD_OK,
+                       .epoch = epoch,
                        .next_position = next,
                        .is_changed = true,
                        .version = version};
@@ -174,6 +177,53 @@
     tear_down();
 }
 
+/* Answers the outstanding read with no document. */
+static void
+answer_nothing(uint64_t next)
+{
+    JdDocAnswer ans = {.status = JD_OK, .epoch = epoch, .next_position = next};
+
+    JdFollower_HandleAnswer(&follower, token, &ans);
+}
+
+/*
+ * A store that was restored from an older copy assigns positions again, so
+ * that a new document may come before the position that was read.  The newest
+ * document is read again; an older one than the version in force is not
+ * applied.
+ */
+static void
+test_restored(void)
+{
+    set_up();
+    answer(8, 3, "a");
+    JdClock_Advance(&clk, 300 * JD_US_PER_MS);
+    epoch = 2;
+    answer_nothing(8);
+    JdClock_Advance(&clk, 300 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(reads_newest, 2);
+    answer(6, 2, "z");
+    CU_ASSERT_EQUAL(store.config->version, 3);
+    JdClock_Advance(&clk, 300 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(position, 6);
+    /* Two restores; only the second is seen. */
+    epoch = 4;
+    answer(7, 5, "b");
+    CU_ASSERT_EQUAL(store.config->version, 5);
+    JdClock_Advance(&clk, 300 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(reads_newest, 3);
+    /* No epoch is named any more. */
+    answer(7, 5, "b");
+    JdClock_Advance(&clk, 300 * JD_US_PER_MS);
+    epoch = 0;
+    answer(9, 6, "c");
+    CU_ASSERT_EQUAL(store.config->version, 6);
+    JdClock_Advance(&clk, 300 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(reads_newest, 4);
+    CU_ASSERT_EQUAL(rejected, 0);
+    tear_down();
+}
+
 /* Answers to an earlier read or after the follower was stopped are ignored. */
 static void
 test_stale_answer(void)
@@ -201,5 +251,6 @@
     CU_add_test(s, "follow", test_follow);
     CU_add_test(s, "refused", test_refused);
     CU_add_test(s, "expired and unreachable", test_expired_and_unreachable);
+    CU_add_test(s, "restored", test_restored);
     CU_add_test(s, "stale answer", test_stale_answer);
 }
--- a/regress/unit/heads.c
+++ b/regress/unit/heads.c
@@ -1,4 +1,5 @@
-/* The root removes lost and unknown heads from the directory. */
+/* The directory of heads: the root removes lost and unknown heads; heads
+ * register again after the source was restored from an older copy. */
 #include <string.h>
 
 #include <CUnit/Basic.h>
@@ -124,7 +125,7 @@
         }
         if (registrations > 0) {
             registrations = 0;
-            JdTree_HeadRegistered(tr, JD_OK, 7);
+            JdTree_HeadRegistered(tr, JD_OK, 0, 7);
         }
     }
 }
@@ -196,6 +197,76 @@
     JdStore_Finish(&st);
 }
 
+/* Lets the append under way end with this result. */
+static void
+end_registration(JdTree *tr, JdStatus status, uint64_t epoch, uint64_t offset)
+{
+    registrations = 0;
+    JdTree_HeadRegistered(tr, status, epoch, offset);
+}
+
+/*
+ * A head registers again in each new epoch, with the rank that it has, and so
+ * does one whose append was answered before the restore.  A failed append is
+ * repeated; known and lower epochs cause none.
+ */
+static void
+test_restored(void)
+{
+    static JdTree tr;
+    static JdStore st;
+    JdCounters ctr;
+    JdClock clk;
+    uint64_t rank;
+
+    start(&tr, &st, &clk, &ctr);
+    rank = tr.head_rank;
+    JdTree_SourceEpoch(&tr, 2);
+    CU_ASSERT_EQUAL(registrations, 1);
+    CU_ASSERT_TRUE(is_directory_wanted);
+    JdTree_SourceEpoch(&tr, 3);
+    CU_ASSERT_EQUAL(registrations, 1);
+    end_registration(&tr, JD_OK, 2, 0);
+    CU_ASSERT_EQUAL(registrations, 1);
+    end_registration(&tr, JD_ERR_UNKNOWN_RESULT, 0, 0);
+    CU_ASSERT_EQUAL(registrations, 0);
+    JdClock_Advance(&clk, 2 * JD_US_PER_S);
+    CU_ASSERT_EQUAL(registrations, 1);
+    end_registration(&tr, JD_OK, 3, 0);
+    JdTree_SourceEpoch(&tr, 3);
+    JdTree_SourceEpoch(&tr, 1);
+    JdClock_Advance(&clk, 2 * JD_US_PER_S);
+    CU_ASSERT_EQUAL(registrations, 0);
+    CU_ASSERT_EQUAL(tr.head_rank, rank);
+    JdTree_Finish(&tr);
+    JdStore_Finish(&st);
+}
+
+/* A head of a later epoch ranks after those of earlier ones, whose offsets may
+ * be higher. */
+static void
+test_rank_of_epoch(void)
+{
+    static JdTree tr;
+    static JdStore st;
+    JdRecord rec = {.offset = 9, .text = other, .len = strlen(other)};
+    JdLogAnswer ans = {
+        .status = JD_OK, .epoch = 4, .record = &rec, .record_count = 1};
+    JdCounters ctr;
+    JdClock clk;
+    uint64_t rank;
+
+    start(&tr, &st, &clk, &ctr);
+    JdTree_DirectoryRead(&tr, &ans);
+    rank = tr.directory[0].rank;
+    ans.epoch = 5;
+    rec.offset = 2;
+    JdTree_DirectoryRead(&tr, &ans);
+    CU_ASSERT_TRUE(tr.directory[0].rank > rank);
+    JdTree_Finish(&tr);
+    JdStore_Finish(&st);
+}
+
 void
 Unit_AddHeads(void)
 {
@@ -203,4 +274,6 @@
 
     CU_add_test(s, "lost", test_lost);
     CU_add_test(s, "unseen", test_unseen);
+    CU_add_test(s, "restored", test_restored);
+    CU_add_test(s, "rank of epoch", test_rank_of_epoch);
 }
