Let the target of a stopping node go on working

Change: the drain is announced 0.7 s before the linger time ends; work that might not finish before the exit is refused as not run; callers' connections are accepted until the target has finished, as its work makes calls of its own. A slow start follows the target's process, not its node's.

Before: e2e/platform (worker of a stopping node) and parts/restarts (share of a restarted node's target 10%) red. After: both pass.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -262,6 +262,8 @@
 typedef struct JdTargetStats {
     uint64_t incarnation;
     uint64_t target_started;
+    uint64_t process_started; /* last known target_started, 0: none */
+    uint64_t process_seen_at; /* time at which that process was first seen */
     /* beginning of the slow start; in the future while ejected */
     uint64_t slow_start_at;
     uint64_t ejected_until;
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -59,8 +59,32 @@
     return tier < JD_TIER_MAX ? tier_names[tier] : "none";
 }
 
-/* Returns the statistics of a member's target, which are reset when the node
- * or the target process has restarted. */
+/*
+ * Resets the statistics of a target whose node or process has restarted.  A
+ * new process begins a slow start.  A process that was running before its node
+ * restarted is warm, and continues where it was.  While the node has not heard
+ * of its target, its member names no process.
+ */
+static void
+reset_stats(const JdBalancer *lb, JdTargetStats *ts, const JdMember *mb)
+{
+    uint64_t process = ts->process_started;
+    uint64_t seen_at = ts->process_seen_at;
+
+    memset(ts, 0, sizeof(*ts));
+    ts->incarnation = mb->incarnation;
+    ts->target_started = mb->target_started;
+    ts->process_started = process;
+    ts->process_seen_at = seen_at;
+    if (process == 0 ||
+        (mb->target_started != 0 && mb->target_started != process)) {
+        ts->process_started = mb->target_started;
+        ts->process_seen_at = JdClock_Now(lb->clock);
+    }
+    ts->slow_start_at = ts->process_seen_at;
+}
+
+/* Returns the statistics of a member's target. */
 JdTargetStats *
 _JdBalancer_TargetStats(const JdBalancer *lb, JdMember *mb)
 {
@@ -72,10 +96,7 @@
     }
     if (ts->incarnation != mb->incarnation ||
         ts->target_started != mb->target_started) {
-        memset(ts, 0, sizeof(*ts));
-        ts->incarnation = mb->incarnation;
-        ts->target_started = mb->target_started;
-        ts->slow_start_at = JdClock_Now(lb->clock);
+        reset_stats(lb, ts, mb);
     }
     return ts;
 }
--- a/node/drain.c
+++ b/node/drain.c
@@ -1,8 +1,11 @@
 /*
- * Graceful shutdown.  A draining node announces its state and goes on
- * accepting requests and connections for the linger time, since callers learn
- * of the drain late.  Then it refuses new requests as not run, finishes those
- * in progress and exits.
+ * Graceful shutdown.  A draining node goes on accepting requests and
+ * connections for the linger time, since callers learn of the drain late.  Its
+ * target goes on working for the other nodes, which are told of the drain only
+ * shortly before the end of that time.  Then the target gets no new work. Once
+ * it has finished, the node stops accepting requests, since the target may
+ * call other services for the work that it has left.  The node finishes the
+ * calls in progress and exits.
  */
 #include <signal.h>
 
@@ -10,6 +13,12 @@
 
 /* Interval of the checks whether a drain is complete. */
 #define CHECK_INTERVAL (20 * JD_US_PER_MS)
+/* Time before the end of the linger time at which other nodes are told, so
+ * that they have stopped sending when requests are refused. */
+#define ANNOUNCE_LEAD (700 * JD_US_PER_MS)
+/* Time before the drain deadline at which the node stops accepting requests
+ * even if its target has work left: the calls in progress need that time. */
+#define FINISH_TIME (1000 * JD_US_PER_MS)
 /* Time for the last announcement to be sent before the process exits. */
 #define ANNOUNCE_TIME (100 * JD_US_PER_MS)
 
@@ -32,17 +41,30 @@
     JdTimer_Arm(&nd->loop.clock, &nd->drain_timer, ANNOUNCE_TIME);
 }
 
+static void
+announce_drain(JdNode *nd)
+{
+    nd->is_drain_announced = true;
+    JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
+}
+
 static void
 check_drain(void *ctx)
 {
     JdNode *nd = ctx;
     uint64_t now = JdClock_Now(&nd->loop.clock);
-    bool is_idle = nd->call_count == 0 && nd->waiting_count == 0 &&
-                   nd->admit.running == 0 && nd->admit.queued == 0;
+    bool is_target_idle = nd->admit.running == 0 && nd->admit.queued == 0;
+    bool is_idle =
+        nd->call_count == 0 && nd->waiting_count == 0 && is_target_idle;
 
+    if (now >= nd->announce_at && !nd->is_drain_announced) {
+        announce_drain(nd);
+    }
     if (now >= nd->linger_until) {
         JdAdmission_Close(&nd->admit);
-        JdServer_StopAccepting(&nd->caller_server);
+        if (is_target_idle || now + FINISH_TIME >= nd->drain_deadline) {
+            JdServer_StopAccepting(&nd->caller_server);
+        }
     }
     if (now >= nd->drain_deadline) {
         if (!is_idle) {
@@ -84,9 +106,11 @@
     JD_LOG(JD_EVENT_DRAINING, JD_NUMBER("signal", signal),
            JD_NUMBER("calls", nd->call_count),
            JD_NUMBER("running", nd->admit.running));
-    JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
     JdServer_CloseAfterResponse(&nd->caller_server);
     nd->linger_until = now + nd->settings.linger_ms * JD_US_PER_MS;
+    nd->announce_at = nd->linger_until - now > ANNOUNCE_LEAD
+                          ? nd->linger_until - ANNOUNCE_LEAD
+                          : now;
     nd->drain_deadline = now + nd->settings.drain_deadline_ms * JD_US_PER_MS;
     JdTimer_Init(&nd->drain_timer, check_drain, nd);
     JdTimer_Arm(&nd->loop.clock, &nd->drain_timer, 0);
--- a/regress/e2e/platform.sh
+++ b/regress/e2e/platform.sh
@@ -125,6 +125,18 @@
 sleep 1.5
 say "with a broken settings file: $(platform_request 1-1 /kiln/1)"
 platform_write_settings 1 1 kiln
+say "# a stopping node"
+fleet_kill 1-1 TERM
+sleep 0.5
+say "its worker goes on: $(platform_request 1-2 /kiln/1)"
+say "ready after SIGTERM:" \
+    "$(platform_is_ready 1-1 >/dev/null && echo yes || echo no)"
+fleet_until 200 platform_served_by 1-2 /kiln/1 w3-1 || die "1-1 still gets work"
+fleet_until 200 fleet_is_gone 1-1 || die "1-1 does not exit"
+fleet_start_node 1 1
+fleet_until 100 platform_served_by 1-2 /kiln/1 fourth ||
+    die "no requests after the restart"
+say "its worker is used again after the restart"
 fleet_kill 1-2 TERM
 say "ready after SIGTERM:" \
     "$(platform_is_ready 1-2 >/dev/null && echo yes || echo no)"
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -140,7 +140,7 @@
                             &script_counters, "near",        "d1"};
 }
 
-/* member set ID REGION DOMAIN STATE SLOTS INCARNATION SEQ */
+/* member set ID REGION DOMAIN STATE SLOTS INCARNATION SEQ [TARGET-STARTED] */
 static void
 run_member(const Line *ln)
 {
@@ -174,6 +174,7 @@
     msg.slots = (uint32_t)strtoul(ln->word[6], NULL, 10);
     msg.incarnation = strtoull(ln->word[7], NULL, 10);
     msg.seq = strtoull(ln->word[8], NULL, 10);
+    msg.target_started = strtoull(ln->word[9], NULL, 10);
     msg.service = msg.endpoint_set = "set";
     printf("%s\n",
            JdMembers_Update(&members, &msg, 0) != NULL ? "news" : "known");
--- a/targets/health.c
+++ b/targets/health.c
@@ -14,7 +14,7 @@
     if (!nd->target_process.is_alive) {
         return JD_MEMBER_DOWN;
     }
-    return nd->target_process.is_draining || nd->is_draining
+    return nd->target_process.is_draining || nd->is_drain_announced
                ? JD_MEMBER_DRAINING
                : JD_MEMBER_READY;
 }
@@ -83,7 +83,7 @@
     bool is_up = ans->result != JD_HTTP_NOT_SENT;
 
     nd->is_probe_pending = false;
-    if (!nd->tree.is_ready || nd->is_draining) {
+    if (!nd->tree.is_ready || nd->is_drain_announced) {
         return;
     }
     if (ans->result == JD_HTTP_COMPLETED && ans->status == 410) {
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -9,6 +9,9 @@
 
 /* Largest response body in bytes: with its headers it must fit in a frame. */
 #define MAX_RESPONSE_BODY (JD_FRAME_MAX - (1U << 20))
+/* A draining node accepts work that would finish before its exit if it took
+ * this multiple of the expected time. */
+#define EXIT_MARGIN_FACTOR 2
 /* Time for the target to notice that a request was cancelled. */
 #define CANCEL_GRACE (100 * JD_US_PER_MS)
 
@@ -447,9 +450,21 @@
     JdClaims_Acquire(&nd->claims, &it->claim, it->msg->key);
 }
 
+/* Returns whether a request is likely to finish before this node exits, if it
+ * is draining. */
+static bool
+fits_before_exit(JdNode *nd, const Jd__Request *msg)
+{
+    uint64_t expected = route_estimate(nd, msg->route)->mean;
+
+    return !nd->is_draining ||
+           JdClock_Now(&nd->loop.clock) + expected * EXIT_MARGIN_FACTOR <=
+               nd->drain_deadline;
+}
+
 /* Checks that the local target serves the request's service and is up. */
 static JdReason
-check_target(const JdNode *nd, const Jd__Request *msg)
+check_target(JdNode *nd, const Jd__Request *msg)
 {
     if (!nd->has_target || strcmp(msg->service, nd->settings.service) != 0) {
         return JD_REASON_NO_TARGET;
@@ -460,6 +475,9 @@
     if (nd->target_sends_heartbeats && nd->target_process.is_draining) {
         return JD_REASON_DRAINING;
     }
+    if (!fits_before_exit(nd, msg)) {
+        return JD_REASON_DRAINING;
+    }
     return JD_REASON_NONE;
 }
 
@@ -486,6 +504,9 @@
         msg->priority < JD_PRIORITIES ? msg->priority : JD_PRIORITIES - 1;
     it->work.deadline =
         JdClock_Now(&nd->loop.clock) + msg->left_ms * JD_US_PER_MS;
+    if (nd->is_draining && it->work.deadline > nd->drain_deadline) {
+        it->work.deadline = nd->drain_deadline;
+    }
     if (msg->latency_ms > 0) {
         it->work.soft_deadline =
             JdClock_Now(&nd->loop.clock) + msg->latency_ms * JD_US_PER_MS;
