Choose from all targets of a tier, however many

Cause: the load balancer considered the first 256 targets of a tier and dropped the others silently, so that in a service with more of them some never got a request. Change: past that number a random sample is considered (reservoir sampling) and the choice is counted. unit/balance: 744 of 1000 targets unused before; none unused, and at most three times the mean, after.

--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -40,7 +40,8 @@
 #define SPILLOVER_PAUSE JD_US_PER_S
 /* Least time left with which a request may spill over to another region. */
 #define SPILLOVER_MIN_TIME (100 * JD_US_PER_MS)
-/* Maximum number of targets of a tier that are considered. */
+/* Maximum number of targets of a tier that are considered for one request; of
+ * more, a random sample is. */
 #define MAX_CANDIDATES 256
 /* Maximum number of draws.  The last target drawn is taken even if it is in
  * its slow start. */
@@ -212,6 +213,7 @@
     JdMember *list[JD_TIER_MAX][MAX_CANDIDATES];
     unsigned count[JD_TIER_MAX];
     unsigned full[JD_TIER_MAX]; /* candidates at full load */
+    unsigned seen[JD_TIER_MAX]; /* members that may be picked */
 } Candidates;
 
 /* Health that a target needs to be picked.  The filters are tried in this
@@ -250,6 +252,39 @@
     return false;
 }
 
+/* Adds a member to the candidates of its tier, by reservoir sampling once
+ * there are too many: each member is as likely to be a candidate as any other.
+ */
+static void
+add_candidate(const JdBalancer *lb, Candidates *out, JdMember *mb)
+{
+    JdTier t = tier_of(lb, mb);
+    uint64_t i;
+
+    out->seen[t]++;
+    if (out->count[t] < MAX_CANDIDATES) {
+        out->list[t][out->count[t]++] = mb;
+        return;
+    }
+    i = JdRandom_Below(lb->random, out->seen[t]);
+    if (i < MAX_CANDIDATES) {
+        out->list[t][i] = mb;
+    }
+}
+
+static void
+count_full(const JdBalancer *lb, Candidates *c)
+{
+    for (int t = 0; t < JD_TIER_MAX; t++) {
+        c->full[t] = 0;
+        for (unsigned i = 0; i < c->count[t]; i++) {
+            c->full[t] +=
+                decayed_load(lb, _JdBalancer_TargetStats(lb, c->list[t][i])) >=
+                FULL_LOAD_PERCENT;
+        }
+    }
+}
+
 static void
 collect_candidates(const JdBalancer *lb, const JdMemberSet *set,
                    const JdExcludedTargets *excluded, HealthFilter filter,
@@ -258,19 +293,18 @@
     JdMember *mb;
 
     memset(out->count, 0, sizeof(out->count));
-    memset(out->full, 0, sizeof(out->full));
+    memset(out->seen, 0, sizeof(out->seen));
     TAILQ_FOREACH(mb, &set->members, set_link)
     {
-        JdTier t = tier_of(lb, mb);
-
-        if (!passes_filter(lb, mb, filter) ||
-            out->count[t] == MAX_CANDIDATES || is_excluded(excluded, mb)) {
-            continue;
+        if (passes_filter(lb, mb, filter) && !is_excluded(excluded, mb)) {
+            add_candidate(lb, out, mb);
         }
-        out->list[t][out->count[t]++] = mb;
-        if (decayed_load(lb, _JdBalancer_TargetStats(lb, mb)) >=
-            FULL_LOAD_PERCENT) {
-            out->full[t]++;
+    }
+    count_full(lb, out);
+    for (int t = 0; t < JD_TIER_MAX; t++) {
+        if (out->seen[t] > out->count[t]) {
+            lb->counters->value[JD_C_CANDIDATES_SAMPLED]++;
+            break;
         }
     }
 }
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -200,6 +200,7 @@
     Unit_AddHttp();
     Unit_AddTarget();
     Unit_AddPlatform();
+    Unit_AddBalance();
     Unit_AddHeads();
     Unit_AddOverload();
     Unit_AddFollower();
