Invite nodes that restart while the source does not answer them

Weighed: seeds (the platform names none); asking only when the source is stale (a store that turns some machines away answers the heads).

Before: e2e/platform red (3-1 not ready while the store is silent).

--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -52,6 +52,7 @@
     bool is_suspect;         /* may be lost; on the list of suspects */
     bool is_orphan;          /* suspect only because its parent was lost */
     uint64_t suspect_at;     /* time at which a suspect is marked lost */
+    uint64_t next_invite_at; /* next invitation, while lost or departed */
     void *user; /* for the embedding program; freed with the member */
 } JdMember;
 
@@ -211,6 +212,14 @@
     unsigned laggard_count;
 } JdChild;
 
+/* A connection over which a node that may have restarted is invited. */
+typedef struct JdInvite {
+    void *peer; /* NULL: free */
+    uint64_t dialed_at;
+} JdInvite;
+
+#define JD_INVITES_MAX 8 /* under way at a time */
+
 /* A node that may become the parent. */
 typedef struct JdCandidate {
     char id[JD_NAME_MAX];
@@ -273,6 +282,7 @@
     JdUplink parent;
     JdUplink join_attempt; /* link to the candidate being joined */
     JdTimer join_timer;
+    JdInvite invite[JD_INVITES_MAX];
     JdCandidate candidate[JD_CANDIDATES_MAX];
     unsigned candidate_count;
     unsigned next_candidate;
--- a/lib/tree/head.c
+++ b/lib/tree/head.c
@@ -311,6 +311,16 @@
     return n;
 }
 
+/* Returns whether this node is the head of its domain with the lowest rank. */
+bool
+_JdTree_IsLowestDomainHead(const JdTree *tr)
+{
+    bool is_lowest;
+
+    count_domain_heads(tr, &is_lowest);
+    return tr->head_rank != 0 && is_lowest;
+}
+
 static bool
 is_promotable(const JdTree *tr, const JdChild *ch)
 {
--- a/lib/tree/libtree.h
+++ b/lib/tree/libtree.h
@@ -30,6 +30,7 @@
 void _JdTree_InitUplinks(JdTree *tr);
 void _JdTree_OnAccept(JdTree *tr, void *peer, const Jd__Accept *msg);
 void _JdTree_OnRedirect(JdTree *tr, void *peer, const Jd__Redirect *msg);
+void _JdTree_OnInvite(JdTree *tr, const Jd__Invite *msg);
 void _JdTree_OnParentHeartbeat(JdTree *tr, void *peer, const Jd__Beat *msg);
 void _JdTree_UplinkClosed(JdTree *tr, void *peer);
 void _JdTree_CheckUplink(JdTree *tr);
@@ -47,8 +48,14 @@
 void _JdTree_SchedulePromotion(JdTree *tr);
 void _JdTree_CheckHeads(JdTree *tr);
 void _JdTree_OnPromote(JdTree *tr);
+bool _JdTree_IsLowestDomainHead(const JdTree *tr);
 void _JdTree_RenewRegistration(JdTree *tr);
 
+/* invite.c */
+void _JdTree_SendInvites(JdTree *tr);
+bool _JdTree_InviteConnected(JdTree *tr, void *peer);
+void _JdTree_InviteClosed(JdTree *tr, void *peer);
+
 /* update.c */
 void _JdTree_InitUpdates(JdTree *tr);
 void _JdTree_AnnounceSelf(JdTree *tr);
--- a/lib/tree/tree.c
+++ b/lib/tree/tree.c
@@ -359,6 +359,7 @@
     _JdTree_CheckUplink(tr);
     _JdTree_UpdateLogReading(tr);
     _JdTree_CheckHeads(tr);
+    _JdTree_SendInvites(tr);
     _JdTree_FlushUpdates(tr);
 }
 
@@ -401,6 +402,9 @@
     case JD__FRAME__BODY_PROMOTE:
         _JdTree_OnPromote(tr);
         break;
+    case JD__FRAME__BODY_INVITE:
+        _JdTree_OnInvite(tr, frame->invite);
+        break;
     default:
         tr->counters->value[JD_C_BAD_FRAME]++;
         break;
@@ -434,5 +438,6 @@
         _JdTree_LoseChild(tr, ch);
         return;
     }
+    _JdTree_InviteClosed(tr, peer);
     _JdTree_UplinkClosed(tr, peer);
 }
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -208,7 +208,7 @@
     Jd__Join msg = JD__JOIN__INIT;
     Jd__Frame frame = JD__FRAME__INIT;
 
-    if (tr->join_attempt.peer != peer) {
+    if (_JdTree_InviteConnected(tr, peer) || tr->join_attempt.peer != peer) {
         return;
     }
     tr->join_attempt.state = JD_LINK_JOINING;
@@ -338,6 +338,29 @@
     try_next_candidate(tr);
 }
 
+/* Handles the offer of a node to be the parent; follows it if this node has no
+ * parent and knows of no other candidate. */
+void
+_JdTree_OnInvite(JdTree *tr, const Jd__Invite *msg)
+{
+    Jd__Redirect list = JD__REDIRECT__INIT;
+    Jd__Candidate *candidate = msg->candidate;
+
+    if (candidate == NULL || tr->is_root || tr->is_leaving ||
+        tr->parent.state == JD_LINK_ATTACHED ||
+        tr->join_attempt.state != JD_LINK_NONE) {
+        return;
+    }
+    JdTimer_Cancel(tr->clock, &tr->search_timer);
+    tr->is_reparenting = false;
+    tr->redirect_count = 0;
+    list.n_candidate = 1;
+    list.candidate = &candidate;
+    _JdTree_BuildCandidates(tr);
+    _JdTree_InsertCandidates(tr, &list);
+    try_next_candidate(tr);
+}
+
 void
 _JdTree_OnParentHeartbeat(JdTree *tr, void *peer, const Jd__Beat *msg)
 {
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Jd__Pull Jd__Pull;
 typedef struct Jd__Members Jd__Members;
 typedef struct Jd__Promote Jd__Promote;
+typedef struct Jd__Invite Jd__Invite;
 typedef struct Jd__Header Jd__Header;
 typedef struct Jd__Request Jd__Request;
 typedef struct Jd__Response Jd__Response;
@@ -281,6 +282,20 @@
      }
 
 
+/*
+ * Names the sender as a parent to a node that may have restarted and be unable
+ * to read the directory.
+ */
+struct  Jd__Invite
+{
+  ProtobufCMessage base;
+  Jd__Candidate *candidate;
+};
+#define JD__INVITE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__invite__descriptor) \
+    , NULL }
+
+
 struct  Jd__Header
 {
   ProtobufCMessage base;
@@ -433,7 +448,8 @@
   JD__FRAME__BODY_REQUEST = 10,
   JD__FRAME__BODY_RESPONSE = 11,
   JD__FRAME__BODY_CANCEL = 12,
-  JD__FRAME__BODY_PING = 13
+  JD__FRAME__BODY_PING = 13,
+  JD__FRAME__BODY_INVITE = 14
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JD__FRAME__BODY__CASE)
 } Jd__Frame__BodyCase;
 
@@ -458,6 +474,7 @@
     Jd__Response *response;
     Jd__Cancel *cancel;
     Jd__Ping *ping;
+    Jd__Invite *invite;
   };
 };
 #define JD__FRAME__INIT \
@@ -655,6 +672,25 @@
 void   jd__promote__free_unpacked
                      (Jd__Promote *message,
                       ProtobufCAllocator *allocator);
+/* Jd__Invite methods */
+void   jd__invite__init
+                     (Jd__Invite         *message);
+size_t jd__invite__get_packed_size
+                     (const Jd__Invite   *message);
+size_t jd__invite__pack
+                     (const Jd__Invite   *message,
+                      uint8_t             *out);
+size_t jd__invite__pack_to_buffer
+                     (const Jd__Invite   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__Invite *
+       jd__invite__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__invite__free_unpacked
+                     (Jd__Invite *message,
+                      ProtobufCAllocator *allocator);
 /* Jd__Header methods */
 void   jd__header__init
                      (Jd__Header         *message);
@@ -801,6 +837,9 @@
 typedef void (*Jd__Promote_Closure)
                  (const Jd__Promote *message,
                   void *closure_data);
+typedef void (*Jd__Invite_Closure)
+                 (const Jd__Invite *message,
+                  void *closure_data);
 typedef void (*Jd__Header_Closure)
                  (const Jd__Header *message,
                   void *closure_data);
@@ -835,6 +874,7 @@
 extern const ProtobufCMessageDescriptor jd__pull__descriptor;
 extern const ProtobufCMessageDescriptor jd__members__descriptor;
 extern const ProtobufCMessageDescriptor jd__promote__descriptor;
+extern const ProtobufCMessageDescriptor jd__invite__descriptor;
 extern const ProtobufCMessageDescriptor jd__header__descriptor;
 extern const ProtobufCMessageDescriptor jd__request__descriptor;
 extern const ProtobufCMessageDescriptor jd__response__descriptor;
--- a/regress/e2e/platform.sh
+++ b/regress/e2e/platform.sh
@@ -56,6 +56,14 @@
 platform_control_store silent=1
 sleep 1
 say "answered while it is silent: $(platform_request 1-2 /kiln/1)"
+fleet_kill 3-1
+fleet_start_node 3 1
+fleet_kill 1-2 TERM
+fleet_until 200 fleet_is_gone 1-2 || die "1-2 does not exit"
+fleet_start_node 1 2
+fleet_until 160 platform_is_ready 3-1 || die "3-1 is not ready"
+fleet_until 160 platform_is_ready 1-2 || die "1-2 is not ready"
+say "nodes that restart meanwhile get ready: $(platform_request 1-2 /kiln/1)"
 platform_control_store silent=0
 platform_control_store down=1
 fleet_kill 3-2
