--- a/regress/unit/balance.c
+++ b/regress/unit/balance.c
@@ -8,8 +8,8 @@
 #include "jacinthdyke.h"
 #include "unit.h"
 
-#define TARGETS 1000
-#define PICKS_PER_TARGET 20
+#define TARGETS 1000U
+#define PICKS_PER_TARGET 20U
 
 static void
 add_targets(JdMembers *ms, unsigned n)
@@ -43,14 +43,14 @@
     JdClock clk;
     JdBalancer lb = {&ms, &clk, &rnd, &ctr, "near", "d1"};
     JdTier tier;
-    unsigned unused = 0, most = 0;
+    unsigned unused = 0, most = 0, picks = TARGETS * PICKS_PER_TARGET;
 
     memset(count, 0, sizeof(count));
     JdClock_Init(&clk, NULL, NULL);
     JdRandom_Init(&rnd, 7);
     JdMembers_Init(&ms, &clk, &ctr);
     add_targets(&ms, TARGETS);
-    for (unsigned i = 0; i < TARGETS * PICKS_PER_TARGET; i++) {
+    for (unsigned i = 0; i < picks; i++) {
         const JdMember *mb = JdBalancer_Pick(&lb, "set", NULL, 0, &tier);
 
         CU_ASSERT_PTR_NOT_NULL_FATAL(mb);
@@ -62,8 +62,7 @@
     }
     CU_ASSERT_EQUAL(unused, 0);
     CU_ASSERT_TRUE(most <= 3 * PICKS_PER_TARGET);
-    CU_ASSERT_EQUAL(ctr.value[JD_C_CANDIDATES_SAMPLED],
-                    TARGETS * PICKS_PER_TARGET);
+    CU_ASSERT_EQUAL(ctr.value[JD_C_CANDIDATES_SAMPLED], picks);
     JdMembers_Finish(&ms);
 }
 
