Split headers and estimates off the worker; cancel a claim's timer

A cancel between the expiry of a claim and its timer re-initialized a timer that was armed; it is cancelled first.

--- a/node/node.h
+++ b/node/node.h
@@ -157,7 +157,7 @@
     bool is_drain_announced; /* other nodes are told of the drain */
     JdTimer drain_timer;     /* next check of the drain, then the exit */
     uint64_t drain_deadline; /* the node exits even with requests left */
-    uint64_t announce_at;    /* other nodes are told of the drain */
+    uint64_t announce_at;    /* time at which other nodes are told */
     uint64_t linger_until;   /* new requests are refused from here on */
 } JdNode;
 
@@ -188,6 +188,15 @@
 void JdWorker_OnConnClosed(JdNode *nd, const JdConn *origin);
 unsigned JdWorker_RetryPercent(const JdNode *nd);
 
+/* targets/headers.c: headers of requests to the local target */
+bool JdTargetHeaders_IsRelayed(const JdHttpHeader *h);
+char *JdTargetHeaders_Format(const JdNode *nd, const Jd__Request *msg,
+                             uint64_t time_left);
+
+/* targets/estimate.c: average run times of its work */
+void JdTargetEstimate_Init(JdNode *nd);
+JdServiceTime *JdTargetEstimate_Get(JdNode *nd, const char *route);
+
 /* targets/health.c: health of the local target */
 void JdTargetHealth_Init(JdNode *nd);
 void JdTargetHealth_SetTarget(JdNode *nd, const JdSettings *s);
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -128,24 +128,6 @@
     finish_refused(it, reason);
 }
 
-/* Returns whether a header of the target's response is passed on. */
-static bool
-is_relayed(const JdHttpHeader *h)
-{
-    static const char *const omitted[] = {
-        "connection", "content-length", "transfer-encoding",
-        "keep-alive", "server",
-    };
-
-    for (size_t i = 0; i < G_N_ELEMENTS(omitted); i++) {
-        if (strlen(omitted[i]) == h->name_len &&
-            g_ascii_strncasecmp(omitted[i], h->name, h->name_len) == 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
 static void
 relay_response(JdWorkItem *it, const JdHttpResponse *ans)
 {
@@ -163,7 +145,7 @@
         const JdHttpHeader *h = &ans->header[i];
         size_t n = msg.n_header;
 
-        if (!is_relayed(h)) {
+        if (!JdTargetHeaders_IsRelayed(h)) {
             continue;
         }
         jd__header__init(&header[n]);
@@ -205,18 +187,6 @@
  * error may come sooner than a successful response takes. */
 #define HTTP_ERROR_MIN 400
 
-static JdServiceTime *
-route_estimate(JdNode *nd, const char *route)
-{
-    JdServiceTime *est = g_hash_table_lookup(nd->route_estimates, route);
-
-    if (est == NULL) {
-        est = g_new0(JdServiceTime, 1);
-        g_hash_table_insert(nd->route_estimates, g_strdup(route), est);
-    }
-    return est;
-}
-
 /* Frees the slot of a finished request.  Its service time is added to the
  * estimates if `is_typical`. */
 static void
@@ -225,7 +195,7 @@
     JdNode *nd = it->node;
 
     if (is_typical) {
-        JdServiceTime_Add(route_estimate(nd, it->msg->route),
+        JdServiceTime_Add(JdTargetEstimate_Get(nd, it->msg->route),
                           JdClock_Now(&nd->loop.clock) - it->work.started_at);
     }
     JdAdmission_FreeSlot(&nd->admit, &it->work, is_typical);
@@ -238,7 +208,7 @@
 {
     JdNode *nd = it->node;
 
-    JdServiceTime_AddLowerBound(route_estimate(nd, it->msg->route),
+    JdServiceTime_AddLowerBound(JdTargetEstimate_Get(nd, it->msg->route),
                                 JdClock_Now(&nd->loop.clock) -
                                     it->work.started_at);
     JdAdmission_RecordAbort(&nd->admit, &it->work);
@@ -281,42 +251,12 @@
     }
 }
 
-static void
-append_header(GString *out, const JdDialect *dl, JdHeaderField field,
-              const char *value)
-{
-    if (dl->header[field] != NULL && value[0] != '\0') {
-        g_string_append_printf(out, "%s: %s\r\n", dl->header[field], value);
-    }
-}
-
-static char *
-format_headers(const JdNode *nd, const Jd__Request *msg, uint64_t time_left)
-{
-    GString *out = g_string_new(NULL);
-    char ms[24];
-
-    for (size_t i = 0; i < msg->n_header; i++) {
-        const Jd__Header *h = msg->header[i];
-
-        g_string_append_printf(out, "%s: %.*s\r\n", h->name, (int)h->value.len,
-                               (const char *)h->value.data);
-    }
-    g_snprintf(ms, sizeof(ms), "%" G_GUINT64_FORMAT, time_left / JD_US_PER_MS);
-    append_header(out, nd->dialect, JD_FIELD_REQUEST_ID, msg->request_id);
-    append_header(out, nd->dialect, JD_FIELD_TIMEOUT_MS, ms);
-    append_header(out, nd->dialect, JD_FIELD_CALLER_SERVICE,
-                  msg->caller_service);
-    append_header(out, nd->dialect, JD_FIELD_TARGET_ID, nd->target_process.id);
-    return g_string_free(out, FALSE);
-}
-
 static void
 send_to_target(JdWorkItem *it, uint64_t time_left)
 {
     JdNode *nd = it->node;
     const Jd__Request *msg = it->msg;
-    char *headers = format_headers(nd, msg, time_left);
+    char *headers = JdTargetHeaders_Format(nd, msg, time_left);
     JdHttpRequest rq = {.method = msg->method,
                         .path = msg->path,
                         .headers = headers,
@@ -387,7 +327,7 @@
     /* The estimate alone made it too late; lower it, so that the route is
      * measured again after some refusals. */
     if (reason == JD_REASON_TOO_LATE && has_slot) {
-        JdServiceTime_Decay(route_estimate(it->node, it->msg->route));
+        JdServiceTime_Decay(JdTargetEstimate_Get(it->node, it->msg->route));
     }
     if (reason != JD_REASON_NONE) {
         refuse_not_run(it, reason);
@@ -455,7 +395,7 @@
 static bool
 fits_before_exit(JdNode *nd, const Jd__Request *msg)
 {
-    uint64_t expected = route_estimate(nd, msg->route)->mean;
+    uint64_t expected = JdTargetEstimate_Get(nd, msg->route)->mean;
 
     return !nd->is_draining ||
            JdClock_Now(&nd->loop.clock) + expected * EXIT_MARGIN_FACTOR <=
@@ -516,7 +456,7 @@
         it->work.soft_deadline = 1;
     }
     it->submitted_at = JdClock_Now(&nd->loop.clock);
-    it->work.expected_time = route_estimate(nd, msg->route)->mean;
+    it->work.expected_time = JdTargetEstimate_Get(nd, msg->route)->mean;
     JdTimer_Init(&it->timer, on_claim_expired, it);
     TAILQ_INSERT_TAIL(&nd->work_items, it, link);
     if (needs_claim(msg)) {
@@ -546,6 +486,8 @@
 {
     it->is_orphan = true;
     it->origin = NULL;
+    /* The claim of this work may just have expired. */
+    JdTimer_Cancel(&it->node->loop.clock, &it->timer);
     JdTimer_Init(&it->timer, on_grace_over, it);
     JdTimer_Arm(&it->node->loop.clock, &it->timer, CANCEL_GRACE);
 }
@@ -650,8 +592,7 @@
     JdStatus s;
 
     TAILQ_INIT(&nd->work_items);
-    nd->route_estimates =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    JdTargetEstimate_Init(nd);
     JdAdmission_Init(&nd->admit, (unsigned)nd->settings.slots,
                      (unsigned)nd->settings.max_queued, &nd->loop.clock,
                      &admit_ops, nd);
