--- a/lib/tree/head.c
+++ b/lib/tree/head.c
@@ -311,14 +311,15 @@
     return n;
 }
 
-/* Returns whether this node is the head of its domain with the lowest rank. */
+/* Returns whether this node, which is a head, has the lowest rank among the
+ * heads of its domain. */
 bool
 _JdTree_IsLowestDomainHead(const JdTree *tr)
 {
     bool is_lowest;
 
     count_domain_heads(tr, &is_lowest);
-    return tr->head_rank != 0 && is_lowest;
+    return is_lowest;
 }
 
 static bool
--- a/lib/tree/invite.c
+++ b/lib/tree/invite.c
@@ -60,7 +60,7 @@
 
 /* Returns whether a member may have restarted without having joined again. */
 static bool
-is_invitable(const JdTree *tr, JdMember *mb)
+is_invitable(const JdTree *tr, const JdMember *mb)
 {
     uint64_t now = JdClock_Now(tr->clock);
 
@@ -77,12 +77,16 @@
 _JdTree_SendInvites(JdTree *tr)
 {
     bool is_attached = tr->is_root || tr->parent.state == JD_LINK_ATTACHED;
-    bool is_lowest_head = _JdTree_IsLowestDomainHead(tr);
+    bool is_lowest_head;
     JdMember *mb;
 
     expire_invites(tr);
-    if (!is_attached || !tr->is_ready || tr->is_leaving ||
-        !(tr->is_root || is_lowest_head)) {
+    if (tr->head_rank == 0 || !is_attached || !tr->is_ready ||
+        tr->is_leaving) {
+        return;
+    }
+    is_lowest_head = _JdTree_IsLowestDomainHead(tr);
+    if (!tr->is_root && !is_lowest_head) {
         return;
     }
     TAILQ_FOREACH(mb, &tr->members.all, link)
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -338,8 +338,8 @@
     try_next_candidate(tr);
 }
 
-/* Handles the offer of a node to be the parent; follows it if this node has no
- * parent and knows of no other candidate. */
+/* Handles the offer of a node to be the parent.  Follows it if this node has
+ * no parent and is not joining one. */
 void
 _JdTree_OnInvite(JdTree *tr, const Jd__Invite *msg)
 {
