Refuse late requests that would outlast a drain

A caller's request of 4 s came over one 4.2 s after SIGTERM and was cut at the exit.

Change: after the linger time, a request whose timeout reaches past the drain deadline is refused as not run. Calls of the target end before its work does, so they are still served.

Before: e2e/platform red (the request is taken). After: passes.

--- a/caller/intake.c
+++ b/caller/intake.c
@@ -274,6 +274,20 @@
     JdForward_Begin(call);
 }
 
+/*
+ * Returns whether a request might not be answered before this node exits. Once
+ * the linger time of a drain is over, connections are accepted for the calls
+ * of the target that has work left; those end before it does.
+ */
+static bool
+outlasts_drain(JdNode *nd, const ParsedRequest *parsed, uint64_t arrived_at)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    return nd->is_draining && now >= nd->linger_until &&
+           arrived_at + parsed->timeout > nd->drain_deadline;
+}
+
 /*
  * Starts a call for a request that arrived at the time `arrived_at`, or
  * refuses it.  Returns false, having done neither, when the request should
@@ -292,6 +306,9 @@
         arrived_at + parsed.timeout <= JdClock_Now(&nd->loop.clock)) {
         reason = JD_REASON_TOO_LATE;
     }
+    if (reason == JD_REASON_NONE && outlasts_drain(nd, &parsed, arrived_at)) {
+        reason = JD_REASON_DRAINING;
+    }
     if (reason == JD_REASON_NONE) {
         begin_call(nd, req, &parsed, arrived_at);
     }
--- a/regress/e2e/platform.sh
+++ b/regress/e2e/platform.sh
@@ -142,6 +142,29 @@
 fleet_until 200 platform_served_by 1-2 /kiln/1 w3-1 || die "1-1 still gets work"
 fleet_until 200 fleet_is_gone 1-1 || die "1-1 does not exit"
 fleet_start_node 1 1
+fleet_until 200 platform_served_by 1-2 /kiln/1 fourth ||
+    die "no requests after the restart"
+platform_document 25 kiln ', "r-s": {"hostname": "shop.example",
+ "path_prefix": "/slow/", "type": "unsafe", "timeout_s": 4, "priority": 0,
+ "attempts": 1, "service": "kiln"}' | platform_put_document
+fleet_until 100 platform_served_by 1-2 /slow/1 fourth ||
+    die "the slow route is not applied"
+platform_control_worker 1-1 mode=stall
+platform_request 1-2 /slow/1 >/dev/null &
+fleet_kill 1-1 TERM
+refuses_long_request() {
+	[ "$(curl -s -m 0.3 -o /dev/null -w '%{http_code}' \
+	    -H 'Host: shop.example' \
+	    "http://127.$FLEET_NET.1.1:8000/slow/1")" = 503 ]
+}
+fleet_until 100 refuses_long_request ||
+    die "a request is taken that cannot end before the exit"
+say "its target may still call:" \
+    "$(platform_request 1-1 /kiln/1 -H 'Jacinthdyke-Deadline-Ms: 500')"
+platform_control_worker 1-1 mode=ok
+fleet_until 200 fleet_is_gone 1-1 || die "1-1 does not exit"
+wait $!
+fleet_start_node 1 1
 fleet_until 100 platform_served_by 1-2 /kiln/1 fourth ||
     die "no requests after the restart"
 say "its worker is used again after the restart"
