Start the fleet of e2e/resets by the function that there is

The test repeated the loop of platform_start_fleet with other services; the function takes them as arguments now. No check changes: e2e/resets, e2e/restored and e2e/platform pass.

--- a/regress/e2e/resets.sh
+++ b/regress/e2e/resets.sh
@@ -63,14 +63,9 @@
 }
 
 fleet_start_links || die "the links do not start"
-platform_start_store || die "the store does not start"
 # The only targets are in domain 3, and all callers in domain 1.
-for n in 1-1:ops 1-2:ops 3-1:kiln 3-2:kiln; do
-	s=${n#*:} n=${n%:*}
-	platform_write_settings ${n%-*} ${n#*-} $s
-	platform_start_worker ${n%-*} ${n#*-} $s w$n
-	fleet_start_node ${n%-*} ${n#*-}
-done
+platform_start_fleet 1-1:ops 1-2:ops 3-1:kiln 3-2:kiln ||
+    die "the store does not start"
 platform_document 5 kiln | platform_put_document
 fleet_until 200 platform_all_ready || die "not ready"
 fleet_until 200 is_served 1-1 || die "not served"
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -109,12 +109,13 @@
 	done
 }
 
-# Starts the store, four nodes in two regions and their workers: "kiln" at 1-1
-# and 3-1, "ops" at 1-2 and 3-2.
-platform_start_fleet() {
+# Starts the store, and nodes with their workers, each named NODE:SERVICE; without
+# arguments four nodes in two regions.
+platform_start_fleet() { # [NODE:SERVICE...]
 	local n s
+	[ $# -gt 0 ] || set -- 1-1:kiln 1-2:ops 3-1:kiln 3-2:ops
 	platform_start_store || return 1
-	for n in 1-1:kiln 1-2:ops 3-1:kiln 3-2:ops; do
+	for n in "$@"; do
 		s=${n#*:} n=${n%:*}
 		platform_write_settings ${n%-*} ${n#*-} $s
 		platform_start_worker ${n%-*} ${n#*-} $s w$n
