Log and count what a target names in its answers: rate limit and leaving

The target's node now reads both notices, logs each change as a target line (per_1000_s, requests sent since, running and queued) and counts changes, limits that cannot be read, and what is sent to a target that named a limit or said that it leaves. Nothing acts on them yet.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -102,6 +102,14 @@
 bool JdAdmission_IsFull(const JdAdmission *ad);
 bool JdAdmission_HasFreeSlot(const JdAdmission *ad);
 
+/* ---- rate.c: rate limits that targets name ----------------------------- */
+
+/* Bounds on the rates that are kept, in requests per 1000 s. */
+#define JD_RATE_MIN 250U
+#define JD_RATE_MAX 1000000000U
+
+JdStatus JdRateLimit_Parse(const char *text, size_t len, unsigned *rate);
+
 /* ---- budget.c: retries as a share of first attempts -------------------- */
 
 typedef struct JdRetryBudget {
@@ -246,6 +254,9 @@
     unsigned slots;
     bool is_alive; /* a heartbeat came, and no departure or failure since */
     bool is_draining;
+    /* Limit that its last answer named, in requests per 1000 s; 0: none. */
+    unsigned rate_limit;
+    bool is_leaving; /* an answer said so */
     JdDepartedTarget departed[JD_DEPARTED_TARGETS_MAX];
     unsigned next_departed;
 } JdTarget;
--- a/lib/request/target.c
+++ b/lib/request/target.c
@@ -35,6 +35,8 @@
     tg->started = hb->started;
     tg->seq = 0;
     tg->is_draining = false;
+    tg->rate_limit = 0;
+    tg->is_leaving = false;
 }
 
 /* Handles a heartbeat.  A stale heartbeat changes nothing. */
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -13,6 +13,9 @@
     JD_FIELD_TIMEOUT_MS,     /* time left until the caller's timeout */
     JD_FIELD_CALLER_SERVICE, /* service of the node that took the request */
     JD_FIELD_TARGET_ID,      /* target process the request is meant for */
+    JD_FIELD_RATE_LIMIT,     /* in a response: requests per second that the
+                                target takes from all nodes together */
+    JD_FIELD_LEAVING,        /* in a response: 1 if the target is leaving */
     JD_FIELD_MAX
 } JdHeaderField;
 
--- a/node/node.h
+++ b/node/node.h
@@ -193,6 +193,11 @@
 char *JdTargetHeaders_Format(const JdNode *nd, const Jd__Request *msg,
                              uint64_t time_left);
 
+/* targets/notice.c: what the local target says of itself in its answers */
+void JdTargetNotice_OnSend(JdNode *nd);
+void JdTargetNotice_OnResponse(JdNode *nd, uint64_t started,
+                               const JdHttpResponse *ans);
+
 /* targets/estimate.c: average run times of its work */
 void JdTargetEstimate_Init(JdNode *nd);
 JdServiceTime *JdTargetEstimate_Get(JdNode *nd, const char *route);
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -9,6 +9,8 @@
  *                           send heartbeats with this state, no heartbeats, or
  *                           malformed ones
  *       leave=1             deregister and send no more heartbeats
+ *       limit=RATE          name this rate limit in the answers; none: no
+ * limit leaving=1           say in the answers that this process is leaving
  *   /-/stats                number of executed requests, in all and by path
  */
 #include <stdio.h>
@@ -38,6 +40,8 @@
     char id[JD_NAME_MAX];
     char mode[JD_NAME_MAX];
     char heartbeat_mode[JD_NAME_MAX];
+    char rate_limit[JD_NAME_MAX]; /* empty: none is named */
+    bool is_leaving;
     gchar *listen;
     gchar *service;
     uint64_t started_at_ms;
@@ -152,6 +156,18 @@
     }
 }
 
+/* Adds what the process says of itself in all its answers. */
+static void
+add_notices(h2o_req_t *req)
+{
+    if (worker.rate_limit[0] != '\0') {
+        JdHttpd_AddHeader(req, "server-limit", worker.rate_limit);
+    }
+    if (worker.is_leaving) {
+        JdHttpd_AddHeader(req, "server-leaving", "1");
+    }
+}
+
 static void
 reply(h2o_req_t *req)
 {
@@ -166,6 +182,7 @@
     JdHttpd_CopyHeader(req, "jacinthdyke-caller-service", caller,
                        sizeof(caller));
     JdHttpd_AddHeader(req, "jacinthdyke-server-signature", worker.id);
+    add_notices(req);
     js = json_pack("{s:s, s:s, s:s, s:s%}", "worker", worker.id, "caller",
                    caller, "id", id, "path", req->path.base, req->path.len);
     text = json_dumps(js, JSON_COMPACT);
@@ -227,6 +244,7 @@
         JdHttpd_CopyHeader(req, "jacinthdyke-request-id", id, sizeof(id));
         JdHttpd_AddHeader(req, "jacinthdyke-request-id", id);
         JdHttpd_AddHeader(req, "jacinthdyke-not-executed", "1");
+        add_notices(req);
         JdHttpd_Reply(req, 503, "text/plain", "full\n", 5);
     }
     else {
@@ -243,7 +261,16 @@
     if (JdHttpd_CopyQueryParam(req, "id", worker.id, sizeof(worker.id))) {
         worker.started_at_ms = JdLoop_WallClock() / JD_US_PER_MS;
         worker.sequence = 0;
+        worker.rate_limit[0] = '\0';
+        worker.is_leaving = false;
+    }
+    if (JdHttpd_CopyQueryParam(req, "limit", worker.rate_limit,
+                               sizeof(worker.rate_limit)) &&
+        strcmp(worker.rate_limit, "none") == 0) {
+        worker.rate_limit[0] = '\0';
     }
+    worker.is_leaving =
+        JdHttpd_QueryNumber(req, "leaving", 0) != 0 || worker.is_leaving;
     if (JdHttpd_QueryNumber(req, "leave", 0) != 0) {
         char text[64];
 
--- /dev/null
+++ b/targets/notice.c
@@ -0,0 +1,89 @@
+/*
+ * What the local target says of itself in its answers: the rate of requests
+ * that it takes from all nodes together, and that it is leaving.
+ */
+#include <string.h>
+
+#include "../node/node.h"
+
+/* Misdirected Request: another process than the expected one answers. */
+#define STATUS_MISDIRECTED 421
+
+static const JdHttpHeader *
+find_field(const JdNode *nd, const JdHttpResponse *ans, JdHeaderField field)
+{
+    const char *name = nd->dialect->header[field];
+
+    return name == NULL ? NULL : JdHttpResponse_FindHeader(ans, name);
+}
+
+/* Returns the rate limit that an answer names, or 0.  One that cannot be read
+ * leaves the old one in force. */
+static unsigned
+read_rate_limit(JdNode *nd, const JdHttpResponse *ans)
+{
+    const JdHttpHeader *h = find_field(nd, ans, JD_FIELD_RATE_LIMIT);
+    unsigned rate = 0;
+
+    if (h != NULL &&
+        JdRateLimit_Parse(h->value, h->value_len, &rate) != JD_OK) {
+        nd->counters.value[JD_C_RATE_LIMITS_BAD]++;
+        return nd->target_process.rate_limit;
+    }
+    return rate;
+}
+
+static bool
+says_leaving(const JdNode *nd, const JdHttpResponse *ans)
+{
+    const JdHttpHeader *h = find_field(nd, ans, JD_FIELD_LEAVING);
+
+    return h != NULL && h->value_len == 1 && h->value[0] == '1';
+}
+
+static void
+log_notice(const JdNode *nd, const char *outcome)
+{
+    const JdTarget *tg = &nd->target_process;
+
+    JD_LOG(JD_EVENT_TARGET, JD_TEXT("outcome", outcome),
+           JD_TEXT("target", tg->id), JD_NUMBER("started", tg->started),
+           JD_NUMBER("per_1000_s", tg->rate_limit),
+           JD_NUMBER("sent_limited", nd->counters.value[JD_C_SENT_LIMITED]),
+           JD_NUMBER("running", nd->admit.running),
+           JD_NUMBER("queued", nd->admit.queued));
+}
+
+/* A request is sent to the target. */
+void
+JdTargetNotice_OnSend(JdNode *nd)
+{
+    nd->counters.value[JD_C_SENT_LIMITED] += nd->target_process.rate_limit > 0;
+    nd->counters.value[JD_C_SENT_LEAVING] += nd->target_process.is_leaving;
+}
+
+/* The end of a request at the target.  `started` names the process that it was
+ * sent to; an answer of an earlier process, or of another one at the same
+ * address, says nothing of the present one. */
+void
+JdTargetNotice_OnResponse(JdNode *nd, uint64_t started,
+                          const JdHttpResponse *ans)
+{
+    JdTarget *tg = &nd->target_process;
+    unsigned rate;
+
+    if (ans->result != JD_HTTP_COMPLETED ||
+        ans->status == STATUS_MISDIRECTED || started != tg->started) {
+        return;
+    }
+    rate = read_rate_limit(nd, ans);
+    if (rate != tg->rate_limit) {
+        tg->rate_limit = rate;
+        nd->counters.value[JD_C_RATE_LIMITS_NAMED]++;
+        log_notice(nd, "rate-limit");
+    }
+    if (!tg->is_leaving && says_leaving(nd, ans)) {
+        tg->is_leaving = true;
+        log_notice(nd, "leaving");
+    }
+}
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -27,8 +27,9 @@
     JdReason reason; /* of a refusal that is sent later */
     JdTimer timer;   /* on_claim_expired or on_grace_over */
     uint64_t submitted_at;
-    bool was_sent;  /* the target may have received it */
-    bool is_orphan; /* nobody waits for the response any more */
+    uint64_t target_started; /* process that it was sent to, 0: unknown */
+    bool was_sent;           /* the target may have received it */
+    bool is_orphan;          /* nobody waits for the response any more */
 };
 
 static JdWorkItem *
@@ -223,6 +224,7 @@
 
     it->call = NULL;
     it->was_sent = ans->result != JD_HTTP_NOT_SENT;
+    JdTargetNotice_OnResponse(nd, it->target_started, ans);
     JdLatencies_Record(&nd->latencies, JD_LATENCY_TARGET, it->msg->service,
                        reason == JD_REASON_NONE ? "answered"
                                                 : JdReason_Info(reason)->name,
@@ -272,6 +274,8 @@
         rq.echo_header = nd->dialect->header[JD_FIELD_REQUEST_ID];
         rq.echo_value = msg->request_id;
     }
+    it->target_started = nd->target_process.started;
+    JdTargetNotice_OnSend(nd);
     it->call = JdHttpc_Send(&nd->target_client, &rq, on_response, it);
     g_free(headers);
 }
