--- /dev/null
+++ b/regress/e2e/leaving-target-used.sh
@@ -0,0 +1,37 @@
+# A target that says in its answers that it leaves got requests all the same.
+. regress/e2e/lib.sh
+. regress/stand/platform.sh
+
+platform_start_fleet 1-1:kiln 1-2:kiln 3-1:ops 3-2:ops ||
+    die "the store does not start"
+platform_document 5 kiln | platform_put_document
+fleet_until 200 platform_all_ready || die "not ready"
+fleet_until 200 platform_served_by 3-1 /kiln/1 w1-1 || die "1-1 is not used"
+fleet_until 200 platform_served_by 3-2 /kiln/1 w1-2 || die "1-2 is not used"
+for n in 1-1 3-1 3-2; do
+	platform_send_steadily $n /kiln/1 "$FLEET_DIR/$n.answers" &
+done
+
+ran_since() { # FROM
+	awk -v from="$1" '$3 == "ran" && $1 >= from' "$FLEET_DIR/1-1.ran" | wc -l
+}
+
+sleep 1
+# Its heartbeats still say "ready".
+platform_control_worker 1-1 leaving=1
+sleep 2
+told=$(platform_now)
+sleep 2
+say "requests to a target that leaves: $(ran_since "$told")"
+say "requests that were not answered:" \
+    "$(cat "$FLEET_DIR"/?-?.answers | grep -c -v '^200$')"
+fleet_kill 1-1
+fleet_start_node 1 1
+fleet_until 200 platform_is_ready 1-1 || die "1-1 is not ready again"
+sleep 3
+say "requests to it after a restart of its node: $(ran_since "$told")"
+platform_control_worker 1-1 id=second
+fleet_until 100 platform_served_by 3-1 /kiln/1 second || die "second is not used"
+say "the next process is used"
+touch "$FLEET_DIR/stop"
+wait
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -22,10 +22,12 @@
 EOF
 }
 
+# Further options of the workers.
+PLATFORM_WORKER_OPTIONS=
 platform_start_worker() { # D I SERVICE ID
 	local ip=127.$FLEET_NET.$1.$2
 	"$FLEET_BIN/jd-workerd" --listen "$ip:9000" --node "$ip:8300" \
-	    --id "$4" --service "$3" \
+	    --id "$4" --service "$3" $PLATFORM_WORKER_OPTIONS \
 	    --record "$FLEET_DIR/$1-$2.ran" >>"$FLEET_DIR/$1-$2.worker.log" 2>&1 &
 	fleet_track worker-$1-$2
 }
@@ -98,6 +100,35 @@
 	fleet_sum "$2" "$1"
 }
 
+# Sends requests to a node, one each 20 ms, until the file "stop" exists, and
+# appends their statuses to FILE.
+platform_send_steadily() { # D-I PATH FILE
+	while [ ! -e "$FLEET_DIR/stop" ]; do
+		curl -s -m 5 -o /dev/null -w '%{http_code}\n' \
+		    -H 'Host: shop.example' \
+		    -H "Jacinthdyke-Request-Id: $BASHPID-$RANDOM" \
+		    "http://127.$FLEET_NET.${1%-*}.${1#*-}:8000$2" >>"$3" &
+		sleep 0.02
+	done
+	wait
+}
+
+# Prints the largest number of requests that a worker ran in any 4 s after the
+# time FROM in us.
+platform_most_in_4s() { # D-I FROM
+	awk -v from="$2" 'BEGIN { n = first = 0 } $3 == "ran" && $1 >= from {
+	    t[n++] = $1
+	    while (t[first] <= $1 - 4000000)
+	        first++
+	    if (n - first > most)
+	        most = n - first
+	} END { print most + 0 }' "$FLEET_DIR/$1.ran"
+}
+
+platform_now() {
+	date +%s%6N
+}
+
 # Kills all nodes, so that they lose their state, and starts them together.
 platform_restart_all() {
 	local n
