Stop using a target that says in its answers that it leaves

Cause: as with the rate limit, the notice was relayed and not read; a node knew of a leaving only by heartbeats and deregistration.

Change: the target's node takes the notice as it takes a heartbeat that says so: it refuses new work as not run and announces the drain. Answers between nodes carry it with the start of the target's process, and each node keeps it with its member, so that a restart of the target's node does not bring the target back for those that were told. A target without heartbeats is back with the first probe that it answers without the notice.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -268,12 +268,11 @@
     uint64_t seq;
     uint64_t last_heartbeat;
     unsigned slots;
-    bool is_alive; /* a heartbeat came, and no departure or failure since */
-    bool is_draining;
+    bool is_alive;    /* a heartbeat came, and no departure or failure since */
+    bool is_draining; /* a heartbeat or an answer said that it leaves */
     /* Limit that its last answer named, in requests per 1000 s; 0: none. */
     unsigned rate_limit;
     bool has_answered; /* since it started or its node did */
-    bool is_leaving;   /* an answer said so */
     JdDepartedTarget departed[JD_DEPARTED_TARGETS_MAX];
     unsigned next_departed;
 } JdTarget;
@@ -284,6 +283,7 @@
                          uint64_t wall_ms);
 void JdTarget_MarkDown(JdTarget *tg);
 void JdTarget_ForgetNotices(JdTarget *tg);
+bool JdTarget_SetLeaving(JdTarget *tg);
 bool JdTarget_SetRateLimit(JdTarget *tg, unsigned rate);
 bool JdTarget_AdoptRateLimit(JdTarget *tg, uint64_t started, unsigned rate);
 
@@ -324,6 +324,7 @@
     uint64_t process;      /* start of the target's process, 0: unknown */
     unsigned rate_limit;   /* requests per 1000 s, 0: none */
     uint64_t limit_wait;   /* us until its limit allows another request */
+    bool is_leaving;       /* the target's process has said that it leaves */
 } JdLoadReport;
 
 /* Load balancer of a node.  `region` and `domain` are those of the node. */
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -254,6 +254,9 @@
 {
     const JdTargetStats *ts = _JdBalancer_TargetStats(lb, mb);
 
+    if (JdMember_HasTargetLeft(mb)) {
+        return false;
+    }
     switch (filter) {
     case FILTER_HEALTHY:
         return mb->state == JD_MEMBER_READY &&
@@ -521,7 +524,7 @@
     }
     TAILQ_FOREACH(mb, &set->members, set_link)
     {
-        if (mb->state == JD_MEMBER_READY) {
+        if (mb->state == JD_MEMBER_READY && !JdMember_HasTargetLeft(mb)) {
             return true;
         }
     }
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -57,9 +57,14 @@
     ts->load_reported_at = JdClock_Now(lb->clock);
 }
 
+/* Records what the target says of itself, as reported by its node. */
 static void
-record_limit(const JdBalancer *lb, JdTargetStats *ts, const JdLoadReport *rep)
+record_notices(const JdBalancer *lb, JdMember *mb, JdTargetStats *ts,
+               const JdLoadReport *rep)
 {
+    if (rep->is_leaving) {
+        mb->target_left = rep->process;
+    }
     ts->limited_process = rep->process;
     ts->rate_limit = rep->rate_limit;
     ts->limited_until = JdClock_Now(lb->clock) + rep->limit_wait;
@@ -82,7 +87,7 @@
     ts->mean_latency =
         ts->mean_latency == 0 ? took : (ts->mean_latency * 7 + took) / 8;
     record_report(lb, ts, rep);
-    record_limit(lb, ts, rep);
+    record_notices(lb, mb, ts, rep);
 }
 
 /* Returns whether one more member of the endpoint set of `mb` may be ejected.
@@ -135,6 +140,9 @@
     if (ts == NULL) {
         return;
     }
+    if (rep->process != 0) {
+        record_notices(lb, mb, ts, rep);
+    }
     switch (reason) {
     case JD_REASON_QUEUE_FULL:
     case JD_REASON_TOO_LATE:
@@ -144,7 +152,7 @@
         ts->progress_at = JdClock_Now(lb->clock);
         ts->last_full_at = ts->progress_at;
         record_report(lb, ts, rep);
-        record_limit(lb, ts, rep);
+        record_notices(lb, mb, ts, rep);
         return;
     case JD_REASON_CANCELLED:
         return;
--- a/lib/request/target.c
+++ b/lib/request/target.c
@@ -34,7 +34,6 @@
 {
     tg->rate_limit = 0;
     tg->has_answered = false;
-    tg->is_leaving = false;
 }
 
 static void
@@ -113,6 +112,17 @@
     tg->is_alive = false;
 }
 
+/* Records that an answer said that the target leaves, which cannot be undone.
+ * Returns whether this was not known. */
+bool
+JdTarget_SetLeaving(JdTarget *tg)
+{
+    bool is_changed = !tg->is_draining;
+
+    tg->is_draining = true;
+    return is_changed;
+}
+
 /* Records the limit that an answer named, in requests per 1000 s, 0: none.
  * Returns whether it changed. */
 bool
--- a/lib/tree/member.c
+++ b/lib/tree/member.c
@@ -229,6 +229,14 @@
     return mb;
 }
 
+/* Returns whether the present process of a member's target has said that it
+ * leaves. */
+bool
+JdMember_HasTargetLeft(const JdMember *mb)
+{
+    return mb->target_left != 0 && mb->target_left == mb->target_started;
+}
+
 /* Fills a message from a member; its strings point into the member. */
 void
 JdMembers_Encode(const JdMember *mb, Jd__Member *msg)
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -25,9 +25,9 @@
 }
 
 const JdDialect JdDialect_Default = {
-    .header = {[JD_FIELD_TIMEOUT_MS] = "x-timeout-ms",
-               [JD_FIELD_RATE_LIMIT] = "x-rate-limit",
-               [JD_FIELD_LEAVING] = "x-leaving"},
+    .header = {[JD_FIELD_TIMEOUT_MS] = "x-timeout-ms"},
+    .notice = {[JD_NOTICE_RATE_LIMIT] = {"x-rate-limit"},
+               [JD_NOTICE_LEAVING] = {"x-leaving"}},
     .reports_outcome = true,
     .is_not_run = is_not_run,
 };
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -13,14 +13,23 @@
     JD_FIELD_TIMEOUT_MS,     /* time left until the caller's timeout */
     JD_FIELD_CALLER_SERVICE, /* service of the node that took the request */
     JD_FIELD_TARGET_ID,      /* target process the request is meant for */
-    JD_FIELD_RATE_LIMIT,     /* in a response: requests per second that the
-                                target takes from all nodes together */
-    JD_FIELD_LEAVING,        /* in a response: 1 if the target is leaving */
     JD_FIELD_MAX
 } JdHeaderField;
 
+/* What a target says of itself in a response. */
+typedef enum JdNotice {
+    JD_NOTICE_RATE_LIMIT, /* requests per second that it takes from all nodes
+                             together */
+    JD_NOTICE_LEAVING,    /* 1 if it is leaving */
+    JD_NOTICE_MAX
+} JdNotice;
+
+/* Names under which a notice may come. */
+#define JD_NOTICE_NAMES_MAX 2
+
 typedef struct JdDialect {
     const char *header[JD_FIELD_MAX]; /* NULL: not used */
+    const char *notice[JD_NOTICE_MAX][JD_NOTICE_NAMES_MAX];
     /* Responses carry the outcome of the request and its reason. */
     bool reports_outcome;
     /* Retry-After may have a fraction of a second. */
--- a/node/node.h
+++ b/node/node.h
@@ -196,6 +196,7 @@
 /* targets/notice.c: what the local target says of itself in its answers */
 void JdTargetNotice_OnRequest(JdNode *nd, const Jd__Request *msg);
 void JdTargetNotice_OnSend(JdNode *nd);
+bool JdTargetNotice_SaysLeaving(const JdNode *nd, const JdHttpResponse *ans);
 void JdTargetNotice_OnResponse(JdNode *nd, uint64_t started,
                                const JdHttpResponse *ans);
 
@@ -208,6 +209,7 @@
 void JdTargetHealth_SetTarget(JdNode *nd, const JdSettings *s);
 void JdTargetHealth_OnNodeReady(JdNode *nd);
 void JdTargetHealth_OnHeartbeat(JdNode *nd, const JdHeartbeat *hb);
+void JdTargetHealth_OnLeaving(JdNode *nd);
 void JdTargetHealth_OnDeregister(JdNode *nd, const char *id, uint64_t started);
 
 /* targets/claims.c: claims of idempotency keys on the service's log stream */
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -489,7 +489,8 @@
                            .service_time = msg->service_us,
                            .process = msg->target_started,
                            .rate_limit = msg->rate_limit,
-                           .limit_wait = msg->limit_wait_ms * JD_US_PER_MS};
+                           .limit_wait = msg->limit_wait_ms * JD_US_PER_MS,
+                           .is_leaving = msg->target_leaving};
     JdAttempt *att = find_attempt(nd, msg->id);
 
     if (att == NULL) {
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -2065,7 +2065,7 @@
   (ProtobufCMessageInit) jd__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[12] =
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[13] =
 {
   {
     "id",
@@ -2211,6 +2211,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_leaving",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Response, target_leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -2224,12 +2236,13 @@
   7,   /* field[7] = sent */
   8,   /* field[8] = service_us */
   1,   /* field[1] = status */
+  12,   /* field[12] = target_leaving */
   9,   /* field[9] = target_started */
 };
 static const ProtobufCIntRange jd__response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor jd__response__descriptor =
 {
@@ -2239,7 +2252,7 @@
   "Jd__Response",
   "jd",
   sizeof(Jd__Response),
-  12,
+  13,
   jd__response__field_descriptors,
   jd__response__field_indices_by_name,
   1,  jd__response__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -414,10 +414,14 @@
   uint64_t target_started;
   uint32_t rate_limit;
   uint32_t limit_wait_ms;
+  /*
+   * that process has said that it leaves
+   */
+  protobuf_c_boolean target_leaving;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- /dev/null
+++ b/regress/e2e/departed-target-used.sh
@@ -0,0 +1,33 @@
+# A target that had deregistered got requests again after its node had restarted
+# and heard a late heartbeat of it.
+. regress/e2e/lib.sh
+. regress/stand/platform.sh
+
+platform_start_fleet 1-1:kiln 1-2:kiln 3-1:ops 3-2:ops ||
+    die "the store does not start"
+platform_document 5 kiln | platform_put_document
+fleet_until 200 platform_all_ready || die "not ready"
+fleet_until 200 platform_served_by 3-1 /kiln/1 w1-1 || die "1-1 is not used"
+fleet_until 200 platform_served_by 3-2 /kiln/1 w1-2 || die "1-2 is not used"
+for n in 1-1 3-1; do
+	platform_send_steadily $n /kiln/1 "$FLEET_DIR/$n.answers" &
+done
+
+ran_since() { # FROM
+	awk -v from="$1" '$3 == "ran" && $1 >= from' "$FLEET_DIR/1-1.ran" | wc -l
+}
+
+platform_control_worker 1-1 leave=1
+sleep 1
+left=$(platform_now)
+fleet_kill 1-1
+platform_control_worker 1-1 say=ready
+fleet_start_node 1 1
+fleet_until 200 platform_is_ready 1-1 || die "1-1 is not ready again"
+sleep 3
+say "requests to it after a restart of its node: $(ran_since "$left")"
+platform_control_worker 1-1 id=second
+fleet_until 100 platform_served_by 3-1 /kiln/1 second || die "second is not used"
+say "the next process is used"
+touch "$FLEET_DIR/stop"
+wait
--- a/targets/health.c
+++ b/targets/health.c
@@ -60,6 +60,18 @@
     announce_target(nd);
 }
 
+/* The target has said in an answer that it leaves: it gets no new requests. */
+void
+JdTargetHealth_OnLeaving(JdNode *nd)
+{
+    if (nd->target_sends_heartbeats) {
+        announce_target(nd);
+    }
+    else if (nd->tree.is_ready) {
+        JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
+    }
+}
+
 /* A process of the target deregisters: it gets no new requests. */
 void
 JdTargetHealth_OnDeregister(JdNode *nd, const char *id, uint64_t started)
@@ -75,7 +87,8 @@
 /*
  * Any response but 410 counts as ready, and so does a connection that breaks
  * or times out: a probe is a weak hint.  The target is down only when the
- * probe could not be sent; 410 Gone means that it drains.
+ * probe could not be sent; 410 Gone means that it drains.  An answer without
+ * the notice that it leaves is that of another process.
  */
 static void
 on_probe_response(void *ctx, const JdHttpResponse *ans)
@@ -84,10 +97,14 @@
     bool is_up = ans->result != JD_HTTP_NOT_SENT;
 
     nd->is_probe_pending = false;
+    if (ans->result == JD_HTTP_COMPLETED) {
+        nd->target_process.is_draining = JdTargetNotice_SaysLeaving(nd, ans);
+    }
     if (!nd->tree.is_ready || nd->is_drain_announced) {
         return;
     }
-    if (ans->result == JD_HTTP_COMPLETED && ans->status == 410) {
+    if (nd->target_process.is_draining ||
+        (ans->result == JD_HTTP_COMPLETED && ans->status == 410)) {
         JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
         return;
     }
--- a/targets/notice.c
+++ b/targets/notice.c
@@ -10,11 +10,18 @@
 #define STATUS_MISDIRECTED 421
 
 static const JdHttpHeader *
-find_field(const JdNode *nd, const JdHttpResponse *ans, JdHeaderField field)
+find_notice(const JdNode *nd, const JdHttpResponse *ans, JdNotice notice)
 {
-    const char *name = nd->dialect->header[field];
+    for (int i = 0; i < JD_NOTICE_NAMES_MAX; i++) {
+        const char *name = nd->dialect->notice[notice][i];
+        const JdHttpHeader *h =
+            name == NULL ? NULL : JdHttpResponse_FindHeader(ans, name);
 
-    return name == NULL ? NULL : JdHttpResponse_FindHeader(ans, name);
+        if (h != NULL) {
+            return h;
+        }
+    }
+    return NULL;
 }
 
 /* Returns the rate limit that an answer names, or 0.  One that cannot be read
@@ -22,7 +29,7 @@
 static unsigned
 read_rate_limit(JdNode *nd, const JdHttpResponse *ans)
 {
-    const JdHttpHeader *h = find_field(nd, ans, JD_FIELD_RATE_LIMIT);
+    const JdHttpHeader *h = find_notice(nd, ans, JD_NOTICE_RATE_LIMIT);
     unsigned rate = 0;
 
     if (h != NULL &&
@@ -33,10 +40,11 @@
     return rate;
 }
 
-static bool
-says_leaving(const JdNode *nd, const JdHttpResponse *ans)
+/* Returns whether the target says in an answer that it leaves. */
+bool
+JdTargetNotice_SaysLeaving(const JdNode *nd, const JdHttpResponse *ans)
 {
-    const JdHttpHeader *h = find_field(nd, ans, JD_FIELD_LEAVING);
+    const JdHttpHeader *h = find_notice(nd, ans, JD_NOTICE_LEAVING);
 
     return h != NULL && h->value_len == 1 && h->value[0] == '1';
 }
@@ -59,7 +67,7 @@
 JdTargetNotice_OnSend(JdNode *nd)
 {
     nd->counters.value[JD_C_SENT_LIMITED] += nd->target_process.rate_limit > 0;
-    nd->counters.value[JD_C_SENT_LEAVING] += nd->target_process.is_leaving;
+    nd->counters.value[JD_C_SENT_LEAVING] += nd->target_process.is_draining;
 }
 
 /* A request arrives whose sender may know the target's rate limit. */
@@ -94,8 +102,8 @@
         nd->counters.value[JD_C_RATE_LIMITS_NAMED]++;
         log_notice(nd, "rate-limit");
     }
-    if (!tg->is_leaving && says_leaving(nd, ans)) {
-        tg->is_leaving = true;
+    if (JdTargetNotice_SaysLeaving(nd, ans) && JdTarget_SetLeaving(tg)) {
         log_notice(nd, "leaving");
+        JdTargetHealth_OnLeaving(nd);
     }
 }
