--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -272,7 +272,8 @@
     bool is_draining; /* a heartbeat or an answer said that it leaves */
     /* Limit that its last answer named, in requests per 1000 s; 0: none. */
     unsigned rate_limit;
-    bool has_answered; /* since it started or its node did */
+    uint64_t limit_sent_at; /* latest request whose answer set the limit */
+    bool has_answered;      /* since it started or its node did */
     JdDepartedTarget departed[JD_DEPARTED_TARGETS_MAX];
     unsigned next_departed;
 } JdTarget;
@@ -284,7 +285,7 @@
 void JdTarget_MarkDown(JdTarget *tg);
 void JdTarget_ForgetNotices(JdTarget *tg);
 bool JdTarget_SetLeaving(JdTarget *tg);
-bool JdTarget_SetRateLimit(JdTarget *tg, unsigned rate);
+bool JdTarget_SetRateLimit(JdTarget *tg, unsigned rate, uint64_t sent_at);
 bool JdTarget_AdoptRateLimit(JdTarget *tg, uint64_t started, unsigned rate);
 
 /* ---- choice.c: load balancing between the targets of an endpoint set --- */
--- a/lib/request/target.c
+++ b/lib/request/target.c
@@ -33,6 +33,7 @@
 JdTarget_ForgetNotices(JdTarget *tg)
 {
     tg->rate_limit = 0;
+    tg->limit_sent_at = 0;
     tg->has_answered = false;
 }
 
@@ -123,29 +124,47 @@
     return is_changed;
 }
 
-/* Records the limit that an answer named, in requests per 1000 s, 0: none.
- * Returns whether it changed. */
+/* Returns whether limit `a` allows more than limit `b`; 0 is none. */
+static bool
+allows_more(unsigned a, unsigned b)
+{
+    return b != 0 && (a == 0 || a > b);
+}
+
+/*
+ * Records the limit that an answer named, in requests per 1000 s, 0: none.
+ * `sent_at` is the time at which its request was sent.  An answer that took
+ * long and is overtaken by that to a later request does not raise the limit.
+ * Returns whether it changed.
+ */
 bool
-JdTarget_SetRateLimit(JdTarget *tg, unsigned rate)
+JdTarget_SetRateLimit(JdTarget *tg, unsigned rate, uint64_t sent_at)
 {
+    bool is_overtaken = sent_at < tg->limit_sent_at;
     bool is_changed = rate != tg->rate_limit;
 
     tg->has_answered = true;
+    if (is_overtaken && allows_more(rate, tg->rate_limit)) {
+        return false;
+    }
     tg->rate_limit = rate;
+    if (!is_overtaken) {
+        tg->limit_sent_at = sent_at;
+    }
     return is_changed;
 }
 
 /*
  * Learns the limit from another node to which the process that started at
- * `started` named it.  This holds until the first answer, for a node that has
- * restarted and forgotten what the target said.  Returns whether the limit
- * changed.
+ * `started` named it.  The lowest one holds until the first answer, for a node
+ * that has restarted and forgotten what the target said.  Returns whether the
+ * limit changed.
  */
 bool
 JdTarget_AdoptRateLimit(JdTarget *tg, uint64_t started, unsigned rate)
 {
-    if (tg->has_answered || rate == 0 || tg->rate_limit != 0 ||
-        started != tg->started) {
+    if (tg->has_answered || started != tg->started || rate == 0 ||
+        !allows_more(tg->rate_limit, rate)) {
         return false;
     }
     tg->rate_limit = rate;
--- a/node/node.h
+++ b/node/node.h
@@ -197,7 +197,7 @@
 void JdTargetNotice_OnRequest(JdNode *nd, const Jd__Request *msg);
 void JdTargetNotice_OnSend(JdNode *nd);
 bool JdTargetNotice_SaysLeaving(const JdNode *nd, const JdHttpResponse *ans);
-void JdTargetNotice_OnResponse(JdNode *nd, uint64_t started,
+void JdTargetNotice_OnResponse(JdNode *nd, uint64_t started, uint64_t sent_at,
                                const JdHttpResponse *ans);
 
 /* targets/estimate.c: average run times of its work */
--- a/regress/soak/events.sh
+++ b/regress/soak/events.sh
@@ -99,6 +99,8 @@
 	16) fleet_fault "from=$from&to=$to&mode=reset" ;;
 	17) platform_control_store copy=1 ;;
 	18) soak_restore_store ;;
+	19) soak_limit_worker "$n" ;;
+	20) soak_worker_leaves "$n" ;;
 	esac
 }
 
@@ -110,9 +112,28 @@
 		fleet_until 160 fleet_is_gone "$1" ||
 		    echo "$1 did not exit after SIGTERM" >>"$FLEET_DIR/broken"
 	fi
+	soak_start_node "$1"
+}
+
+soak_start_node() { # NODE
 	fleet_start_node "${1%-*}" "${1#*-}"
+	echo "$(platform_now) w$1 restarted node" >>"$FLEET_DIR/restarts.ran"
 }
 
+# Has a worker name another rate limit, or none, in its answers.
+soak_limit_worker() { # NODE
+	local limits=(0 0.7 2 6.5 none)
+	platform_control_worker "$1" "limit=${limits[RANDOM % 5]}"
+}
+
+# Has a worker say in its answers that it leaves, while its heartbeats do not.
+# Another process takes its place when the faults are cleared, or earlier.
+soak_worker_leaves() { # NODE
+	soak_left[$1]=1
+	platform_control_worker "$1" leaving=1
+}
+declare -A soak_left
+
 # Has a worker drain or deregister, then changes its id, so that it acts as
 # another process at the same address.
 soak_replace_worker() { # NODE
@@ -122,7 +143,12 @@
 		platform_control_worker "$1" leave=1
 	fi
 	sleep 0.6
+	soak_next_process "$1"
+}
+
+soak_next_process() { # NODE
 	workers=$((workers + 1))
+	unset "soak_left[$1]"
 	platform_control_worker "$1" "id=w$1-$workers&say=ready"
 }
 
@@ -135,8 +161,9 @@
 	platform_control_store "silent=0&down=0&lose=0&slow_ms=0"
 	for n in $(soak_nodes); do
 		fleet_kill "$n" CONT
-		fleet_is_gone "$n" && fleet_start_node "${n%-*}" "${n#*-}"
-		platform_control_worker "$n" say=ready
+		fleet_is_gone "$n" && soak_start_node "$n"
+		platform_control_worker "$n" "say=ready&limit=none"
+		[ -z "${soak_left[$n]:-}" ] || soak_next_process "$n"
 	done
 	soak_put_version
 }
@@ -178,6 +205,10 @@
 # reports as violations:
 # - new work for a worker more than DRAIN_US after the acknowledgement that it
 #   drains or deregisters,
+# - the same, later than DRAIN_US after an answer said so and than RESTART_US
+#   after a restart of the worker's node, which must learn it again,
+# - more than 1.5 times the rate limit that a worker names, and 5, in 4 s, from
+#   LIMIT_US after it was named,
 # - an unsafe request that ran twice,
 # - an unsafe request that ran although refused as not run (503, 429, 408, 421),
 # - a 200 that is not the complete response to its own request,
@@ -185,7 +216,29 @@
 # - a valid request that was answered with 404 or 400.
 soak_check_results() {
 	cat "$FLEET_DIR"/*.ran >"$FLEET_DIR/ran"
-	awk -v drain=$DRAIN_US '
+	awk -v drain=$DRAIN_US -v restart=$RESTART_US -v settled=$LIMIT_US '
+	function check_limit(id, at, n) {
+		n = ++count[id]
+		time[id, n] = at
+		while (time[id, first[id] + 1] <= at - 4000000)
+			first[id]++
+		if (n - first[id] > 6 * limit[id] + 5)
+			print "worker " id " got " n - first[id] \
+			    " requests in 4 s at a limit of " limit[id]
+	}
+	FNR == NR && $3 == "restarted" { restarted[$2] = $1 }
+	FNR == NR && $3 == "limit" { limit[$2] = $4; since[$2] = $1
+		first[$2] = count[$2] + 0 }
+	FNR == NR && $3 == "said-leaving" { said[$2] = $1 }
+	FNR == NR && $3 == "ran" { split($2, part, "-")
+		node = part[1] "-" part[2]
+		if (($2 in said) && $1 - said[$2] > drain &&
+		    $1 - restarted[node] > restart)
+			print "worker " $2 " got request " $4 \
+			    " after it said that it leaves"
+		if (($2 in limit) && limit[$2] != "none" &&
+		    $1 - since[$2] > settled)
+			check_limit($2, $1) }
 	FNR == NR && $3 == "ran" { ran[$4]++
 		if (($2 in left) && $1 - left[$2] > drain)
 			print "worker " $2 " got request " $4 " after it left" }
--- a/regress/soak/soak.sh
+++ b/regress/soak/soak.sh
@@ -17,10 +17,15 @@
 # of 50 ms.
 RECOVERY_S=15
 # Number of kinds of events, of which fewer keep the runs of older seeds.
-SOAK_EVENTS=${SOAK_EVENTS:-19}
+SOAK_EVENTS=${SOAK_EVENTS:-21}
 # Time in us after the acknowledgement that a worker drains or deregisters in
 # which it may still get new requests.
 DRAIN_US=2500000
+# Time in us after the start of a node in which requests may reach its worker
+# although the worker had said that it leaves: the node must learn it again.
+RESTART_US=1000000
+# Time in us from which a rate limit holds after it was first named.
+LIMIT_US=3000000
 export FLEET_LINKS=1
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
--- a/regress/unit/limit.c
+++ b/regress/unit/limit.c
@@ -163,16 +163,137 @@
     CU_ASSERT_FALSE(JdTarget_AdoptRateLimit(&tg, 100, 0));
     CU_ASSERT_TRUE(JdTarget_AdoptRateLimit(&tg, 100, 5000));
     CU_ASSERT_FALSE(JdTarget_AdoptRateLimit(&tg, 100, 6000));
-    CU_ASSERT_TRUE(JdTarget_SetRateLimit(&tg, 0));
+    CU_ASSERT_TRUE(JdTarget_AdoptRateLimit(&tg, 100, 4000));
+    CU_ASSERT_TRUE(JdTarget_SetRateLimit(&tg, 0, 10));
     CU_ASSERT_FALSE(JdTarget_AdoptRateLimit(&tg, 100, 5000));
     CU_ASSERT_EQUAL(tg.rate_limit, 0);
     hb.started = 200;
-    JdTarget_SetRateLimit(&tg, 3000);
+    JdTarget_SetRateLimit(&tg, 3000, 20);
     JdTarget_Heartbeat(&tg, &hb, 0);
     CU_ASSERT_EQUAL(tg.rate_limit, 0);
     CU_ASSERT_TRUE(JdTarget_AdoptRateLimit(&tg, 200, 4000));
 }
 
+/* An answer that later ones have overtaken does not raise the limit. */
+static void
+test_overtaken_answer(void)
+{
+    JdTarget tg = {.seq = 0};
+
+    CU_ASSERT_TRUE(JdTarget_SetRateLimit(&tg, 9000, 10));
+    CU_ASSERT_TRUE(JdTarget_SetRateLimit(&tg, 2000, 30));
+    CU_ASSERT_FALSE(JdTarget_SetRateLimit(&tg, 9000, 20));
+    CU_ASSERT_FALSE(JdTarget_SetRateLimit(&tg, 0, 20));
+    CU_ASSERT_EQUAL(tg.rate_limit, 2000);
+    CU_ASSERT_TRUE(JdTarget_SetRateLimit(&tg, 1000, 20));
+    CU_ASSERT_TRUE(JdTarget_SetRateLimit(&tg, 0, 30));
+}
+
+#define NOW JD_US_PER_S
+
+/* Three targets and a balancer on a paused clock. */
+typedef struct Choice {
+    JdClock clock;
+    JdCounters counters;
+    JdRandom random;
+    JdMembers members;
+    JdBalancer balancer;
+} Choice;
+
+static void
+announce(JdMembers *ms, const char *id, uint64_t incarnation,
+         uint64_t target_left)
+{
+    Jd__Member msg = JD__MEMBER__INIT;
+
+    msg.id = (char *)id;
+    msg.incarnation = incarnation;
+    msg.seq = 1;
+    msg.state = JD_MEMBER_READY;
+    msg.region = msg.domain = "d";
+    msg.slots = 10;
+    msg.service = msg.endpoint_set = "set";
+    msg.target_started = 100;
+    msg.target_left = target_left;
+    JdMembers_Update(ms, &msg, 0);
+}
+
+static void
+begin_choice(Choice *ch)
+{
+    memset(ch, 0, sizeof(*ch));
+    JdClock_Init(&ch->clock, NULL, NULL);
+    JdClock_Advance(&ch->clock, NOW);
+    JdRandom_Init(&ch->random, 3);
+    JdMembers_Init(&ch->members, &ch->clock, &ch->counters);
+    ch->balancer = (JdBalancer){&ch->members,  &ch->clock, &ch->random,
+                                &ch->counters, "d",        "d"};
+    announce(&ch->members, "a", 1, 0);
+    announce(&ch->members, "b", 1, 0);
+}
+
+/* Returns how many of 100 requests are sent to a target. */
+static unsigned
+count_picks(Choice *ch, const char *id)
+{
+    unsigned n = 0;
+    JdTier tier;
+
+    for (int i = 0; i < 100; i++) {
+        const JdMember *mb =
+            JdBalancer_Pick(&ch->balancer, "set", NULL, 0, &tier);
+
+        n += mb != NULL && strcmp(mb->id, id) == 0;
+    }
+    return n;
+}
+
+static void
+test_limited_target_passed_by(void)
+{
+    JdLoadReport rep = {
+        .process = 100, .rate_limit = 2000, .limit_wait = JD_US_PER_S / 2};
+    JdMember *mb;
+    Choice ch;
+
+    begin_choice(&ch);
+    mb = JdMembers_Find(&ch.members, "a");
+    JdBalancer_RecordAnswer(&ch.balancer, "a", 1, &rep);
+    CU_ASSERT_EQUAL(JdBalancer_RateLimit(&ch.balancer, mb), 2000);
+    CU_ASSERT_EQUAL(count_picks(&ch, "a"), 0);
+    JdClock_Advance(&ch.clock, JD_US_PER_S / 2);
+    CU_ASSERT_TRUE(count_picks(&ch, "a") > 0);
+    /* It is known over a restart of the target's node. */
+    announce(&ch.members, "a", 2, 0);
+    CU_ASSERT_EQUAL(JdBalancer_RateLimit(&ch.balancer, mb), 2000);
+    /* Where all targets are limited, one is asked all the same. */
+    JdBalancer_RecordFailure(&ch.balancer, "a", JD_REASON_RATE_LIMITED, &rep);
+    JdBalancer_RecordFailure(&ch.balancer, "b", JD_REASON_RATE_LIMITED, &rep);
+    CU_ASSERT_TRUE(count_picks(&ch, "a") > 0);
+    CU_ASSERT_TRUE(count_picks(&ch, "b") > 0);
+    JdMembers_Finish(&ch.members);
+}
+
+static void
+test_left_target_stays_left(void)
+{
+    JdLoadReport rep = {.process = 100, .is_leaving = true};
+    Choice ch;
+
+    begin_choice(&ch);
+    JdBalancer_RecordAnswer(&ch.balancer, "a", 1, &rep);
+    CU_ASSERT_EQUAL(count_picks(&ch, "a"), 0);
+    /* A node that has restarted does not know that its target left. */
+    announce(&ch.members, "a", 2, 0);
+    CU_ASSERT_EQUAL(count_picks(&ch, "a"), 0);
+    announce(&ch.members, "b", 2, 100);
+    announce(&ch.members, "b", 3, 0);
+    CU_ASSERT_EQUAL(count_picks(&ch, "b"), 0);
+    announce(&ch.members, "b", 4, 90);
+    CU_ASSERT_EQUAL(count_picks(&ch, "b"), 100);
+    JdMembers_Finish(&ch.members);
+}
+
 void
 Unit_AddLimit(void)
 {
@@ -183,4 +304,7 @@
     CU_add_test(s, "priority", test_priority);
     CU_add_test(s, "parse rate", test_parse_rate);
     CU_add_test(s, "adopt", test_adopt);
+    CU_add_test(s, "overtaken answer", test_overtaken_answer);
+    CU_add_test(s, "limited target passed by", test_limited_target_passed_by);
+    CU_add_test(s, "left target stays left", test_left_target_stays_left);
 }
--- a/targets/notice.c
+++ b/targets/notice.c
@@ -8,6 +8,7 @@
 
 /* Misdirected Request: another process than the expected one answers. */
 #define STATUS_MISDIRECTED 421
+#define HTTP_ERROR_MIN 400
 
 static const JdHttpHeader *
 find_notice(const JdNode *nd, const JdHttpResponse *ans, JdNotice notice)
@@ -25,15 +26,19 @@
 }
 
 /* Returns the rate limit that an answer names, or 0.  One that cannot be read
- * leaves the old one in force. */
+ * leaves the old one in force, and so does an error without one: the target
+ * may make it before it knows of its limit. */
 static unsigned
 read_rate_limit(JdNode *nd, const JdHttpResponse *ans)
 {
     const JdHttpHeader *h = find_notice(nd, ans, JD_NOTICE_RATE_LIMIT);
     unsigned rate = 0;
 
-    if (h != NULL &&
-        JdRateLimit_Parse(h->value, h->value_len, &rate) != JD_OK) {
+    if (h == NULL) {
+        return ans->status < HTTP_ERROR_MIN ? 0
+                                            : nd->target_process.rate_limit;
+    }
+    if (JdRateLimit_Parse(h->value, h->value_len, &rate) != JD_OK) {
         nd->counters.value[JD_C_RATE_LIMITS_BAD]++;
         return nd->target_process.rate_limit;
     }
@@ -82,11 +87,12 @@
     }
 }
 
-/* The end of a request at the target.  `started` names the process that it was
- * sent to; an answer of an earlier process, or of another one at the same
- * address, says nothing of the present one. */
+/* The end of a request at the target that was sent at the time `sent_at`.
+ * `started` names the process that it was sent to; an answer of an earlier
+ * process, or of another one at the same address, says nothing of the present
+ * one. */
 void
-JdTargetNotice_OnResponse(JdNode *nd, uint64_t started,
+JdTargetNotice_OnResponse(JdNode *nd, uint64_t started, uint64_t sent_at,
                           const JdHttpResponse *ans)
 {
     JdTarget *tg = &nd->target_process;
@@ -97,7 +103,7 @@
         return;
     }
     rate = read_rate_limit(nd, ans);
-    if (JdTarget_SetRateLimit(tg, rate)) {
+    if (JdTarget_SetRateLimit(tg, rate, sent_at)) {
         JdAdmission_SetRateLimit(&nd->admit, rate);
         nd->counters.value[JD_C_RATE_LIMITS_NAMED]++;
         log_notice(nd, "rate-limit");
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -242,7 +242,8 @@
 
     it->call = NULL;
     it->was_sent = ans->result != JD_HTTP_NOT_SENT;
-    JdTargetNotice_OnResponse(nd, it->target_started, ans);
+    JdTargetNotice_OnResponse(nd, it->target_started, it->work.started_at,
+                              ans);
     JdLatencies_Record(&nd->latencies, JD_LATENCY_TARGET, it->msg->service,
                        reason == JD_REASON_NONE ? "answered"
                                                 : JdReason_Info(reason)->name,
