--- a/targets/targetd.c
+++ b/targets/targetd.c
@@ -64,6 +64,8 @@
     gchar *next_path;  /* NULL: no next service is called */
     bool strips_retry; /* x-retry of its responses is not relayed */
     uint64_t shed;
+    char rate_limit[16]; /* that it names in its answers, empty: none */
+    bool is_leaving;     /* it says so in its answers */
 } Targetd;
 
 static Targetd targetd;
@@ -288,14 +290,34 @@
     }
     targetd.service_us =
         JdHttpd_QueryNumber(req, "service_us", targetd.service_us);
+    JdHttpd_CopyQueryParam(req, "limit", targetd.rate_limit,
+                           sizeof(targetd.rate_limit));
+    if (strcmp(targetd.rate_limit, "none") == 0) {
+        targetd.rate_limit[0] = '\0';
+    }
+    targetd.is_leaving =
+        JdHttpd_QueryNumber(req, "leaving", targetd.is_leaving) != 0;
     JdHttpd_ReplyJson(req, 200,
                       json_pack("{s:s}", "mode", mode_names[targetd.mode]));
 }
 
+/* Adds what the target says of itself in all its answers. */
+static void
+add_notices(h2o_req_t *req)
+{
+    if (targetd.rate_limit[0] != '\0') {
+        JdHttpd_AddHeader(req, "x-rate-limit", targetd.rate_limit);
+    }
+    if (targetd.is_leaving) {
+        JdHttpd_AddHeader(req, "x-leaving", "1");
+    }
+}
+
 static void
 on_request(void *ctx, h2o_req_t *req)
 {
     (void)ctx;
+    add_notices(req);
     if (JdHttpd_IsPath(req, "/health")) {
         JdHttpd_ReplyJson(req, 200, json_pack("{s:s}", "health", "ok"));
     }
