The newest process that left is the one that counts; who reports notices

Found by reading: an announcement by a node that had restarted, with an older process as the one that left, replaced what the others had been told last. The newest by its start wins now, wherever two words of it meet. Reports that a node makes up itself (no connection, an aborted attempt) no longer clear what the target had said.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -322,10 +322,12 @@
 typedef struct JdLoadReport {
     unsigned load; /* running and queued work in percent of its slots */
     uint64_t service_time; /* mean in us, 0: unknown */
-    uint64_t process;      /* start of the target's process, 0: unknown */
-    unsigned rate_limit;   /* requests per 1000 s, 0: none */
-    uint64_t limit_wait;   /* us until its limit allows another request */
-    bool is_leaving;       /* the target's process has said that it leaves */
+    /* What the target says of itself, where its node made this report. */
+    bool has_notices;
+    uint64_t process;    /* start of the target's process, 0: unknown */
+    unsigned rate_limit; /* requests per 1000 s, 0: none */
+    uint64_t limit_wait; /* us until its limit allows another request */
+    bool is_leaving;     /* the target's process has said that it leaves */
 } JdLoadReport;
 
 /* Load balancer of a node.  `region` and `domain` are those of the node. */
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -46,8 +46,8 @@
     char endpoint_set[JD_NAME_MAX];
     unsigned slots;
     uint64_t target_started; /* ms since 1970, 0: unknown */
-    /* Start of the target's process that last said that it leaves, 0: none
-       did. It outlives restarts of the node. */
+    /* Start of the newest process of the target that said that it leaves, 0:
+       none did. It outlives restarts of the node. */
     uint64_t target_left;
     uint64_t changed_at;     /* time of the last change */
     bool is_pending;         /* on the list of changes to forward */
@@ -98,6 +98,7 @@
 size_t JdMembers_BucketOf(const char *id);
 void JdMembers_ClearPending(JdMembers *ms, JdMember *mb);
 bool JdMember_HasTargetLeft(const JdMember *mb);
+void JdMember_SetTargetLeft(JdMember *mb, uint64_t started);
 void JdMembers_Prune(JdMembers *ms, uint64_t age);
 
 /* ---- tree.c: distribution tree ----------------------------------------- */
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -62,8 +62,11 @@
 record_notices(const JdBalancer *lb, JdMember *mb, JdTargetStats *ts,
                const JdLoadReport *rep)
 {
+    if (!rep->has_notices) {
+        return;
+    }
     if (rep->is_leaving) {
-        mb->target_left = rep->process;
+        JdMember_SetTargetLeft(mb, rep->process);
     }
     ts->limited_process = rep->process;
     ts->rate_limit = rep->rate_limit;
@@ -140,9 +143,7 @@
     if (ts == NULL) {
         return;
     }
-    if (rep->process != 0) {
-        record_notices(lb, mb, ts, rep);
-    }
+    record_notices(lb, mb, ts, rep);
     switch (reason) {
     case JD_REASON_QUEUE_FULL:
     case JD_REASON_TOO_LATE:
@@ -152,7 +153,6 @@
         ts->progress_at = JdClock_Now(lb->clock);
         ts->last_full_at = ts->progress_at;
         record_report(lb, ts, rep);
-        record_notices(lb, mb, ts, rep);
         return;
     case JD_REASON_CANCELLED:
         return;
--- a/lib/tree/member.c
+++ b/lib/tree/member.c
@@ -186,6 +186,24 @@
     }
 }
 
+/* Returns whether the present process of a member's target has said that it
+ * leaves. */
+bool
+JdMember_HasTargetLeft(const JdMember *mb)
+{
+    return mb->target_left != 0 && mb->target_left == mb->target_started;
+}
+
+/* Records that the process of a member's target that started at `started`
+ * leaves; 0 is none.  An older one than is known changes nothing. */
+void
+JdMember_SetTargetLeft(JdMember *mb, uint64_t started)
+{
+    if (started > mb->target_left) {
+        mb->target_left = started;
+    }
+}
+
 /*
  * Applies one announcement.  Returns the member if the table changed, NULL if
  * the announcement is invalid or not newer.  `source_link` is the link that it
@@ -223,23 +241,13 @@
                  msg->endpoint_set);
     mb->slots = msg->slots;
     mb->target_started = msg->target_started;
-    if (msg->target_left != 0) {
-        mb->target_left = msg->target_left;
-    }
+    JdMember_SetTargetLeft(mb, msg->target_left);
     end_change(ms, mb, source_link);
     clear_suspect(ms, mb);
     notify_state_changed(ms, mb, old);
     return mb;
 }
 
-/* Returns whether the present process of a member's target has said that it
- * leaves. */
-bool
-JdMember_HasTargetLeft(const JdMember *mb)
-{
-    return mb->target_left != 0 && mb->target_left == mb->target_started;
-}
-
 /* Fills a message from a member; its strings point into the member. */
 void
 JdMembers_Encode(const JdMember *mb, Jd__Member *msg)
--- a/lib/tree/update.c
+++ b/lib/tree/update.c
@@ -139,7 +139,7 @@
 static void
 learn_target_left(JdTree *tr, const Jd__Member *msg)
 {
-    if (msg->target_left != 0 && tr->self.target_left == 0) {
+    if (msg->target_left > tr->self.target_left) {
         tr->self.target_left = msg->target_left;
         _JdTree_AnnounceSelf(tr);
     }
@@ -236,7 +236,7 @@
 void
 JdTree_SetTargetLeft(JdTree *tr, uint64_t started)
 {
-    if (started != 0) {
+    if (started > tr->self.target_left) {
         tr->self.target_left = started;
     }
 }
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -487,6 +487,7 @@
 {
     JdLoadReport report = {.load = msg->load,
                            .service_time = msg->service_us,
+                           .has_notices = true,
                            .process = msg->target_started,
                            .rate_limit = msg->rate_limit,
                            .limit_wait = msg->limit_wait_ms * JD_US_PER_MS,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -86,7 +86,7 @@
    */
   uint64_t target_started;
   /*
-   * Start of the target's process that last said that it leaves, 0: none did.
+   * Start of the newest process of the target that said that it leaves, 0: none.
    * The node may have forgotten it in a restart; others keep it.
    */
   uint64_t target_left;
--- a/regress/unit/limit.c
+++ b/regress/unit/limit.c
@@ -201,7 +201,7 @@
 } Choice;
 
 static void
-announce(JdMembers *ms, const char *id, uint64_t incarnation,
+announce(JdMembers *ms, const char *id, uint64_t incarnation, uint64_t started,
          uint64_t target_left)
 {
     Jd__Member msg = JD__MEMBER__INIT;
@@ -213,7 +213,7 @@
     msg.region = msg.domain = "d";
     msg.slots = 10;
     msg.service = msg.endpoint_set = "set";
-    msg.target_started = 100;
+    msg.target_started = started;
     msg.target_left = target_left;
     JdMembers_Update(ms, &msg, 0);
 }
@@ -228,8 +228,8 @@
     JdMembers_Init(&ch->members, &ch->clock, &ch->counters);
     ch->balancer = (JdBalancer){&ch->members,  &ch->clock, &ch->random,
                                 &ch->counters, "d",        "d"};
-    announce(&ch->members, "a", 1, 0);
-    announce(&ch->members, "b", 1, 0);
+    announce(&ch->members, "a", 1, 100, 0);
+    announce(&ch->members, "b", 1, 100, 0);
 }
 
 /* Returns how many of 100 requests are sent to a target. */
@@ -251,8 +251,10 @@
 static void
 test_limited_target_passed_by(void)
 {
-    JdLoadReport rep = {
-        .process = 100, .rate_limit = 2000, .limit_wait = JD_US_PER_S / 2};
+    JdLoadReport rep = {.has_notices = true,
+                        .process = 100,
+                        .rate_limit = 2000,
+                        .limit_wait = JD_US_PER_S / 2};
     JdMember *mb;
     Choice ch;
 
@@ -264,7 +266,7 @@
     JdClock_Advance(&ch.clock, JD_US_PER_S / 2);
     CU_ASSERT_TRUE(count_picks(&ch, "a") > 0);
     /* It is known over a restart of the target's node. */
-    announce(&ch.members, "a", 2, 0);
+    announce(&ch.members, "a", 2, 100, 0);
     CU_ASSERT_EQUAL(JdBalancer_RateLimit(&ch.balancer, mb), 2000);
     /* Where all targets are limited, one is asked all the same. */
     JdBalancer_RecordFailure(&ch.balancer, "a", JD_REASON_RATE_LIMITED, &rep);
@@ -277,19 +279,23 @@
 static void
 test_left_target_stays_left(void)
 {
-    JdLoadReport rep = {.process = 100, .is_leaving = true};
+    JdLoadReport rep = {
+        .has_notices = true, .process = 100, .is_leaving = true};
     Choice ch;
 
     begin_choice(&ch);
     JdBalancer_RecordAnswer(&ch.balancer, "a", 1, &rep);
     CU_ASSERT_EQUAL(count_picks(&ch, "a"), 0);
     /* A node that has restarted does not know that its target left. */
-    announce(&ch.members, "a", 2, 0);
+    announce(&ch.members, "a", 2, 100, 0);
     CU_ASSERT_EQUAL(count_picks(&ch, "a"), 0);
-    announce(&ch.members, "b", 2, 100);
-    announce(&ch.members, "b", 3, 0);
+    announce(&ch.members, "b", 2, 100, 100);
+    announce(&ch.members, "b", 3, 100, 0);
+    CU_ASSERT_EQUAL(count_picks(&ch, "b"), 0);
+    /* An older process than the one that left says nothing of it. */
+    announce(&ch.members, "b", 4, 100, 90);
     CU_ASSERT_EQUAL(count_picks(&ch, "b"), 0);
-    announce(&ch.members, "b", 4, 90);
+    announce(&ch.members, "b", 5, 200, 0);
     CU_ASSERT_EQUAL(count_picks(&ch, "b"), 100);
     JdMembers_Finish(&ch.members);
 }
