--- a/node/node.h
+++ b/node/node.h
@@ -193,6 +193,13 @@
 char *JdTargetHeaders_Format(const JdNode *nd, const Jd__Request *msg,
                              uint64_t time_left);
 
+/* targets/response.c: responses to the nodes that send requests to it */
+unsigned JdTargetResponse_Priority(const Jd__Request *msg);
+void JdTargetResponse_Refuse(JdNode *nd, const Jd__Request *request,
+                             JdConn *origin, JdReason reason, bool was_sent);
+void JdTargetResponse_Relay(JdNode *nd, uint64_t id, JdConn *origin,
+                            const JdHttpResponse *ans);
+
 /* targets/notice.c: what the local target says of itself in its answers */
 void JdTargetNotice_OnRequest(JdNode *nd, const Jd__Request *msg);
 void JdTargetNotice_OnSend(JdNode *nd);
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -52,82 +52,14 @@
     g_free(it);
 }
 
-static void
-send_response(JdNode *nd, JdConn *origin, Jd__Response *msg)
-{
-    Jd__Frame frame = JD__FRAME__INIT;
-
-    msg->load = JdAdmission_Load(&nd->admit);
-    msg->service_us = nd->admit.service_time.mean;
-    msg->target_started = nd->target_process.started;
-    msg->rate_limit = nd->target_process.rate_limit;
-    msg->target_leaving = JdTargetHealth_IsLeaving(nd);
-    msg->limit_wait_ms = (uint32_t)((JdAdmission_RateLimitWait(&nd->admit, 0) +
-                                     JD_US_PER_MS - 1) /
-                                    JD_US_PER_MS);
-    if (origin == NULL) {
-        JdForward_OnResponse(nd, msg);
-        return;
-    }
-    frame.version = nd->store.config->version;
-    frame.body_case = JD__FRAME__BODY_RESPONSE;
-    frame.response = msg;
-    JdConn_Send(origin, &frame);
-}
-
-static void
-log_refusal(const JdNode *nd, const Jd__Request *request, JdReason reason,
-            bool was_sent)
-{
-    JD_LOG(JD_EVENT_WORK, JD_TEXT("id", request->request_id),
-           JD_TEXT("outcome", JdReason_Info(reason)->name),
-           JD_NUMBER("was_sent", was_sent),
-           JD_NUMBER("running", nd->admit.running),
-           JD_NUMBER("queued", nd->admit.queued),
-           JD_NUMBER("slots", nd->admit.slots),
-           JD_NUMBER("service_ms", nd->admit.service_time.mean / JD_US_PER_MS),
-           JD_NUMBER("left_ms", request->left_ms),
-           JD_TEXT("target", nd->target_process.id));
-}
-
-static unsigned
-priority_of(const Jd__Request *msg)
-{
-    return msg->priority < JD_PRIORITIES ? msg->priority : JD_PRIORITIES - 1;
-}
-
-static void
-refuse(JdNode *nd, const Jd__Request *request, JdConn *origin, JdReason reason,
-       bool was_sent)
-{
-    Jd__Response msg = JD__RESPONSE__INIT;
-
-    msg.id = request->id;
-    msg.reason = reason;
-    msg.sent = was_sent;
-    msg.retry_after_ms = JdReason_Info(reason)->retry_after_ms;
-    if (reason == JD_REASON_QUEUE_FULL || reason == JD_REASON_TOO_LATE) {
-        msg.retry_after_ms =
-            (uint32_t)(JdAdmission_RetryAfter(&nd->admit) / JD_US_PER_MS);
-    }
-    if (reason == JD_REASON_RATE_LIMITED) {
-        msg.retry_after_ms = (uint32_t)(JdAdmission_RateLimitWait(
-                                            &nd->admit, priority_of(request)) /
-                                        JD_US_PER_MS) +
-                             1;
-    }
-    nd->counters.value[JdReason_Info(reason)->counter]++;
-    log_refusal(nd, request, reason, was_sent);
-    send_response(nd, origin, &msg);
-}
-
 /* Refuses a request that no longer occupies a slot, unless nobody waits for
  * the response, and frees it. */
 static void
 finish_refused(JdWorkItem *it, JdReason reason)
 {
     if (!it->is_orphan) {
-        refuse(it->node, it->msg, it->origin, reason, it->was_sent);
+        JdTargetResponse_Refuse(it->node, it->msg, it->origin, reason,
+                                it->was_sent);
     }
     free_item(it);
 }
@@ -147,41 +79,6 @@
     finish_refused(it, reason);
 }
 
-static void
-relay_response(JdWorkItem *it, const JdHttpResponse *ans)
-{
-    Jd__Header header[JD_HTTP_HEADERS_MAX];
-    Jd__Header *list[JD_HTTP_HEADERS_MAX];
-    char *names[JD_HTTP_HEADERS_MAX] = {NULL};
-    Jd__Response msg = JD__RESPONSE__INIT;
-
-    msg.id = it->msg->id;
-    msg.sent = true;
-    msg.status = (uint32_t)ans->status;
-    msg.body.data = (uint8_t *)ans->body;
-    msg.body.len = ans->body_len;
-    for (size_t i = 0; i < ans->header_count; i++) {
-        const JdHttpHeader *h = &ans->header[i];
-        size_t n = msg.n_header;
-
-        if (!JdTargetHeaders_IsRelayed(h)) {
-            continue;
-        }
-        jd__header__init(&header[n]);
-        names[n] = g_strndup(h->name, h->name_len);
-        header[n].name = names[n];
-        header[n].value.data = (uint8_t *)h->value;
-        header[n].value.len = h->value_len;
-        list[n] = &header[n];
-        msg.n_header++;
-    }
-    msg.header = list;
-    send_response(it->node, it->origin, &msg);
-    for (size_t i = 0; i < msg.n_header; i++) {
-        g_free(names[i]);
-    }
-}
-
 static void hold_slot(JdWorkItem *it);
 
 static JdReason
@@ -254,14 +151,14 @@
     }
     if (reason == JD_REASON_DEADLINE) {
         record_cancelled(it);
-        refuse(nd, it->msg, it->origin, reason, it->was_sent);
+        JdTargetResponse_Refuse(nd, it->msg, it->origin, reason, it->was_sent);
         hold_slot(it);
         return;
     }
     complete_work(it,
                   reason == JD_REASON_NONE && ans->status < HTTP_ERROR_MIN);
     if (reason == JD_REASON_NONE) {
-        relay_response(it, ans);
+        JdTargetResponse_Relay(nd, it->msg->id, it->origin, ans);
         free_item(it);
     }
     else if (JdReason_Info(reason)->is_not_executed) {
@@ -460,7 +357,7 @@
 
     JdTargetNotice_OnRequest(nd, msg);
     if (reason != JD_REASON_NONE) {
-        refuse(nd, msg, origin, reason, false);
+        JdTargetResponse_Refuse(nd, msg, origin, reason, false);
         jd__request__free_unpacked(msg, NULL);
         return;
     }
@@ -468,7 +365,7 @@
     it->node = nd;
     it->msg = msg;
     it->origin = origin;
-    it->work.priority = priority_of(msg);
+    it->work.priority = JdTargetResponse_Priority(msg);
     it->work.deadline =
         JdClock_Now(&nd->loop.clock) + msg->left_ms * JD_US_PER_MS;
     if (nd->is_draining && it->work.deadline > nd->drain_deadline) {
