Soak: a worker has left when an answer that says so was passed on

Traced: node 1-2 stood still from 390.19 to 402.20 s; on waking it passed two requests on whose callers had left meanwhile (its draining line: calls 0, running 1) and cancelled them; the worker recorded its first such answer at 402.212, but no node saw it: there is no leaving line at its node until 406.934, 5 ms after the one request that was counted, and none reached it after that. The rule counts from the answer that a machine has passed on.

The check took the worker's own record of its first answer. The load client now records the answers that reach it, and the check counts from these; the bound of 2.5 s and the seeds are as they were.

--- a/regress/soak/events.sh
+++ b/regress/soak/events.sh
@@ -205,8 +205,8 @@
 # reports as violations:
 # - new work for a worker more than DRAIN_US after the acknowledgement that it
 #   drains or deregisters,
-# - the same, later than DRAIN_US after an answer said so and than RESTART_US
-#   after a restart of the worker's node, which must learn it again,
+# - the same, later than DRAIN_US after a node had passed on an answer that said
+#   so and than RESTART_US after a restart of the worker's node, which must learn it again,
 # - more than 1.5 times the rate limit that a worker names, and 5, in 4 s, from
 #   LIMIT_US after it was named,
 # - an unsafe request that ran twice,
@@ -216,6 +216,7 @@
 # - a valid request that was answered with 404 or 400.
 soak_check_results() {
 	cat "$FLEET_DIR"/*.ran >"$FLEET_DIR/ran"
+	grep ' said-leaving ' "$FLEET_DIR/seen" >>"$FLEET_DIR/ran"
 	awk -v drain=$DRAIN_US -v restart=$RESTART_US -v settled=$LIMIT_US '
 	function check_limit(id, at, n) {
 		n = ++count[id]
@@ -229,7 +230,7 @@
 	FNR == NR && $3 == "restarted" { restarted[$2] = $1 }
 	FNR == NR && $3 == "limit" { limit[$2] = $4; since[$2] = $1
 		first[$2] = count[$2] + 0 }
-	FNR == NR && $3 == "said-leaving" { said[$2] = $1 }
+	FNR == NR && $3 == "said-leaving" && !($2 in said) { said[$2] = $1 }
 	FNR == NR && $3 == "ran" { split($2, part, "-")
 		node = part[1] "-" part[2]
 		if (($2 in said) && $1 - said[$2] > drain &&
@@ -302,7 +303,7 @@
 	wait "$observer" 2>/dev/null
 	soak_check_results
 	cat "$FLEET_DIR/broken"
-	echo "$(wc -l <"$FLEET_DIR/seen") requests," \
+	echo "$(grep -c -v ' said-leaving ' "$FLEET_DIR/seen") requests," \
 	    "$(grep -c ' 200 own$' "$FLEET_DIR/seen") answered," \
 	    "$(grep -c event "$FLEET_DIR/events") events, $version versions"
 	[ ! -s "$FLEET_DIR/broken" ]
--- a/regress/soak/observe.c
+++ b/regress/soak/observe.c
@@ -7,6 +7,10 @@
  * status, not-sent, broken, timed-out or crossed), and for status 200 "own" if
  * the response is signed, complete and has the id of the request, otherwise
  * "other".  The last field is "-" for all other results.
+ *
+ * An answer in which the worker says that it leaves gets another line, in the
+ * form of the workers' records: time in us, worker, "said-leaving", request
+ * id.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -74,6 +78,22 @@
     return is_valid;
 }
 
+/* Prints that an answer was passed on in which its worker says that it leaves.
+ */
+static void
+print_notice(const JdHttpResponse *resp, const PendingRequest *pending)
+{
+    const JdHttpHeader *worker =
+        JdHttpResponse_FindHeader(resp, "jacinthdyke-server-signature");
+
+    if (worker != NULL &&
+        JdHttpResponse_FindHeader(resp, "server-leaving") != NULL) {
+        printf("%" G_GUINT64_FORMAT " %.*s said-leaving %s\n",
+               JdLoop_WallClock(), (int)worker->value_len, worker->value,
+               pending->id);
+    }
+}
+
 static void
 on_response(void *ctx, const JdHttpResponse *resp)
 {
@@ -90,6 +110,7 @@
                : resp->body_len == 0              ? "other"
                : is_valid_response(resp, pending) ? "own"
                                                   : "other");
+        print_notice(resp, pending);
     }
     g_free(pending);
     if (observer.in_flight == 0 &&
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -42,7 +42,6 @@
     char heartbeat_mode[JD_NAME_MAX];
     char rate_limit[JD_NAME_MAX]; /* empty: none is named */
     bool is_leaving;
-    bool has_said_leaving;
     gchar *listen;
     gchar *service;
     uint64_t started_at_ms;
@@ -62,8 +61,7 @@
 /* Appends a line to the record: time in us, id of this process, event,
  * subject.  The events are "ran" with a request's id, and "leaving" once the
  * node has acknowledged that no new work may be sent; "limit" with the rate
- * limit that answers name from now on, and "said-leaving" when an answer first
- * says that this process leaves. */
+ * limit that answers name from now on. */
 static void
 write_record(const char *event, const char *subject)
 {
@@ -168,10 +166,6 @@
     }
     if (worker.is_leaving) {
         JdHttpd_AddHeader(req, "server-leaving", "1");
-        if (!worker.has_said_leaving) {
-            worker.has_said_leaving = true;
-            write_record("said-leaving", "answer");
-        }
     }
 }
 
@@ -270,7 +264,6 @@
         worker.sequence = 0;
         worker.rate_limit[0] = '\0';
         worker.is_leaving = false;
-        worker.has_said_leaving = false;
     }
     if (JdHttpd_CopyQueryParam(req, "limit", worker.rate_limit,
                                sizeof(worker.rate_limit))) {
