An answer that does not tell of a limit does not count as the target's word

Found by reading: after a restart of the target's node an error that names no limit counted as the target's first answer, so that the limit of other nodes was not taken over any more. Such an answer now says nothing at all.

e2e/target-limit-exceeded has a step with errors that do not name the limit; it passes, and fails with 97 requests in 4 s (allowed 11) where such an answer lifts the limit (mutant limit-lifted-by-error, trial on a scratch copy).

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -273,7 +273,7 @@
     /* Limit that its last answer named, in requests per 1000 s; 0: none. */
     unsigned rate_limit;
     uint64_t limit_sent_at; /* latest request whose answer set the limit */
-    bool has_answered;      /* since it started or its node did */
+    bool has_answered;      /* told its limit, since it or its node started */
     JdDepartedTarget departed[JD_DEPARTED_TARGETS_MAX];
     unsigned next_departed;
 } JdTarget;
--- a/regress/e2e/leaving-target-used.sh
+++ b/regress/e2e/leaving-target-used.sh
@@ -2,12 +2,7 @@
 . regress/e2e/lib.sh
 . regress/stand/platform.sh
 
-platform_start_fleet 1-1:kiln 1-2:kiln 3-1:ops 3-2:ops ||
-    die "the store does not start"
-platform_document 5 kiln | platform_put_document
-fleet_until 200 platform_all_ready || die "not ready"
-fleet_until 200 platform_served_by 3-1 /kiln/1 w1-1 || die "1-1 is not used"
-fleet_until 200 platform_served_by 3-2 /kiln/1 w1-2 || die "1-2 is not used"
+platform_start_two_workers
 for n in 1-1 3-1 3-2; do
 	platform_send_steadily $n /kiln/1 "$FLEET_DIR/$n.answers" &
 done
--- a/regress/e2e/target-limit-exceeded.sh
+++ b/regress/e2e/target-limit-exceeded.sh
@@ -3,12 +3,7 @@
 . regress/stand/platform.sh
 
 PLATFORM_WORKER_OPTIONS="--slots 100 --work-ms 350"
-platform_start_fleet 1-1:kiln 1-2:kiln 3-1:ops 3-2:ops ||
-    die "the store does not start"
-platform_document 5 kiln | platform_put_document
-fleet_until 200 platform_all_ready || die "not ready"
-fleet_until 200 platform_served_by 3-1 /kiln/1 w1-1 || die "1-1 is not used"
-fleet_until 200 platform_served_by 3-2 /kiln/1 w1-2 || die "1-2 is not used"
+platform_start_two_workers
 for n in 3-1 3-2; do
 	platform_send_steadily $n /kiln/1 "$FLEET_DIR/$n.answers" &
 done
@@ -45,6 +40,10 @@
 lowered=$(platform_now)
 sleep 4
 say "within a lower limit: $(is_within 1 "$lowered")"
+platform_control_worker 1-1 mode=error
+sleep 3
+platform_control_worker 1-1 mode=ok
+say "within it while errors do not name it: $(is_within 1 "$lowered")"
 
 # Its node is killed and started again: it must learn the limit before the
 # target gets as many requests as it has slots.
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -160,3 +160,16 @@
 		fleet_start_node ${n%-*} ${n#*-}
 	done
 }
+
+# Starts two nodes with workers of kiln, 1-1 and 1-2, and two for callers, 3-1 and
+# 3-2, and waits until both workers are used.
+platform_start_two_workers() {
+	platform_start_fleet 1-1:kiln 1-2:kiln 3-1:ops 3-2:ops ||
+	    die "the store does not start"
+	platform_document 5 kiln | platform_put_document
+	fleet_until 200 platform_all_ready || die "not ready"
+	fleet_until 200 platform_served_by 3-1 /kiln/1 w1-1 ||
+	    die "1-1 is not used"
+	fleet_until 200 platform_served_by 3-2 /kiln/1 w1-2 ||
+	    die "1-2 is not used"
+}
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -4,13 +4,15 @@
  *
  *   /-/control?NAME=VALUE  changes the behaviour:
  *       mode=ok|shed|stall  answer, refuse without executing, or never answer
+ *       mode=error          answer 500, with no word of limit and leaving
  *       id=ID               act as another process at the same address
  *       say=ready|draining|nothing|noise
  *                           send heartbeats with this state, no heartbeats, or
  *                           malformed ones
  *       leave=1             deregister and send no more heartbeats
  *       limit=RATE          name this rate limit in the answers; none: no
- * limit leaving=1           say in the answers that this process is leaving
+ *                           limit
+ *       leaving=1           say in the answers that this process leaves
  *   /-/stats                number of executed requests, in all and by path
  */
 #include <stdio.h>
@@ -157,7 +159,17 @@
     }
 }
 
-/* Adds what the process says of itself in all its answers. */
+static void
+echo_request_id(h2o_req_t *req)
+{
+    char id[JD_NAME_MAX] = "";
+
+    if (JdHttpd_CopyHeader(req, "jacinthdyke-request-id", id, sizeof(id))) {
+        JdHttpd_AddHeader(req, "jacinthdyke-request-id", id);
+    }
+}
+
+/* Adds what the process says of itself in its answers. */
 static void
 add_notices(h2o_req_t *req)
 {
@@ -197,7 +209,11 @@
 {
     RunningRequest *run = ctx;
 
-    if (run->req != NULL) {
+    if (run->req != NULL && strcmp(worker.mode, "error") == 0) {
+        echo_request_id(run->req);
+        JdHttpd_Reply(run->req, 500, "text/plain", "failed\n", 7);
+    }
+    else if (run->req != NULL) {
         reply(run->req);
     }
     end_request(run);
@@ -240,10 +256,7 @@
         JdHttpd_Reply(req, 421, "text/plain", "another process\n", 16);
     }
     else if (strcmp(worker.mode, "shed") == 0) {
-        char id[JD_NAME_MAX] = "";
-
-        JdHttpd_CopyHeader(req, "jacinthdyke-request-id", id, sizeof(id));
-        JdHttpd_AddHeader(req, "jacinthdyke-request-id", id);
+        echo_request_id(req);
         JdHttpd_AddHeader(req, "jacinthdyke-not-executed", "1");
         add_notices(req);
         JdHttpd_Reply(req, 503, "text/plain", "full\n", 5);
--- a/targets/notice.c
+++ b/targets/notice.c
@@ -25,24 +25,23 @@
     return NULL;
 }
 
-/* Returns the rate limit that an answer names, or 0.  One that cannot be read
- * leaves the old one in force, and so does an error without one: the target
- * may make it before it knows of its limit. */
-static unsigned
-read_rate_limit(JdNode *nd, const JdHttpResponse *ans)
+/* Reads the rate limit that an answer names, 0 for none.  Returns false if the
+ * answer does not tell: the limit cannot be read, or an error names none,
+ * which the target may make before it knows of its limit. */
+static bool
+read_rate_limit(JdNode *nd, const JdHttpResponse *ans, unsigned *rate)
 {
     const JdHttpHeader *h = find_notice(nd, ans, JD_NOTICE_RATE_LIMIT);
-    unsigned rate = 0;
 
+    *rate = 0;
     if (h == NULL) {
-        return ans->status < HTTP_ERROR_MIN ? 0
-                                            : nd->target_process.rate_limit;
+        return ans->status < HTTP_ERROR_MIN;
     }
-    if (JdRateLimit_Parse(h->value, h->value_len, &rate) != JD_OK) {
+    if (JdRateLimit_Parse(h->value, h->value_len, rate) != JD_OK) {
         nd->counters.value[JD_C_RATE_LIMITS_BAD]++;
-        return nd->target_process.rate_limit;
+        return false;
     }
-    return rate;
+    return true;
 }
 
 /* Returns whether the target says in an answer that it leaves. */
@@ -102,8 +101,8 @@
         ans->status == STATUS_MISDIRECTED || started != tg->started) {
         return;
     }
-    rate = read_rate_limit(nd, ans);
-    if (JdTarget_SetRateLimit(tg, rate, sent_at)) {
+    if (read_rate_limit(nd, ans, &rate) &&
+        JdTarget_SetRateLimit(tg, rate, sent_at)) {
         JdAdmission_SetRateLimit(&nd->admit, rate);
         nd->counters.value[JD_C_RATE_LIMITS_NAMED]++;
         log_notice(nd, "rate-limit");
