--- a/regress/soak/events.sh
+++ b/regress/soak/events.sh
@@ -206,7 +206,8 @@
 # - new work for a worker more than DRAIN_US after the acknowledgement that it
 #   drains or deregisters,
 # - the same, later than DRAIN_US after a node had passed on an answer that said
-#   so and than RESTART_US after a restart of the worker's node, which must learn it again,
+#   so and than RESTART_US after a restart of the worker's node, which must learn
+#   it again,
 # - more than 1.5 times the rate limit that a worker names, and 5, in 4 s, from
 #   LIMIT_US after it was named,
 # - an unsafe request that ran twice,
