Log which requests ran when a target crashed

The target's node now notices that its target ended without leaving (connections are refused, or another process takes its place), and logs each request that ran then with its id and a fingerprint of its content, which is the same for all copies. Two counters follow.

A connection that breaks makes the node ask for another one at once, which is kept for later requests if the target accepts it. No request is handled in another way.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 NODE_SRC = $(wildcard node/*.c caller/*.c platform/*.c) log/follow.c log/log.c \
            peer/conn.c peer/link.c peer/forward.c peer/request_conn.c \
            targets/worker.c targets/health.c targets/claims.c \
-           targets/headers.c targets/notice.c targets/response.c \
+           targets/crash.c targets/headers.c targets/notice.c targets/response.c \
            targets/estimate.c operator/admin.c
 CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
           operator/view.c operator/fleet.c operator/explain.c log/log.c
--- a/base/base.h
+++ b/base/base.h
@@ -161,6 +161,16 @@
 
 typedef struct JdHttpCall JdHttpCall;
 
+/* Result of JdHttpc_Check: whether the server accepted a connection. */
+typedef enum JdHttpCheck {
+    JD_HTTP_ACCEPTED,
+    JD_HTTP_REFUSED,
+    JD_HTTP_UNDECIDED, /* not within the time, or no connection was free */
+    JD_HTTP_CHECK_MAX
+} JdHttpCheck;
+
+typedef void (*JdHttpCheckCallback)(void *ctx, JdHttpCheck result);
+
 /* A client of one server, with a pool of persistent connections. */
 typedef struct JdHttpc {
     JdLoop *loop;
@@ -171,6 +181,11 @@
     uint64_t max_idle_time; /* us for which an idle connection is kept */
     TAILQ_HEAD(JdHttpIdle, Conn) idle;             /* most recent first */
     TAILQ_HEAD(JdHttpWaiting, JdHttpCall) waiting; /* for a connection */
+    /* Check under way, one at a time. */
+    JdHttpCheckCallback check_callback; /* NULL: none */
+    void *check_ctx;
+    struct Conn *check_conn; /* NULL: no connection was free */
+    JdTimer check_timer;
 } JdHttpc;
 
 JdStatus JdHttpc_Init(JdHttpc *hc, JdLoop *lp, const char *address,
@@ -184,6 +199,8 @@
 const JdHttpHeader *JdHttpResponse_FindHeader(const JdHttpResponse *resp,
                                               const char *name);
 void JdHttpc_Cancel(JdHttpCall *call);
+void JdHttpc_Check(JdHttpc *hc, uint64_t timeout, JdHttpCheckCallback callback,
+                   void *ctx);
 
 /* ---- server.c: HTTP/1.1 server for callers, with pipelining ------------ */
 
@@ -286,6 +303,7 @@
     JD_EVENT_LOG_EXPIRED,
     JD_EVENT_DOCUMENT_REFUSED,
     JD_EVENT_TARGET,
+    JD_EVENT_CRASH,   /* the target ended, or a request that ran then */
     JD_EVENT_LANE,    /* a connection to another node ended */
     JD_EVENT_RETRY,   /* an attempt of a request failed and is retried */
     JD_EVENT_REQUEST, /* a request ended, at the node that received it */
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -59,6 +59,7 @@
 };
 
 static void start_waiting_calls(JdHttpc *hc);
+static void on_check_timeout(void *ctx);
 
 /* Initializes a client that opens at most `max_connections` at a time. */
 JdStatus
@@ -77,6 +78,7 @@
     hc->max_idle_time = MAX_IDLE_TIME;
     TAILQ_INIT(&hc->idle);
     TAILQ_INIT(&hc->waiting);
+    JdTimer_Init(&hc->check_timer, on_check_timeout, hc);
     g_strlcpy(hc->host, address, sizeof(hc->host));
     return JD_OK;
 }
@@ -96,12 +98,40 @@
     g_free(cn);
 }
 
-/* Closes the idle connections.  No call may be in progress. */
+/* Ends the check under way, whose connection is no longer its own. */
+static void
+finish_check(JdHttpc *hc, JdHttpCheck result)
+{
+    JdHttpCheckCallback callback = hc->check_callback;
+
+    JdTimer_Cancel(&hc->loop->clock, &hc->check_timer);
+    hc->check_conn = NULL;
+    hc->check_callback = NULL;
+    callback(hc->check_ctx, result);
+}
+
+/* Gives up the check under way. */
+static void
+on_check_timeout(void *ctx)
+{
+    JdHttpc *hc = ctx;
+
+    if (hc->check_conn != NULL) {
+        close_conn(hc->check_conn);
+    }
+    finish_check(hc, JD_HTTP_UNDECIDED);
+}
+
+/* Closes the idle connections and ends a check.  No call may be in progress.
+ */
 void
 JdHttpc_Finish(JdHttpc *hc)
 {
     Conn *cn;
 
+    if (hc->check_callback != NULL) {
+        on_check_timeout(hc);
+    }
     while ((cn = TAILQ_FIRST(&hc->idle)) != NULL) {
         close_conn(cn);
     }
@@ -293,6 +323,18 @@
     return server_limit < limit ? server_limit : limit;
 }
 
+/* Keeps a connection that carries no call for later ones. */
+static void
+keep_idle(Conn *cn, uint64_t limit)
+{
+    JdHttpc *hc = cn->httpc;
+
+    cn->call = NULL;
+    cn->is_idle = true;
+    cn->idle_until = JdClock_Now(&hc->loop->clock) + limit;
+    TAILQ_INSERT_HEAD(&hc->idle, cn, link);
+}
+
 /*
  * Ends a call with its response.  The connection is kept only if it is clean:
  * the whole request was written and no input is left.
@@ -301,7 +343,6 @@
 accept_response(JdHttpCall *call)
 {
     Conn *cn = call->conn;
-    JdHttpc *hc = call->httpc;
     bool is_clean =
         cn->sock->input->size == 0 && !h2o_socket_is_writing(cn->sock);
     uint64_t idle_limit = idle_time_limit(call);
@@ -311,10 +352,7 @@
     }
     else {
         call->conn = NULL;
-        cn->call = NULL;
-        cn->is_idle = true;
-        cn->idle_until = JdClock_Now(&hc->loop->clock) + idle_limit;
-        TAILQ_INSERT_HEAD(&hc->idle, cn, link);
+        keep_idle(cn, idle_limit);
     }
     finish_call(call, JD_HTTP_COMPLETED);
 }
@@ -462,6 +500,67 @@
     write_request(cn);
 }
 
+/* The connection of a check was accepted, and is kept, or refused. */
+static void
+on_check_connect(h2o_socket_t *sock, const char *err)
+{
+    Conn *cn = sock->data;
+    JdHttpc *hc = cn->httpc;
+
+    if (err != NULL) {
+        close_conn(cn);
+        finish_check(hc, JD_HTTP_REFUSED);
+        return;
+    }
+    h2o_socket_read_start(sock, on_read);
+    keep_idle(cn, hc->max_idle_time);
+    finish_check(hc, JD_HTTP_ACCEPTED);
+    start_waiting_calls(hc);
+}
+
+/* Opens a connection for `call`, or for the check if that is NULL.  Returns
+ * NULL if there are no more file descriptors. */
+static Conn *
+open_conn(JdHttpc *hc, JdHttpCall *call)
+{
+    h2o_socket_t *sock = h2o_socket_connect(
+        hc->loop->evloop, (struct sockaddr *)&hc->address, sizeof(hc->address),
+        call == NULL ? on_check_connect : on_connect);
+    Conn *cn;
+
+    if (sock == NULL) {
+        return NULL;
+    }
+    cn = g_new0(Conn, 1);
+    cn->httpc = hc;
+    cn->call = call;
+    cn->sock = sock;
+    sock->data = cn;
+    hc->open_count++;
+    return cn;
+}
+
+/*
+ * Checks whether the server accepts connections.  The callback runs within
+ * `timeout`, but never before this function returns.  While a check is under
+ * way, another one is not started and its callback never runs.
+ */
+void
+JdHttpc_Check(JdHttpc *hc, uint64_t timeout, JdHttpCheckCallback callback,
+              void *ctx)
+{
+    if (hc->check_callback != NULL) {
+        return;
+    }
+    hc->check_callback = callback;
+    hc->check_ctx = ctx;
+    if (hc->open_count < hc->max_connections) {
+        hc->check_conn = open_conn(hc, NULL);
+    }
+    JdTimer_Arm(&hc->loop->clock, &hc->check_timer,
+                hc->check_conn == NULL ? 0 : timeout);
+}
+
 static Conn *
 take_idle_conn(JdHttpc *hc)
 {
@@ -493,21 +592,11 @@
         write_request(cn);
         return;
     }
-    cn = g_new0(Conn, 1);
-    cn->httpc = hc;
-    cn->call = call;
-    cn->sock =
-        h2o_socket_connect(hc->loop->evloop, (struct sockaddr *)&hc->address,
-                           sizeof(hc->address), on_connect);
-    if (cn->sock == NULL) {
-        g_free(cn);
+    call->conn = open_conn(hc, call);
+    if (call->conn == NULL) {
         /* The callback must not run before JdHttpc_Send returned the call. */
         JdTimer_Arm(&hc->loop->clock, &call->timer, 0);
-        return;
     }
-    cn->sock->data = cn;
-    call->conn = cn;
-    hc->open_count++;
 }
 
 /* Starts waiting calls while connections are available. */
--- a/base/logging.c
+++ b/base/logging.c
@@ -49,6 +49,7 @@
     [JD_EVENT_DOCUMENT_REFUSED] = {"document-refused", G_LOG_LEVEL_WARNING,
                                    MAX_STATE_LINES},
     [JD_EVENT_TARGET] = {"target", G_LOG_LEVEL_MESSAGE, MAX_STATE_LINES},
+    [JD_EVENT_CRASH] = {"crash", G_LOG_LEVEL_MESSAGE, MAX_STATE_LINES},
     [JD_EVENT_LANE] = {"lane", G_LOG_LEVEL_MESSAGE, MAX_STATE_LINES},
     [JD_EVENT_RETRY] = {"retry", G_LOG_LEVEL_MESSAGE, MAX_REQUEST_LINES},
     [JD_EVENT_REQUEST] = {"request", G_LOG_LEVEL_MESSAGE, MAX_REQUEST_LINES},
--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -298,6 +298,7 @@
 char *JdRecord_MakePatch(uint64_t base, const char *id, const char *author,
                          json_t *patch);
 
+#include "jacinthdyke_crash.h"
 #include "jacinthdyke_reader.h"
 #include "jacinthdyke_tree.h"
 #include "jacinthdyke_request.h"
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -278,6 +278,7 @@
     unsigned next_departed;
 } JdTarget;
 
+bool JdTarget_IsReplacedBy(const JdTarget *tg, const JdHeartbeat *hb);
 JdHeartbeatResult JdTarget_Heartbeat(JdTarget *tg, const JdHeartbeat *hb,
                                      uint64_t now);
 bool JdTarget_Deregister(JdTarget *tg, const char *id, uint64_t started,
--- a/lib/request/target.c
+++ b/lib/request/target.c
@@ -47,6 +47,15 @@
     JdTarget_ForgetNotices(tg);
 }
 
+/* Returns whether a heartbeat is the first one of a process that takes the
+ * place of the known one. */
+bool
+JdTarget_IsReplacedBy(const JdTarget *tg, const JdHeartbeat *hb)
+{
+    return tg->id[0] != '\0' && hb->started > tg->started &&
+           !has_departed(tg, hb->id, hb->started);
+}
+
 /* Handles a heartbeat.  A stale heartbeat changes nothing. */
 JdHeartbeatResult
 JdTarget_Heartbeat(JdTarget *tg, const JdHeartbeat *hb, uint64_t now)
--- a/node/node.h
+++ b/node/node.h
@@ -91,6 +91,26 @@
 typedef struct JdWorkItem JdWorkItem;
 typedef struct JdWaitingRequest JdWaitingRequest;
 
+/* A request that the target's process that started at `process` did not
+ * answer. */
+typedef struct JdUnansweredRequest {
+    bool is_used;
+    JdFingerprint request;
+    char request_id[JD_NAME_MAX];
+    uint64_t process;
+    uint64_t ended_at; /* time at which it broke, timed out or was cancelled */
+} JdUnansweredRequest;
+
+/* Unanswered requests that are remembered. */
+#define JD_UNANSWERED_MAX 64
+
+/* What is needed to tell which requests ran when the target crashed. */
+typedef struct JdTargetCrashes {
+    JdUnansweredRequest unanswered[JD_UNANSWERED_MAX]; /* ring */
+    unsigned next_unanswered;
+    uint64_t answered_at; /* time of the target's last answer */
+} JdTargetCrashes;
+
 typedef struct JdNode {
     JdLoop loop;
     JdSettings settings;
@@ -123,6 +143,7 @@
     bool target_sends_heartbeats;
     JdTarget target_process; /* process that sent the last heartbeat */
     JdHttpc target_client;
+    JdTargetCrashes target_crashes; /* targets/crash.c */
     JdAdmission admit;
     GHashTable *route_estimates; /* route name -> JdServiceTime */
     TAILQ_HEAD(JdWorkItemHead, JdWorkItem) work_items;
@@ -186,6 +207,7 @@
 void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
 void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdWorker_OnConnClosed(JdNode *nd, const JdConn *origin);
+void JdWorker_RecordUnanswered(JdNode *nd);
 unsigned JdWorker_RetryPercent(const JdNode *nd);
 
 /* targets/headers.c: headers of requests to the local target */
@@ -207,6 +229,14 @@
 void JdTargetNotice_OnResponse(JdNode *nd, uint64_t started, uint64_t sent_at,
                                const JdHttpResponse *ans);
 
+/* targets/crash.c: crashes of the local target */
+void JdTargetCrash_OnAnswer(JdNode *nd);
+void JdTargetCrash_OnUnanswered(JdNode *nd, const Jd__Request *msg,
+                                uint64_t started);
+void JdTargetCrash_OnRefused(JdNode *nd);
+void JdTargetCrash_OnReplaced(JdNode *nd);
+void JdTargetCrash_Check(JdNode *nd);
+
 /* targets/estimate.c: average run times of its work */
 void JdTargetEstimate_Init(JdNode *nd);
 JdServiceTime *JdTargetEstimate_Get(JdNode *nd, const char *route);
--- /dev/null
+++ b/targets/crash.c
@@ -0,0 +1,126 @@
+/*
+ * Crashes of the local target, and the requests that it was running then.  A
+ * target has crashed if it refuses connections after requests ended without an
+ * answer, or if another process takes its place although it did not leave.
+ */
+#include <string.h>
+
+#include "../node/node.h"
+
+/* Time in which the target accepts a connection if it lives. */
+#define CHECK_TIMEOUT (50 * JD_US_PER_MS)
+/* A request that was cancelled this long before the last answer may still have
+ * been running when the target crashed. */
+#define RUN_ON_TIME JD_US_PER_S
+
+/* Logs that the target's process `started` crashed, and a request that it was
+ * running. */
+static void
+log_request(const JdNode *nd, const JdUnansweredRequest *un)
+{
+    char text[JD_FINGERPRINT_TEXT_MAX];
+
+    JdFingerprint_Format(&un->request, text);
+    JD_LOG(JD_EVENT_CRASH, JD_TEXT("outcome", "was-running"),
+           JD_TEXT("id", un->request_id), JD_TEXT("request", text),
+           JD_TEXT("target", nd->target_process.id),
+           JD_NUMBER("started", un->process));
+}
+
+static void
+log_crash(const JdNode *nd, uint64_t started, unsigned count)
+{
+    JD_LOG(JD_EVENT_CRASH, JD_TEXT("outcome", "crashed"),
+           JD_TEXT("target", nd->target_process.id),
+           JD_NUMBER("started", started), JD_NUMBER("requests", count));
+}
+
+/* Returns whether the target's process `started` was running a request when it
+ * crashed: it has answered nothing since, or hardly anything. */
+static bool
+was_running(const JdTargetCrashes *tc, const JdUnansweredRequest *un,
+            uint64_t started)
+{
+    return un->is_used && un->process == started &&
+           un->ended_at + RUN_ON_TIME > tc->answered_at;
+}
+
+/* The target's process that started at `started` has crashed. */
+static void
+record_crash(JdNode *nd, uint64_t started)
+{
+    JdTargetCrashes *tc = &nd->target_crashes;
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < JD_UNANSWERED_MAX; i++) {
+        JdUnansweredRequest *un = &tc->unanswered[i];
+
+        if (was_running(tc, un, started)) {
+            log_request(nd, un);
+            n++;
+        }
+        un->is_used = false;
+    }
+    if (n > 0) {
+        nd->counters.value[JD_C_TARGET_CRASHES]++;
+        nd->counters.value[JD_C_CRASH_SUSPECTS] += n;
+        log_crash(nd, started, n);
+    }
+}
+
+/* The target answered a request. */
+void
+JdTargetCrash_OnAnswer(JdNode *nd)
+{
+    nd->target_crashes.answered_at = JdClock_Now(&nd->loop.clock);
+}
+
+/* A request that was sent to the target's process `started` ended without an
+ * answer. */
+void
+JdTargetCrash_OnUnanswered(JdNode *nd, const Jd__Request *msg,
+                           uint64_t started)
+{
+    JdTargetCrashes *tc = &nd->target_crashes;
+    JdUnansweredRequest *un =
+        &tc->unanswered[tc->next_unanswered++ % JD_UNANSWERED_MAX];
+
+    JdFingerprint_OfRequest(&un->request, msg);
+    g_strlcpy(un->request_id, msg->request_id, sizeof(un->request_id));
+    un->process = started;
+    un->ended_at = JdClock_Now(&nd->loop.clock);
+    un->is_used = true;
+}
+
+/* The target refuses connections.  One that leaves ends in this way, too. */
+void
+JdTargetCrash_OnRefused(JdNode *nd)
+{
+    if (!JdTargetHealth_IsLeaving(nd)) {
+        record_crash(nd, nd->target_process.started);
+    }
+}
+
+static void
+on_checked(void *ctx, JdHttpCheck result)
+{
+    if (result == JD_HTTP_REFUSED) {
+        JdTargetCrash_OnRefused(ctx);
+    }
+}
+
+/* A connection to the target broke: checks whether it has crashed. */
+void
+JdTargetCrash_Check(JdNode *nd)
+{
+    JdHttpc_Check(&nd->target_client, CHECK_TIMEOUT, on_checked, nd);
+}
+
+/* Another process is about to take the place of the present one, which did not
+ * leave. */
+void
+JdTargetCrash_OnReplaced(JdNode *nd)
+{
+    JdWorker_RecordUnanswered(nd);
+    JdTargetCrash_OnRefused(nd);
+}
--- a/targets/health.c
+++ b/targets/health.c
@@ -57,6 +57,9 @@
                JD_TEXT("address", hb->address));
         return;
     }
+    if (JdTarget_IsReplacedBy(&nd->target_process, hb)) {
+        JdTargetCrash_OnReplaced(nd);
+    }
     result = JdTarget_Heartbeat(&nd->target_process, hb,
                                 JdClock_Now(&nd->loop.clock));
     if (result == JD_HEARTBEAT_STALE) {
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -103,6 +103,29 @@
  * error may come sooner than a successful response takes. */
 #define HTTP_ERROR_MIN 400
 
+/* Records what the end of a request says of the target's process. */
+static void
+record_end(JdWorkItem *it, JdHttpResult result)
+{
+    JdNode *nd = it->node;
+
+    switch (result) {
+    case JD_HTTP_COMPLETED:
+        JdTargetCrash_OnAnswer(nd);
+        break;
+    case JD_HTTP_NOT_SENT:
+        JdTargetCrash_OnRefused(nd);
+        break;
+    case JD_HTTP_DISCONNECTED:
+        JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
+        JdTargetCrash_Check(nd);
+        break;
+    default:
+        JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
+        break;
+    }
+}
+
 /* Frees the slot of a finished request.  Its service time is added to the
  * estimates if `is_typical`. */
 static void
@@ -139,6 +162,7 @@
 
     it->call = NULL;
     it->was_sent = ans->result != JD_HTTP_NOT_SENT;
+    record_end(it, ans->result);
     JdTargetNotice_OnResponse(nd, it->target_started, it->work.started_at,
                               ans);
     JdLatencies_Record(&nd->latencies, JD_LATENCY_TARGET, it->msg->service,
@@ -423,6 +447,7 @@
     bool was_queued = it->work.is_queued;
 
     if (it->call != NULL) {
+        JdTargetCrash_OnUnanswered(it->node, it->msg, it->target_started);
         JdHttpc_Cancel(it->call);
         it->call = NULL;
     }
@@ -490,6 +515,20 @@
     }
 }
 
+/* Records the requests that the target is running as unanswered. */
+void
+JdWorker_RecordUnanswered(JdNode *nd)
+{
+    const JdWorkItem *it;
+
+    TAILQ_FOREACH(it, &nd->work_items, link)
+    {
+        if (it->call != NULL) {
+            JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
+        }
+    }
+}
+
 /*
  * Returns the percentage of retries among the requests that run at the target.
  * A retried run repeats its calls to other services, so the same share of the
