Failing tests: a request that crashes its targets is sent again and again

Callers' other work was refused while targets were down. The stand-in of a worker now crashes on request and starts again as another process.

--- /dev/null
+++ b/regress/e2e/crashing-request.sh
@@ -0,0 +1,36 @@
+# A request that crashes its targets was sent to one target after another.
+. regress/e2e/lib.sh
+. regress/stand/platform.sh
+
+platform_start_eight
+for n in 3-1 4-2; do
+	platform_send_steadily $n /kiln/other "$FLEET_DIR/$n.answers" &
+done
+platform_send_copies crash 160 3-2 /kiln/crash &
+platform_send_copies crash 160 4-2 /kiln/crash &
+for i in $(seq 20); do
+	platform_send_copies beside 1 1-1 /kiln/beside-$i
+done
+platform_send_copies order 100 3-1 /order/crash -X POST -d 'size=7' &
+platform_send_copies for 100 4-2 /kiln/crash-for-ops &
+sleep 9
+say "copies of a lookup are stopped: $(platform_is_stopped crash)"
+say "copies of an order are stopped: $(platform_is_stopped order)"
+say "copies of one caller are stopped: $(platform_is_stopped for)"
+sleep 2
+say "the next copy: $(platform_request 4-2 /kiln/crash)"
+say "the next order: $(platform_request 1-1 /order/crash -X POST -d 'size=7')"
+say "another body: $(platform_request 1-1 /order/1 -X POST -d 'size=8' |
+    sed 's/ w.*//')"
+say "the same of another caller: $(platform_request 1-1 /kiln/crash-for-ops |
+    sed 's/ w.*//')"
+refused=0
+for i in $(seq 20); do
+	[ "$(platform_request 1-1 /kiln/beside-$i | cut -c 1-3)" = 200 ] ||
+	    refused=$((refused + 1))
+done
+say "requests that ran beside it and are refused now: $refused"
+say "other work is served again:" \
+    "$(tail -n 60 "$FLEET_DIR/4-2.answers" | sort -u | tr '\n' ' ')"
+touch "$FLEET_DIR/stop"
+wait
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -136,13 +136,15 @@
 	date +%s%6N
 }
 
-# Kills all nodes, so that they lose their state, and starts them together.
-platform_restart_all() {
+# Kills nodes, so that they lose their state, and starts them together; without
+# arguments those of the fleet of four.
+platform_restart_all() { # [D-I...]
 	local n
-	for n in 1-1 1-2 3-1 3-2; do
+	[ $# -gt 0 ] || set -- 1-1 1-2 3-1 3-2
+	for n in "$@"; do
 		fleet_kill $n
 	done
-	for n in 1-1 1-2 3-1 3-2; do
+	for n in "$@"; do
 		fleet_start_node ${n%-*} ${n#*-}
 	done
 }
@@ -173,3 +175,55 @@
 	fleet_until 200 platform_served_by 3-2 /kiln/1 w1-2 ||
 	    die "1-2 is not used"
 }
+
+# Sends COUNT copies of a request to a node, one each 50 ms; each has an id of its
+# own that begins with NAME.  Writes their statuses to FLEET_DIR/NAME.answers.
+platform_send_copies() ( # NAME COUNT D-I PATH CURL-OPTION...
+	local name=$1 count=$2 n=$3 path=$4 i
+	shift 4
+	for i in $(seq "$count"); do
+		curl -s -m 5 -o /dev/null -w '%{http_code}\n' \
+		    -H 'Host: shop.example' "$@" \
+		    -H "Jacinthdyke-Request-Id: $name.$BASHPID-$i" \
+		    "http://127.$FLEET_NET.${n%-*}.${n#*-}:8000$path" \
+		    >>"$FLEET_DIR/$name.answers" &
+		sleep 0.05
+	done
+	wait
+)
+
+# Prints when the third worker crashed under the requests whose ids begin with
+# NAME, in us; nothing if there were fewer.
+platform_third_crash() { # NAME
+	cat "$FLEET_DIR"/*.ran | grep " crashed $1[.]" | sort -n | sed -n '3s/ .*//p'
+}
+
+# Prints how many of the requests whose ids begin with NAME ran at any worker
+# after the time FROM in us.
+platform_copies_since() { # NAME FROM
+	cat "$FLEET_DIR"/*.ran | awk -v from="$2" -v name="$1." \
+	    '$3 == "ran" && $1 >= from && index($4, name) == 1' | wc -l
+}
+
+# Prints whether at most three copies ran later than 3 s after the third crash.
+platform_is_stopped() { # NAME
+	local third n
+	third=$(platform_third_crash "$1")
+	[ -n "$third" ] || { echo "fewer than three crashes"; return; }
+	n=$(platform_copies_since "$1" $((third + 3000000)))
+	[ "$n" -le 3 ] && echo yes || echo "no, $n copies ran"
+}
+
+# Eight nodes in four failure domains; 3-2 and 4-2 are beside workers of ops, the
+# others beside workers of kiln, with 6 slots each.
+platform_start_eight() {
+	PLATFORM_WORKER_OPTIONS="--slots 6 --work-ms 60 --restart-ms 1000"
+	platform_start_fleet 1-1:kiln 1-2:kiln 2-1:kiln 2-2:kiln 3-1:kiln \
+	    3-2:ops 4-1:kiln 4-2:ops || die "the store does not start"
+	platform_document 5 kiln | platform_put_document
+	local n
+	for n in 1-1 1-2 2-1 2-2 3-1 3-2 4-1 4-2; do
+		fleet_until 200 platform_served_by $n /kiln/1 w ||
+		    die "$n does not serve"
+	done
+}
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -13,11 +13,15 @@
  *       limit=RATE          name this rate limit in the answers; none: no
  *                           limit
  *       leaving=1           say in the answers that this process leaves
+ *   /.../crash...           crashes once its work is done, and starts again as
+ *                           another process after --restart-ms
+ *   /.../crash-for-NAME...  does so if NAME is the calling service
  *   /-/stats                number of executed requests, in all and by path
  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "../../base/base.h"
 
@@ -32,6 +36,7 @@
     /* Owned by `req`; set to NULL if this is freed first. */
     struct RunningRequest **slot;
     JdTimer timer;
+    bool crashes;
 } RunningRequest;
 
 static struct {
@@ -56,6 +61,8 @@
     FILE *record_file; /* NULL: no record is kept */
     int slots;
     int heartbeat_interval_ms;
+    int restart_ms;
+    char **argv; /* for the restart after a crash */
 } worker;
 
 /* ---- heartbeats -------------------------------------------------------- */
@@ -204,11 +211,60 @@
     json_decref(js);
 }
 
+/* Returns whether running a request crashes this process. */
+static bool
+crashes_worker(h2o_req_t *req, const char *path)
+{
+    const char *kind = strstr(path, "/crash");
+    const char *name;
+    char caller[JD_NAME_MAX] = "";
+
+    if (kind == NULL || !g_str_has_prefix(kind, "/crash-for-")) {
+        return kind != NULL;
+    }
+    name = kind + strlen("/crash-for-");
+    JdHttpd_CopyHeader(req, "jacinthdyke-caller-service", caller,
+                       sizeof(caller));
+    return g_str_has_prefix(name, caller);
+}
+
+/* Ends this process as a crash does; the program starts anew in its place,
+ * with the next id. */
+static void
+crash(const RunningRequest *run)
+{
+    char id[JD_NAME_MAX] = "", next_id[JD_NAME_MAX + 32], delay[32];
+    char *args[32] = {NULL};
+    char *suffix = strstr(worker.id, "-c");
+    size_t n = 0;
+
+    JdHttpd_CopyHeader(run->req, "jacinthdyke-request-id", id, sizeof(id));
+    write_record("crashed", id);
+    while (worker.argv[n] != NULL && n < G_N_ELEMENTS(args) - 4) {
+        args[n] = worker.argv[n];
+        n++;
+    }
+    if (suffix != NULL) {
+        *suffix = '\0';
+    }
+    g_snprintf(next_id, sizeof(next_id), "--id=%s-c%" G_GUINT64_FORMAT,
+               worker.id, JdLoop_WallClock() / JD_US_PER_MS);
+    g_snprintf(delay, sizeof(delay), "--delay-ms=%d", worker.restart_ms);
+    args[n++] = next_id;
+    args[n++] = delay;
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    execv("/proc/self/exe", args);
+    _exit(1);
+}
+
 static void
 on_work_done(void *ctx)
 {
     RunningRequest *run = ctx;
 
+    if (run->req != NULL && run->crashes) {
+        crash(run);
+    }
     if (run->req != NULL && strcmp(worker.mode, "error") == 0) {
         echo_request_id(run->req);
         JdHttpd_Reply(run->req, 500, "text/plain", "failed\n", 7);
@@ -233,6 +289,7 @@
     run->req = req;
     JdHttpd_CopyHeader(req, "jacinthdyke-request-id", id, sizeof(id));
     write_record("ran", id);
+    run->crashes = crashes_worker(req, path);
     worker.run_count++;
     g_hash_table_insert(worker.count_by_path, path,
                         GSIZE_TO_POINTER(GPOINTER_TO_SIZE(g_hash_table_lookup(
@@ -339,6 +396,7 @@
     gchar *id = NULL;
     gchar *record_path = NULL;
     gint work_ms = 5;
+    gint delay_ms = 0;
     GOptionEntry entries[] = {
         {"listen", 'l', 0, G_OPTION_ARG_STRING, &worker.listen, "address",
          "IP:PORT"},
@@ -354,12 +412,18 @@
          "interval between heartbeats", "MS"},
         {"work-ms", 0, 0, G_OPTION_ARG_INT, &work_ms,
          "time to execute a request", "MS"},
+        {"restart-ms", 0, 0, G_OPTION_ARG_INT, &worker.restart_ms,
+         "time after a crash until this starts again", "MS"},
+        {"delay-ms", 0, 0, G_OPTION_ARG_INT, &delay_ms,
+         "time until this starts to listen", "MS"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
     JdError err = {0};
     JdStatus s;
     int rc;
 
+    worker.restart_ms = 1000;
+    worker.argv = g_strdupv(argv);
     worker.slots = 4;
     worker.heartbeat_interval_ms = 200;
     rc = JdProgram_ParseOptions(NAME, "- fake of a worker on the platform",
@@ -372,6 +436,7 @@
         return JdProgram_UsageError(
             NAME, "--listen, --node, --id and --service are required");
     }
+    g_usleep((gulong)delay_ms * JD_US_PER_MS);
     if (record_path != NULL) {
         worker.record_file = fopen(record_path, "a");
     }
