--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -23,6 +23,10 @@
     JD_REASON_KEY_TAKEN,    /* the idempotency key is held already */
     JD_REASON_CLAIM_FAILED, /* the key could not be claimed on the log */
     JD_REASON_RATE_LIMITED, /* the target takes no more requests for now */
+    JD_REASON_CRASHES,      /* targets crashed while they ran it */
+    /* a target that ran it crashed, and this one runs another such request */
+    JD_REASON_ISOLATED,
+    JD_REASON_COPY_RUNS, /* the same, and the other request is a copy of it */
     JD_REASON_MAX
 } JdReason;
 
@@ -361,6 +365,9 @@
 JdMember *JdBalancer_Pick(const JdBalancer *lb, const char *endpoint_set,
                           const JdExcludedTargets *excluded,
                           uint64_t time_left, JdTier *tier);
+JdMember *JdBalancer_PickPinned(const JdBalancer *lb, const char *endpoint_set,
+                                const JdExcludedTargets *excluded,
+                                uint64_t key, JdTier *tier);
 unsigned JdBalancer_RateLimit(const JdBalancer *lb, JdMember *mb);
 bool JdBalancer_HasReadyTarget(const JdBalancer *lb, const char *endpoint_set);
 
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -177,6 +177,8 @@
     void (*parent_changed)(void *ctx, const char *id);
     /* A member's state changed; may be NULL. */
     void (*member_changed)(void *ctx, const JdMember *mb, JdMemberState old);
+    /* Records of crashes changed; may be NULL. */
+    void (*crashes_changed)(void *ctx);
 } JdTreeOps;
 
 typedef enum JdLinkState {
@@ -251,6 +253,7 @@
     JdTreeTuning tuning;
     JdStore *store;
     JdMembers members;
+    JdCrashTable crashes;
     JdClock *clock;
     JdRandom random;
     JdCounters *counters;
@@ -307,6 +310,7 @@
     JdTimer push_timer;
     JdTimer update_timer;
     JdTimer promotion_timer;
+    JdTimer crash_timer;       /* forwards changed records of crashes */
     uint64_t next_reparent_at; /* next search for a better parent */
     uint64_t reparent_wait; /* doubles each search, up to reparent_interval */
     uint64_t next_pull_at;  /* earliest next pull, except from the parent */
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -512,6 +512,42 @@
     return NULL;
 }
 
+/*
+ * Picks the same target of an endpoint set as all other nodes that know the
+ * same members: the one of the highest rank by rendezvous hashing with `key`.
+ * For a request that should run at one target at a time, wherever its copies
+ * arrive.  Returns NULL if there is none.
+ */
+JdMember *
+JdBalancer_PickPinned(const JdBalancer *lb, const char *endpoint_set,
+                      const JdExcludedTargets *excluded, uint64_t key,
+                      JdTier *tier)
+{
+    const JdMemberSet *set = JdMembers_FindSet(lb->members, endpoint_set);
+    JdMember *best = NULL;
+    uint64_t best_rank = 0;
+    JdMember *mb;
+
+    for (int f = FILTER_HEALTHY; set != NULL && f < FILTER_MAX; f++) {
+        TAILQ_FOREACH(mb, &set->members, set_link)
+        {
+            uint64_t rank = _Jd_HashText(mb->id, key);
+
+            if (passes_filter(lb, mb, (HealthFilter)f) &&
+                !is_excluded(excluded, mb) &&
+                (best == NULL || rank > best_rank)) {
+                best = mb;
+                best_rank = rank;
+            }
+        }
+        if (best != NULL) {
+            *tier = tier_of(lb, best);
+            return best;
+        }
+    }
+    return NULL;
+}
+
 /* Returns whether an endpoint set has a target that is ready. */
 bool
 JdBalancer_HasReadyTarget(const JdBalancer *lb, const char *endpoint_set)
--- a/lib/request/crash.c
+++ b/lib/request/crash.c
@@ -1,12 +1,25 @@
-/* Requests under which targets crashed, recognized by their content. */
+/*
+ * Requests under which targets crashed, recognized by their content.  After
+ * JD_CRASH_LIMIT crashes a request is refused.
+ *
+ * Other requests that ran beside it are recorded as well, since a crash does
+ * not tell its cause.  A target that answers one clears the crashes that were
+ * recorded of it: it may run again.
+ */
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
 
 #include "libjd.h"
 
+/* Time after its last use for which a record is kept: of a request that is
+ * refused, and of another one. */
+#define REFUSED_RETENTION (24 * 3600 * JD_US_PER_S)
+#define SUSPECT_RETENTION (3600 * JD_US_PER_S)
+
 /* Adds one part of a request with its length, so that no two lists of parts
  * look the same. */
 static void
@@ -26,8 +39,7 @@
     add_part(sum, text, strlen(text));
 }
 
-/* Computes the fingerprint of a request: of its method, host, path, body and
- * calling service. */
+/* Computes the fingerprint of a request. */
 void
 JdFingerprint_OfRequest(JdFingerprint *fp, const Jd__Request *msg)
 {
@@ -38,14 +50,22 @@
     add_text(sum, msg->method);
     add_text(sum, msg->host);
     add_text(sum, msg->path);
-    add_text(sum, msg->caller_service);
     add_part(sum, msg->body.data, msg->body.len);
     g_checksum_get_digest(sum, digest, &n);
     memcpy(fp->word, digest, sizeof(fp->word));
+    fp->caller = _Jd_HashText(msg->caller_service, 0);
     g_checksum_free(sum);
 }
 
-/* Formats a fingerprint as 32 hexadecimal digits. */
+/* Returns whether two requests are copies of one another. */
+bool
+JdFingerprint_IsCopy(const JdFingerprint *a, const JdFingerprint *b)
+{
+    return a->caller == b->caller &&
+           memcmp(a->word, b->word, sizeof(a->word)) == 0;
+}
+
+/* Formats the words of a fingerprint as 32 hexadecimal digits. */
 void
 JdFingerprint_Format(const JdFingerprint *fp,
                      char out[JD_FINGERPRINT_TEXT_MAX])
@@ -53,3 +73,457 @@
     snprintf(out, JD_FINGERPRINT_TEXT_MAX, "%016" PRIx64 "%016" PRIx64,
              fp->word[0], fp->word[1]);
 }
+
+/* Returns the id of the target's process that started at `started`, in ms
+ * since 1970, beside a node. */
+uint64_t
+JdCrash_ProcessId(const char *node, uint64_t started)
+{
+    return _Jd_HashText(node, started);
+}
+
+/* ---- records ----------------------------------------------------------- */
+
+static guint
+hash_fingerprint(gconstpointer key)
+{
+    return (guint)((const JdFingerprint *)key)->word[0];
+}
+
+static gboolean
+equal_fingerprints(gconstpointer a, gconstpointer b)
+{
+    return memcmp(((const JdFingerprint *)a)->word,
+                  ((const JdFingerprint *)b)->word,
+                  sizeof(((const JdFingerprint *)a)->word)) == 0;
+}
+
+/* Initializes an empty table. */
+void
+JdCrashTable_Init(JdCrashTable *ct, JdClock *clk)
+{
+    memset(ct, 0, sizeof(*ct));
+    TAILQ_INIT(&ct->all);
+    TAILQ_INIT(&ct->pending);
+    ct->by_request = g_hash_table_new(hash_fingerprint, equal_fingerprints);
+    ct->clock = clk;
+}
+
+/* Removes a record from the list of changes to forward. */
+void
+JdCrashTable_ClearPending(JdCrashTable *ct, JdCrashRecord *rec)
+{
+    if (rec->is_pending) {
+        rec->is_pending = false;
+        TAILQ_REMOVE(&ct->pending, rec, pending_link);
+    }
+}
+
+static void
+remove_record(JdCrashTable *ct, JdCrashRecord *rec)
+{
+    JdCrashTable_ClearPending(ct, rec);
+    TAILQ_REMOVE(&ct->all, rec, link);
+    g_hash_table_remove(ct->by_request, &rec->request);
+    ct->count--;
+    g_free(rec);
+}
+
+/* Frees all records. */
+void
+JdCrashTable_Finish(JdCrashTable *ct)
+{
+    JdCrashRecord *rec;
+
+    while ((rec = TAILQ_FIRST(&ct->all)) != NULL) {
+        remove_record(ct, rec);
+    }
+    g_hash_table_destroy(ct->by_request);
+}
+
+/* Returns the record of a request, or NULL. */
+JdCrashRecord *
+JdCrashTable_Find(const JdCrashTable *ct, const JdFingerprint *fp)
+{
+    return g_hash_table_lookup(ct->by_request, fp);
+}
+
+/* Returns the number of crashes of a request that are not cleared. */
+unsigned
+JdCrashRecord_CountCrashes(const JdCrashRecord *rec)
+{
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        n += !rec->crash[i].is_cleared;
+    }
+    return n;
+}
+
+/* Returns the number of crashes under a caller's request that are not cleared.
+ */
+static unsigned
+count_of_caller(const JdCrashRecord *rec, uint64_t caller)
+{
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        n += !rec->crash[i].is_cleared && rec->crash[i].caller == caller;
+    }
+    return n;
+}
+
+/* Returns whether a target has answered a caller's request, and none has
+ * crashed under it since. */
+static bool
+is_caller_cleared(const JdCrashRecord *rec, uint64_t caller)
+{
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        if (rec->crash[i].caller == caller && rec->crash[i].is_cleared) {
+            return count_of_caller(rec, caller) == 0;
+        }
+    }
+    return false;
+}
+
+/* Returns the number of callers with at least JD_CRASH_LIMIT_SHARED crashes.
+ */
+static unsigned
+count_callers(const JdCrashRecord *rec)
+{
+    unsigned n = 0;
+
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        uint64_t caller = rec->crash[i].caller;
+        bool is_first = true;
+
+        for (unsigned j = 0; j < i; j++) {
+            is_first = is_first && rec->crash[j].caller != caller;
+        }
+        n += is_first && count_of_caller(rec, caller) >= JD_CRASH_LIMIT_SHARED;
+    }
+    return n;
+}
+
+/*
+ * Returns whether a caller's request is refused.  The same content may be
+ * harmless when another service sends it, so each caller's crashes count by
+ * themselves at first.  Once the content has crashed enough targets, a caller
+ * needs fewer, and none if two callers have shown that it does.
+ */
+static bool
+refuses_caller(const JdCrashRecord *rec, uint64_t caller)
+{
+    unsigned n = count_of_caller(rec, caller);
+
+    if (JdCrashRecord_CountCrashes(rec) < JD_CRASH_LIMIT ||
+        is_caller_cleared(rec, caller)) {
+        return false;
+    }
+    return n >= JD_CRASH_LIMIT_SHARED || count_callers(rec) > 1;
+}
+
+/* Returns whether the request of some caller is refused. */
+bool
+JdCrashRecord_IsRefused(const JdCrashRecord *rec)
+{
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        if (refuses_caller(rec, rec->crash[i].caller)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether `a` is to be forgotten before `b`: the one with fewer
+ * crashes, then the one that was not used for longer. */
+static bool
+is_less_needed(const JdCrashRecord *a, const JdCrashRecord *b)
+{
+    unsigned n = JdCrashRecord_CountCrashes(a);
+    unsigned m = JdCrashRecord_CountCrashes(b);
+
+    return n != m ? n < m : a->used_at < b->used_at;
+}
+
+static void
+make_room(JdCrashTable *ct)
+{
+    JdCrashRecord *least = TAILQ_FIRST(&ct->all);
+    JdCrashRecord *rec;
+
+    if (ct->count < JD_CRASH_RECORDS_MAX) {
+        return;
+    }
+    TAILQ_FOREACH(rec, &ct->all, link)
+    {
+        if (is_less_needed(rec, least)) {
+            least = rec;
+        }
+    }
+    remove_record(ct, least);
+}
+
+static JdCrashRecord *
+get_record(JdCrashTable *ct, const JdFingerprint *fp)
+{
+    JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
+
+    if (rec == NULL) {
+        make_room(ct);
+        rec = g_new0(JdCrashRecord, 1);
+        rec->request = *fp;
+        TAILQ_INSERT_TAIL(&ct->all, rec, link);
+        g_hash_table_insert(ct->by_request, &rec->request, rec);
+        ct->count++;
+    }
+    return rec;
+}
+
+static void
+record_changed(JdCrashTable *ct, JdCrashRecord *rec, uint64_t source_link)
+{
+    rec->used_at = JdClock_Now(ct->clock);
+    rec->is_stored = false;
+    if (rec->is_pending && rec->source_link != source_link) {
+        /* Each of the two links lacks what came over the other. */
+        rec->source_link = 0;
+    }
+    if (!rec->is_pending) {
+        rec->is_pending = true;
+        rec->source_link = source_link;
+        TAILQ_INSERT_TAIL(&ct->pending, rec, pending_link);
+    }
+    if (ct->changed != NULL) {
+        ct->changed(ct->ctx, rec);
+    }
+}
+
+/* Returns a crash of a record, or NULL. */
+static JdCrash *
+find_crash(JdCrashRecord *rec, uint64_t process, uint64_t caller)
+{
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        if (rec->crash[i].process == process &&
+            rec->crash[i].caller == caller) {
+            return &rec->crash[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns the place for a new crash: an unused one, or one whose crash is
+ * cleared; NULL if there is none. */
+static JdCrash *
+find_place(JdCrashRecord *rec)
+{
+    if (rec->crash_count < JD_CRASHES_PER_REQUEST) {
+        return &rec->crash[rec->crash_count++];
+    }
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        if (rec->crash[i].is_cleared) {
+            return &rec->crash[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns whether a record gains nothing by one more crash of a caller, whose
+ * request is refused already. */
+static bool
+is_redundant(const JdCrashRecord *rec, const JdCrash *crash)
+{
+    return !crash->is_cleared &&
+           count_of_caller(rec, crash->caller) >= JD_CRASH_LIMIT;
+}
+
+/* Adds a crash of a request.  `source_link` is the link that it was learnt
+ * over, to which it is not forwarded; 0 for none. */
+void
+JdCrashTable_Add(JdCrashTable *ct, const JdFingerprint *fp,
+                 const JdCrash *crash, uint64_t source_link)
+{
+    JdCrashRecord *rec = get_record(ct, fp);
+    JdCrash *known = find_crash(rec, crash->process, crash->caller);
+
+    if (known != NULL && (known->is_cleared || !crash->is_cleared)) {
+        return;
+    }
+    if (known == NULL && !is_redundant(rec, crash)) {
+        known = find_place(rec);
+    }
+    if (known != NULL) {
+        *known = *crash;
+        record_changed(ct, rec, source_link);
+    }
+}
+
+/* Records that a target's process crashed under a request. */
+void
+JdCrashTable_Record(JdCrashTable *ct, const JdFingerprint *fp,
+                    uint64_t process)
+{
+    JdCrash crash = {.process = process, .caller = fp->caller};
+
+    JdCrashTable_Add(ct, fp, &crash, 0);
+}
+
+/* A target has answered a caller's request: clears its crashes. */
+void
+JdCrashTable_Clear(JdCrashTable *ct, const JdFingerprint *fp)
+{
+    JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
+    JdCrash none = {.caller = fp->caller, .is_cleared = true};
+
+    if (rec == NULL || JdCrashRecord_CountCrashes(rec) == 0 ||
+        is_caller_cleared(rec, fp->caller)) {
+        return;
+    }
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        if (rec->crash[i].caller == fp->caller) {
+            rec->crash[i].is_cleared = true;
+        }
+    }
+    record_changed(ct, rec, 0);
+    JdCrashTable_Add(ct, fp, &none, 0);
+}
+
+/* Returns whether a target may crash under a request: one has, and none has
+ * answered it since. */
+bool
+JdCrashTable_Suspects(const JdCrashTable *ct, const JdFingerprint *fp)
+{
+    const JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
+
+    return rec != NULL && JdCrashRecord_CountCrashes(rec) > 0 &&
+           !is_caller_cleared(rec, fp->caller);
+}
+
+/* Returns whether a request must not be sent to a target any more. */
+bool
+JdCrashTable_Refuses(JdCrashTable *ct, const JdFingerprint *fp)
+{
+    JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
+
+    if (rec == NULL || !refuses_caller(rec, fp->caller)) {
+        return false;
+    }
+    rec->used_at = JdClock_Now(ct->clock);
+    return true;
+}
+
+static bool
+has_expired(const JdCrashRecord *rec, uint64_t now)
+{
+    bool is_refused = JdCrashRecord_IsRefused(rec);
+
+    return now - rec->used_at >
+           (is_refused ? REFUSED_RETENTION : SUSPECT_RETENTION);
+}
+
+/* Removes records that were not used for long, except that those which the
+ * source lists are marked first, to be removed there. */
+void
+JdCrashTable_Prune(JdCrashTable *ct)
+{
+    uint64_t now = JdClock_Now(ct->clock);
+    JdCrashRecord *rec, *next;
+
+    for (rec = TAILQ_FIRST(&ct->all); rec != NULL; rec = next) {
+        next = TAILQ_NEXT(rec, link);
+        rec->is_expired = has_expired(rec, now);
+        if (rec->is_expired && !rec->is_listed) {
+            remove_record(ct, rec);
+        }
+    }
+}
+
+/* ---- as text ----------------------------------------------------------- */
+
+/* Digits of a number, and of the two numbers of a crash with the space that
+ * follows it. */
+#define WORD_DIGITS 16
+#define CRASH_TEXT_LEN (2 * WORD_DIGITS + 1)
+
+/* Formats the crashes of a record that are not cleared: process and caller of
+ * each as hexadecimal numbers, separated by spaces.  Empty if there are none.
+ */
+void
+JdCrashRecord_Format(const JdCrashRecord *rec, char out[JD_CRASHES_TEXT_MAX])
+{
+    size_t n = 0;
+
+    out[0] = '\0';
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        const JdCrash *crash = &rec->crash[i];
+
+        if (!crash->is_cleared) {
+            n += (size_t)snprintf(out + n, JD_CRASHES_TEXT_MAX - n,
+                                  "%s%016" PRIx64 "%016" PRIx64,
+                                  n == 0 ? "" : " ", crash->process,
+                                  crash->caller);
+        }
+    }
+}
+
+/* Reads two numbers of 16 hexadecimal digits each.  Returns false if the text
+ * is anything else. */
+static bool
+parse_pair(const char *text, size_t len, uint64_t out[2])
+{
+    if (len != CRASH_TEXT_LEN - 1) {
+        return false;
+    }
+    for (size_t i = 0; i < 2; i++) {
+        char word[WORD_DIGITS + 1] = "";
+
+        memcpy(word, text + i * WORD_DIGITS, WORD_DIGITS);
+        if (strspn(word, "0123456789abcdef") != WORD_DIGITS) {
+            return false;
+        }
+        out[i] = strtoull(word, NULL, 16);
+    }
+    return true;
+}
+
+/* Returns whether a text has the form of JdCrashRecord_Format. */
+static bool
+is_crash_list(const char *text, size_t len)
+{
+    uint64_t pair[2];
+
+    for (size_t at = 0; at < len; at += CRASH_TEXT_LEN) {
+        bool is_last = len - at < CRASH_TEXT_LEN;
+
+        if (!parse_pair(text + at, is_last ? len - at : CRASH_TEXT_LEN - 1,
+                        pair) ||
+            (!is_last && text[at + CRASH_TEXT_LEN - 1] != ' ')) {
+            return false;
+        }
+    }
+    return len > 0 && len < JD_CRASHES_TEXT_MAX;
+}
+
+/* Adds the crashes of a request from the texts of its fingerprint and of a
+ * record.  Returns its record, or NULL if a text is malformed. */
+JdCrashRecord *
+JdCrashTable_Parse(JdCrashTable *ct, const char *request, size_t request_len,
+                   const char *crashes, size_t crashes_len)
+{
+    uint64_t pair[2];
+    JdFingerprint fp;
+
+    if (!parse_pair(request, request_len, fp.word) ||
+        !is_crash_list(crashes, crashes_len)) {
+        return NULL;
+    }
+    for (size_t at = 0; at < crashes_len; at += CRASH_TEXT_LEN) {
+        JdCrash crash = {.is_cleared = false};
+
+        parse_pair(crashes + at, CRASH_TEXT_LEN - 1, pair);
+        crash.process = pair[0];
+        crash.caller = pair[1];
+        JdCrashTable_Add(ct, &fp, &crash, 0);
+    }
+    return JdCrashTable_Find(ct, &fp);
+}
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -154,6 +154,11 @@
         ts->last_full_at = ts->progress_at;
         record_report(lb, ts, rep);
         return;
+    case JD_REASON_CRASHES:
+    case JD_REASON_ISOLATED:
+    case JD_REASON_COPY_RUNS:
+        ts->progress_at = JdClock_Now(lb->clock);
+        return;
     case JD_REASON_CANCELLED:
         return;
     default:
--- a/lib/request/reason.c
+++ b/lib/request/reason.c
@@ -34,6 +34,12 @@
                                 JD_C_REFUSED_CLAIM_FAILED},
     [JD_REASON_RATE_LIMITED] = {"rate-limited", 503, true, true, 200,
                                 JD_C_REFUSED_RATE_LIMITED},
+    [JD_REASON_CRASHES] = {"crashes-targets", 503, true, false, 0,
+                           JD_C_REFUSED_CRASHES},
+    [JD_REASON_ISOLATED] = {"isolated", 503, true, true, 200,
+                            JD_C_REFUSED_ISOLATED},
+    [JD_REASON_COPY_RUNS] = {"copy-runs", 503, true, false, 200,
+                             JD_C_REFUSED_COPY_RUNS},
 };
 
 /* Returns the properties of a reason.  Unknown values count as
--- a/lib/tree/libtree.h
+++ b/lib/tree/libtree.h
@@ -5,6 +5,7 @@
 #include "jacinthdyke.h"
 
 /* tree.c */
+uint64_t _JdTree_LinkId(const JdTree *tr, const void *peer);
 void _JdTree_Send(JdTree *tr, void *peer, Jd__Frame *frame);
 void _JdTree_CheckReady(JdTree *tr);
 void _JdTree_UpdateLogReading(JdTree *tr);
@@ -51,6 +52,11 @@
 bool _JdTree_IsLowestDomainHead(const JdTree *tr);
 void _JdTree_RenewRegistration(JdTree *tr);
 
+/* crashes.c */
+void _JdTree_InitCrashes(JdTree *tr);
+void _JdTree_SendCrashes(JdTree *tr, void *peer);
+void _JdTree_OnCrashes(JdTree *tr, void *peer, const Jd__Crashes *msg);
+
 /* invite.c */
 void _JdTree_SendInvites(JdTree *tr);
 bool _JdTree_InviteConnected(JdTree *tr, void *peer);
--- a/lib/tree/tree.c
+++ b/lib/tree/tree.c
@@ -59,6 +59,7 @@
     _JdTree_InitUplinks(tr);
     _JdTree_InitHeads(tr);
     _JdTree_InitUpdates(tr);
+    _JdTree_InitCrashes(tr);
 }
 
 /* Frees a tree; its connections stay with the embedding program. */
@@ -73,11 +74,13 @@
     JdTimer_Cancel(tr->clock, &tr->update_timer);
     JdTimer_Cancel(tr->clock, &tr->promotion_timer);
     JdTimer_Cancel(tr->clock, &tr->join_timer);
+    JdTimer_Cancel(tr->clock, &tr->crash_timer);
     while ((ch = TAILQ_FIRST(&tr->children)) != NULL) {
         TAILQ_REMOVE(&tr->children, ch, link);
         g_free(ch);
     }
     JdMembers_Finish(&tr->members);
+    JdCrashTable_Finish(&tr->crashes);
 }
 
 /* Starts the search for a parent. */
@@ -90,6 +93,18 @@
     tr->ops->read_directory(tr->ctx);
 }
 
+/* Returns the id of the link that a peer is on, 0: of none. */
+uint64_t
+_JdTree_LinkId(const JdTree *tr, const void *peer)
+{
+    const JdChild *ch = _JdTree_FindChild(tr, peer);
+
+    if (ch != NULL) {
+        return ch->link_id;
+    }
+    return peer == tr->parent.peer ? tr->parent.link_id : 0;
+}
+
 /* Sends a frame that carries the configuration version of this node. */
 void
 _JdTree_Send(JdTree *tr, void *peer, Jd__Frame *frame)
@@ -356,6 +371,7 @@
     }
     JdMembers_Expire(&tr->members, tr->tuning.link_timeout);
     JdMembers_Prune(&tr->members, MEMBER_RETENTION);
+    JdCrashTable_Prune(&tr->crashes);
     _JdTree_CheckUplink(tr);
     _JdTree_UpdateLogReading(tr);
     _JdTree_CheckHeads(tr);
@@ -399,6 +415,9 @@
     case JD__FRAME__BODY_MEMBERS:
         _JdTree_OnMembers(tr, peer, frame->members);
         break;
+    case JD__FRAME__BODY_CRASHES:
+        _JdTree_OnCrashes(tr, peer, frame->crashes);
+        break;
     case JD__FRAME__BODY_PROMOTE:
         _JdTree_OnPromote(tr);
         break;
--- a/lib/tree/update.c
+++ b/lib/tree/update.c
@@ -148,10 +148,7 @@
 void
 _JdTree_OnMembers(JdTree *tr, void *peer, const Jd__Members *msg)
 {
-    const JdChild *ch = _JdTree_FindChild(tr, peer);
-    uint64_t link_id = ch != NULL                ? ch->link_id
-                       : peer == tr->parent.peer ? tr->parent.link_id
-                                                 : 0;
+    uint64_t link_id = _JdTree_LinkId(tr, peer);
 
     for (size_t i = 0; i < msg->n_member; i++) {
         if (strcmp(msg->member[i]->id, tr->self.id) == 0) {
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -319,6 +319,7 @@
         _JdTree_SchedulePromotion(tr);
     }
     _JdTree_UpdateLogReading(tr);
+    _JdTree_SendCrashes(tr, peer);
     _JdTree_SendMembers(tr, peer, msg->bucket, msg->n_bucket);
     _JdTree_AnnounceSelf(tr);
     _JdTree_SendPathToChildren(tr);
--- a/node/node.h
+++ b/node/node.h
@@ -87,10 +87,32 @@
     JdTimer timer; /* next check for changes */
 } JdReload;
 
+/* Why a request gets no answer of the local target. */
+typedef struct JdTargetRefusal {
+    JdReason reason;
+    bool was_sent; /* the target may have received it */
+    /* Process of the target that crashed while it may have been running the
+     * request, see JdCrash_ProcessId; 0: none. */
+    uint64_t crashed_process;
+} JdTargetRefusal;
+
 typedef struct JdCall JdCall;
 typedef struct JdWorkItem JdWorkItem;
 typedef struct JdWaitingRequest JdWaitingRequest;
 
+/* What the source of configuration holds of the requests that crash targets.
+ */
+typedef struct JdCrashStore {
+    bool is_reader;        /* this node reads the source */
+    bool is_loaded;        /* it has read these records, too */
+    uint64_t loaded_epoch; /* of the source, when it did */
+    bool is_busy;          /* a call is under way */
+    /* The record that is being written; empty text: removed. */
+    JdFingerprint written_request;
+    char written[JD_CRASHES_TEXT_MAX];
+    JdTimer timer; /* pause after a failure */
+} JdCrashStore;
+
 /* A request that the target's process that started at `process` did not
  * answer. */
 typedef struct JdUnansweredRequest {
@@ -109,6 +131,8 @@
     JdUnansweredRequest unanswered[JD_UNANSWERED_MAX]; /* ring */
     unsigned next_unanswered;
     uint64_t answered_at; /* time of the target's last answer */
+    uint64_t noticed_at;  /* time of the last sign of a crash */
+    uint64_t crashed_at;  /* wall clock, us, of the last crash */
 } JdTargetCrashes;
 
 typedef struct JdNode {
@@ -144,6 +168,7 @@
     JdTarget target_process; /* process that sent the last heartbeat */
     JdHttpc target_client;
     JdTargetCrashes target_crashes; /* targets/crash.c */
+    JdCrashStore crash_store;       /* crashes.c */
     JdAdmission admit;
     GHashTable *route_estimates; /* route name -> JdServiceTime */
     TAILQ_HEAD(JdWorkItemHead, JdWorkItem) work_items;
@@ -208,6 +233,7 @@
 void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdWorker_OnConnClosed(JdNode *nd, const JdConn *origin);
 void JdWorker_RecordUnanswered(JdNode *nd);
+void JdWorker_OnTargetChecked(JdNode *nd, uint64_t crashed_process);
 unsigned JdWorker_RetryPercent(const JdNode *nd);
 
 /* targets/headers.c: headers of requests to the local target */
@@ -218,7 +244,7 @@
 /* targets/response.c: responses to the nodes that send requests to it */
 unsigned JdTargetResponse_Priority(const Jd__Request *msg);
 void JdTargetResponse_Refuse(JdNode *nd, const Jd__Request *request,
-                             JdConn *origin, JdReason reason, bool was_sent);
+                             JdConn *origin, const JdTargetRefusal *refusal);
 void JdTargetResponse_Relay(JdNode *nd, uint64_t id, JdConn *origin,
                             const JdHttpResponse *ans);
 
@@ -260,6 +286,16 @@
 JdStatus JdAdmin_Init(JdNode *nd, JdError *err);
 void JdAdmin_ReplyMetrics(JdNode *nd, h2o_req_t *req);
 
+/* node/crashes.c: requests that crash targets, at the source */
+void JdCrashStore_Init(JdNode *nd);
+void JdCrashStore_SetReader(JdNode *nd, bool is_reader);
+void JdCrashStore_OnChanged(JdNode *nd);
+void JdCrashStore_OnReadBegin(JdNode *nd);
+void JdCrashStore_OnRecord(JdNode *nd, const char *request, size_t request_len,
+                           const char *crashes, size_t crashes_len);
+void JdCrashStore_OnReadEnd(JdNode *nd, JdStatus status);
+void JdCrashStore_OnPut(JdNode *nd, JdStatus status);
+
 /* node/reload.c: reload of the settings file */
 void JdReload_Init(JdNode *nd, const char *file);
 void JdReload_OnSignal(JdNode *nd);
--- a/node/source.h
+++ b/node/source.h
@@ -21,6 +21,12 @@
     void (*read_log)(void *ctx, bool on);
     /* May be NULL. */
     void (*deregister_head)(struct JdNode *nd, const char *id);
+    /* Read and write the requests that crash targets, as texts; empty
+     * `crashes` remove a request.  Answered by JdCrashStore_On...; NULL if the
+     * source cannot keep them. */
+    void (*read_crashes)(struct JdNode *nd);
+    void (*put_crashes)(struct JdNode *nd, const char *request,
+                        const char *crashes);
     /* A version was applied or readiness changed; may be NULL. */
     void (*status_changed)(struct JdNode *nd);
     /* The settings file was reloaded; may be NULL. */
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -207,6 +207,40 @@
            strcmp(m, "HEAD") == 0 || strcmp(m, "OPTIONS") == 0;
 }
 
+/* Returns the fingerprint of the request, or NULL while no request is known
+ * under which a target crashed. */
+static const JdFingerprint *
+get_fingerprint(JdCall *call)
+{
+    if (call->node->tree.crashes.count == 0) {
+        return NULL;
+    }
+    if (!call->has_fingerprint) {
+        JdFingerprint_OfRequest(&call->fingerprint, call->msg);
+        call->has_fingerprint = true;
+    }
+    return &call->fingerprint;
+}
+
+/* Returns whether targets have crashed so often under the request that it is
+ * sent to none any more. */
+static bool
+crashes_targets(JdCall *call)
+{
+    const JdFingerprint *fp = get_fingerprint(call);
+
+    return fp != NULL && JdCrashTable_Refuses(&call->node->tree.crashes, fp);
+}
+
+/* Returns whether a target has crashed under the request. */
+static bool
+may_crash_targets(JdCall *call)
+{
+    const JdFingerprint *fp = get_fingerprint(call);
+
+    return fp != NULL && JdCrashTable_Suspects(&call->node->tree.crashes, fp);
+}
+
 /* Returns whether the route allows one more attempt.  Attempts that failed
  * before they reached a target do not count towards its limit. */
 static bool
@@ -233,6 +267,9 @@
     if (!info->is_not_executed && !is_idempotent(call)) {
         return false;
     }
+    if (crashes_targets(call)) {
+        return false;
+    }
     /* An attempt that did not reach a target caused it no work, so the retry
      * is free. */
     if (was_sent && !JdRetryBudget_Take(get_budget(nd, call->route.service),
@@ -354,7 +391,7 @@
 {
     JdCall *call = ctx;
 
-    if (take_retry(call, JD_REASON_BROKEN, true)) {
+    if (!may_crash_targets(call) && take_retry(call, JD_REASON_BROKEN, true)) {
         try_next_target(call);
     }
 }
@@ -422,19 +459,32 @@
     return goal_at > now ? goal_at - now : 1;
 }
 
+/* Picks a target that has not been tried, or NULL.  All copies of a request
+ * under which a target has crashed get the same one. */
+static JdMember *
+pick_target(JdCall *call, JdTier *tier)
+{
+    const JdBalancer *lb = &call->node->balancer;
+    JdExcludedTargets avoid = {call->target_ids, call->attempt_count,
+                               call->full_count};
+
+    if (may_crash_targets(call)) {
+        return JdBalancer_PickPinned(lb, call->route.endpoint_set, &avoid,
+                                     call->fingerprint.word[0], tier);
+    }
+    return JdBalancer_Pick(lb, call->route.endpoint_set, &avoid,
+                           time_until_latency_goal(call), tier);
+}
+
 /* Sends the request to a target that has not been tried, or refuses the call
  * when there is none and no attempt is under way. */
 static void
-try_next_target(JdCall *call)
+send_to_next_target(JdCall *call)
 {
     JdAttemptFailure down = {.reason = JD_REASON_TARGET_DOWN};
     JdNode *nd = call->node;
-    JdExcludedTargets avoid = {call->target_ids, call->attempt_count,
-                               call->full_count};
     JdTier tier;
-    JdMember *mb =
-        JdBalancer_Pick(&nd->balancer, call->route.endpoint_set, &avoid,
-                        time_until_latency_goal(call), &tier);
+    JdMember *mb = pick_target(call, &tier);
     JdRequestConn *rconn;
     JdAttempt *att;
 
@@ -462,6 +512,19 @@
     send_request(att, rconn);
 }
 
+/* Sends the request to another target, unless it crashes targets. */
+static void
+try_next_target(JdCall *call)
+{
+    if (!crashes_targets(call)) {
+        send_to_next_target(call);
+    }
+    else if (call->active_count == 0) {
+        call->retry_after_ms = 0;
+        refuse_call(call, JD_REASON_CRASHES);
+    }
+}
+
 /* ---- answers ----------------------------------------------------------- */
 
 /* Finds the attempt under way that an answer belongs to, or NULL. */
@@ -481,6 +544,19 @@
     return NULL;
 }
 
+/* Records that the process of a target crashed under a request; 0: none. */
+static void
+learn_crash(JdCall *call, uint64_t process)
+{
+    if (process == 0) {
+        return;
+    }
+    JdFingerprint_OfRequest(&call->fingerprint, call->msg);
+    call->has_fingerprint = true;
+    JdCrashTable_Record(&call->node->tree.crashes, &call->fingerprint,
+                        process);
+}
+
 /* Handles an answer or a refusal by a target's node. */
 void
 JdForward_OnResponse(JdNode *nd, const Jd__Response *msg)
@@ -498,6 +574,7 @@
         nd->counters.value[JD_C_LATE_ANSWERS]++;
         return;
     }
+    learn_crash(att->call, msg->crashed_process);
     nd->counters.value[JD_C_REQUEST_BYTES] += msg->body.len;
     if (att->tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += msg->body.len;
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -38,6 +38,8 @@
     JdConfig *config;
     JdRoute route;
     Jd__Request *msg; /* owned */
+    JdFingerprint fingerprint;
+    bool has_fingerprint; /* it has been computed */
     uint64_t arrived_at;
     uint64_t deadline;
     /* All attempts, in the order in which they began. */
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -502,6 +502,141 @@
   assert(message->base.descriptor == &jd__invite__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   jd__crash__init
+                     (Jd__Crash         *message)
+{
+  static const Jd__Crash init_value = JD__CRASH__INIT;
+  *message = init_value;
+}
+size_t jd__crash__get_packed_size
+                     (const Jd__Crash *message)
+{
+  assert(message->base.descriptor == &jd__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jd__crash__pack
+                     (const Jd__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jd__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jd__crash__pack_to_buffer
+                     (const Jd__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jd__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jd__Crash *
+       jd__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jd__Crash *)
+     protobuf_c_message_unpack (&jd__crash__descriptor,
+                                allocator, len, data);
+}
+void   jd__crash__free_unpacked
+                     (Jd__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jd__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jd__crash_record__init
+                     (Jd__CrashRecord         *message)
+{
+  static const Jd__CrashRecord init_value = JD__CRASH_RECORD__INIT;
+  *message = init_value;
+}
+size_t jd__crash_record__get_packed_size
+                     (const Jd__CrashRecord *message)
+{
+  assert(message->base.descriptor == &jd__crash_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jd__crash_record__pack
+                     (const Jd__CrashRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jd__crash_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jd__crash_record__pack_to_buffer
+                     (const Jd__CrashRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jd__crash_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jd__CrashRecord *
+       jd__crash_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jd__CrashRecord *)
+     protobuf_c_message_unpack (&jd__crash_record__descriptor,
+                                allocator, len, data);
+}
+void   jd__crash_record__free_unpacked
+                     (Jd__CrashRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jd__crash_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   jd__crashes__init
+                     (Jd__Crashes         *message)
+{
+  static const Jd__Crashes init_value = JD__CRASHES__INIT;
+  *message = init_value;
+}
+size_t jd__crashes__get_packed_size
+                     (const Jd__Crashes *message)
+{
+  assert(message->base.descriptor == &jd__crashes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t jd__crashes__pack
+                     (const Jd__Crashes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &jd__crashes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t jd__crashes__pack_to_buffer
+                     (const Jd__Crashes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &jd__crashes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Jd__Crashes *
+       jd__crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Jd__Crashes *)
+     protobuf_c_message_unpack (&jd__crashes__descriptor,
+                                allocator, len, data);
+}
+void   jd__crashes__free_unpacked
+                     (Jd__Crashes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &jd__crashes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   jd__header__init
                      (Jd__Header         *message)
 {
@@ -1742,6 +1877,172 @@
   (ProtobufCMessageInit) jd__invite__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jd__crash__field_descriptors[3] =
+{
+  {
+    "process",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Crash, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "caller",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Crash, caller),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Crash, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jd__crash__field_indices_by_name[] = {
+  1,   /* field[1] = caller */
+  2,   /* field[2] = cleared */
+  0,   /* field[0] = process */
+};
+static const ProtobufCIntRange jd__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jd__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jd.Crash",
+  "Crash",
+  "Jd__Crash",
+  "jd",
+  sizeof(Jd__Crash),
+  3,
+  jd__crash__field_descriptors,
+  jd__crash__field_indices_by_name,
+  1,  jd__crash__number_ranges,
+  (ProtobufCMessageInit) jd__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__crash_record__field_descriptors[3] =
+{
+  {
+    "request_hi",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__CrashRecord, request_hi),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_lo",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__CrashRecord, request_lo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crash",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jd__CrashRecord, n_crash),
+    offsetof(Jd__CrashRecord, crash),
+    &jd__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jd__crash_record__field_indices_by_name[] = {
+  2,   /* field[2] = crash */
+  0,   /* field[0] = request_hi */
+  1,   /* field[1] = request_lo */
+};
+static const ProtobufCIntRange jd__crash_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor jd__crash_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jd.CrashRecord",
+  "CrashRecord",
+  "Jd__CrashRecord",
+  "jd",
+  sizeof(Jd__CrashRecord),
+  3,
+  jd__crash_record__field_descriptors,
+  jd__crash_record__field_indices_by_name,
+  1,  jd__crash_record__number_ranges,
+  (ProtobufCMessageInit) jd__crash_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__crashes__field_descriptors[1] =
+{
+  {
+    "record",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jd__Crashes, n_record),
+    offsetof(Jd__Crashes, record),
+    &jd__crash_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned jd__crashes__field_indices_by_name[] = {
+  0,   /* field[0] = record */
+};
+static const ProtobufCIntRange jd__crashes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor jd__crashes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "jd.Crashes",
+  "Crashes",
+  "Jd__Crashes",
+  "jd",
+  sizeof(Jd__Crashes),
+  1,
+  jd__crashes__field_descriptors,
+  jd__crashes__field_indices_by_name,
+  1,  jd__crashes__number_ranges,
+  (ProtobufCMessageInit) jd__crashes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jd__header__field_descriptors[2] =
 {
   {
@@ -2078,7 +2379,7 @@
   (ProtobufCMessageInit) jd__request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[13] =
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[14] =
 {
   {
     "id",
@@ -2236,9 +2537,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashed_process",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Jd__Response, crashed_process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
   3,   /* field[3] = body */
+  13,   /* field[13] = crashed_process */
   2,   /* field[2] = header */
   0,   /* field[0] = id */
   11,   /* field[11] = limit_wait_ms */
@@ -2255,7 +2569,7 @@
 static const ProtobufCIntRange jd__response__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor jd__response__descriptor =
 {
@@ -2265,7 +2579,7 @@
   "Jd__Response",
   "jd",
   sizeof(Jd__Response),
-  13,
+  14,
   jd__response__field_descriptors,
   jd__response__field_indices_by_name,
   1,  jd__response__number_ranges,
@@ -2348,7 +2662,7 @@
   (ProtobufCMessageInit) jd__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor jd__frame__field_descriptors[15] =
 {
   {
     "version",
@@ -2518,11 +2832,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Jd__Frame, body_case),
+    offsetof(Jd__Frame, crashes),
+    &jd__crashes__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned jd__frame__field_indices_by_name[] = {
   2,   /* field[2] = accept */
   4,   /* field[4] = beat */
   11,   /* field[11] = cancel */
+  14,   /* field[14] = crashes */
   5,   /* field[5] = delta */
   13,   /* field[13] = invite */
   1,   /* field[1] = join */
@@ -2538,7 +2865,7 @@
 static const ProtobufCIntRange jd__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor jd__frame__descriptor =
 {
@@ -2548,7 +2875,7 @@
   "Jd__Frame",
   "jd",
   sizeof(Jd__Frame),
-  14,
+  15,
   jd__frame__field_descriptors,
   jd__frame__field_indices_by_name,
   1,  jd__frame__number_ranges,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -26,6 +26,9 @@
 typedef struct Jd__Members Jd__Members;
 typedef struct Jd__Promote Jd__Promote;
 typedef struct Jd__Invite Jd__Invite;
+typedef struct Jd__Crash Jd__Crash;
+typedef struct Jd__CrashRecord Jd__CrashRecord;
+typedef struct Jd__Crashes Jd__Crashes;
 typedef struct Jd__Header Jd__Header;
 typedef struct Jd__Request Jd__Request;
 typedef struct Jd__Response Jd__Response;
@@ -301,6 +304,60 @@
     , NULL }
 
 
+/*
+ * A process of a target that crashed while it ran a request.
+ */
+struct  Jd__Crash
+{
+  ProtobufCMessage base;
+  uint64_t process;
+  /*
+   * the calling service, as a hash
+   */
+  uint64_t caller;
+  /*
+   * a target has answered this caller's request since
+   */
+  protobuf_c_boolean cleared;
+};
+#define JD__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__crash__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * A request under which targets crashed.
+ */
+struct  Jd__CrashRecord
+{
+  ProtobufCMessage base;
+  /*
+   * fingerprint of the request
+   */
+  uint64_t request_hi;
+  uint64_t request_lo;
+  size_t n_crash;
+  Jd__Crash **crash;
+};
+#define JD__CRASH_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__crash_record__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * Records that the receiver may lack.
+ */
+struct  Jd__Crashes
+{
+  ProtobufCMessage base;
+  size_t n_record;
+  Jd__CrashRecord **record;
+};
+#define JD__CRASHES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__crashes__descriptor) \
+    , 0,NULL }
+
+
 struct  Jd__Header
 {
   ProtobufCMessage base;
@@ -423,10 +480,14 @@
    * that process has said that it leaves
    */
   protobuf_c_boolean target_leaving;
+  /*
+   * The request may have crashed the target: id of its process, 0: none did.
+   */
+  uint64_t crashed_process;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -472,7 +533,8 @@
   JD__FRAME__BODY_RESPONSE = 11,
   JD__FRAME__BODY_CANCEL = 12,
   JD__FRAME__BODY_PING = 13,
-  JD__FRAME__BODY_INVITE = 14
+  JD__FRAME__BODY_INVITE = 14,
+  JD__FRAME__BODY_CRASHES = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JD__FRAME__BODY__CASE)
 } Jd__Frame__BodyCase;
 
@@ -498,6 +560,7 @@
     Jd__Cancel *cancel;
     Jd__Ping *ping;
     Jd__Invite *invite;
+    Jd__Crashes *crashes;
   };
 };
 #define JD__FRAME__INIT \
@@ -714,6 +777,63 @@
 void   jd__invite__free_unpacked
                      (Jd__Invite *message,
                       ProtobufCAllocator *allocator);
+/* Jd__Crash methods */
+void   jd__crash__init
+                     (Jd__Crash         *message);
+size_t jd__crash__get_packed_size
+                     (const Jd__Crash   *message);
+size_t jd__crash__pack
+                     (const Jd__Crash   *message,
+                      uint8_t             *out);
+size_t jd__crash__pack_to_buffer
+                     (const Jd__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__Crash *
+       jd__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__crash__free_unpacked
+                     (Jd__Crash *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__CrashRecord methods */
+void   jd__crash_record__init
+                     (Jd__CrashRecord         *message);
+size_t jd__crash_record__get_packed_size
+                     (const Jd__CrashRecord   *message);
+size_t jd__crash_record__pack
+                     (const Jd__CrashRecord   *message,
+                      uint8_t             *out);
+size_t jd__crash_record__pack_to_buffer
+                     (const Jd__CrashRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__CrashRecord *
+       jd__crash_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__crash_record__free_unpacked
+                     (Jd__CrashRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__Crashes methods */
+void   jd__crashes__init
+                     (Jd__Crashes         *message);
+size_t jd__crashes__get_packed_size
+                     (const Jd__Crashes   *message);
+size_t jd__crashes__pack
+                     (const Jd__Crashes   *message,
+                      uint8_t             *out);
+size_t jd__crashes__pack_to_buffer
+                     (const Jd__Crashes   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__Crashes *
+       jd__crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__crashes__free_unpacked
+                     (Jd__Crashes *message,
+                      ProtobufCAllocator *allocator);
 /* Jd__Header methods */
 void   jd__header__init
                      (Jd__Header         *message);
@@ -863,6 +983,15 @@
 typedef void (*Jd__Invite_Closure)
                  (const Jd__Invite *message,
                   void *closure_data);
+typedef void (*Jd__Crash_Closure)
+                 (const Jd__Crash *message,
+                  void *closure_data);
+typedef void (*Jd__CrashRecord_Closure)
+                 (const Jd__CrashRecord *message,
+                  void *closure_data);
+typedef void (*Jd__Crashes_Closure)
+                 (const Jd__Crashes *message,
+                  void *closure_data);
 typedef void (*Jd__Header_Closure)
                  (const Jd__Header *message,
                   void *closure_data);
@@ -898,6 +1027,9 @@
 extern const ProtobufCMessageDescriptor jd__members__descriptor;
 extern const ProtobufCMessageDescriptor jd__promote__descriptor;
 extern const ProtobufCMessageDescriptor jd__invite__descriptor;
+extern const ProtobufCMessageDescriptor jd__crash__descriptor;
+extern const ProtobufCMessageDescriptor jd__crash_record__descriptor;
+extern const ProtobufCMessageDescriptor jd__crashes__descriptor;
 extern const ProtobufCMessageDescriptor jd__header__descriptor;
 extern const ProtobufCMessageDescriptor jd__request__descriptor;
 extern const ProtobufCMessageDescriptor jd__response__descriptor;
--- a/peer/link.c
+++ b/peer/link.c
@@ -228,7 +228,16 @@
 static void
 read_log(void *ctx, bool on)
 {
-    ((JdNode *)ctx)->config_source->read_log(ctx, on);
+    JdNode *nd = ctx;
+
+    nd->config_source->read_log(nd, on);
+    JdCrashStore_SetReader(nd, on);
+}
+
+static void
+on_crashes_changed(void *ctx)
+{
+    JdCrashStore_OnChanged(ctx);
 }
 
 static const JdTreeOps tree_ops = {
@@ -243,6 +252,7 @@
     .status_changed = on_status_changed,
     .parent_changed = on_parent_changed,
     .member_changed = on_member_changed,
+    .crashes_changed = on_crashes_changed,
 };
 
 /* Copies this node's identity from its settings. */
@@ -274,6 +284,7 @@
     fill_identity(nd, &id);
     JdTree_Init(&nd->tree, &id, JdPreset_Tuning(nd->settings.preset),
                 &nd->store, &nd->loop.clock, &nd->counters, &tree_ops, nd);
+    JdCrashStore_Init(nd);
     JdConnSet_Init(&nd->conns, &nd->loop, &nd->counters);
     return JdConnSet_Listen(&nd->conns, nd->settings.peer_address, &conn_ops,
                             nd, err);
--- a/targets/crash.c
+++ b/targets/crash.c
@@ -13,18 +13,32 @@
  * been running when the target crashed. */
 #define RUN_ON_TIME JD_US_PER_S
 
+/* Returns the id of the target's process that started at `started`.  One that
+ * sends no heartbeats is told by the time of its crash. */
+static uint64_t
+get_process_id(JdNode *nd, uint64_t started)
+{
+    if (started == 0) {
+        started = nd->target_crashes.crashed_at;
+    }
+    return JdCrash_ProcessId(nd->settings.node, started);
+}
+
 /* Logs that the target's process `started` crashed, and a request that it was
  * running. */
 static void
 log_request(const JdNode *nd, const JdUnansweredRequest *un)
 {
     char text[JD_FINGERPRINT_TEXT_MAX];
+    const JdCrashRecord *rec =
+        JdCrashTable_Find(&nd->tree.crashes, &un->request);
 
     JdFingerprint_Format(&un->request, text);
     JD_LOG(JD_EVENT_CRASH, JD_TEXT("outcome", "was-running"),
            JD_TEXT("id", un->request_id), JD_TEXT("request", text),
            JD_TEXT("target", nd->target_process.id),
-           JD_NUMBER("started", un->process));
+           JD_NUMBER("started", un->process),
+           JD_NUMBER("crashes", JdCrashRecord_CountCrashes(rec)));
 }
 
 static void
@@ -52,10 +66,16 @@
     JdTargetCrashes *tc = &nd->target_crashes;
     unsigned n = 0;
 
+    if (JdClock_Now(&nd->loop.clock) - tc->noticed_at > RUN_ON_TIME) {
+        tc->crashed_at = JdLoop_WallClock();
+    }
+    tc->noticed_at = JdClock_Now(&nd->loop.clock);
     for (unsigned i = 0; i < JD_UNANSWERED_MAX; i++) {
         JdUnansweredRequest *un = &tc->unanswered[i];
 
         if (was_running(tc, un, started)) {
+            JdCrashTable_Record(&nd->tree.crashes, &un->request,
+                                get_process_id(nd, started));
             log_request(nd, un);
             n++;
         }
@@ -104,9 +124,15 @@
 static void
 on_checked(void *ctx, JdHttpCheck result)
 {
-    if (result == JD_HTTP_REFUSED) {
-        JdTargetCrash_OnRefused(ctx);
+    JdNode *nd = ctx;
+    bool has_crashed =
+        result == JD_HTTP_REFUSED && !JdTargetHealth_IsLeaving(nd);
+
+    if (has_crashed) {
+        record_crash(nd, nd->target_process.started);
     }
+    JdWorker_OnTargetChecked(
+        nd, has_crashed ? get_process_id(nd, nd->target_process.started) : 0);
 }
 
 /* A connection to the target broke: checks whether it has crashed. */
--- a/targets/response.c
+++ b/targets/response.c
@@ -60,16 +60,18 @@
 }
 
 /* Refuses a request that came over `origin`, or of a caller of this node if
- * that is NULL.  `was_sent` says that the target may have received it. */
+ * that is NULL. */
 void
 JdTargetResponse_Refuse(JdNode *nd, const Jd__Request *request, JdConn *origin,
-                        JdReason reason, bool was_sent)
+                        const JdTargetRefusal *refusal)
 {
     Jd__Response msg = JD__RESPONSE__INIT;
+    JdReason reason = refusal->reason;
 
     msg.id = request->id;
     msg.reason = reason;
-    msg.sent = was_sent;
+    msg.sent = refusal->was_sent;
+    msg.crashed_process = refusal->crashed_process;
     msg.retry_after_ms = JdReason_Info(reason)->retry_after_ms;
     if (reason == JD_REASON_QUEUE_FULL || reason == JD_REASON_TOO_LATE) {
         msg.retry_after_ms =
@@ -80,7 +82,7 @@
             rate_limit_wait_ms(nd, JdTargetResponse_Priority(request));
     }
     nd->counters.value[JdReason_Info(reason)->counter]++;
-    log_refusal(nd, request, reason, was_sent);
+    log_refusal(nd, request, reason, refusal->was_sent);
     send_response(nd, origin, &msg);
 }
 
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -25,11 +25,16 @@
     JdHttpCall *call;
     JdClaim claim;   /* of the idempotency key, if the route requires one */
     JdReason reason; /* of a refusal that is sent later */
-    JdTimer timer;   /* on_claim_expired or on_grace_over */
+    JdTimer timer;   /* on_not_sent or on_grace_over */
+    JdFingerprint fingerprint;
+    bool has_fingerprint; /* it has been computed */
     uint64_t submitted_at;
     uint64_t target_started; /* process that it was sent to, 0: unknown */
     bool was_sent;           /* the target may have received it */
     bool is_orphan;          /* nobody waits for the response any more */
+    /* Broken off; the response waits until it is known whether the target has
+     * crashed. */
+    bool is_checking;
 };
 
 static JdWorkItem *
@@ -57,9 +62,10 @@
 static void
 finish_refused(JdWorkItem *it, JdReason reason)
 {
+    JdTargetRefusal refusal = {reason, it->was_sent, 0};
+
     if (!it->is_orphan) {
-        JdTargetResponse_Refuse(it->node, it->msg, it->origin, reason,
-                                it->was_sent);
+        JdTargetResponse_Refuse(it->node, it->msg, it->origin, &refusal);
     }
     free_item(it);
 }
@@ -118,6 +124,7 @@
         break;
     case JD_HTTP_DISCONNECTED:
         JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
+        it->is_checking = true;
         JdTargetCrash_Check(nd);
         break;
     default:
@@ -153,6 +160,88 @@
     JdAdmission_RecordAbort(&nd->admit, &it->work);
 }
 
+/* Returns the fingerprint of the request, or NULL while no request is known
+ * under which a target crashed. */
+static const JdFingerprint *
+get_fingerprint(JdWorkItem *it)
+{
+    if (it->node->tree.crashes.count == 0) {
+        return NULL;
+    }
+    if (!it->has_fingerprint) {
+        JdFingerprint_OfRequest(&it->fingerprint, it->msg);
+        it->has_fingerprint = true;
+    }
+    return &it->fingerprint;
+}
+
+/* The target has run a request to its end, so that it does not crash it.  An
+ * error does not show that it ran as far as in the other cases. */
+static void
+clear_crashes(JdWorkItem *it, const JdHttpResponse *ans)
+{
+    const JdFingerprint *fp = get_fingerprint(it);
+
+    if (fp != NULL && ans->status < HTTP_ERROR_MIN) {
+        JdCrashTable_Clear(&it->node->tree.crashes, fp);
+    }
+}
+
+/* Returns whether a target has crashed under the request. */
+static bool
+may_crash_target(JdWorkItem *it)
+{
+    const JdFingerprint *fp = get_fingerprint(it);
+
+    return fp != NULL && JdCrashTable_Suspects(&it->node->tree.crashes, fp);
+}
+
+/* Returns another running request under which a target has crashed, or NULL; a
+ * copy of this one if there is one. */
+static const JdWorkItem *
+find_other_suspect(const JdWorkItem *it)
+{
+    const JdWorkItem *found = NULL;
+    JdWorkItem *other;
+
+    TAILQ_FOREACH(other, &it->node->work_items, link)
+    {
+        if (other == it || other->call == NULL || !may_crash_target(other)) {
+            continue;
+        }
+        if (JdFingerprint_IsCopy(&other->fingerprint, &it->fingerprint)) {
+            return other;
+        }
+        found = other;
+    }
+    return found;
+}
+
+/*
+ * Decides whether a request may run, by the crashes that are known.  Requests
+ * under which targets crashed do not run beside one another, as the next crash
+ * would not tell which of them is the cause.
+ */
+static JdReason
+check_crashes(JdWorkItem *it)
+{
+    const JdWorkItem *other;
+
+    if (!may_crash_target(it)) {
+        return JD_REASON_NONE;
+    }
+    if (JdCrashTable_Refuses(&it->node->tree.crashes, get_fingerprint(it))) {
+        return JD_REASON_CRASHES;
+    }
+    other = find_other_suspect(it);
+    if (other == NULL) {
+        return JD_REASON_NONE;
+    }
+    return JdFingerprint_IsCopy(&other->fingerprint, &it->fingerprint)
+               ? JD_REASON_COPY_RUNS
+               : JD_REASON_ISOLATED;
+}
+
 static void
 on_response(void *ctx, const JdHttpResponse *ans)
 {
@@ -174,14 +263,20 @@
         JdTree_SetState(&nd->tree, JD_MEMBER_DOWN);
     }
     if (reason == JD_REASON_DEADLINE) {
+        JdTargetRefusal refusal = {reason, it->was_sent, 0};
+
         record_cancelled(it);
-        JdTargetResponse_Refuse(nd, it->msg, it->origin, reason, it->was_sent);
+        JdTargetResponse_Refuse(nd, it->msg, it->origin, &refusal);
         hold_slot(it);
         return;
     }
     complete_work(it,
                   reason == JD_REASON_NONE && ans->status < HTTP_ERROR_MIN);
+    if (it->is_checking) {
+        return;
+    }
     if (reason == JD_REASON_NONE) {
+        clear_crashes(it, ans);
         JdTargetResponse_Relay(nd, it->msg->id, it->origin, ans);
         free_item(it);
     }
@@ -232,10 +327,13 @@
     JdLatencies_Record(&nd->latencies, JD_LATENCY_QUEUE, it->msg->service,
                        "started", now - it->submitted_at);
 
+    it->reason = check_crashes(it);
     if (it->claim.key[0] != '\0' &&
         !JdClaims_IsUsable(&nd->claims, &it->claim)) {
-        /* Ended by the timer, outside this callback of the admission. */
         it->reason = JD_REASON_CLAIM_FAILED;
+    }
+    if (it->reason != JD_REASON_NONE) {
+        /* Ended by the timer, outside this callback of the admission. */
         JdTimer_Arm(&nd->loop.clock, &it->timer, 0);
         return;
     }
@@ -249,14 +347,20 @@
     refuse_not_run(item_from_work(work), reason);
 }
 
-/* The claim expired while this process was paused: nothing was sent. */
+/* The claim expired while this process was paused, or a target crashed under
+ * the request while it was queued: nothing was sent. */
 static void
-on_claim_expired(void *ctx)
+on_not_sent(void *ctx)
 {
     JdWorkItem *it = ctx;
 
     JdAdmission_FreeSlot(&it->node->admit, &it->work, false);
-    finish_refused(it, it->reason);
+    if (it->reason == JD_REASON_CLAIM_FAILED) {
+        finish_refused(it, it->reason);
+    }
+    else {
+        refuse_not_run(it, it->reason);
+    }
 }
 
 static const JdAdmissionOps admit_ops = {on_start, on_refuse};
@@ -266,8 +370,11 @@
 admit_item(JdWorkItem *it)
 {
     bool has_slot = JdAdmission_HasFreeSlot(&it->node->admit);
-    JdReason reason = JdAdmission_Offer(&it->node->admit, &it->work);
+    JdReason reason = check_crashes(it);
 
+    if (reason == JD_REASON_NONE) {
+        reason = JdAdmission_Offer(&it->node->admit, &it->work);
+    }
     /* The estimate alone made it too late; lower it, so that the route is
      * measured again after some refusals. */
     if (reason == JD_REASON_TOO_LATE && has_slot) {
@@ -376,12 +483,12 @@
 void
 JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin)
 {
-    JdReason reason = check_target(nd, msg);
+    JdTargetRefusal refusal = {check_target(nd, msg), false, 0};
     JdWorkItem *it;
 
     JdTargetNotice_OnRequest(nd, msg);
-    if (reason != JD_REASON_NONE) {
-        JdTargetResponse_Refuse(nd, msg, origin, reason, false);
+    if (refusal.reason != JD_REASON_NONE) {
+        JdTargetResponse_Refuse(nd, msg, origin, &refusal);
         jd__request__free_unpacked(msg, NULL);
         return;
     }
@@ -405,7 +512,7 @@
     }
     it->submitted_at = JdClock_Now(&nd->loop.clock);
     it->work.expected_time = JdTargetEstimate_Get(nd, msg->route)->mean;
-    JdTimer_Init(&it->timer, on_claim_expired, it);
+    JdTimer_Init(&it->timer, on_not_sent, it);
     TAILQ_INSERT_TAIL(&nd->work_items, it, link);
     if (needs_claim(msg)) {
         claim_key(it);
@@ -515,6 +622,37 @@
     }
 }
 
+/* Returns a request whose response waits for the check of the target, or NULL.
+ */
+static JdWorkItem *
+find_checking(const JdNode *nd)
+{
+    JdWorkItem *it;
+
+    TAILQ_FOREACH(it, &nd->work_items, link)
+    {
+        if (it->is_checking) {
+            return it;
+        }
+    }
+    return NULL;
+}
+
+/* It is known whether the target has crashed: 0, or the process that has.
+ * Sends the responses that waited for it. */
+void
+JdWorker_OnTargetChecked(JdNode *nd, uint64_t crashed_process)
+{
+    JdTargetRefusal refusal = {JD_REASON_BROKEN, true, crashed_process};
+    JdWorkItem *it;
+
+    while ((it = find_checking(nd)) != NULL) {
+        it->is_checking = false;
+        JdTargetResponse_Refuse(nd, it->msg, it->origin, &refusal);
+        free_item(it);
+    }
+}
+
 /* Records the requests that the target is running as unanswered. */
 void
 JdWorker_RecordUnanswered(JdNode *nd)
