Give up a response that has no end

A target in trouble may send bytes without end, in a head or a body. A body was kept in memory until the deadline of its request, at the speed of the link; informational and foreign responses were skipped for as long.

A call now ends as too large once 16 MB have arrived for it from the target (64 MB from other servers), whatever they are, or once the bodies of all calls hold 32 MB; its connection is closed.

unit/http: endless response, in nine forms, and endless responses together.

--- a/base/base.h
+++ b/base/base.h
@@ -90,6 +90,7 @@
     JD_HTTP_DISCONNECTED, /* connection lost after sending */
     JD_HTTP_TIMED_OUT,    /* no complete response within the timeout */
     JD_HTTP_MISMATCHED,   /* the response belongs to another request */
+    JD_HTTP_TOO_LARGE,    /* more bytes than allowed, perhaps without end */
     JD_HTTP_RESULT_MAX
 } JdHttpResult;
 
@@ -178,6 +179,9 @@
     char host[JD_ADDRESS_MAX];
     size_t max_connections;
     size_t open_count;
+    size_t max_response; /* bytes that may arrive for one call */
+    size_t max_buffered; /* bytes of all bodies that arrive at a time */
+    size_t buffered;
     uint64_t max_idle_time; /* us for which an idle connection is kept */
     TAILQ_HEAD(JdHttpIdle, Conn) idle;             /* most recent first */
     TAILQ_HEAD(JdHttpWaiting, JdHttpCall) waiting; /* for a connection */
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -25,6 +25,10 @@
 /* Arriving bytes extend the timeout of a call by at most this many times its
  * read timeout, so that an endless response is given up. */
 #define MAX_READ_TIMEOUTS 10
+/* Bytes that may arrive for one call, and of the bodies of all calls at a
+ * time, unless the user of the client sets other limits. */
+#define MAX_RESPONSE (64U << 20)
+#define MAX_BUFFERED (64U << 20)
 
 /* A connection, which carries one call at a time. */
 typedef struct Conn {
@@ -50,6 +54,7 @@
     const char *echo_header;
     char *echo_value; /* value required in the response, or NULL */
     JdHeaders headers;
+    size_t received; /* bytes, of skipped responses as well */
     GByteArray *body;
     JdHttpResponse response;
     bool is_waiting;
@@ -76,6 +81,8 @@
     hc->loop = lp;
     hc->max_connections = max_connections;
     hc->max_idle_time = MAX_IDLE_TIME;
+    hc->max_response = MAX_RESPONSE;
+    hc->max_buffered = MAX_BUFFERED;
     TAILQ_INIT(&hc->idle);
     TAILQ_INIT(&hc->waiting);
     JdTimer_Init(&hc->check_timer, on_check_timeout, hc);
@@ -161,6 +168,7 @@
     if (call->is_waiting) {
         TAILQ_REMOVE(&hc->waiting, call, link);
     }
+    hc->buffered -= call->body->len;
     g_byte_array_unref(call->request);
     g_byte_array_unref(call->body);
     JdHeaders_Finish(&call->headers);
@@ -212,6 +220,16 @@
     finish_call(call, call->is_sent ? JD_HTTP_TIMED_OUT : JD_HTTP_NOT_SENT);
 }
 
+/* Returns whether more has arrived for a call than there is room for. */
+static bool
+is_too_large(const JdHttpCall *call)
+{
+    const JdHttpc *hc = call->httpc;
+
+    return call->received > hc->max_response ||
+           hc->buffered > hc->max_buffered;
+}
+
 /* Ends a call whose connection failed before the response was complete. */
 static void
 fail_call(JdHttpCall *call)
@@ -227,6 +245,7 @@
 {
     memset(&call->response, 0, sizeof(call->response));
     JdHeaders_Reset(&call->headers);
+    call->httpc->buffered -= call->body->len;
     g_byte_array_set_size(call->body, 0);
     call->is_complete = false;
 }
@@ -267,6 +286,7 @@
     JdHttpCall *call = ((Conn *)hp->data)->call;
 
     g_byte_array_append(call->body, (const guint8 *)data, (guint)n);
+    call->httpc->buffered += n;
     return 0;
 }
 
@@ -403,6 +423,12 @@
                                 cn->sock->input->bytes, cn->sock->input->size);
 
         h2o_buffer_consume(&cn->sock->input, n);
+        call->received += n;
+        if (is_too_large(call)) {
+            close_call_conn(call);
+            finish_call(call, JD_HTTP_TOO_LARGE);
+            return;
+        }
         if (call->is_complete) {
             if (!skip_response(cn)) {
                 handle_response(call);
--- a/regress/soak/observe.c
+++ b/regress/soak/observe.c
@@ -52,7 +52,7 @@
     static const char *const names[JD_HTTP_RESULT_MAX] = {
         [JD_HTTP_COMPLETED] = "answered",  [JD_HTTP_NOT_SENT] = "not-sent",
         [JD_HTTP_DISCONNECTED] = "broken", [JD_HTTP_TIMED_OUT] = "timed-out",
-        [JD_HTTP_MISMATCHED] = "crossed",
+        [JD_HTTP_MISMATCHED] = "crossed",  [JD_HTTP_TOO_LARGE] = "broken",
     };
 
     return names[resp->result];
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -26,6 +26,8 @@
 #define SLOW_TIMEOUT (600 * JD_US_PER_MS)
 #define PARTS 8
 #define LARGE_BODY (8U << 20)
+/* Limit of a response in the tests of endless ones. */
+#define ENDLESS_LIMIT (1U << 20)
 
 static JdLoop loop;
 
@@ -284,6 +286,112 @@
                    JD_HTTP_COMPLETED);
 }
 
+/* Sends a text again and again until the call has ended or `most` bytes were
+ * taken.  Returns the number of bytes. */
+static size_t
+send_without_end(int fd, const Result *res, const char *text, size_t most)
+{
+    size_t sent = 0;
+
+    while (res->count == 0 && sent < most) {
+        ssize_t n = send(fd, text, strlen(text), MSG_DONTWAIT | MSG_NOSIGNAL);
+
+        if (n > 0) {
+            sent += (size_t)n;
+        }
+        if (n < (ssize_t)strlen(text)) {
+            JdLoop_RunOnce(&loop, JD_US_PER_MS);
+        }
+    }
+    return sent;
+}
+
+/* Bytes without end after `head` end the call soon, and nothing of them is
+ * kept. */
+static void
+check_endless(const char *head, const char *text, JdHttpResult expected)
+{
+    Result a;
+    size_t sent;
+    int fd;
+
+    start_client();
+    client.max_response = ENDLESS_LIMIT;
+    start_call(&a, "a");
+    fd = accept_connection();
+    send_text(fd, head);
+    sent = send_without_end(fd, &a, text, 16 * ENDLESS_LIMIT);
+    CU_ASSERT_EQUAL(a.count, 1);
+    CU_ASSERT_EQUAL(a.result, expected);
+    CU_ASSERT(sent < 16 * ENDLESS_LIMIT);
+    CU_ASSERT_EQUAL(client.buffered, 0);
+    CU_ASSERT_EQUAL(client.open_count, 0);
+    close(fd);
+    stop_client();
+}
+
+static void
+test_endless(void)
+{
+    static char noise[ENDLESS_LIMIT / 64];
+    GString *own = g_string_new(NULL);
+
+    memset(noise, 'x', sizeof(noise) - 1);
+    check_endless("HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n", noise,
+                  JD_HTTP_TOO_LARGE);
+    check_endless("HTTP/1.1 200 OK\r\nx-id: a\r\n"
+                  "transfer-encoding: chunked\r\n\r\n",
+                  "1\r\nA\r\n", JD_HTTP_TOO_LARGE);
+    check_endless("HTTP/1.1 200 OK\r\nx-id: a\r\n"
+                  "content-length: 999999999999\r\n\r\n",
+                  noise, JD_HTTP_TOO_LARGE);
+    check_endless("HTTP/1.1 200 OK\r\nx-id: ", noise, JD_HTTP_DISCONNECTED);
+    check_endless("HTTP/1.1 200 ", noise, JD_HTTP_DISCONNECTED);
+    check_endless("", "\r\n\r\n\r\n\r\n", JD_HTTP_DISCONNECTED);
+    check_endless("", noise, JD_HTTP_DISCONNECTED);
+    check_endless("", "HTTP/1.1 100 Continue\r\n\r\n", JD_HTTP_TOO_LARGE);
+    for (int i = 0; i < 64; i++) {
+        g_string_append(own, RESPONSE_B);
+    }
+    check_endless("", own->str, JD_HTTP_TOO_LARGE);
+    g_string_free(own, TRUE);
+}
+
+/* The bodies of all calls together have a limit, too. */
+static void
+test_endless_together(void)
+{
+    static char part[ENDLESS_LIMIT / 4];
+    Result a, b;
+    int fd, other;
+
+    memset(part, 'x', sizeof(part) - 1);
+    start_client();
+    client.max_buffered = ENDLESS_LIMIT;
+    start_call(&a, "a");
+    fd = accept_connection();
+    start_call(&b, "b");
+    other = accept_connection();
+    /* Unread bytes would make close() reset the connection. */
+    CU_ASSERT(read(fd, (char[1024]){0}, 1024) > 0);
+    send_text(fd, "HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n");
+    send_text(other, "HTTP/1.1 200 OK\r\nx-id: b\r\n\r\n");
+    for (int i = 0; i < 3; i++) {
+        send_without_end(fd, &a, part, 1);
+        run_rounds();
+    }
+    CU_ASSERT_EQUAL(a.count, 0);
+    send_without_end(other, &b, part, 16 * ENDLESS_LIMIT);
+    CU_ASSERT_EQUAL(b.result, JD_HTTP_TOO_LARGE);
+    CU_ASSERT_EQUAL(a.count, 0);
+    close(fd);
+    close(other);
+    run_until(&a.count, 1);
+    CU_ASSERT_EQUAL(a.result, JD_HTTP_COMPLETED);
+    CU_ASSERT_EQUAL(client.buffered, 0);
+    stop_client();
+}
+
 /* The server responds before it has read the body. */
 static void
 test_early_response(void)
@@ -615,6 +723,8 @@
     CU_add_test(s, "no length", test_no_length);
     CU_add_test(s, "complete and malformed responses", test_responses);
     CU_add_test(s, "early response", test_early_response);
+    CU_add_test(s, "endless response", test_endless);
+    CU_add_test(s, "endless responses together", test_endless_together);
     CU_add_test(s, "no response", test_no_response);
     CU_add_test(s, "slow response", test_slow_response);
     CU_add_test(s, "stalled response", test_stalled_response);
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -7,8 +7,10 @@
 
 #include "../node/node.h"
 
-/* Largest response body in bytes: with its headers it must fit in a frame. */
-#define MAX_RESPONSE_BODY (JD_FRAME_MAX - (1U << 20))
+/* Largest response in bytes, and the bytes of all that arrive at a time: a
+ * target in trouble may send bytes without end. */
+#define MAX_RESPONSE (16U << 20)
+#define MAX_BUFFERED (32U << 20)
 /* A draining node accepts work that would finish before its exit if it took
  * this multiple of the expected time. */
 #define EXIT_MARGIN_FACTOR 2
@@ -92,9 +94,6 @@
 {
     switch (ans->result) {
     case JD_HTTP_COMPLETED:
-        if (ans->body_len > MAX_RESPONSE_BODY) {
-            return JD_REASON_BROKEN;
-        }
         return nd->dialect->is_not_run(ans) ? JD_REASON_SHED : JD_REASON_NONE;
     case JD_HTTP_NOT_SENT:
         return JD_REASON_TARGET_DOWN;
@@ -706,6 +705,8 @@
                      nd->settings.target_address, nd->settings.max_connections,
                      err);
     if (s == JD_OK) {
+        nd->target_client.max_response = MAX_RESPONSE;
+        nd->target_client.max_buffered = MAX_BUFFERED;
         JdTargetHealth_Init(nd);
     }
     return s;
