--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -45,7 +45,8 @@
     char service[JD_NAME_MAX];
     char endpoint_set[JD_NAME_MAX];
     unsigned slots;
-    uint64_t target_started; /* ms since 1970, 0: unknown */
+    uint64_t target_started;      /* ms since 1970, 0: unknown */
+    uint64_t last_target_started; /* the same, while that is unknown */
     /* Start of the newest process of the target that said that it leaves, 0:
        none did. It outlives restarts of the node. */
     uint64_t target_left;
@@ -83,6 +84,8 @@
     JdCounters *counters;
     /* Called when a member's state changed; may be NULL. */
     void (*state_changed)(void *ctx, const JdMember *mb, JdMemberState old);
+    /* As in JdTreeOps; may be NULL. */
+    void (*target_replaced)(void *ctx, const JdMember *mb, uint64_t started);
     void *ctx;
 } JdMembers;
 
@@ -177,6 +180,9 @@
     void (*parent_changed)(void *ctx, const char *id);
     /* A member's state changed; may be NULL. */
     void (*member_changed)(void *ctx, const JdMember *mb, JdMemberState old);
+    /* Another process has taken the place of a member's target that started at
+       `started` and did not say that it leaves; may be NULL. */
+    void (*target_replaced)(void *ctx, const JdMember *mb, uint64_t started);
     /* Records of crashes changed; may be NULL. */
     void (*crashes_changed)(void *ctx);
 } JdTreeOps;
--- a/lib/tree/member.c
+++ b/lib/tree/member.c
@@ -147,6 +147,17 @@
     }
 }
 
+/* Tells that the target's process that started at `old` has been replaced,
+ * unless it had said that it leaves. */
+static void
+notify_target_replaced(const JdMembers *ms, const JdMember *mb, uint64_t old)
+{
+    if (ms->target_replaced != NULL && old != 0 && mb->target_started > old &&
+        mb->target_left != old) {
+        ms->target_replaced(ms->ctx, mb, old);
+    }
+}
+
 static JdMember *
 add_member(JdMembers *ms, const char *id)
 {
@@ -213,6 +224,7 @@
 JdMembers_Update(JdMembers *ms, const Jd__Member *msg, uint64_t source_link)
 {
     JdMemberState old;
+    uint64_t old_started;
     JdMember *mb;
 
     if (msg->id[0] == '\0' || msg->state >= JD_MEMBER_STATE_MAX) {
@@ -226,6 +238,7 @@
         mb = add_member(ms, msg->id);
     }
     old = mb->state;
+    old_started = mb->last_target_started;
     begin_change(ms, mb);
     mb->incarnation = msg->incarnation;
     mb->seq = msg->seq;
@@ -241,10 +254,14 @@
                  msg->endpoint_set);
     mb->slots = msg->slots;
     mb->target_started = msg->target_started;
+    if (msg->target_started != 0) {
+        mb->last_target_started = msg->target_started;
+    }
     JdMember_SetTargetLeft(mb, msg->target_left);
     end_change(ms, mb, source_link);
     clear_suspect(ms, mb);
     notify_state_changed(ms, mb, old);
+    notify_target_replaced(ms, mb, old_started);
     return mb;
 }
 
--- a/lib/tree/tree.c
+++ b/lib/tree/tree.c
@@ -52,6 +52,7 @@
     JdMembers_Init(&tr->members, clk, ctr);
     tr->members.self_id = tr->self.id;
     tr->members.state_changed = ops->member_changed;
+    tr->members.target_replaced = ops->target_replaced;
     tr->members.ctx = ctx;
     JdRandom_Init(&tr->random, _Jd_HashText(self->id, self->incarnation));
     JdTimer_Init(&tr->heartbeat_timer, on_heartbeat_timer, tr);
--- a/node/node.h
+++ b/node/node.h
@@ -87,6 +87,18 @@
     JdTimer timer; /* next check for changes */
 } JdReload;
 
+/* A request that was sent to a target's process (JdCrash_ProcessId) whose node
+ * then fell silent. */
+typedef struct JdLostAttempt {
+    bool is_used;
+    JdFingerprint request;
+    uint64_t process;
+    uint64_t lost_at;
+} JdLostAttempt;
+
+/* Lost attempts that are remembered. */
+#define JD_LOST_ATTEMPTS_MAX 128
+
 /* Why a request gets no answer of the local target. */
 typedef struct JdTargetRefusal {
     JdReason reason;
@@ -193,6 +205,8 @@
     TAILQ_HEAD(JdCallHead, JdCall) calls;
     unsigned call_count;
     uint64_t last_attempt_id;
+    JdLostAttempt lost_attempts[JD_LOST_ATTEMPTS_MAX]; /* ring: peer/lost.c */
+    unsigned next_lost_attempt;
     JdTimer conn_check_timer; /* checks request connections */
 
     /* Reload of the settings: node/reload.c */
@@ -227,6 +241,10 @@
 void JdForward_Init(JdNode *nd);
 void JdForward_OnResponse(JdNode *nd, const Jd__Response *msg);
 
+/* peer/lost.c: attempts that were lost with the node of their target */
+void JdLostAttempt_OnTargetReplaced(JdNode *nd, const JdMember *mb,
+                                    uint64_t started);
+
 /* targets/worker.c: execution of requests on the local target */
 JdStatus JdWorker_Init(JdNode *nd, JdError *err);
 void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -46,8 +46,8 @@
 }
 
 /* Returns the id of the node that an attempt was made at. */
-static const char *
-target_id(const JdAttempt *att)
+const char *
+JdForward_TargetId(const JdAttempt *att)
 {
     return att->call->target_ids[att - att->call->attempts];
 }
@@ -76,9 +76,12 @@
              * long the target takes. */
             JdLoadReport report = {.service_time = now - att->sent_at};
 
+            if (reason == JD_REASON_DEADLINE) {
+                JdLostAttempt_Add(att);
+            }
             send_cancel(att);
-            JdBalancer_RecordFailure(&call->node->balancer, target_id(att),
-                                     reason, &report);
+            JdBalancer_RecordFailure(&call->node->balancer,
+                                     JdForward_TargetId(att), reason, &report);
             end_attempt(att);
         }
     }
@@ -289,7 +292,7 @@
     uint64_t now = JdClock_Now(&call->node->loop.clock);
 
     JD_LOG(JD_EVENT_RETRY, JD_TEXT("id", call->msg->request_id),
-           JD_TEXT("target", target_id(att)),
+           JD_TEXT("target", JdForward_TargetId(att)),
            JD_TEXT("reason", JdReason_Info(failure->reason)->name),
            JD_NUMBER("was_sent", failure->was_sent),
            JD_NUMBER("load", failure->report.load),
@@ -329,7 +332,7 @@
 {
     JdCall *call = att->call;
 
-    JdBalancer_RecordFailure(&call->node->balancer, target_id(att),
+    JdBalancer_RecordFailure(&call->node->balancer, JdForward_TargetId(att),
                              failure->reason, &failure->report);
     end_attempt(att);
     record_failure(call, failure);
@@ -432,6 +435,7 @@
     att->id = ++nd->last_attempt_id;
     att->is_active = true;
     att->sent_at = now;
+    att->target_started = mb->target_started;
     att->tier = tier;
     g_strlcpy(call->target_ids[call->attempt_count], mb->id, JD_NAME_MAX);
     call->attempt_count++;
@@ -591,7 +595,7 @@
         JdForward_AttemptFailed(att, &failure);
         return;
     }
-    JdBalancer_RecordAnswer(&nd->balancer, target_id(att),
+    JdBalancer_RecordAnswer(&nd->balancer, JdForward_TargetId(att),
                             JdClock_Now(&nd->loop.clock) - att->sent_at,
                             &report);
     end_attempt(att);
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -26,6 +26,7 @@
     uint64_t id;    /* on the wire; unique among the attempts of this node */
     bool is_active; /* under way: may still be answered */
     uint64_t sent_at;
+    uint64_t target_started; /* process that it is sent to, 0: unknown */
     JdTier tier;
     JdRequestConn *request_conn; /* NULL: at the local target, or over */
 } JdAttempt;
@@ -78,9 +79,13 @@
 
 /* forward.c */
 void JdForward_Begin(JdCall *call);
+const char *JdForward_TargetId(const JdAttempt *att);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
 void JdForward_CallerDisconnected(JdCall *call);
 
+/* lost.c */
+void JdLostAttempt_Add(const JdAttempt *att);
+
 /* ../caller/reply.c: answers to callers */
 void JdReply_Refuse(JdNode *nd, JdServerRequest *req, JdReason reason,
                     unsigned retry_after_ms);
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -7,2878 +7,2132 @@
 #endif
 
 #include "frame.pb-c.h"
-void   jd__member__init
-                     (Jd__Member         *message)
+void
+jd__member__init(Jd__Member *message)
 {
-  static const Jd__Member init_value = JD__MEMBER__INIT;
-  *message = init_value;
+    static const Jd__Member init_value = JD__MEMBER__INIT;
+    *message = init_value;
 }
-size_t jd__member__get_packed_size
-                     (const Jd__Member *message)
+size_t
+jd__member__get_packed_size(const Jd__Member *message)
 {
-  assert(message->base.descriptor == &jd__member__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__member__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__member__pack
-                     (const Jd__Member *message,
-                      uint8_t       *out)
+size_t
+jd__member__pack(const Jd__Member *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__member__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__member__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__member__pack_to_buffer
-                     (const Jd__Member *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__member__pack_to_buffer(const Jd__Member *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__member__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__member__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Member *
-       jd__member__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__member__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Jd__Member *)
-     protobuf_c_message_unpack (&jd__member__descriptor,
-                                allocator, len, data);
+    return (Jd__Member *)protobuf_c_message_unpack(&jd__member__descriptor,
+                                                   allocator, len, data);
 }
-void   jd__member__free_unpacked
-                     (Jd__Member *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__member__free_unpacked(Jd__Member *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__member__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__member__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__candidate__init
-                     (Jd__Candidate         *message)
+void
+jd__candidate__init(Jd__Candidate *message)
 {
-  static const Jd__Candidate init_value = JD__CANDIDATE__INIT;
-  *message = init_value;
+    static const Jd__Candidate init_value = JD__CANDIDATE__INIT;
+    *message = init_value;
 }
-size_t jd__candidate__get_packed_size
-                     (const Jd__Candidate *message)
+size_t
+jd__candidate__get_packed_size(const Jd__Candidate *message)
 {
-  assert(message->base.descriptor == &jd__candidate__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__candidate__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__candidate__pack
-                     (const Jd__Candidate *message,
-                      uint8_t       *out)
+size_t
+jd__candidate__pack(const Jd__Candidate *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__candidate__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__candidate__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__candidate__pack_to_buffer
-                     (const Jd__Candidate *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__candidate__pack_to_buffer(const Jd__Candidate *message,
+                              ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__candidate__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__candidate__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Candidate *
-       jd__candidate__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__candidate__unpack(ProtobufCAllocator *allocator, size_t len,
+                      const uint8_t *data)
 {
-  return (Jd__Candidate *)
-     protobuf_c_message_unpack (&jd__candidate__descriptor,
-                                allocator, len, data);
+    return (Jd__Candidate *)protobuf_c_message_unpack(
+        &jd__candidate__descriptor, allocator, len, data);
 }
-void   jd__candidate__free_unpacked
-                     (Jd__Candidate *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__candidate__free_unpacked(Jd__Candidate *message,
+                             ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__candidate__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__candidate__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__join__init
-                     (Jd__Join         *message)
+void
+jd__join__init(Jd__Join *message)
 {
-  static const Jd__Join init_value = JD__JOIN__INIT;
-  *message = init_value;
+    static const Jd__Join init_value = JD__JOIN__INIT;
+    *message = init_value;
 }
-size_t jd__join__get_packed_size
-                     (const Jd__Join *message)
+size_t
+jd__join__get_packed_size(const Jd__Join *message)
 {
-  assert(message->base.descriptor == &jd__join__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__join__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__join__pack
-                     (const Jd__Join *message,
-                      uint8_t       *out)
+size_t
+jd__join__pack(const Jd__Join *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__join__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__join__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__join__pack_to_buffer
-                     (const Jd__Join *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__join__pack_to_buffer(const Jd__Join *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__join__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__join__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Join *
-       jd__join__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__join__unpack(ProtobufCAllocator *allocator, size_t len,
+                 const uint8_t *data)
 {
-  return (Jd__Join *)
-     protobuf_c_message_unpack (&jd__join__descriptor,
-                                allocator, len, data);
+    return (Jd__Join *)protobuf_c_message_unpack(&jd__join__descriptor,
+                                                 allocator, len, data);
 }
-void   jd__join__free_unpacked
-                     (Jd__Join *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__join__free_unpacked(Jd__Join *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__join__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__join__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__accept__init
-                     (Jd__Accept         *message)
+void
+jd__accept__init(Jd__Accept *message)
 {
-  static const Jd__Accept init_value = JD__ACCEPT__INIT;
-  *message = init_value;
+    static const Jd__Accept init_value = JD__ACCEPT__INIT;
+    *message = init_value;
 }
-size_t jd__accept__get_packed_size
-                     (const Jd__Accept *message)
+size_t
+jd__accept__get_packed_size(const Jd__Accept *message)
 {
-  assert(message->base.descriptor == &jd__accept__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__accept__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__accept__pack
-                     (const Jd__Accept *message,
-                      uint8_t       *out)
+size_t
+jd__accept__pack(const Jd__Accept *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__accept__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__accept__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__accept__pack_to_buffer
-                     (const Jd__Accept *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__accept__pack_to_buffer(const Jd__Accept *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__accept__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__accept__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Accept *
-       jd__accept__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__accept__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Jd__Accept *)
-     protobuf_c_message_unpack (&jd__accept__descriptor,
-                                allocator, len, data);
+    return (Jd__Accept *)protobuf_c_message_unpack(&jd__accept__descriptor,
+                                                   allocator, len, data);
 }
-void   jd__accept__free_unpacked
-                     (Jd__Accept *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__accept__free_unpacked(Jd__Accept *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__accept__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__accept__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__redirect__init
-                     (Jd__Redirect         *message)
+void
+jd__redirect__init(Jd__Redirect *message)
 {
-  static const Jd__Redirect init_value = JD__REDIRECT__INIT;
-  *message = init_value;
+    static const Jd__Redirect init_value = JD__REDIRECT__INIT;
+    *message = init_value;
 }
-size_t jd__redirect__get_packed_size
-                     (const Jd__Redirect *message)
+size_t
+jd__redirect__get_packed_size(const Jd__Redirect *message)
 {
-  assert(message->base.descriptor == &jd__redirect__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__redirect__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__redirect__pack
-                     (const Jd__Redirect *message,
-                      uint8_t       *out)
+size_t
+jd__redirect__pack(const Jd__Redirect *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__redirect__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__redirect__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__redirect__pack_to_buffer
-                     (const Jd__Redirect *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__redirect__pack_to_buffer(const Jd__Redirect *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__redirect__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__redirect__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Redirect *
-       jd__redirect__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__redirect__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Jd__Redirect *)
-     protobuf_c_message_unpack (&jd__redirect__descriptor,
-                                allocator, len, data);
+    return (Jd__Redirect *)protobuf_c_message_unpack(&jd__redirect__descriptor,
+                                                     allocator, len, data);
 }
-void   jd__redirect__free_unpacked
-                     (Jd__Redirect *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__redirect__free_unpacked(Jd__Redirect *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__redirect__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__redirect__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__beat__init
-                     (Jd__Beat         *message)
+void
+jd__beat__init(Jd__Beat *message)
 {
-  static const Jd__Beat init_value = JD__BEAT__INIT;
-  *message = init_value;
+    static const Jd__Beat init_value = JD__BEAT__INIT;
+    *message = init_value;
 }
-size_t jd__beat__get_packed_size
-                     (const Jd__Beat *message)
+size_t
+jd__beat__get_packed_size(const Jd__Beat *message)
 {
-  assert(message->base.descriptor == &jd__beat__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__beat__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__beat__pack
-                     (const Jd__Beat *message,
-                      uint8_t       *out)
+size_t
+jd__beat__pack(const Jd__Beat *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__beat__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__beat__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__beat__pack_to_buffer
-                     (const Jd__Beat *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__beat__pack_to_buffer(const Jd__Beat *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__beat__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__beat__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Beat *
-       jd__beat__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__beat__unpack(ProtobufCAllocator *allocator, size_t len,
+                 const uint8_t *data)
 {
-  return (Jd__Beat *)
-     protobuf_c_message_unpack (&jd__beat__descriptor,
-                                allocator, len, data);
+    return (Jd__Beat *)protobuf_c_message_unpack(&jd__beat__descriptor,
+                                                 allocator, len, data);
 }
-void   jd__beat__free_unpacked
-                     (Jd__Beat *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__beat__free_unpacked(Jd__Beat *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__beat__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__beat__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__delta__init
-                     (Jd__Delta         *message)
+void
+jd__delta__init(Jd__Delta *message)
 {
-  static const Jd__Delta init_value = JD__DELTA__INIT;
-  *message = init_value;
+    static const Jd__Delta init_value = JD__DELTA__INIT;
+    *message = init_value;
 }
-size_t jd__delta__get_packed_size
-                     (const Jd__Delta *message)
+size_t
+jd__delta__get_packed_size(const Jd__Delta *message)
 {
-  assert(message->base.descriptor == &jd__delta__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__delta__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__delta__pack
-                     (const Jd__Delta *message,
-                      uint8_t       *out)
+size_t
+jd__delta__pack(const Jd__Delta *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__delta__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__delta__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__delta__pack_to_buffer
-                     (const Jd__Delta *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__delta__pack_to_buffer(const Jd__Delta *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__delta__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__delta__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Delta *
-       jd__delta__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__delta__unpack(ProtobufCAllocator *allocator, size_t len,
+                  const uint8_t *data)
 {
-  return (Jd__Delta *)
-     protobuf_c_message_unpack (&jd__delta__descriptor,
-                                allocator, len, data);
+    return (Jd__Delta *)protobuf_c_message_unpack(&jd__delta__descriptor,
+                                                  allocator, len, data);
 }
-void   jd__delta__free_unpacked
-                     (Jd__Delta *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__delta__free_unpacked(Jd__Delta *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__delta__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__delta__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__pull__init
-                     (Jd__Pull         *message)
+void
+jd__pull__init(Jd__Pull *message)
 {
-  static const Jd__Pull init_value = JD__PULL__INIT;
-  *message = init_value;
+    static const Jd__Pull init_value = JD__PULL__INIT;
+    *message = init_value;
 }
-size_t jd__pull__get_packed_size
-                     (const Jd__Pull *message)
+size_t
+jd__pull__get_packed_size(const Jd__Pull *message)
 {
-  assert(message->base.descriptor == &jd__pull__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__pull__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__pull__pack
-                     (const Jd__Pull *message,
-                      uint8_t       *out)
+size_t
+jd__pull__pack(const Jd__Pull *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__pull__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__pull__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__pull__pack_to_buffer
-                     (const Jd__Pull *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__pull__pack_to_buffer(const Jd__Pull *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__pull__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__pull__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Pull *
-       jd__pull__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__pull__unpack(ProtobufCAllocator *allocator, size_t len,
+                 const uint8_t *data)
 {
-  return (Jd__Pull *)
-     protobuf_c_message_unpack (&jd__pull__descriptor,
-                                allocator, len, data);
+    return (Jd__Pull *)protobuf_c_message_unpack(&jd__pull__descriptor,
+                                                 allocator, len, data);
 }
-void   jd__pull__free_unpacked
-                     (Jd__Pull *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__pull__free_unpacked(Jd__Pull *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__pull__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__pull__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__members__init
-                     (Jd__Members         *message)
+void
+jd__members__init(Jd__Members *message)
 {
-  static const Jd__Members init_value = JD__MEMBERS__INIT;
-  *message = init_value;
+    static const Jd__Members init_value = JD__MEMBERS__INIT;
+    *message = init_value;
 }
-size_t jd__members__get_packed_size
-                     (const Jd__Members *message)
+size_t
+jd__members__get_packed_size(const Jd__Members *message)
 {
-  assert(message->base.descriptor == &jd__members__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__members__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__members__pack
-                     (const Jd__Members *message,
-                      uint8_t       *out)
+size_t
+jd__members__pack(const Jd__Members *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__members__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__members__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__members__pack_to_buffer
-                     (const Jd__Members *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__members__pack_to_buffer(const Jd__Members *message,
+                            ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__members__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__members__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Members *
-       jd__members__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__members__unpack(ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Jd__Members *)
-     protobuf_c_message_unpack (&jd__members__descriptor,
-                                allocator, len, data);
+    return (Jd__Members *)protobuf_c_message_unpack(&jd__members__descriptor,
+                                                    allocator, len, data);
 }
-void   jd__members__free_unpacked
-                     (Jd__Members *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__members__free_unpacked(Jd__Members *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__members__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__members__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__promote__init
-                     (Jd__Promote         *message)
+void
+jd__promote__init(Jd__Promote *message)
 {
-  static const Jd__Promote init_value = JD__PROMOTE__INIT;
-  *message = init_value;
+    static const Jd__Promote init_value = JD__PROMOTE__INIT;
+    *message = init_value;
 }
-size_t jd__promote__get_packed_size
-                     (const Jd__Promote *message)
+size_t
+jd__promote__get_packed_size(const Jd__Promote *message)
 {
-  assert(message->base.descriptor == &jd__promote__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__promote__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__promote__pack
-                     (const Jd__Promote *message,
-                      uint8_t       *out)
+size_t
+jd__promote__pack(const Jd__Promote *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__promote__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__promote__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__promote__pack_to_buffer
-                     (const Jd__Promote *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__promote__pack_to_buffer(const Jd__Promote *message,
+                            ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__promote__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__promote__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Promote *
-       jd__promote__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__promote__unpack(ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Jd__Promote *)
-     protobuf_c_message_unpack (&jd__promote__descriptor,
-                                allocator, len, data);
+    return (Jd__Promote *)protobuf_c_message_unpack(&jd__promote__descriptor,
+                                                    allocator, len, data);
 }
-void   jd__promote__free_unpacked
-                     (Jd__Promote *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__promote__free_unpacked(Jd__Promote *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__promote__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__promote__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__invite__init
-                     (Jd__Invite         *message)
+void
+jd__invite__init(Jd__Invite *message)
 {
-  static const Jd__Invite init_value = JD__INVITE__INIT;
-  *message = init_value;
+    static const Jd__Invite init_value = JD__INVITE__INIT;
+    *message = init_value;
 }
-size_t jd__invite__get_packed_size
-                     (const Jd__Invite *message)
+size_t
+jd__invite__get_packed_size(const Jd__Invite *message)
 {
-  assert(message->base.descriptor == &jd__invite__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__invite__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__invite__pack
-                     (const Jd__Invite *message,
-                      uint8_t       *out)
+size_t
+jd__invite__pack(const Jd__Invite *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__invite__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__invite__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__invite__pack_to_buffer
-                     (const Jd__Invite *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__invite__pack_to_buffer(const Jd__Invite *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__invite__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__invite__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Invite *
-       jd__invite__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__invite__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Jd__Invite *)
-     protobuf_c_message_unpack (&jd__invite__descriptor,
-                                allocator, len, data);
+    return (Jd__Invite *)protobuf_c_message_unpack(&jd__invite__descriptor,
+                                                   allocator, len, data);
 }
-void   jd__invite__free_unpacked
-                     (Jd__Invite *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__invite__free_unpacked(Jd__Invite *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__invite__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__invite__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__crash__init
-                     (Jd__Crash         *message)
+void
+jd__crash__init(Jd__Crash *message)
 {
-  static const Jd__Crash init_value = JD__CRASH__INIT;
-  *message = init_value;
+    static const Jd__Crash init_value = JD__CRASH__INIT;
+    *message = init_value;
 }
-size_t jd__crash__get_packed_size
-                     (const Jd__Crash *message)
+size_t
+jd__crash__get_packed_size(const Jd__Crash *message)
 {
-  assert(message->base.descriptor == &jd__crash__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__crash__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__crash__pack
-                     (const Jd__Crash *message,
-                      uint8_t       *out)
+size_t
+jd__crash__pack(const Jd__Crash *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__crash__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__crash__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__crash__pack_to_buffer
-                     (const Jd__Crash *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__crash__pack_to_buffer(const Jd__Crash *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__crash__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__crash__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Crash *
-       jd__crash__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__crash__unpack(ProtobufCAllocator *allocator, size_t len,
+                  const uint8_t *data)
 {
-  return (Jd__Crash *)
-     protobuf_c_message_unpack (&jd__crash__descriptor,
-                                allocator, len, data);
+    return (Jd__Crash *)protobuf_c_message_unpack(&jd__crash__descriptor,
+                                                  allocator, len, data);
 }
-void   jd__crash__free_unpacked
-                     (Jd__Crash *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__crash__free_unpacked(Jd__Crash *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__crash__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__crash__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__crash_record__init
-                     (Jd__CrashRecord         *message)
+void
+jd__crash_record__init(Jd__CrashRecord *message)
 {
-  static const Jd__CrashRecord init_value = JD__CRASH_RECORD__INIT;
-  *message = init_value;
+    static const Jd__CrashRecord init_value = JD__CRASH_RECORD__INIT;
+    *message = init_value;
 }
-size_t jd__crash_record__get_packed_size
-                     (const Jd__CrashRecord *message)
+size_t
+jd__crash_record__get_packed_size(const Jd__CrashRecord *message)
 {
-  assert(message->base.descriptor == &jd__crash_record__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__crash_record__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__crash_record__pack
-                     (const Jd__CrashRecord *message,
-                      uint8_t       *out)
+size_t
+jd__crash_record__pack(const Jd__CrashRecord *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__crash_record__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__crash_record__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__crash_record__pack_to_buffer
-                     (const Jd__CrashRecord *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__crash_record__pack_to_buffer(const Jd__CrashRecord *message,
+                                 ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__crash_record__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__crash_record__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__CrashRecord *
-       jd__crash_record__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__crash_record__unpack(ProtobufCAllocator *allocator, size_t len,
+                         const uint8_t *data)
 {
-  return (Jd__CrashRecord *)
-     protobuf_c_message_unpack (&jd__crash_record__descriptor,
-                                allocator, len, data);
+    return (Jd__CrashRecord *)protobuf_c_message_unpack(
+        &jd__crash_record__descriptor, allocator, len, data);
 }
-void   jd__crash_record__free_unpacked
-                     (Jd__CrashRecord *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__crash_record__free_unpacked(Jd__CrashRecord *message,
+                                ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__crash_record__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__crash_record__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__crashes__init
-                     (Jd__Crashes         *message)
+void
+jd__crashes__init(Jd__Crashes *message)
 {
-  static const Jd__Crashes init_value = JD__CRASHES__INIT;
-  *message = init_value;
+    static const Jd__Crashes init_value = JD__CRASHES__INIT;
+    *message = init_value;
 }
-size_t jd__crashes__get_packed_size
-                     (const Jd__Crashes *message)
+size_t
+jd__crashes__get_packed_size(const Jd__Crashes *message)
 {
-  assert(message->base.descriptor == &jd__crashes__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__crashes__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__crashes__pack
-                     (const Jd__Crashes *message,
-                      uint8_t       *out)
+size_t
+jd__crashes__pack(const Jd__Crashes *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__crashes__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__crashes__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__crashes__pack_to_buffer
-                     (const Jd__Crashes *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__crashes__pack_to_buffer(const Jd__Crashes *message,
+                            ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__crashes__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__crashes__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Crashes *
-       jd__crashes__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__crashes__unpack(ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Jd__Crashes *)
-     protobuf_c_message_unpack (&jd__crashes__descriptor,
-                                allocator, len, data);
+    return (Jd__Crashes *)protobuf_c_message_unpack(&jd__crashes__descriptor,
+                                                    allocator, len, data);
 }
-void   jd__crashes__free_unpacked
-                     (Jd__Crashes *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__crashes__free_unpacked(Jd__Crashes *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__crashes__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__crashes__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__header__init
-                     (Jd__Header         *message)
+void
+jd__header__init(Jd__Header *message)
 {
-  static const Jd__Header init_value = JD__HEADER__INIT;
-  *message = init_value;
+    static const Jd__Header init_value = JD__HEADER__INIT;
+    *message = init_value;
 }
-size_t jd__header__get_packed_size
-                     (const Jd__Header *message)
+size_t
+jd__header__get_packed_size(const Jd__Header *message)
 {
-  assert(message->base.descriptor == &jd__header__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__header__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__header__pack
-                     (const Jd__Header *message,
-                      uint8_t       *out)
+size_t
+jd__header__pack(const Jd__Header *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__header__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__header__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__header__pack_to_buffer
-                     (const Jd__Header *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__header__pack_to_buffer(const Jd__Header *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__header__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__header__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Header *
-       jd__header__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__header__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Jd__Header *)
-     protobuf_c_message_unpack (&jd__header__descriptor,
-                                allocator, len, data);
+    return (Jd__Header *)protobuf_c_message_unpack(&jd__header__descriptor,
+                                                   allocator, len, data);
 }
-void   jd__header__free_unpacked
-                     (Jd__Header *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__header__free_unpacked(Jd__Header *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__header__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__header__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__request__init
-                     (Jd__Request         *message)
+void
+jd__request__init(Jd__Request *message)
 {
-  static const Jd__Request init_value = JD__REQUEST__INIT;
-  *message = init_value;
+    static const Jd__Request init_value = JD__REQUEST__INIT;
+    *message = init_value;
 }
-size_t jd__request__get_packed_size
-                     (const Jd__Request *message)
+size_t
+jd__request__get_packed_size(const Jd__Request *message)
 {
-  assert(message->base.descriptor == &jd__request__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__request__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__request__pack
-                     (const Jd__Request *message,
-                      uint8_t       *out)
+size_t
+jd__request__pack(const Jd__Request *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__request__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__request__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__request__pack_to_buffer
-                     (const Jd__Request *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__request__pack_to_buffer(const Jd__Request *message,
+                            ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__request__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__request__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Request *
-       jd__request__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__request__unpack(ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
 {
-  return (Jd__Request *)
-     protobuf_c_message_unpack (&jd__request__descriptor,
-                                allocator, len, data);
+    return (Jd__Request *)protobuf_c_message_unpack(&jd__request__descriptor,
+                                                    allocator, len, data);
 }
-void   jd__request__free_unpacked
-                     (Jd__Request *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__request__free_unpacked(Jd__Request *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__request__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__request__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__response__init
-                     (Jd__Response         *message)
+void
+jd__response__init(Jd__Response *message)
 {
-  static const Jd__Response init_value = JD__RESPONSE__INIT;
-  *message = init_value;
+    static const Jd__Response init_value = JD__RESPONSE__INIT;
+    *message = init_value;
 }
-size_t jd__response__get_packed_size
-                     (const Jd__Response *message)
+size_t
+jd__response__get_packed_size(const Jd__Response *message)
 {
-  assert(message->base.descriptor == &jd__response__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__response__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__response__pack
-                     (const Jd__Response *message,
-                      uint8_t       *out)
+size_t
+jd__response__pack(const Jd__Response *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__response__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__response__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__response__pack_to_buffer
-                     (const Jd__Response *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__response__pack_to_buffer(const Jd__Response *message,
+                             ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__response__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__response__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Response *
-       jd__response__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__response__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
 {
-  return (Jd__Response *)
-     protobuf_c_message_unpack (&jd__response__descriptor,
-                                allocator, len, data);
+    return (Jd__Response *)protobuf_c_message_unpack(&jd__response__descriptor,
+                                                     allocator, len, data);
 }
-void   jd__response__free_unpacked
-                     (Jd__Response *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__response__free_unpacked(Jd__Response *message,
+                            ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__response__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__response__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__cancel__init
-                     (Jd__Cancel         *message)
+void
+jd__cancel__init(Jd__Cancel *message)
 {
-  static const Jd__Cancel init_value = JD__CANCEL__INIT;
-  *message = init_value;
+    static const Jd__Cancel init_value = JD__CANCEL__INIT;
+    *message = init_value;
 }
-size_t jd__cancel__get_packed_size
-                     (const Jd__Cancel *message)
+size_t
+jd__cancel__get_packed_size(const Jd__Cancel *message)
 {
-  assert(message->base.descriptor == &jd__cancel__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__cancel__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__cancel__pack
-                     (const Jd__Cancel *message,
-                      uint8_t       *out)
+size_t
+jd__cancel__pack(const Jd__Cancel *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__cancel__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__cancel__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__cancel__pack_to_buffer
-                     (const Jd__Cancel *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__cancel__pack_to_buffer(const Jd__Cancel *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__cancel__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__cancel__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Cancel *
-       jd__cancel__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__cancel__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
 {
-  return (Jd__Cancel *)
-     protobuf_c_message_unpack (&jd__cancel__descriptor,
-                                allocator, len, data);
+    return (Jd__Cancel *)protobuf_c_message_unpack(&jd__cancel__descriptor,
+                                                   allocator, len, data);
 }
-void   jd__cancel__free_unpacked
-                     (Jd__Cancel *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__cancel__free_unpacked(Jd__Cancel *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__cancel__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__cancel__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__ping__init
-                     (Jd__Ping         *message)
+void
+jd__ping__init(Jd__Ping *message)
 {
-  static const Jd__Ping init_value = JD__PING__INIT;
-  *message = init_value;
+    static const Jd__Ping init_value = JD__PING__INIT;
+    *message = init_value;
 }
-size_t jd__ping__get_packed_size
-                     (const Jd__Ping *message)
+size_t
+jd__ping__get_packed_size(const Jd__Ping *message)
 {
-  assert(message->base.descriptor == &jd__ping__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__ping__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__ping__pack
-                     (const Jd__Ping *message,
-                      uint8_t       *out)
+size_t
+jd__ping__pack(const Jd__Ping *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__ping__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__ping__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__ping__pack_to_buffer
-                     (const Jd__Ping *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__ping__pack_to_buffer(const Jd__Ping *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__ping__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__ping__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Ping *
-       jd__ping__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
+jd__ping__unpack(ProtobufCAllocator *allocator, size_t len,
+                 const uint8_t *data)
 {
-  return (Jd__Ping *)
-     protobuf_c_message_unpack (&jd__ping__descriptor,
-                                allocator, len, data);
+    return (Jd__Ping *)protobuf_c_message_unpack(&jd__ping__descriptor,
+                                                 allocator, len, data);
 }
-void   jd__ping__free_unpacked
-                     (Jd__Ping *message,
-                      ProtobufCAllocator *allocator)
+void
+jd__ping__free_unpacked(Jd__Ping *message, ProtobufCAllocator *allocator)
 {
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__ping__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__ping__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-void   jd__frame__init
-                     (Jd__Frame         *message)
+void
+jd__frame__init(Jd__Frame *message)
 {
-  static const Jd__Frame init_value = JD__FRAME__INIT;
-  *message = init_value;
+    static const Jd__Frame init_value = JD__FRAME__INIT;
+    *message = init_value;
 }
-size_t jd__frame__get_packed_size
-                     (const Jd__Frame *message)
+size_t
+jd__frame__get_packed_size(const Jd__Frame *message)
 {
-  assert(message->base.descriptor == &jd__frame__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+    assert(message->base.descriptor == &jd__frame__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
 }
-size_t jd__frame__pack
-                     (const Jd__Frame *message,
-                      uint8_t       *out)
+size_t
+jd__frame__pack(const Jd__Frame *message, uint8_t *out)
 {
-  assert(message->base.descriptor == &jd__frame__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+    assert(message->base.descriptor == &jd__frame__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
 }
-size_t jd__frame__pack_to_buffer
-                     (const Jd__Frame *message,
-                      ProtobufCBuffer *buffer)
+size_t
+jd__frame__pack_to_buffer(const Jd__Frame *message, ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &jd__frame__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+    assert(message->base.descriptor == &jd__frame__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
 }
 Jd__Frame *
-       jd__frame__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Jd__Frame *)
-     protobuf_c_message_unpack (&jd__frame__descriptor,
-                                allocator, len, data);
-}
-void   jd__frame__free_unpacked
-                     (Jd__Frame *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &jd__frame__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor jd__member__field_descriptors[15] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "seq",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, seq),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "state",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, state),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "region",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, region),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "domain",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "peer",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, peer),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "admin",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, admin),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "via",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, via),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "head_rank",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, head_rank),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "endpoint_set",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, endpoint_set),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "slots",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, slots),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_started",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, target_started),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_left",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Member, target_left),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+jd__frame__unpack(ProtobufCAllocator *allocator, size_t len,
+                  const uint8_t *data)
+{
+    return (Jd__Frame *)protobuf_c_message_unpack(&jd__frame__descriptor,
+                                                  allocator, len, data);
+}
+void
+jd__frame__free_unpacked(Jd__Frame *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__frame__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+static const ProtobufCFieldDescriptor jd__member__field_descriptors[15] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, id), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, incarnation), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "seq", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Member, seq), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "state", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Member, state), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "region", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, region), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "domain", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, domain), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "peer", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, peer), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "admin", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, admin), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "via", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, via), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "head_rank", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Jd__Member, head_rank), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "service", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, service), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "endpoint_set", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, endpoint_set), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "slots", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Member, slots), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "target_started", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, target_started), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "target_left", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, target_left), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__member__field_indices_by_name[] = {
-  7,   /* field[7] = admin */
-  5,   /* field[5] = domain */
-  11,   /* field[11] = endpoint_set */
-  9,   /* field[9] = head_rank */
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
-  6,   /* field[6] = peer */
-  4,   /* field[4] = region */
-  2,   /* field[2] = seq */
-  10,   /* field[10] = service */
-  12,   /* field[12] = slots */
-  3,   /* field[3] = state */
-  14,   /* field[14] = target_left */
-  13,   /* field[13] = target_started */
-  8,   /* field[8] = via */
-};
-static const ProtobufCIntRange jd__member__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 15 }
-};
-const ProtobufCMessageDescriptor jd__member__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Member",
-  "Member",
-  "Jd__Member",
-  "jd",
-  sizeof(Jd__Member),
-  15,
-  jd__member__field_descriptors,
-  jd__member__field_indices_by_name,
-  1,  jd__member__number_ranges,
-  (ProtobufCMessageInit) jd__member__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__candidate__field_descriptors[2] =
-{
-  {
-    "id",
+    7,  /* field[7] = admin */
+    5,  /* field[5] = domain */
+    11, /* field[11] = endpoint_set */
+    9,  /* field[9] = head_rank */
+    0,  /* field[0] = id */
+    1,  /* field[1] = incarnation */
+    6,  /* field[6] = peer */
+    4,  /* field[4] = region */
+    2,  /* field[2] = seq */
+    10, /* field[10] = service */
+    12, /* field[12] = slots */
+    3,  /* field[3] = state */
+    14, /* field[14] = target_left */
+    13, /* field[13] = target_started */
+    8,  /* field[8] = via */
+};
+static const ProtobufCIntRange jd__member__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 15}};
+const ProtobufCMessageDescriptor jd__member__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Member",
+    "Member",
+    "Jd__Member",
+    "jd",
+    sizeof(Jd__Member),
+    15,
+    jd__member__field_descriptors,
+    jd__member__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Candidate, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "peer",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Candidate, peer),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__member__number_ranges,
+    (ProtobufCMessageInit)jd__member__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__candidate__field_descriptors[2] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Candidate, id), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "peer", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Candidate, peer), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__candidate__field_indices_by_name[] = {
-  0,   /* field[0] = id */
-  1,   /* field[1] = peer */
-};
-static const ProtobufCIntRange jd__candidate__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor jd__candidate__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Candidate",
-  "Candidate",
-  "Jd__Candidate",
-  "jd",
-  sizeof(Jd__Candidate),
-  2,
-  jd__candidate__field_descriptors,
-  jd__candidate__field_indices_by_name,
-  1,  jd__candidate__number_ranges,
-  (ProtobufCMessageInit) jd__candidate__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__join__field_descriptors[8] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Join, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
+    0, /* field[0] = id */
+    1, /* field[1] = peer */
+};
+static const ProtobufCIntRange jd__candidate__number_ranges[1 + 1] = {{1, 0},
+                                                                      {0, 2}};
+const ProtobufCMessageDescriptor jd__candidate__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Candidate",
+    "Candidate",
+    "Jd__Candidate",
+    "jd",
+    sizeof(Jd__Candidate),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Join, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "region",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Join, region),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "domain",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Join, domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "head",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Join, head),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Join, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "bucket",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Jd__Join, n_bucket),
-    offsetof(Jd__Join, bucket),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "link_kbps",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Join, link_kbps),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__candidate__field_descriptors,
+    jd__candidate__field_indices_by_name,
+    1,
+    jd__candidate__number_ranges,
+    (ProtobufCMessageInit)jd__candidate__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__join__field_descriptors[8] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Join, id), NULL, &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Jd__Join, incarnation), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "region", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Join, region), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "domain", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Join, domain), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "head", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                       /* quantifier_offset */
+        offsetof(Jd__Join, head), NULL, NULL, 0, /* flags */
+        0, NULL, NULL                            /* reserved1,reserved2, etc */
+    },
+    {
+        "version", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Join, version), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "bucket", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+        offsetof(Jd__Join, n_bucket), offsetof(Jd__Join, bucket), NULL, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
+    {
+        "link_kbps", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                            /* quantifier_offset */
+        offsetof(Jd__Join, link_kbps), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__join__field_indices_by_name[] = {
-  6,   /* field[6] = bucket */
-  3,   /* field[3] = domain */
-  4,   /* field[4] = head */
-  0,   /* field[0] = id */
-  1,   /* field[1] = incarnation */
-  7,   /* field[7] = link_kbps */
-  2,   /* field[2] = region */
-  5,   /* field[5] = version */
-};
-static const ProtobufCIntRange jd__join__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor jd__join__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Join",
-  "Join",
-  "Jd__Join",
-  "jd",
-  sizeof(Jd__Join),
-  8,
-  jd__join__field_descriptors,
-  jd__join__field_indices_by_name,
-  1,  jd__join__number_ranges,
-  (ProtobufCMessageInit) jd__join__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__accept__field_descriptors[8] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Accept, id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "domain",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Accept, domain),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "path",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Jd__Accept, n_path),
-    offsetof(Jd__Accept, path),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "bucket",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Jd__Accept, n_bucket),
-    offsetof(Jd__Accept, bucket),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ready",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Accept, ready),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "source_age_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Accept, source_age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "root_admin",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Accept, root_admin),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "source_epoch",
+    6, /* field[6] = bucket */
+    3, /* field[3] = domain */
+    4, /* field[4] = head */
+    0, /* field[0] = id */
+    1, /* field[1] = incarnation */
+    7, /* field[7] = link_kbps */
+    2, /* field[2] = region */
+    5, /* field[5] = version */
+};
+static const ProtobufCIntRange jd__join__number_ranges[1 + 1] = {{1, 0},
+                                                                 {0, 8}};
+const ProtobufCMessageDescriptor jd__join__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Join",
+    "Join",
+    "Jd__Join",
+    "jd",
+    sizeof(Jd__Join),
     8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Accept, source_epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__join__field_descriptors,
+    jd__join__field_indices_by_name,
+    1,
+    jd__join__number_ranges,
+    (ProtobufCMessageInit)jd__join__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__accept__field_descriptors[8] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Accept, id), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "domain", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Accept, domain), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "path", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+        offsetof(Jd__Accept, n_path), offsetof(Jd__Accept, path), NULL,
+        &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL                /* reserved1,reserved2, etc */
+    },
+    {
+        "bucket", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+        offsetof(Jd__Accept, n_bucket), offsetof(Jd__Accept, bucket), NULL,
+        NULL, 0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+        0, NULL, NULL                           /* reserved1,reserved2, etc */
+    },
+    {
+        "ready", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Accept, ready), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "source_age_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Accept, source_age_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "root_admin", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Accept, root_admin), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "source_epoch", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Accept, source_epoch), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__accept__field_indices_by_name[] = {
-  3,   /* field[3] = bucket */
-  1,   /* field[1] = domain */
-  0,   /* field[0] = id */
-  2,   /* field[2] = path */
-  4,   /* field[4] = ready */
-  6,   /* field[6] = root_admin */
-  5,   /* field[5] = source_age_ms */
-  7,   /* field[7] = source_epoch */
-};
-static const ProtobufCIntRange jd__accept__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor jd__accept__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Accept",
-  "Accept",
-  "Jd__Accept",
-  "jd",
-  sizeof(Jd__Accept),
-  8,
-  jd__accept__field_descriptors,
-  jd__accept__field_indices_by_name,
-  1,  jd__accept__number_ranges,
-  (ProtobufCMessageInit) jd__accept__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__redirect__field_descriptors[1] =
-{
-  {
-    "candidate",
+    3, /* field[3] = bucket */
+    1, /* field[1] = domain */
+    0, /* field[0] = id */
+    2, /* field[2] = path */
+    4, /* field[4] = ready */
+    6, /* field[6] = root_admin */
+    5, /* field[5] = source_age_ms */
+    7, /* field[7] = source_epoch */
+};
+static const ProtobufCIntRange jd__accept__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 8}};
+const ProtobufCMessageDescriptor jd__accept__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Accept",
+    "Accept",
+    "Jd__Accept",
+    "jd",
+    sizeof(Jd__Accept),
+    8,
+    jd__accept__field_descriptors,
+    jd__accept__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Redirect, n_candidate),
-    offsetof(Jd__Redirect, candidate),
-    &jd__candidate__descriptor,
+    jd__accept__number_ranges,
+    (ProtobufCMessageInit)jd__accept__init,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jd__redirect__field_indices_by_name[] = {
-  0,   /* field[0] = candidate */
-};
-static const ProtobufCIntRange jd__redirect__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+    NULL,
+    NULL /* reserved[123] */
 };
-const ProtobufCMessageDescriptor jd__redirect__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Redirect",
-  "Redirect",
-  "Jd__Redirect",
-  "jd",
-  sizeof(Jd__Redirect),
-  1,
-  jd__redirect__field_descriptors,
-  jd__redirect__field_indices_by_name,
-  1,  jd__redirect__number_ranges,
-  (ProtobufCMessageInit) jd__redirect__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCFieldDescriptor jd__redirect__field_descriptors[1] = {
+    {
+        "candidate", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Redirect, n_candidate), offsetof(Jd__Redirect, candidate),
+        &jd__candidate__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                        /* reserved1,reserved2, etc */
+    },
 };
-static const ProtobufCFieldDescriptor jd__beat__field_descriptors[10] =
-{
-  {
-    "ready",
+static const unsigned jd__redirect__field_indices_by_name[] = {
+    0, /* field[0] = candidate */
+};
+static const ProtobufCIntRange jd__redirect__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 1}};
+const ProtobufCMessageDescriptor jd__redirect__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Redirect",
+    "Redirect",
+    "Jd__Redirect",
+    "jd",
+    sizeof(Jd__Redirect),
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, ready),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "source_age_ms",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, source_age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "has_path",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, has_path),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "path",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Jd__Beat, n_path),
-    offsetof(Jd__Beat, path),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "root_admin",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, root_admin),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "count",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, count),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "min_version",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, min_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "laggard",
-    8,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Jd__Beat, n_laggard),
-    offsetof(Jd__Beat, laggard),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "moving",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, moving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "source_epoch",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Beat, source_epoch),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__redirect__field_descriptors,
+    jd__redirect__field_indices_by_name,
+    1,
+    jd__redirect__number_ranges,
+    (ProtobufCMessageInit)jd__redirect__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__beat__field_descriptors[10] = {
+    {
+        "ready", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Beat, ready), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "source_age_ms", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Beat, source_age_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "has_path", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Beat, has_path), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "path", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+        offsetof(Jd__Beat, n_path), offsetof(Jd__Beat, path), NULL,
+        &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL                /* reserved1,reserved2, etc */
+    },
+    {
+        "root_admin", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Beat, root_admin), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "count", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Beat, count), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "min_version", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Jd__Beat, min_version), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "laggard", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
+        offsetof(Jd__Beat, n_laggard), offsetof(Jd__Beat, laggard), NULL,
+        &protobuf_c_empty_string, 0, /* flags */
+        0, NULL, NULL                /* reserved1,reserved2, etc */
+    },
+    {
+        "moving", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                         /* quantifier_offset */
+        offsetof(Jd__Beat, moving), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "source_epoch", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Beat, source_epoch), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__beat__field_indices_by_name[] = {
-  5,   /* field[5] = count */
-  2,   /* field[2] = has_path */
-  7,   /* field[7] = laggard */
-  6,   /* field[6] = min_version */
-  8,   /* field[8] = moving */
-  3,   /* field[3] = path */
-  0,   /* field[0] = ready */
-  4,   /* field[4] = root_admin */
-  1,   /* field[1] = source_age_ms */
-  9,   /* field[9] = source_epoch */
-};
-static const ProtobufCIntRange jd__beat__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 10 }
-};
-const ProtobufCMessageDescriptor jd__beat__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Beat",
-  "Beat",
-  "Jd__Beat",
-  "jd",
-  sizeof(Jd__Beat),
-  10,
-  jd__beat__field_descriptors,
-  jd__beat__field_indices_by_name,
-  1,  jd__beat__number_ranges,
-  (ProtobufCMessageInit) jd__beat__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__delta__field_descriptors[7] =
-{
-  {
-    "from",
+    5, /* field[5] = count */
+    2, /* field[2] = has_path */
+    7, /* field[7] = laggard */
+    6, /* field[6] = min_version */
+    8, /* field[8] = moving */
+    3, /* field[3] = path */
+    0, /* field[0] = ready */
+    4, /* field[4] = root_admin */
+    1, /* field[1] = source_age_ms */
+    9, /* field[9] = source_epoch */
+};
+static const ProtobufCIntRange jd__beat__number_ranges[1 + 1] = {{1, 0},
+                                                                 {0, 10}};
+const ProtobufCMessageDescriptor jd__beat__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Beat",
+    "Beat",
+    "Jd__Beat",
+    "jd",
+    sizeof(Jd__Beat),
+    10,
+    jd__beat__field_descriptors,
+    jd__beat__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Delta, from),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "to",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Delta, to),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "next_offset",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Delta, next_offset),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rules",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Delta, rules),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "digest",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Jd__Delta, n_digest),
-    offsetof(Jd__Delta, digest),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Delta, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "raw_len",
+    jd__beat__number_ranges,
+    (ProtobufCMessageInit)jd__beat__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__delta__field_descriptors[7] = {
+    {
+        "from", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Delta, from), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "to", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                      /* quantifier_offset */
+        offsetof(Jd__Delta, to), NULL, NULL, 0, /* flags */
+        0, NULL, NULL                           /* reserved1,reserved2, etc */
+    },
+    {
+        "next_offset", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Delta, next_offset), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "rules", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                         /* quantifier_offset */
+        offsetof(Jd__Delta, rules), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "digest", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_FIXED64,
+        offsetof(Jd__Delta, n_digest), offsetof(Jd__Delta, digest), NULL, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
+    {
+        "body", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Delta, body), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "raw_len", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Delta, raw_len), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned jd__delta__field_indices_by_name[] = {
+    5, /* field[5] = body */
+    4, /* field[4] = digest */
+    0, /* field[0] = from */
+    2, /* field[2] = next_offset */
+    6, /* field[6] = raw_len */
+    3, /* field[3] = rules */
+    1, /* field[1] = to */
+};
+static const ProtobufCIntRange jd__delta__number_ranges[1 + 1] = {{1, 0},
+                                                                  {0, 7}};
+const ProtobufCMessageDescriptor jd__delta__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Delta",
+    "Delta",
+    "Jd__Delta",
+    "jd",
+    sizeof(Jd__Delta),
     7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Delta, raw_len),
+    jd__delta__field_descriptors,
+    jd__delta__field_indices_by_name,
+    1,
+    jd__delta__number_ranges,
+    (ProtobufCMessageInit)jd__delta__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned jd__delta__field_indices_by_name[] = {
-  5,   /* field[5] = body */
-  4,   /* field[4] = digest */
-  0,   /* field[0] = from */
-  2,   /* field[2] = next_offset */
-  6,   /* field[6] = raw_len */
-  3,   /* field[3] = rules */
-  1,   /* field[1] = to */
+static const ProtobufCFieldDescriptor jd__pull__field_descriptors[1] = {
+    {
+        "have", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                       /* quantifier_offset */
+        offsetof(Jd__Pull, have), NULL, NULL, 0, /* flags */
+        0, NULL, NULL                            /* reserved1,reserved2, etc */
+    },
 };
-static const ProtobufCIntRange jd__delta__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 7 }
-};
-const ProtobufCMessageDescriptor jd__delta__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Delta",
-  "Delta",
-  "Jd__Delta",
-  "jd",
-  sizeof(Jd__Delta),
-  7,
-  jd__delta__field_descriptors,
-  jd__delta__field_indices_by_name,
-  1,  jd__delta__number_ranges,
-  (ProtobufCMessageInit) jd__delta__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__pull__field_descriptors[1] =
-{
-  {
-    "have",
+static const unsigned jd__pull__field_indices_by_name[] = {
+    0, /* field[0] = have */
+};
+static const ProtobufCIntRange jd__pull__number_ranges[1 + 1] = {{1, 0},
+                                                                 {0, 1}};
+const ProtobufCMessageDescriptor jd__pull__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Pull",
+    "Pull",
+    "Jd__Pull",
+    "jd",
+    sizeof(Jd__Pull),
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Pull, have),
+    jd__pull__field_descriptors,
+    jd__pull__field_indices_by_name,
+    1,
+    jd__pull__number_ranges,
+    (ProtobufCMessageInit)jd__pull__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jd__pull__field_indices_by_name[] = {
-  0,   /* field[0] = have */
+    NULL /* reserved[123] */
 };
-static const ProtobufCIntRange jd__pull__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor jd__pull__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Pull",
-  "Pull",
-  "Jd__Pull",
-  "jd",
-  sizeof(Jd__Pull),
-  1,
-  jd__pull__field_descriptors,
-  jd__pull__field_indices_by_name,
-  1,  jd__pull__number_ranges,
-  (ProtobufCMessageInit) jd__pull__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCFieldDescriptor jd__members__field_descriptors[1] = {
+    {
+        "member", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Members, n_member), offsetof(Jd__Members, member),
+        &jd__member__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
 };
-static const ProtobufCFieldDescriptor jd__members__field_descriptors[1] =
-{
-  {
-    "member",
+static const unsigned jd__members__field_indices_by_name[] = {
+    0, /* field[0] = member */
+};
+static const ProtobufCIntRange jd__members__number_ranges[1 + 1] = {{1, 0},
+                                                                    {0, 1}};
+const ProtobufCMessageDescriptor jd__members__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Members",
+    "Members",
+    "Jd__Members",
+    "jd",
+    sizeof(Jd__Members),
+    1,
+    jd__members__field_descriptors,
+    jd__members__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Members, n_member),
-    offsetof(Jd__Members, member),
-    &jd__member__descriptor,
+    jd__members__number_ranges,
+    (ProtobufCMessageInit)jd__members__init,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jd__members__field_indices_by_name[] = {
-  0,   /* field[0] = member */
-};
-static const ProtobufCIntRange jd__members__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor jd__members__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Members",
-  "Members",
-  "Jd__Members",
-  "jd",
-  sizeof(Jd__Members),
-  1,
-  jd__members__field_descriptors,
-  jd__members__field_indices_by_name,
-  1,  jd__members__number_ranges,
-  (ProtobufCMessageInit) jd__members__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    NULL,
+    NULL /* reserved[123] */
 };
 #define jd__promote__field_descriptors NULL
 #define jd__promote__field_indices_by_name NULL
 #define jd__promote__number_ranges NULL
-const ProtobufCMessageDescriptor jd__promote__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Promote",
-  "Promote",
-  "Jd__Promote",
-  "jd",
-  sizeof(Jd__Promote),
-  0,
-  jd__promote__field_descriptors,
-  jd__promote__field_indices_by_name,
-  0,  jd__promote__number_ranges,
-  (ProtobufCMessageInit) jd__promote__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__invite__field_descriptors[1] =
-{
-  {
-    "candidate",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Invite, candidate),
-    &jd__candidate__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+const ProtobufCMessageDescriptor jd__promote__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Promote",
+    "Promote",
+    "Jd__Promote",
+    "jd",
+    sizeof(Jd__Promote),
+    0,
+    jd__promote__field_descriptors,
+    jd__promote__field_indices_by_name,
+    0,
+    jd__promote__number_ranges,
+    (ProtobufCMessageInit)jd__promote__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__invite__field_descriptors[1] = {
+    {
+        "candidate", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Jd__Invite, candidate), &jd__candidate__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__invite__field_indices_by_name[] = {
-  0,   /* field[0] = candidate */
-};
-static const ProtobufCIntRange jd__invite__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor jd__invite__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Invite",
-  "Invite",
-  "Jd__Invite",
-  "jd",
-  sizeof(Jd__Invite),
-  1,
-  jd__invite__field_descriptors,
-  jd__invite__field_indices_by_name,
-  1,  jd__invite__number_ranges,
-  (ProtobufCMessageInit) jd__invite__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__crash__field_descriptors[3] =
-{
-  {
-    "process",
+    0, /* field[0] = candidate */
+};
+static const ProtobufCIntRange jd__invite__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 1}};
+const ProtobufCMessageDescriptor jd__invite__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Invite",
+    "Invite",
+    "Jd__Invite",
+    "jd",
+    sizeof(Jd__Invite),
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Crash, process),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "caller",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Crash, caller),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cleared",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Crash, cleared),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__invite__field_descriptors,
+    jd__invite__field_indices_by_name,
+    1,
+    jd__invite__number_ranges,
+    (ProtobufCMessageInit)jd__invite__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__crash__field_descriptors[3] = {
+    {
+        "process", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Crash, process), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "caller", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Crash, caller), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "cleared", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Crash, cleared), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__crash__field_indices_by_name[] = {
-  1,   /* field[1] = caller */
-  2,   /* field[2] = cleared */
-  0,   /* field[0] = process */
-};
-static const ProtobufCIntRange jd__crash__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor jd__crash__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Crash",
-  "Crash",
-  "Jd__Crash",
-  "jd",
-  sizeof(Jd__Crash),
-  3,
-  jd__crash__field_descriptors,
-  jd__crash__field_indices_by_name,
-  1,  jd__crash__number_ranges,
-  (ProtobufCMessageInit) jd__crash__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__crash_record__field_descriptors[3] =
-{
-  {
-    "request_hi",
+    1, /* field[1] = caller */
+    2, /* field[2] = cleared */
+    0, /* field[0] = process */
+};
+static const ProtobufCIntRange jd__crash__number_ranges[1 + 1] = {{1, 0},
+                                                                  {0, 3}};
+const ProtobufCMessageDescriptor jd__crash__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Crash",
+    "Crash",
+    "Jd__Crash",
+    "jd",
+    sizeof(Jd__Crash),
+    3,
+    jd__crash__field_descriptors,
+    jd__crash__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__CrashRecord, request_hi),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "request_lo",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__CrashRecord, request_lo),
-    NULL,
+    jd__crash__number_ranges,
+    (ProtobufCMessageInit)jd__crash__init,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "crash",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__CrashRecord, n_crash),
-    offsetof(Jd__CrashRecord, crash),
-    &jd__crash__descriptor,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jd__crash_record__field_indices_by_name[] = {
-  2,   /* field[2] = crash */
-  0,   /* field[0] = request_hi */
-  1,   /* field[1] = request_lo */
+    NULL /* reserved[123] */
 };
-static const ProtobufCIntRange jd__crash_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor jd__crash_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.CrashRecord",
-  "CrashRecord",
-  "Jd__CrashRecord",
-  "jd",
-  sizeof(Jd__CrashRecord),
-  3,
-  jd__crash_record__field_descriptors,
-  jd__crash_record__field_indices_by_name,
-  1,  jd__crash_record__number_ranges,
-  (ProtobufCMessageInit) jd__crash_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCFieldDescriptor jd__crash_record__field_descriptors[3] =
+    {
+        {
+            "request_hi", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Jd__CrashRecord, request_hi), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "request_lo", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+            0, /* quantifier_offset */
+            offsetof(Jd__CrashRecord, request_lo), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "crash", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Jd__CrashRecord, n_crash),
+            offsetof(Jd__CrashRecord, crash), &jd__crash__descriptor, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
-static const ProtobufCFieldDescriptor jd__crashes__field_descriptors[1] =
-{
-  {
-    "record",
+static const unsigned jd__crash_record__field_indices_by_name[] = {
+    2, /* field[2] = crash */
+    0, /* field[0] = request_hi */
+    1, /* field[1] = request_lo */
+};
+static const ProtobufCIntRange jd__crash_record__number_ranges[1 + 1] = {
+    {1, 0}, {0, 3}};
+const ProtobufCMessageDescriptor jd__crash_record__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.CrashRecord",
+    "CrashRecord",
+    "Jd__CrashRecord",
+    "jd",
+    sizeof(Jd__CrashRecord),
+    3,
+    jd__crash_record__field_descriptors,
+    jd__crash_record__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Crashes, n_record),
-    offsetof(Jd__Crashes, record),
-    &jd__crash_record__descriptor,
+    jd__crash_record__number_ranges,
+    (ProtobufCMessageInit)jd__crash_record__init,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jd__crashes__field_indices_by_name[] = {
-  0,   /* field[0] = record */
-};
-static const ProtobufCIntRange jd__crashes__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+    NULL,
+    NULL /* reserved[123] */
 };
-const ProtobufCMessageDescriptor jd__crashes__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Crashes",
-  "Crashes",
-  "Jd__Crashes",
-  "jd",
-  sizeof(Jd__Crashes),
-  1,
-  jd__crashes__field_descriptors,
-  jd__crashes__field_indices_by_name,
-  1,  jd__crashes__number_ranges,
-  (ProtobufCMessageInit) jd__crashes__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCFieldDescriptor jd__crashes__field_descriptors[1] = {
+    {
+        "record", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Crashes, n_record), offsetof(Jd__Crashes, record),
+        &jd__crash_record__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                           /* reserved1,reserved2, etc */
+    },
 };
-static const ProtobufCFieldDescriptor jd__header__field_descriptors[2] =
-{
-  {
-    "name",
+static const unsigned jd__crashes__field_indices_by_name[] = {
+    0, /* field[0] = record */
+};
+static const ProtobufCIntRange jd__crashes__number_ranges[1 + 1] = {{1, 0},
+                                                                    {0, 1}};
+const ProtobufCMessageDescriptor jd__crashes__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Crashes",
+    "Crashes",
+    "Jd__Crashes",
+    "jd",
+    sizeof(Jd__Crashes),
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Header, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "value",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Header, value),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__crashes__field_descriptors,
+    jd__crashes__field_indices_by_name,
+    1,
+    jd__crashes__number_ranges,
+    (ProtobufCMessageInit)jd__crashes__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__header__field_descriptors[2] = {
+    {
+        "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Header, name), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "value", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Header, value), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__header__field_indices_by_name[] = {
-  0,   /* field[0] = name */
-  1,   /* field[1] = value */
-};
-static const ProtobufCIntRange jd__header__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor jd__header__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Header",
-  "Header",
-  "Jd__Header",
-  "jd",
-  sizeof(Jd__Header),
-  2,
-  jd__header__field_descriptors,
-  jd__header__field_indices_by_name,
-  1,  jd__header__number_ranges,
-  (ProtobufCMessageInit) jd__header__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[20] =
-{
-  {
-    "id",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service",
+    0, /* field[0] = name */
+    1, /* field[1] = value */
+};
+static const ProtobufCIntRange jd__header__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 2}};
+const ProtobufCMessageDescriptor jd__header__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Header",
+    "Header",
+    "Jd__Header",
+    "jd",
+    sizeof(Jd__Header),
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "method",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, method),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "path",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, path),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "header",
-    5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Request, n_header),
-    offsetof(Jd__Request, header),
-    &jd__header__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "left_ms",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, left_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "priority",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, priority),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "key",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, key),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "config_version",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, config_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "once",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, once),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "request_id",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, request_id),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "caller_service",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, caller_service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "latency_ms",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, latency_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "idempotent",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, idempotent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "host",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, host),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "route",
-    17,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, route),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retry",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, retry),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rate_limit",
-    19,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, rate_limit),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_started",
-    20,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Request, target_started),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__header__field_descriptors,
+    jd__header__field_indices_by_name,
+    1,
+    jd__header__number_ranges,
+    (ProtobufCMessageInit)jd__header__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[20] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Request, id), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, service), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "method", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, method), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "path", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, path), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "header", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Request, n_header), offsetof(Jd__Request, header),
+        &jd__header__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
+    {
+        "body", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Request, body), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "left_ms", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Request, left_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "priority", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                              /* quantifier_offset */
+        offsetof(Jd__Request, priority), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "key", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, key), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "config_version", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, config_version), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "once", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Request, once), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "request_id", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, request_id), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "caller_service", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, caller_service), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "latency_ms", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, latency_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "idempotent", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, idempotent), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "host", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, host), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "route", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, route), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "retry", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Request, retry), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "rate_limit", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, rate_limit), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "target_started", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, target_started), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
-  5,   /* field[5] = body */
-  12,   /* field[12] = caller_service */
-  9,   /* field[9] = config_version */
-  4,   /* field[4] = header */
-  15,   /* field[15] = host */
-  0,   /* field[0] = id */
-  14,   /* field[14] = idempotent */
-  8,   /* field[8] = key */
-  13,   /* field[13] = latency_ms */
-  6,   /* field[6] = left_ms */
-  2,   /* field[2] = method */
-  10,   /* field[10] = once */
-  3,   /* field[3] = path */
-  7,   /* field[7] = priority */
-  18,   /* field[18] = rate_limit */
-  11,   /* field[11] = request_id */
-  17,   /* field[17] = retry */
-  16,   /* field[16] = route */
-  1,   /* field[1] = service */
-  19,   /* field[19] = target_started */
-};
-static const ProtobufCIntRange jd__request__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 20 }
-};
-const ProtobufCMessageDescriptor jd__request__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Request",
-  "Request",
-  "Jd__Request",
-  "jd",
-  sizeof(Jd__Request),
-  20,
-  jd__request__field_descriptors,
-  jd__request__field_indices_by_name,
-  1,  jd__request__number_ranges,
-  (ProtobufCMessageInit) jd__request__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[14] =
-{
-  {
-    "id",
+    5,  /* field[5] = body */
+    12, /* field[12] = caller_service */
+    9,  /* field[9] = config_version */
+    4,  /* field[4] = header */
+    15, /* field[15] = host */
+    0,  /* field[0] = id */
+    14, /* field[14] = idempotent */
+    8,  /* field[8] = key */
+    13, /* field[13] = latency_ms */
+    6,  /* field[6] = left_ms */
+    2,  /* field[2] = method */
+    10, /* field[10] = once */
+    3,  /* field[3] = path */
+    7,  /* field[7] = priority */
+    18, /* field[18] = rate_limit */
+    11, /* field[11] = request_id */
+    17, /* field[17] = retry */
+    16, /* field[16] = route */
+    1,  /* field[1] = service */
+    19, /* field[19] = target_started */
+};
+static const ProtobufCIntRange jd__request__number_ranges[1 + 1] = {{1, 0},
+                                                                    {0, 20}};
+const ProtobufCMessageDescriptor jd__request__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Request",
+    "Request",
+    "Jd__Request",
+    "jd",
+    sizeof(Jd__Request),
+    20,
+    jd__request__field_descriptors,
+    jd__request__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "status",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, status),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "header",
-    3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Response, n_header),
-    offsetof(Jd__Response, header),
-    &jd__header__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "body",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, body),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "reason",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, reason),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "retry_after_ms",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, retry_after_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "load",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, load),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "sent",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, sent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "service_us",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, service_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_started",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, target_started),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rate_limit",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, rate_limit),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "limit_wait_ms",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, limit_wait_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "target_leaving",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, target_leaving),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "crashed_process",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Response, crashed_process),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    jd__request__number_ranges,
+    (ProtobufCMessageInit)jd__request__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[14] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                         /* quantifier_offset */
+        offsetof(Jd__Response, id), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "status", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Response, status), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "header", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Response, n_header), offsetof(Jd__Response, header),
+        &jd__header__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                     /* reserved1,reserved2, etc */
+    },
+    {
+        "body", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Response, body), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "reason", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Response, reason), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "retry_after_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, retry_after_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "load", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Response, load), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "sent", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Response, sent), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "service_us", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, service_us), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "target_started", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, target_started), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "rate_limit", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, rate_limit), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "limit_wait_ms", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, limit_wait_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "target_leaving", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, target_leaving), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "crashed_process", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, crashed_process), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
-  3,   /* field[3] = body */
-  13,   /* field[13] = crashed_process */
-  2,   /* field[2] = header */
-  0,   /* field[0] = id */
-  11,   /* field[11] = limit_wait_ms */
-  6,   /* field[6] = load */
-  10,   /* field[10] = rate_limit */
-  4,   /* field[4] = reason */
-  5,   /* field[5] = retry_after_ms */
-  7,   /* field[7] = sent */
-  8,   /* field[8] = service_us */
-  1,   /* field[1] = status */
-  12,   /* field[12] = target_leaving */
-  9,   /* field[9] = target_started */
-};
-static const ProtobufCIntRange jd__response__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 14 }
-};
-const ProtobufCMessageDescriptor jd__response__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Response",
-  "Response",
-  "Jd__Response",
-  "jd",
-  sizeof(Jd__Response),
-  14,
-  jd__response__field_descriptors,
-  jd__response__field_indices_by_name,
-  1,  jd__response__number_ranges,
-  (ProtobufCMessageInit) jd__response__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor jd__cancel__field_descriptors[1] =
-{
-  {
-    "id",
+    3,  /* field[3] = body */
+    13, /* field[13] = crashed_process */
+    2,  /* field[2] = header */
+    0,  /* field[0] = id */
+    11, /* field[11] = limit_wait_ms */
+    6,  /* field[6] = load */
+    10, /* field[10] = rate_limit */
+    4,  /* field[4] = reason */
+    5,  /* field[5] = retry_after_ms */
+    7,  /* field[7] = sent */
+    8,  /* field[8] = service_us */
+    1,  /* field[1] = status */
+    12, /* field[12] = target_leaving */
+    9,  /* field[9] = target_started */
+};
+static const ProtobufCIntRange jd__response__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 14}};
+const ProtobufCMessageDescriptor jd__response__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Response",
+    "Response",
+    "Jd__Response",
+    "jd",
+    sizeof(Jd__Response),
+    14,
+    jd__response__field_descriptors,
+    jd__response__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Cancel, id),
+    jd__response__number_ranges,
+    (ProtobufCMessageInit)jd__response__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jd__cancel__field_indices_by_name[] = {
-  0,   /* field[0] = id */
+    NULL /* reserved[123] */
 };
-static const ProtobufCIntRange jd__cancel__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor jd__cancel__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Cancel",
-  "Cancel",
-  "Jd__Cancel",
-  "jd",
-  sizeof(Jd__Cancel),
-  1,
-  jd__cancel__field_descriptors,
-  jd__cancel__field_indices_by_name,
-  1,  jd__cancel__number_ranges,
-  (ProtobufCMessageInit) jd__cancel__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const ProtobufCFieldDescriptor jd__cancel__field_descriptors[1] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                       /* quantifier_offset */
+        offsetof(Jd__Cancel, id), NULL, NULL, 0, /* flags */
+        0, NULL, NULL                            /* reserved1,reserved2, etc */
+    },
 };
-static const ProtobufCFieldDescriptor jd__ping__field_descriptors[1] =
-{
-  {
-    "answer",
+static const unsigned jd__cancel__field_indices_by_name[] = {
+    0, /* field[0] = id */
+};
+static const ProtobufCIntRange jd__cancel__number_ranges[1 + 1] = {{1, 0},
+                                                                   {0, 1}};
+const ProtobufCMessageDescriptor jd__cancel__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Cancel",
+    "Cancel",
+    "Jd__Cancel",
+    "jd",
+    sizeof(Jd__Cancel),
+    1,
+    jd__cancel__field_descriptors,
+    jd__cancel__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Ping, answer),
+    jd__cancel__number_ranges,
+    (ProtobufCMessageInit)jd__cancel__init,
     NULL,
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
+    NULL /* reserved[123] */
 };
-static const unsigned jd__ping__field_indices_by_name[] = {
-  0,   /* field[0] = answer */
-};
-static const ProtobufCIntRange jd__ping__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
+static const ProtobufCFieldDescriptor jd__ping__field_descriptors[1] = {
+    {
+        "answer", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                         /* quantifier_offset */
+        offsetof(Jd__Ping, answer), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
-const ProtobufCMessageDescriptor jd__ping__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Ping",
-  "Ping",
-  "Jd__Ping",
-  "jd",
-  sizeof(Jd__Ping),
-  1,
-  jd__ping__field_descriptors,
-  jd__ping__field_indices_by_name,
-  1,  jd__ping__number_ranges,
-  (ProtobufCMessageInit) jd__ping__init,
-  NULL,NULL,NULL    /* reserved[123] */
+static const unsigned jd__ping__field_indices_by_name[] = {
+    0, /* field[0] = answer */
+};
+static const ProtobufCIntRange jd__ping__number_ranges[1 + 1] = {{1, 0},
+                                                                 {0, 1}};
+const ProtobufCMessageDescriptor jd__ping__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Ping",
+    "Ping",
+    "Jd__Ping",
+    "jd",
+    sizeof(Jd__Ping),
+    1,
+    jd__ping__field_descriptors,
+    jd__ping__field_indices_by_name,
+    1,
+    jd__ping__number_ranges,
+    (ProtobufCMessageInit)jd__ping__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__frame__field_descriptors[15] = {
+    {
+        "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Frame, version), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "join", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, join),
+        &jd__join__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "accept", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, accept),
+        &jd__accept__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "redirect", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, redirect),
+        &jd__redirect__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "beat", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, beat),
+        &jd__beat__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "delta", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, delta),
+        &jd__delta__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "pull", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, pull),
+        &jd__pull__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "members", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, members),
+        &jd__members__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "promote", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, promote),
+        &jd__promote__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "request", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, request),
+        &jd__request__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "response", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, response),
+        &jd__response__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "cancel", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, cancel),
+        &jd__cancel__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "ping", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, ping),
+        &jd__ping__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "invite", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, invite),
+        &jd__invite__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "crashes", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, crashes),
+        &jd__crashes__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
 };
-static const ProtobufCFieldDescriptor jd__frame__field_descriptors[15] =
-{
-  {
-    "version",
+static const unsigned jd__frame__field_indices_by_name[] = {
+    2,  /* field[2] = accept */
+    4,  /* field[4] = beat */
+    11, /* field[11] = cancel */
+    14, /* field[14] = crashes */
+    5,  /* field[5] = delta */
+    13, /* field[13] = invite */
+    1,  /* field[1] = join */
+    7,  /* field[7] = members */
+    12, /* field[12] = ping */
+    8,  /* field[8] = promote */
+    6,  /* field[6] = pull */
+    3,  /* field[3] = redirect */
+    9,  /* field[9] = request */
+    10, /* field[10] = response */
+    0,  /* field[0] = version */
+};
+static const ProtobufCIntRange jd__frame__number_ranges[1 + 1] = {{1, 0},
+                                                                  {0, 15}};
+const ProtobufCMessageDescriptor jd__frame__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Frame",
+    "Frame",
+    "Jd__Frame",
+    "jd",
+    sizeof(Jd__Frame),
+    15,
+    jd__frame__field_descriptors,
+    jd__frame__field_indices_by_name,
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Jd__Frame, version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "join",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, join),
-    &jd__join__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "accept",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, accept),
-    &jd__accept__descriptor,
+    jd__frame__number_ranges,
+    (ProtobufCMessageInit)jd__frame__init,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "redirect",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, redirect),
-    &jd__redirect__descriptor,
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "beat",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, beat),
-    &jd__beat__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "delta",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, delta),
-    &jd__delta__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "pull",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, pull),
-    &jd__pull__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "members",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, members),
-    &jd__members__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "promote",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, promote),
-    &jd__promote__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "request",
-    10,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, request),
-    &jd__request__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "response",
-    11,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, response),
-    &jd__response__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cancel",
-    12,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, cancel),
-    &jd__cancel__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "ping",
-    13,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, ping),
-    &jd__ping__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "invite",
-    14,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, invite),
-    &jd__invite__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "crashes",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Jd__Frame, body_case),
-    offsetof(Jd__Frame, crashes),
-    &jd__crashes__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned jd__frame__field_indices_by_name[] = {
-  2,   /* field[2] = accept */
-  4,   /* field[4] = beat */
-  11,   /* field[11] = cancel */
-  14,   /* field[14] = crashes */
-  5,   /* field[5] = delta */
-  13,   /* field[13] = invite */
-  1,   /* field[1] = join */
-  7,   /* field[7] = members */
-  12,   /* field[12] = ping */
-  8,   /* field[8] = promote */
-  6,   /* field[6] = pull */
-  3,   /* field[3] = redirect */
-  9,   /* field[9] = request */
-  10,   /* field[10] = response */
-  0,   /* field[0] = version */
-};
-static const ProtobufCIntRange jd__frame__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 15 }
-};
-const ProtobufCMessageDescriptor jd__frame__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "jd.Frame",
-  "Frame",
-  "Jd__Frame",
-  "jd",
-  sizeof(Jd__Frame),
-  15,
-  jd__frame__field_descriptors,
-  jd__frame__field_indices_by_name,
-  1,  jd__frame__number_ranges,
-  (ProtobufCMessageInit) jd__frame__init,
-  NULL,NULL,NULL    /* reserved[123] */
+    NULL /* reserved[123] */
 };
--- a/peer/link.c
+++ b/peer/link.c
@@ -201,6 +201,12 @@
         JD_NUMBER("incarnation", mb->incarnation), JD_NUMBER("seq", mb->seq));
 }
 
+static void
+on_target_replaced(void *ctx, const JdMember *mb, uint64_t started)
+{
+    JdLostAttempt_OnTargetReplaced(ctx, mb, started);
+}
+
 static void
 read_directory(void *ctx)
 {
@@ -252,6 +258,7 @@
     .status_changed = on_status_changed,
     .parent_changed = on_parent_changed,
     .member_changed = on_member_changed,
+    .target_replaced = on_target_replaced,
     .crashes_changed = on_crashes_changed,
 };
 
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -62,6 +62,9 @@
            JD_TEXT("outcome", was_open ? "broken" : "not opened"),
            JD_NUMBER("tries", rconn->outstanding));
     while ((att = TAILQ_FIRST(&rconn->attempts)) != NULL) {
+        if (was_open) {
+            JdLostAttempt_Add(att);
+        }
         JdForward_AttemptFailed(att, &failure);
     }
     g_free(rconn);
--- a/regress/e2e/crashing-request-restarts.sh
+++ b/regress/e2e/crashing-request-restarts.sh
@@ -6,7 +6,7 @@
 all="1-1 1-2 2-1 2-2 3-1 3-2 4-1 4-2"
 
 fleet_start_links || die "the link emulator does not start"
-platform_start_eight
+platform_start_eight 60
 fleet_kill 2-2 STOP
 fleet_fault "from=1&to=4&mode=silence"
 fleet_fault "from=2&to=4&mode=silence"
--- a/regress/e2e/crashing-request.sh
+++ b/regress/e2e/crashing-request.sh
@@ -2,7 +2,7 @@
 . regress/e2e/lib.sh
 . regress/stand/platform.sh
 
-platform_start_eight
+platform_start_eight 60
 for n in 3-1 4-2; do
 	platform_send_steadily $n /kiln/other "$FLEET_DIR/$n.answers" &
 done
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -216,8 +216,8 @@
 
 # Eight nodes in four failure domains; 3-2 and 4-2 are beside workers of ops, the
 # others beside workers of kiln, with 6 slots each.
-platform_start_eight() {
-	PLATFORM_WORKER_OPTIONS="--slots 6 --work-ms 60 --restart-ms 1000"
+platform_start_eight() { # WORK-MS
+	PLATFORM_WORKER_OPTIONS="--slots 6 --work-ms $1 --restart-ms 1000"
 	platform_start_fleet 1-1:kiln 1-2:kiln 2-1:kiln 2-2:kiln 3-1:kiln \
 	    3-2:ops 4-1:kiln 4-2:ops || die "the store does not start"
 	platform_document 5 kiln | platform_put_document
