Soak: requests that crash their workers

An event sends copies of such a request to a node. After the recovery all nodes get copies of each under which three workers had crashed; three may run.

--- a/regress/soak/events.sh
+++ b/regress/soak/events.sh
@@ -101,6 +101,7 @@
 	18) soak_restore_store ;;
 	19) soak_limit_worker "$n" ;;
 	20) soak_worker_leaves "$n" ;;
+	21) soak_send_crash "$n" ;;
 	esac
 }
 
@@ -134,6 +135,30 @@
 }
 declare -A soak_left
 
+# Sends copies of a request that crashes its workers.  Up to three nodes get
+# copies of the same one.
+soak_send_crash() { # NODE
+	crashes=$((crashes + 1))
+	platform_send_copies "crash$((crashes / 3))" 3 "$1" \
+	    "/kiln/crash$((crashes / 3))" &
+}
+
+# Sends copies of each request under which three workers had crashed to all
+# nodes, once these have known each other for 3 s.
+soak_check_crashes() {
+	local i n ran
+	sleep 3.2
+	for i in $(seq 0 $((crashes / 3))); do
+		[ -n "$(platform_third_crash "crash$i")" ] || continue
+		for n in $(soak_nodes); do
+			platform_send_copies "later$i" 2 "$n" "/kiln/crash$i"
+		done
+		ran=$(platform_copies_since "later$i" 0)
+		[ "$ran" -le 3 ] || echo "crash$i was sent to workers $ran times" \
+		    "after three had crashed" >>"$FLEET_DIR/broken"
+	done
+}
+
 # Has a worker drain or deregister, then changes its id, so that it acts as
 # another process at the same address.
 soak_replace_worker() { # NODE
@@ -214,6 +239,8 @@
 # - an unsafe request that ran although refused as not run (503, 429, 408, 421),
 # - a 200 that is not the complete response to its own request,
 # - a response that belongs to another request,
+# - a request under which three workers had crashed ran more than three times
+#   (soak_check_crashes),
 # - a valid request that was answered with 404 or 400.
 soak_check_results() {
 	cat "$FLEET_DIR"/*.ran >"$FLEET_DIR/ran"
@@ -277,7 +304,7 @@
 soak_run() { # SEED
 	local end n addresses=""
 	RANDOM=$1
-	version=0 workers=0
+	version=0 workers=0 crashes=0
 	: >"$FLEET_DIR/broken"
 	soak_start || {
 		echo "the fleet did not start"
@@ -300,6 +327,7 @@
 	fleet_until $((RECOVERY_S * 10)) soak_is_healthy ||
 	    echo "not every node healthy $RECOVERY_S s after the last fault" \
 	    >>"$FLEET_DIR/broken"
+	soak_check_crashes
 	kill "$observer" 2>/dev/null
 	wait "$observer" 2>/dev/null
 	soak_check_results
