A target that does not accept a connection in time has not crashed

A request that could not be sent counted as a sign of a crash also where the connection had timed out, as with a target that is slow or stands still. What had timed out there before was then taken for a request that may crash targets, so that its copies would have run one at a time. Nothing was seen of it; found on reading. Only a refused connection counts now, by the check that follows a broken one.

The soak sends such requests three times as often.

--- a/node/node.h
+++ b/node/node.h
@@ -277,7 +277,6 @@
 void JdTargetCrash_OnAnswer(JdNode *nd);
 void JdTargetCrash_OnUnanswered(JdNode *nd, const Jd__Request *msg,
                                 uint64_t started);
-void JdTargetCrash_OnRefused(JdNode *nd);
 void JdTargetCrash_OnReplaced(JdNode *nd);
 void JdTargetCrash_Check(JdNode *nd);
 
--- a/regress/soak/events.sh
+++ b/regress/soak/events.sh
@@ -101,7 +101,7 @@
 	18) soak_restore_store ;;
 	19) soak_limit_worker "$n" ;;
 	20) soak_worker_leaves "$n" ;;
-	21) soak_send_crash "$n" ;;
+	21 | 22 | 23) soak_send_crash "$n" ;;
 	esac
 }
 
--- a/regress/soak/soak.sh
+++ b/regress/soak/soak.sh
@@ -17,7 +17,7 @@
 # of 50 ms.
 RECOVERY_S=15
 # Number of kinds of events, of which fewer keep the runs of older seeds.
-SOAK_EVENTS=${SOAK_EVENTS:-22}
+SOAK_EVENTS=${SOAK_EVENTS:-24}
 # Time in us after the acknowledgement that a worker drains or deregisters in
 # which it may still get new requests.
 DRAIN_US=2500000
--- a/targets/crash.c
+++ b/targets/crash.c
@@ -112,41 +112,37 @@
     un->is_used = true;
 }
 
-/* The target refuses connections.  One that leaves ends in this way, too. */
-void
-JdTargetCrash_OnRefused(JdNode *nd)
-{
-    if (!JdTargetHealth_IsLeaving(nd)) {
-        record_crash(nd, nd->target_process.started);
-    }
-}
-
+/* Ends the check of the target, and records a crash unless it leaves, which
+ * ends in the same way. */
 static void
 on_checked(void *ctx, JdHttpCheck result)
 {
     JdNode *nd = ctx;
+    uint64_t started = nd->target_process.started;
     bool has_crashed =
         result == JD_HTTP_REFUSED && !JdTargetHealth_IsLeaving(nd);
 
     if (has_crashed) {
-        record_crash(nd, nd->target_process.started);
+        record_crash(nd, started);
     }
-    JdWorker_OnTargetChecked(
-        nd, has_crashed ? get_process_id(nd, nd->target_process.started) : 0);
+    JdWorker_OnTargetChecked(nd,
+                             has_crashed ? get_process_id(nd, started) : 0);
 }
 
-/* A connection to the target broke: checks whether it has crashed. */
+/* A connection to the target broke or was not accepted: checks whether it has
+ * crashed.  JdWorker_OnTargetChecked follows. */
 void
 JdTargetCrash_Check(JdNode *nd)
 {
     JdHttpc_Check(&nd->target_client, CHECK_TIMEOUT, on_checked, nd);
 }
 
-/* Another process is about to take the place of the present one, which did not
- * leave. */
+/* Another process is about to take the place of the present one. */
 void
 JdTargetCrash_OnReplaced(JdNode *nd)
 {
-    JdWorker_RecordUnanswered(nd);
-    JdTargetCrash_OnRefused(nd);
+    if (!JdTargetHealth_IsLeaving(nd)) {
+        JdWorker_RecordUnanswered(nd);
+        record_crash(nd, nd->target_process.started);
+    }
 }
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -119,7 +119,7 @@
         JdTargetCrash_OnAnswer(nd);
         break;
     case JD_HTTP_NOT_SENT:
-        JdTargetCrash_OnRefused(nd);
+        JdTargetCrash_Check(nd);
         break;
     case JD_HTTP_DISCONNECTED:
         JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
