--- a/include/jacinthdyke_crash.h
+++ b/include/jacinthdyke_crash.h
@@ -81,6 +81,7 @@
 void JdCrashTable_Record(JdCrashTable *ct, const JdFingerprint *fp,
                          uint64_t process);
 void JdCrashTable_Clear(JdCrashTable *ct, const JdFingerprint *fp);
+bool JdCrashTable_ClearText(JdCrashTable *ct, const char *request);
 bool JdCrashTable_Suspects(const JdCrashTable *ct, const JdFingerprint *fp);
 bool JdCrashTable_Refuses(JdCrashTable *ct, const JdFingerprint *fp);
 void JdCrashTable_ClearPending(JdCrashTable *ct, JdCrashRecord *rec);
--- a/lib/request/crash.c
+++ b/lib/request/crash.c
@@ -527,3 +527,25 @@
     }
     return JdCrashTable_Find(ct, &fp);
 }
+
+/* Clears the crashes of a request, given as text, with all callers.  Returns
+ * false if there are none. */
+bool
+JdCrashTable_ClearText(JdCrashTable *ct, const char *request)
+{
+    JdCrashRecord *rec;
+    JdFingerprint fp;
+
+    if (!parse_pair(request, strlen(request), fp.word)) {
+        return false;
+    }
+    rec = JdCrashTable_Find(ct, &fp);
+    if (rec == NULL || JdCrashRecord_CountCrashes(rec) == 0) {
+        return false;
+    }
+    for (unsigned i = 0; i < rec->crash_count; i++) {
+        rec->crash[i].is_cleared = true;
+    }
+    record_changed(ct, rec, 0);
+    return true;
+}
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -179,6 +179,43 @@
     JdHttpd_ReplyJson(req, 200, list);
 }
 
+/* Replies with the requests under which targets crashed. */
+static void
+reply_crashes(JdNode *nd, h2o_req_t *req)
+{
+    json_t *list = json_array();
+    const JdCrashRecord *rec;
+
+    TAILQ_FOREACH(rec, &nd->tree.crashes.all, link)
+    {
+        char request[JD_FINGERPRINT_TEXT_MAX];
+
+        JdFingerprint_Format(&rec->request, request);
+        json_array_append_new(
+            list,
+            json_pack("{s:s, s:i, s:b, s:b}", "request", request, "crashes",
+                      (int)JdCrashRecord_CountCrashes(rec), "refused",
+                      JdCrashRecord_IsRefused(rec), "stored", rec->is_stored));
+    }
+    JdHttpd_ReplyJson(req, 200, list);
+}
+
+/* Lets a request run again, on all nodes. */
+static void
+clear_crashes(JdNode *nd, h2o_req_t *req)
+{
+    char request[JD_FINGERPRINT_TEXT_MAX] = "";
+
+    JdHttpd_CopyQueryParam(req, "request", request, sizeof(request));
+    if (!JdCrashTable_ClearText(&nd->tree.crashes, request)) {
+        JdHttpd_Reply(req, 404, "text/plain", "no such request\n", 16);
+        return;
+    }
+    JD_LOG(JD_EVENT_CRASH, JD_TEXT("outcome", "cleared"),
+           JD_TEXT("request", request));
+    JdHttpd_ReplyJson(req, 200, json_pack("{s:s}", "cleared", request));
+}
+
 static void
 on_request(void *ctx, h2o_req_t *req)
 {
@@ -199,6 +236,13 @@
     else if (JdHttpd_IsPath(req, "/applied")) {
         reply_applied(nd, req);
     }
+    else if (JdHttpd_IsPath(req, "/crashes")) {
+        reply_crashes(nd, req);
+    }
+    else if (JdHttpd_IsPath(req, "/crashes/clear") &&
+             JdHttpd_IsMethod(req, "POST")) {
+        clear_crashes(nd, req);
+    }
     else if (JdHttpd_IsPath(req, "/drain") && JdHttpd_IsMethod(req, "POST")) {
         JdDrain_OnSignal(nd, 0);
         JdHttpd_ReplyJson(req, 200, make_status(nd));
--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -35,6 +35,10 @@
      "VERSION            wait until a version is in force on all nodes"},
     {"drain", CtlFleet_Drain, 1, 1,
      "NODE              drain a node and its target"},
+    {"crashes", CtlFleet_Crashes, 0, 0,
+     "                list requests under which targets crashed"},
+    {"clear", CtlFleet_Clear, 1, 1,
+     "REQUEST           let such a request run again"},
     {"explain", CtlExplain_Explain, 2, MAX_LOG_FILES,
      "ID FILE...      trace a request through log files"},
 };
--- a/operator/explain.c
+++ b/operator/explain.c
@@ -60,9 +60,9 @@
         "every target that was tried had reached the rate limit that it names",
     [JD_REASON_CRASHES] =
         "targets crashed while they ran this request or copies of it",
-    [JD_REASON_ISOLATED] =
-        "a target that ran it crashed, and each one that was tried was running "
-        "another such request",
+    [JD_REASON_ISOLATED] = "a target that ran it crashed, and each one that "
+                           "was tried was running "
+                           "another such request",
     [JD_REASON_COPY_RUNS] =
         "a target that ran it crashed, and a copy of it was running",
 };
--- a/operator/fleet.c
+++ b/operator/fleet.c
@@ -1,4 +1,5 @@
-/* jacinthctl status, wait and drain: commands that query nodes over HTTP. */
+/* jacinthctl status, wait, drain, crashes and clear: commands that query nodes
+ * over HTTP. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -237,3 +238,60 @@
               args[0]);
     return CTL_EXIT_OK;
 }
+
+/* Lists the requests under which targets crashed. */
+CtlExit
+CtlFleet_Crashes(Ctl *ctl, int argc, char **args)
+{
+    JdError err = {0};
+    json_t *list, *js;
+    size_t i;
+
+    (void)argc;
+    (void)args;
+    if (!require_node_option(ctl, &err)) {
+        return Ctl_Fail(ctl, &err);
+    }
+    list = query_node(ctl, ctl->node_address, "GET", "/crashes");
+    if (list == NULL) {
+        JdError_Set(&err, JD_ERR_UNREACHABLE, "", "no answer from %s",
+                    ctl->node_address);
+        return Ctl_Fail(ctl, &err);
+    }
+    json_array_foreach(list, i, js)
+    {
+        Ctl_Print(ctl, json_incref(js), "%s %lld crashes%s",
+                  json_string_value(json_object_get(js, "request")),
+                  get_integer(js, "crashes"),
+                  json_is_true(json_object_get(js, "refused")) ? ", refused"
+                                                               : "");
+    }
+    json_decref(list);
+    return CTL_EXIT_OK;
+}
+
+/* Lets a request run again under which targets crashed. */
+CtlExit
+CtlFleet_Clear(Ctl *ctl, int argc, char **args)
+{
+    JdError err = {0};
+    char *escaped, *path;
+    json_t *js;
+
+    (void)argc;
+    if (!require_node_option(ctl, &err)) {
+        return Ctl_Fail(ctl, &err);
+    }
+    escaped = g_uri_escape_string(args[0], NULL, FALSE);
+    path = g_strdup_printf("/crashes/clear?request=%s", escaped);
+    js = query_node(ctl, ctl->node_address, "POST", path);
+    g_free(path);
+    g_free(escaped);
+    if (js == NULL) {
+        JdError_Set(&err, JD_ERR_REFUSED, "", "%s does not know %s",
+                    ctl->node_address, args[0]);
+        return Ctl_Fail(ctl, &err);
+    }
+    Ctl_Print(ctl, js, "%s may run again", args[0]);
+    return CTL_EXIT_OK;
+}
--- a/regress/e2e/crashing-request.sh
+++ b/regress/e2e/crashing-request.sh
@@ -33,4 +33,15 @@
 say "other work is served again:" \
     "$(tail -n 60 "$FLEET_DIR/4-2.answers" | sort -u | tr '\n' ' ')"
 touch "$FLEET_DIR/stop"
+
+# An operator lets the order run again; it has 60 ms to crash one more target.
+admin="--node 127.$FLEET_NET.1.1:8100"
+order=$(grep -h '"was-running","id":"order' "$FLEET_DIR"/*.log | head -n 1 |
+    sed 's/.*"request":"\([0-9a-f]*\)".*/\1/')
+say "listed: $(fleet_ctl $admin crashes | grep "^$order" | sed 's/^[0-9a-f]* //')"
+say "unknown: $(fleet_ctl $admin clear 12 2>&1 | sed 's/127[0-9.:]*/NODE/')"
+fleet_ctl $admin clear "$order" >/dev/null
+sleep 0.3
+say "after it was cleared: $(platform_request 3-1 /order/crash -X POST \
+    -d 'size=7')"
 wait
