Readers of the source learn what other readers store of crashes

After a cut between regions each side has a root of its own, and both read the store. A root read the records of crashes only when it began to read: what the other side stored later reached it when the trees had joined, which may take seconds longer than machines need to count as in touch.

The seeded runs check that all nodes of one tree know the same crashes after faults (sim/*).

--- a/node/crashes.c
+++ b/node/crashes.c
@@ -2,7 +2,8 @@
  * Keeps the requests that crash targets at the source of configuration, so
  * that they are still refused after all nodes have restarted.  The nodes that
  * read the source do it for all: what one of them does not know to be stored,
- * it writes.  Two that write the same record do no harm.
+ * it writes.  Two that write the same record do no harm, and each learns what
+ * the other writes, also while they are not in one tree.
  */
 #include <string.h>
 
@@ -70,6 +71,10 @@
         nd->config_source->read_crashes(nd);
         return;
     }
+    if (!cs->is_following) {
+        cs->is_following = true;
+        nd->config_source->follow_crashes(nd);
+    }
     rec = find_unstored(nd);
     if (rec != NULL) {
         put_record(nd, rec);
@@ -133,16 +138,19 @@
     forget_stored(nd);
 }
 
-/* The source holds a record. */
+/* The source holds a record; empty `crashes`: it was removed. */
 void
 JdCrashStore_OnRecord(JdNode *nd, const char *request, size_t request_len,
                       const char *crashes, size_t crashes_len)
 {
     JdCrashTable *ct = &nd->tree.crashes;
     char text[JD_CRASHES_TEXT_MAX];
-    JdCrashRecord *rec =
-        JdCrashTable_Parse(ct, request, request_len, crashes, crashes_len);
+    JdCrashRecord *rec;
 
+    if (crashes_len == 0) {
+        return;
+    }
+    rec = JdCrashTable_Parse(ct, request, request_len, crashes, crashes_len);
     if (rec == NULL) {
         nd->counters.value[JD_C_BAD_RECORD]++;
         return;
@@ -161,6 +169,21 @@
     finish_call(nd, status == JD_OK);
 }
 
+/* The wait for changes has ended, with or without some.  After a failure all
+ * records are read again. */
+void
+JdCrashStore_OnFollowed(JdNode *nd, JdStatus status)
+{
+    JdCrashStore *cs = &nd->crash_store;
+
+    cs->is_following = false;
+    if (status != JD_OK) {
+        cs->is_loaded = false;
+        JdTimer_Arm(&nd->loop.clock, &cs->timer, RETRY_INTERVAL);
+    }
+    continue_storing(nd);
+}
+
 /* A write has ended. */
 void
 JdCrashStore_OnPut(JdNode *nd, JdStatus status)
--- a/node/node.h
+++ b/node/node.h
@@ -118,7 +118,8 @@
     bool is_reader;        /* this node reads the source */
     bool is_loaded;        /* it has read these records, too */
     uint64_t loaded_epoch; /* of the source, when it did */
-    bool is_busy;          /* a call is under way */
+    bool is_busy;          /* a read or a write is under way */
+    bool is_following;     /* it waits for changes */
     /* The record that is being written; empty text: removed. */
     JdFingerprint written_request;
     char written[JD_CRASHES_TEXT_MAX];
@@ -311,6 +312,7 @@
 void JdCrashStore_OnRecord(JdNode *nd, const char *request, size_t request_len,
                            const char *crashes, size_t crashes_len);
 void JdCrashStore_OnReadEnd(JdNode *nd, JdStatus status);
+void JdCrashStore_OnFollowed(JdNode *nd, JdStatus status);
 void JdCrashStore_OnPut(JdNode *nd, JdStatus status);
 
 /* node/reload.c: reload of the settings file */
--- a/node/source.h
+++ b/node/source.h
@@ -21,10 +21,11 @@
     void (*read_log)(void *ctx, bool on);
     /* May be NULL. */
     void (*deregister_head)(struct JdNode *nd, const char *id);
-    /* Read and write the requests that crash targets, as texts; empty
-     * `crashes` remove a request.  Answered by JdCrashStore_On...; NULL if the
-     * source cannot keep them. */
+    /* Read all requests that crash targets, wait for changes of them, and
+     * write one, as texts; empty `crashes` remove a request.  Answered by
+     * JdCrashStore_On...; NULL if the source cannot keep them. */
     void (*read_crashes)(struct JdNode *nd);
+    void (*follow_crashes)(struct JdNode *nd);
     void (*put_crashes)(struct JdNode *nd, const char *request,
                         const char *crashes);
     /* A version was applied or readiness changed; may be NULL. */
--- a/regress/sim/sim.c
+++ b/regress/sim/sim.c
@@ -8,7 +8,8 @@
  *     for its version.
  *
  * 4 s after all faults ended every node must hold the newest version and be
- * ready; 12 s later all nodes must form one tree and know all members.
+ * ready; 12 s later all nodes must form one tree, know all members and the
+ * same crashes of targets.
  *
  * With -c it runs a cold start instead: see cold.c.
  *
@@ -449,6 +450,44 @@
     }
 }
 
+/* Records a crash of a target at a node, three under each request. */
+static void
+record_crash(void)
+{
+    SimNode *nd = &sim.node[sim.events * 7 % sim.nodes];
+    JdFingerprint fp = {.word = {sim.events / 3, 0}};
+
+    if (nd->is_alive && !nd->is_frozen) {
+        JdCrashTable_Record(&nd->tree.crashes, &fp, sim.events);
+    }
+}
+
+/* Checks that every node knows as many crashes of each request as the first
+ * one. */
+static void
+check_crashes(void)
+{
+    const JdCrashTable *first = &sim.node[0].tree.crashes;
+    const JdCrashRecord *rec;
+
+    for (unsigned i = 0; i < sim.nodes; i++) {
+        const JdCrashTable *ct = &sim.node[i].tree.crashes;
+
+        if (ct->count != first->count) {
+            Sim_Fail(&sim.node[i], "knows crashes of other requests");
+        }
+        TAILQ_FOREACH(rec, &first->all, link)
+        {
+            const JdCrashRecord *other = JdCrashTable_Find(ct, &rec->request);
+
+            if (other == NULL || JdCrashRecord_CountCrashes(other) !=
+                                     JdCrashRecord_CountCrashes(rec)) {
+                Sim_Fail(&sim.node[i], "knows other crashes of a request");
+            }
+        }
+    }
+}
+
 static void
 init_run(uint64_t seed, unsigned nodes)
 {
@@ -499,6 +538,7 @@
     Sim_RunFor(3 * JD_US_PER_S);
     while (sim.now < FAULTS_END_S * JD_US_PER_S && sim.failure == NULL) {
         inject_event();
+        record_crash();
         Sim_RunFor(random_below(600 * JD_US_PER_MS));
     }
     clear_faults();
@@ -509,6 +549,7 @@
     if (sim.failure == NULL) {
         Sim_RunFor(SINGLE_TREE_S * JD_US_PER_S);
         check_single_tree();
+        check_crashes();
     }
 }
 
