What the target has answered lately is not taken for the cause of its crash

A request that many callers send runs on most targets at any time. Where one poisoned request ends several of them within half a second, it was recorded with each of them, and three such crashes would have refused it on all nodes until an operator cleared it: with no copy running, no answer could clear it any more.

The target's node remembers what it has answered in the last 10 s, in 256 places, and does not record that with a crash. Test: unit/crash, answered lately.

--- a/include/jacinthdyke_crash.h
+++ b/include/jacinthdyke_crash.h
@@ -14,6 +14,12 @@
     uint64_t caller;  /* of the calling service */
 } JdFingerprint;
 
+/* The fingerprint of a request, computed when it is first needed. */
+typedef struct JdLazyFingerprint {
+    JdFingerprint fingerprint;
+    bool is_known;
+} JdLazyFingerprint;
+
 /* Size of the words of a fingerprint as text, with the NUL. */
 #define JD_FINGERPRINT_TEXT_MAX 33
 
@@ -26,6 +32,9 @@
 /* Requests that are remembered. */
 #define JD_CRASH_RECORDS_MAX 1024
 
+/* Places for requests that were answered lately. */
+#define JD_ANSWERED_MAX 256
+
 /* A process of a target that crashed while it was running a request. */
 typedef struct JdCrash {
     uint64_t
@@ -68,9 +77,22 @@
     void *ctx;
 } JdCrashTable;
 
+/* Requests that a target has answered lately.  Of two that share a place, the
+ * later one is remembered. */
+typedef struct JdAnsweredRequests {
+    struct {
+        JdFingerprint request;
+        uint64_t at; /* 0: unused */
+    } place[JD_ANSWERED_MAX];
+} JdAnsweredRequests;
+
 /* Size of a record's crashes as text, with the NUL. */
 #define JD_CRASHES_TEXT_MAX (JD_CRASHES_PER_REQUEST * 33 + 1)
 
+void JdAnsweredRequests_Add(JdAnsweredRequests *ar, const JdFingerprint *fp,
+                            uint64_t now);
+bool JdAnsweredRequests_Has(const JdAnsweredRequests *ar,
+                            const JdFingerprint *fp, uint64_t now);
 uint64_t JdCrash_ProcessId(const char *node, uint64_t started);
 void JdCrashTable_Init(JdCrashTable *ct, JdClock *clk);
 void JdCrashTable_Finish(JdCrashTable *ct);
@@ -82,8 +104,12 @@
                          uint64_t process);
 void JdCrashTable_Clear(JdCrashTable *ct, const JdFingerprint *fp);
 bool JdCrashTable_ClearText(JdCrashTable *ct, const char *request);
-bool JdCrashTable_Suspects(const JdCrashTable *ct, const JdFingerprint *fp);
-bool JdCrashTable_Refuses(JdCrashTable *ct, const JdFingerprint *fp);
+bool JdCrashTable_Suspects(const JdCrashTable *ct, JdLazyFingerprint *lazy,
+                           const Jd__Request *msg);
+bool JdCrashTable_Refuses(JdCrashTable *ct, JdLazyFingerprint *lazy,
+                          const Jd__Request *msg);
+bool JdCrashTable_IsSuspect(const JdCrashTable *ct, const JdFingerprint *fp);
+bool JdCrashTable_IsRefused(JdCrashTable *ct, const JdFingerprint *fp);
 void JdCrashTable_ClearPending(JdCrashTable *ct, JdCrashRecord *rec);
 void JdCrashTable_Prune(JdCrashTable *ct);
 unsigned JdCrashRecord_CountCrashes(const JdCrashRecord *rec);
@@ -95,6 +121,8 @@
                                   size_t crashes_len);
 
 void JdFingerprint_OfRequest(JdFingerprint *fp, const Jd__Request *msg);
+const JdFingerprint *JdLazyFingerprint_Get(JdLazyFingerprint *lazy,
+                                           const Jd__Request *msg);
 bool JdFingerprint_IsCopy(const JdFingerprint *a, const JdFingerprint *b);
 void JdFingerprint_Format(const JdFingerprint *fp,
                           char out[JD_FINGERPRINT_TEXT_MAX]);
--- a/lib/request/crash.c
+++ b/lib/request/crash.c
@@ -17,8 +17,10 @@
 
 /* Time after its last use for which a record is kept: of a request that is
  * refused, and of another one. */
-#define REFUSED_RETENTION (24 * 3600 * JD_US_PER_S)
-#define SUSPECT_RETENTION (3600 * JD_US_PER_S)
+#define REFUSED_RETENTION (JD_US_PER_S * 3600 * 24)
+#define SUSPECT_RETENTION (JD_US_PER_S * 3600)
+/* Time for which an answer shows that a request does not crash the target. */
+#define ANSWER_RETENTION (10 * JD_US_PER_S)
 
 /* Adds one part of a request with its length, so that no two lists of parts
  * look the same. */
@@ -57,6 +59,17 @@
     g_checksum_free(sum);
 }
 
+/* Returns the fingerprint of a request, which must always be the same one. */
+const JdFingerprint *
+JdLazyFingerprint_Get(JdLazyFingerprint *lazy, const Jd__Request *msg)
+{
+    if (!lazy->is_known) {
+        JdFingerprint_OfRequest(&lazy->fingerprint, msg);
+        lazy->is_known = true;
+    }
+    return &lazy->fingerprint;
+}
+
 /* Returns whether two requests are copies of one another. */
 bool
 JdFingerprint_IsCopy(const JdFingerprint *a, const JdFingerprint *b)
@@ -74,6 +87,28 @@
              fp->word[0], fp->word[1]);
 }
 
+/* Remembers that the target has answered a request. */
+void
+JdAnsweredRequests_Add(JdAnsweredRequests *ar, const JdFingerprint *fp,
+                       uint64_t now)
+{
+    size_t i = fp->word[0] % JD_ANSWERED_MAX;
+
+    ar->place[i].request = *fp;
+    ar->place[i].at = now;
+}
+
+/* Returns whether the target has answered a request lately. */
+bool
+JdAnsweredRequests_Has(const JdAnsweredRequests *ar, const JdFingerprint *fp,
+                       uint64_t now)
+{
+    size_t i = fp->word[0] % JD_ANSWERED_MAX;
+
+    return ar->place[i].at != 0 && now - ar->place[i].at < ANSWER_RETENTION &&
+           JdFingerprint_IsCopy(&ar->place[i].request, fp);
+}
+
 /* Returns the id of the target's process that started at `started`, in ms
  * since 1970, beside a node. */
 uint64_t
@@ -391,7 +426,7 @@
 /* Returns whether a target may crash under a request: one has, and none has
  * answered it since. */
 bool
-JdCrashTable_Suspects(const JdCrashTable *ct, const JdFingerprint *fp)
+JdCrashTable_IsSuspect(const JdCrashTable *ct, const JdFingerprint *fp)
 {
     const JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
 
@@ -401,7 +436,7 @@
 
 /* Returns whether a request must not be sent to a target any more. */
 bool
-JdCrashTable_Refuses(JdCrashTable *ct, const JdFingerprint *fp)
+JdCrashTable_IsRefused(JdCrashTable *ct, const JdFingerprint *fp)
 {
     JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
 
@@ -412,6 +447,26 @@
     return true;
 }
 
+/* As JdCrashTable_IsSuspect, for a request whose fingerprint is not computed
+ * while the table is empty. */
+bool
+JdCrashTable_Suspects(const JdCrashTable *ct, JdLazyFingerprint *lazy,
+                      const Jd__Request *msg)
+{
+    return ct->count > 0 &&
+           JdCrashTable_IsSuspect(ct, JdLazyFingerprint_Get(lazy, msg));
+}
+
+/* As JdCrashTable_IsRefused, for a request whose fingerprint is not computed
+ * while the table is empty. */
+bool
+JdCrashTable_Refuses(JdCrashTable *ct, JdLazyFingerprint *lazy,
+                     const Jd__Request *msg)
+{
+    return ct->count > 0 &&
+           JdCrashTable_IsRefused(ct, JdLazyFingerprint_Get(lazy, msg));
+}
+
 static bool
 has_expired(const JdCrashRecord *rec, uint64_t now)
 {
@@ -510,20 +565,19 @@
 JdCrashTable_Parse(JdCrashTable *ct, const char *request, size_t request_len,
                    const char *crashes, size_t crashes_len)
 {
+    JdFingerprint fp = {.caller = 0};
     uint64_t pair[2];
-    JdFingerprint fp;
 
     if (!parse_pair(request, request_len, fp.word) ||
         !is_crash_list(crashes, crashes_len)) {
         return NULL;
     }
     for (size_t at = 0; at < crashes_len; at += CRASH_TEXT_LEN) {
-        JdCrash crash = {.is_cleared = false};
+        if (parse_pair(crashes + at, CRASH_TEXT_LEN - 1, pair)) {
+            JdCrash crash = {.process = pair[0], .caller = pair[1]};
 
-        parse_pair(crashes + at, CRASH_TEXT_LEN - 1, pair);
-        crash.process = pair[0];
-        crash.caller = pair[1];
-        JdCrashTable_Add(ct, &fp, &crash, 0);
+            JdCrashTable_Add(ct, &fp, &crash, 0);
+        }
     }
     return JdCrashTable_Find(ct, &fp);
 }
@@ -534,7 +588,7 @@
 JdCrashTable_ClearText(JdCrashTable *ct, const char *request)
 {
     JdCrashRecord *rec;
-    JdFingerprint fp;
+    JdFingerprint fp = {.caller = 0};
 
     if (!parse_pair(request, strlen(request), fp.word)) {
         return false;
--- a/node/node.h
+++ b/node/node.h
@@ -144,8 +144,9 @@
     JdUnansweredRequest unanswered[JD_UNANSWERED_MAX]; /* ring */
     unsigned next_unanswered;
     uint64_t answered_at; /* time of the target's last answer */
-    uint64_t noticed_at;  /* time of the last sign of a crash */
-    uint64_t crashed_at;  /* wall clock, us, of the last crash */
+    JdAnsweredRequests answered;
+    uint64_t noticed_at; /* time of the last sign of a crash */
+    uint64_t crashed_at; /* wall clock, us, of the last crash */
 } JdTargetCrashes;
 
 typedef struct JdNode {
@@ -275,7 +276,8 @@
                                const JdHttpResponse *ans);
 
 /* targets/crash.c: crashes of the local target */
-void JdTargetCrash_OnAnswer(JdNode *nd);
+void JdTargetCrash_OnAnswer(JdNode *nd, const JdFingerprint *fp,
+                            const JdHttpResponse *ans);
 void JdTargetCrash_OnUnanswered(JdNode *nd, const Jd__Request *msg,
                                 uint64_t started);
 void JdTargetCrash_OnReplaced(JdNode *nd);
--- a/operator/explain.c
+++ b/operator/explain.c
@@ -58,13 +58,11 @@
         "the log did not accept the claim of its idempotency key",
     [JD_REASON_RATE_LIMITED] =
         "every target that was tried had reached the rate limit that it names",
-    [JD_REASON_CRASHES] =
-        "targets crashed while they ran this request or copies of it",
-    [JD_REASON_ISOLATED] = "a target that ran it crashed, and each one that "
-                           "was tried was running "
-                           "another such request",
+    [JD_REASON_CRASHES] = "targets crashed under it or copies of it",
+    [JD_REASON_ISOLATED] =
+        "a target crashed under it, and others ran a request like it",
     [JD_REASON_COPY_RUNS] =
-        "a target that ran it crashed, and a copy of it was running",
+        "a target crashed under it, and a copy of it was running",
 };
 
 static const char *
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -185,106 +185,6 @@
 
 /* ---- attempts ---------------------------------------------------------- */
 
-/* Returns the retry budget of a service; a new one is full. */
-static JdRetryBudget *
-get_budget(JdNode *nd, const char *service)
-{
-    JdRetryBudget *bg = g_hash_table_lookup(nd->retry_budgets, service);
-
-    if (bg == NULL) {
-        bg = g_new0(JdRetryBudget, 1);
-        JdRetryBudget_Init(bg);
-        g_hash_table_insert(nd->retry_budgets, g_strdup(service), bg);
-    }
-    return bg;
-}
-
-/* Returns whether the request may run more than once: its route says so, or
- * its method is safe. */
-static bool
-is_idempotent(const JdCall *call)
-{
-    const char *m = call->msg->method;
-
-    return call->route.is_idempotent || strcmp(m, "GET") == 0 ||
-           strcmp(m, "HEAD") == 0 || strcmp(m, "OPTIONS") == 0;
-}
-
-/* Returns the fingerprint of the request, or NULL while no request is known
- * under which a target crashed. */
-static const JdFingerprint *
-get_fingerprint(JdCall *call)
-{
-    if (call->node->tree.crashes.count == 0) {
-        return NULL;
-    }
-    if (!call->has_fingerprint) {
-        JdFingerprint_OfRequest(&call->fingerprint, call->msg);
-        call->has_fingerprint = true;
-    }
-    return &call->fingerprint;
-}
-
-/* Returns whether targets have crashed so often under the request that it is
- * sent to none any more. */
-static bool
-crashes_targets(JdCall *call)
-{
-    const JdFingerprint *fp = get_fingerprint(call);
-
-    return fp != NULL && JdCrashTable_Refuses(&call->node->tree.crashes, fp);
-}
-
-/* Returns whether a target has crashed under the request. */
-static bool
-may_crash_targets(JdCall *call)
-{
-    const JdFingerprint *fp = get_fingerprint(call);
-
-    return fp != NULL && JdCrashTable_Suspects(&call->node->tree.crashes, fp);
-}
-
-/* Returns whether the route allows one more attempt.  Attempts that failed
- * before they reached a target do not count towards its limit. */
-static bool
-has_attempts_left(const JdCall *call)
-{
-    return call->attempt_count < JD_ATTEMPTS_MAX &&
-           call->failed_sent_count + call->active_count < call->route.attempts;
-}
-
-/*
- * Returns whether the request may be sent to another target after an attempt
- * failed for `reason`; if so, the retry is charged to the budget and counted.
- */
-static bool
-take_retry(JdCall *call, JdReason reason, bool was_sent)
-{
-    const JdReasonInfo *info = JdReason_Info(reason);
-    JdNode *nd = call->node;
-
-    if (!info->is_retryable || !has_attempts_left(call) || call->req == NULL ||
-        JdClock_Now(&nd->loop.clock) >= call->deadline) {
-        return false;
-    }
-    if (!info->is_not_executed && !is_idempotent(call)) {
-        return false;
-    }
-    if (crashes_targets(call)) {
-        return false;
-    }
-    /* An attempt that did not reach a target caused it no work, so the retry
-     * is free. */
-    if (was_sent && !JdRetryBudget_Take(get_budget(nd, call->route.service),
-                                        call->msg->priority)) {
-        nd->counters.value[JD_C_REFUSED_RETRY_BUDGET]++;
-        return false;
-    }
-    nd->counters.value[info->is_not_executed ? JD_C_RETRIES_NOT_RUN
-                                             : JD_C_RETRIES_IDEMPOTENT]++;
-    return true;
-}
-
 static void
 log_failed_attempt(const JdAttempt *att, const JdAttemptFailure *failure)
 {
@@ -320,6 +220,9 @@
         (call->retry_after_ms == 0 || retry_after_ms < call->retry_after_ms)) {
         call->retry_after_ms = retry_after_ms;
     }
+    if (failure->reason == JD_REASON_CRASHES) {
+        call->retry_after_ms = 0;
+    }
 }
 
 /*
@@ -341,7 +244,7 @@
         return;
     }
     JdTimer_Cancel(&call->node->loop.clock, &call->hedge_timer);
-    if (!take_retry(call, failure->reason, failure->was_sent)) {
+    if (!JdRetry_Take(call, failure->reason, failure->was_sent)) {
         refuse_call(call, failure->reason);
         return;
     }
@@ -394,7 +297,8 @@
 {
     JdCall *call = ctx;
 
-    if (!may_crash_targets(call) && take_retry(call, JD_REASON_BROKEN, true)) {
+    if (!JdRetry_MayCrashTargets(call) &&
+        JdRetry_Take(call, JD_REASON_BROKEN, true)) {
         try_next_target(call);
     }
 }
@@ -407,7 +311,7 @@
     uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
     uint64_t delay = HEDGE_DELAY_DEFAULT;
 
-    if (!is_idempotent(call) || !has_attempts_left(call)) {
+    if (!JdRetry_IsIdempotent(call) || !JdRetry_HasAttemptsLeft(call)) {
         return;
     }
     if (ts != NULL && ts->mean_latency > 0) {
@@ -472,9 +376,10 @@
     JdExcludedTargets avoid = {call->target_ids, call->attempt_count,
                                call->full_count};
 
-    if (may_crash_targets(call)) {
+    if (JdRetry_MayCrashTargets(call)) {
         return JdBalancer_PickPinned(lb, call->route.endpoint_set, &avoid,
-                                     call->fingerprint.word[0], tier);
+                                     call->fingerprint.fingerprint.word[0],
+                                     tier);
     }
     return JdBalancer_Pick(lb, call->route.endpoint_set, &avoid,
                            time_until_latency_goal(call), tier);
@@ -508,7 +413,7 @@
     if (tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUESTS_CROSS_REGION]++;
     }
-    rconn = JdRequestConn_Get(nd, mb, !is_idempotent(call));
+    rconn = JdRequestConn_Get(nd, mb, !JdRetry_IsIdempotent(call));
     if (rconn == NULL) {
         JdForward_AttemptFailed(att, &down);
         return;
@@ -520,7 +425,7 @@
 static void
 try_next_target(JdCall *call)
 {
-    if (!crashes_targets(call)) {
+    if (!JdRetry_CrashesTargets(call)) {
         send_to_next_target(call);
     }
     else if (call->active_count == 0) {
@@ -552,13 +457,11 @@
 static void
 learn_crash(JdCall *call, uint64_t process)
 {
-    if (process == 0) {
-        return;
+    if (process != 0) {
+        JdCrashTable_Record(
+            &call->node->tree.crashes,
+            JdLazyFingerprint_Get(&call->fingerprint, call->msg), process);
     }
-    JdFingerprint_OfRequest(&call->fingerprint, call->msg);
-    call->has_fingerprint = true;
-    JdCrashTable_Record(&call->node->tree.crashes, &call->fingerprint,
-                        process);
 }
 
 /* Handles an answer or a refusal by a target's node. */
@@ -622,33 +525,6 @@
     free_call(call);
 }
 
-/*
- * Returns the percentage of the requests for a service that count as retries
- * because the run that makes them is itself a retry.  This node cannot tell
- * calls of the target beside it from those of other callers, so the target's
- * share of retried runs is applied to all of them.  Requests for the target's
- * own service are exempt, as a target hardly ever calls its own service.
- */
-static unsigned
-inherited_retry_percent(const JdNode *nd, const char *service)
-{
-    return strcmp(service, nd->settings.service) == 0
-               ? 0
-               : JdWorker_RetryPercent(nd);
-}
-
-/* Credits the retry budget for the first attempt of a call. */
-static void
-credit_retry_budget(JdNode *nd, const JdRoute *route)
-{
-    JdRetryBudgetParams rate = {
-        .retry_percent = route->retry_percent,
-        .nested_retry_percent = inherited_retry_percent(nd, route->service),
-        .node_count = nd->tree.members.count};
-
-    JdRetryBudget_RecordFirstAttempt(get_budget(nd, route->service), &rate);
-}
-
 /* Starts a call whose request has been checked and copied.  The call is freed
  * when it ends. */
 void
@@ -663,7 +539,7 @@
                 call->deadline - JdClock_Now(&nd->loop.clock));
     TAILQ_INSERT_TAIL(&nd->calls, call, link);
     nd->call_count++;
-    credit_retry_budget(nd, &call->route);
+    JdRetry_RecordCall(nd, &call->route);
     try_next_target(call);
 }
 
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -39,8 +39,7 @@
     JdConfig *config;
     JdRoute route;
     Jd__Request *msg; /* owned */
-    JdFingerprint fingerprint;
-    bool has_fingerprint; /* it has been computed */
+    JdLazyFingerprint fingerprint;
     uint64_t arrived_at;
     uint64_t deadline;
     /* All attempts, in the order in which they began. */
@@ -83,6 +82,14 @@
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
 void JdForward_CallerDisconnected(JdCall *call);
 
+/* retry.c */
+bool JdRetry_IsIdempotent(const JdCall *call);
+bool JdRetry_HasAttemptsLeft(const JdCall *call);
+bool JdRetry_CrashesTargets(JdCall *call);
+bool JdRetry_MayCrashTargets(JdCall *call);
+bool JdRetry_Take(JdCall *call, JdReason reason, bool was_sent);
+void JdRetry_RecordCall(JdNode *nd, const JdRoute *route);
+
 /* lost.c */
 void JdLostAttempt_Add(const JdAttempt *att);
 
--- a/regress/unit/crash.c
+++ b/regress/unit/crash.c
@@ -10,7 +10,9 @@
 #define SEEDS 50U
 #define REPLICAS 4U
 #define EVENTS 200U
-#define FLOOD (5 * JD_CRASH_RECORDS_MAX)
+/* Exchanges after which all replicas know the same. */
+#define ROUNDS 32U
+#define FLOOD (UINT64_C(5) * JD_CRASH_RECORDS_MAX)
 #define OPS 1U /* callers */
 #define KILN 2U
 
@@ -40,13 +42,13 @@
 static bool
 is_refused(JdCrashTable *ct, JdFingerprint fp)
 {
-    return JdCrashTable_Refuses(ct, &fp);
+    return JdCrashTable_IsRefused(ct, &fp);
 }
 
 static bool
 is_suspect(JdCrashTable *ct, JdFingerprint fp)
 {
-    return JdCrashTable_Suspects(ct, &fp);
+    return JdCrashTable_IsSuspect(ct, &fp);
 }
 
 static void
@@ -167,7 +169,7 @@
                 break;
             }
         }
-        for (unsigned i = 0; i < 2 * REPLICAS * REPLICAS; i++) {
+        for (unsigned i = 0; i < ROUNDS; i++) {
             merge(&ct[i % REPLICAS], &ct[i / REPLICAS % REPLICAS]);
         }
         for (unsigned request = 0; request < 4; request++) {
@@ -225,12 +227,12 @@
         crash(&ct, refused, 11 + i);
     }
     crash(&ct, suspect, 21);
-    JdClock_Advance(&clk, 2 * 3600 * JD_US_PER_S);
+    JdClock_Advance(&clk, JD_US_PER_S * 3600 * 2);
     JdCrashTable_Prune(&ct);
     CU_ASSERT_FALSE(is_suspect(&ct, suspect));
     CU_ASSERT_TRUE(is_refused(&ct, refused));
     JdCrashTable_Find(&ct, &refused)->is_listed = true;
-    JdClock_Advance(&clk, 25 * 3600 * JD_US_PER_S);
+    JdClock_Advance(&clk, JD_US_PER_S * 3600 * 25);
     JdCrashTable_Prune(&ct);
     CU_ASSERT_EQUAL(ct.count, 1);
     JdCrashTable_Find(&ct, &refused)->is_listed = false;
@@ -306,6 +308,25 @@
     CU_ASSERT_NOT_EQUAL(fa.word[0], fb.word[0]);
 }
 
+static void
+test_answered_lately(void)
+{
+    static JdAnsweredRequests ar;
+    JdFingerprint fp = make_request(7, OPS);
+    JdFingerprint same_place = make_request(7 + JD_ANSWERED_MAX, OPS);
+    JdFingerprint other_caller = make_request(7, KILN);
+
+    memset(&ar, 0, sizeof(ar));
+    CU_ASSERT_FALSE(JdAnsweredRequests_Has(&ar, &fp, JD_US_PER_S));
+    JdAnsweredRequests_Add(&ar, &fp, JD_US_PER_S);
+    CU_ASSERT_TRUE(JdAnsweredRequests_Has(&ar, &fp, 2 * JD_US_PER_S));
+    CU_ASSERT_FALSE(
+        JdAnsweredRequests_Has(&ar, &other_caller, 2 * JD_US_PER_S));
+    CU_ASSERT_FALSE(JdAnsweredRequests_Has(&ar, &fp, 20 * JD_US_PER_S));
+    JdAnsweredRequests_Add(&ar, &same_place, 2 * JD_US_PER_S);
+    CU_ASSERT_FALSE(JdAnsweredRequests_Has(&ar, &fp, 2 * JD_US_PER_S));
+}
+
 void
 Unit_AddCrash(void)
 {
@@ -322,6 +343,7 @@
                 test_flood_does_not_displace);
     CU_add_test(suite, "refused is kept for a day",
                 test_refused_is_kept_for_a_day);
+    CU_add_test(suite, "answered lately", test_answered_lately);
     CU_add_test(suite, "texts", test_texts);
     CU_add_test(suite, "fingerprints", test_fingerprints);
 }
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -28,6 +28,7 @@
 #define LARGE_BODY (8U << 20)
 /* Limit of a response in the tests of endless ones. */
 #define ENDLESS_LIMIT (1U << 20)
+#define ENDLESS_MOST (16U << 20)
 
 static JdLoop loop;
 
@@ -320,10 +321,10 @@
     start_call(&a, "a");
     fd = accept_connection();
     send_text(fd, head);
-    sent = send_without_end(fd, &a, text, 16 * ENDLESS_LIMIT);
+    sent = send_without_end(fd, &a, text, ENDLESS_MOST);
     CU_ASSERT_EQUAL(a.count, 1);
     CU_ASSERT_EQUAL(a.result, expected);
-    CU_ASSERT(sent < 16 * ENDLESS_LIMIT);
+    CU_ASSERT(sent < ENDLESS_MOST);
     CU_ASSERT_EQUAL(client.buffered, 0);
     CU_ASSERT_EQUAL(client.open_count, 0);
     close(fd);
@@ -381,7 +382,7 @@
         run_rounds();
     }
     CU_ASSERT_EQUAL(a.count, 0);
-    send_without_end(other, &b, part, 16 * ENDLESS_LIMIT);
+    send_without_end(other, &b, part, ENDLESS_MOST);
     CU_ASSERT_EQUAL(b.result, JD_HTTP_TOO_LARGE);
     CU_ASSERT_EQUAL(a.count, 0);
     close(fd);
--- a/targets/crash.c
+++ b/targets/crash.c
@@ -12,6 +12,8 @@
 /* A request that was cancelled this long before the last answer may still have
  * been running when the target crashed. */
 #define RUN_ON_TIME JD_US_PER_S
+/* HTTP statuses of errors begin here. */
+#define ERROR_STATUS_MIN 400
 
 /* Returns the id of the target's process that started at `started`.  One that
  * sends no heartbeats is told by the time of its crash. */
@@ -49,14 +51,16 @@
            JD_NUMBER("started", started), JD_NUMBER("requests", count));
 }
 
-/* Returns whether the target's process `started` was running a request when it
- * crashed: it has answered nothing since, or hardly anything. */
+/* Returns whether a request may have crashed the target's process `started`:
+ * it was running then, as little or nothing was answered since, and no copy
+ * was answered lately. */
 static bool
-was_running(const JdTargetCrashes *tc, const JdUnansweredRequest *un,
-            uint64_t started)
+may_be_cause(const JdTargetCrashes *tc, const JdUnansweredRequest *un,
+             uint64_t started)
 {
     return un->is_used && un->process == started &&
-           un->ended_at + RUN_ON_TIME > tc->answered_at;
+           un->ended_at + RUN_ON_TIME > tc->answered_at &&
+           !JdAnsweredRequests_Has(&tc->answered, &un->request, un->ended_at);
 }
 
 /* The target's process that started at `started` has crashed. */
@@ -73,7 +77,7 @@
     for (unsigned i = 0; i < JD_UNANSWERED_MAX; i++) {
         JdUnansweredRequest *un = &tc->unanswered[i];
 
-        if (was_running(tc, un, started)) {
+        if (may_be_cause(tc, un, started)) {
             JdCrashTable_Record(&nd->tree.crashes, &un->request,
                                 get_process_id(nd, started));
             log_request(nd, un);
@@ -88,11 +92,19 @@
     }
 }
 
-/* The target answered a request. */
+/* The target answered a request.  If it has run it to its end, it does not
+ * crash under it; an error does not show that. */
 void
-JdTargetCrash_OnAnswer(JdNode *nd)
+JdTargetCrash_OnAnswer(JdNode *nd, const JdFingerprint *fp,
+                       const JdHttpResponse *ans)
 {
-    nd->target_crashes.answered_at = JdClock_Now(&nd->loop.clock);
+    JdTargetCrashes *tc = &nd->target_crashes;
+
+    tc->answered_at = JdClock_Now(&nd->loop.clock);
+    if (ans->status < ERROR_STATUS_MIN) {
+        JdAnsweredRequests_Add(&tc->answered, fp, tc->answered_at);
+        JdCrashTable_Clear(&nd->tree.crashes, fp);
+    }
 }
 
 /* A request that was sent to the target's process `started` ended without an
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -5,7 +5,7 @@
  */
 #include <string.h>
 
-#include "../node/node.h"
+#include "work_item.h"
 
 /* Largest response in bytes, and the bytes of all that arrive at a time: a
  * target in trouble may send bytes without end. */
@@ -17,28 +17,6 @@
 /* Time for the target to notice that a request was cancelled. */
 #define CANCEL_GRACE (100 * JD_US_PER_MS)
 
-/* One request at the target's node, from admission to its response. */
-struct JdWorkItem {
-    TAILQ_ENTRY(JdWorkItem) link;
-    JdWork work; /* admission's view of this request */
-    JdNode *node;
-    Jd__Request *msg;
-    JdConn *origin; /* NULL: the caller is connected to this node */
-    JdHttpCall *call;
-    JdClaim claim;   /* of the idempotency key, if the route requires one */
-    JdReason reason; /* of a refusal that is sent later */
-    JdTimer timer;   /* on_not_sent or on_grace_over */
-    JdFingerprint fingerprint;
-    bool has_fingerprint; /* it has been computed */
-    uint64_t submitted_at;
-    uint64_t target_started; /* process that it was sent to, 0: unknown */
-    bool was_sent;           /* the target may have received it */
-    bool is_orphan;          /* nobody waits for the response any more */
-    /* Broken off; the response waits until it is known whether the target has
-     * crashed. */
-    bool is_checking;
-};
-
 static JdWorkItem *
 item_from_claim(JdClaim *claim)
 {
@@ -51,8 +29,9 @@
     return (JdWorkItem *)((char *)work - offsetof(JdWorkItem, work));
 }
 
-static void
-free_item(JdWorkItem *it)
+/* Frees a request that occupies neither a slot nor a place in the queue. */
+void
+JdWorkItem_Free(JdWorkItem *it)
 {
     TAILQ_REMOVE(&it->node->work_items, it, link);
     jd__request__free_unpacked(it->msg, NULL);
@@ -69,7 +48,7 @@
     if (!it->is_orphan) {
         JdTargetResponse_Refuse(it->node, it->msg, it->origin, &refusal);
     }
-    free_item(it);
+    JdWorkItem_Free(it);
 }
 
 /*
@@ -108,30 +87,6 @@
  * error may come sooner than a successful response takes. */
 #define HTTP_ERROR_MIN 400
 
-/* Records what the end of a request says of the target's process. */
-static void
-record_end(JdWorkItem *it, JdHttpResult result)
-{
-    JdNode *nd = it->node;
-
-    switch (result) {
-    case JD_HTTP_COMPLETED:
-        JdTargetCrash_OnAnswer(nd);
-        break;
-    case JD_HTTP_NOT_SENT:
-        JdTargetCrash_Check(nd);
-        break;
-    case JD_HTTP_DISCONNECTED:
-        JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
-        it->is_checking = true;
-        JdTargetCrash_Check(nd);
-        break;
-    default:
-        JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
-        break;
-    }
-}
-
 /* Frees the slot of a finished request.  Its service time is added to the
  * estimates if `is_typical`. */
 static void
@@ -159,88 +114,6 @@
     JdAdmission_RecordAbort(&nd->admit, &it->work);
 }
 
-/* Returns the fingerprint of the request, or NULL while no request is known
- * under which a target crashed. */
-static const JdFingerprint *
-get_fingerprint(JdWorkItem *it)
-{
-    if (it->node->tree.crashes.count == 0) {
-        return NULL;
-    }
-    if (!it->has_fingerprint) {
-        JdFingerprint_OfRequest(&it->fingerprint, it->msg);
-        it->has_fingerprint = true;
-    }
-    return &it->fingerprint;
-}
-
-/* The target has run a request to its end, so that it does not crash it.  An
- * error does not show that it ran as far as in the other cases. */
-static void
-clear_crashes(JdWorkItem *it, const JdHttpResponse *ans)
-{
-    const JdFingerprint *fp = get_fingerprint(it);
-
-    if (fp != NULL && ans->status < HTTP_ERROR_MIN) {
-        JdCrashTable_Clear(&it->node->tree.crashes, fp);
-    }
-}
-
-/* Returns whether a target has crashed under the request. */
-static bool
-may_crash_target(JdWorkItem *it)
-{
-    const JdFingerprint *fp = get_fingerprint(it);
-
-    return fp != NULL && JdCrashTable_Suspects(&it->node->tree.crashes, fp);
-}
-
-/* Returns another running request under which a target has crashed, or NULL; a
- * copy of this one if there is one. */
-static const JdWorkItem *
-find_other_suspect(const JdWorkItem *it)
-{
-    const JdWorkItem *found = NULL;
-    JdWorkItem *other;
-
-    TAILQ_FOREACH(other, &it->node->work_items, link)
-    {
-        if (other == it || other->call == NULL || !may_crash_target(other)) {
-            continue;
-        }
-        if (JdFingerprint_IsCopy(&other->fingerprint, &it->fingerprint)) {
-            return other;
-        }
-        found = other;
-    }
-    return found;
-}
-
-/*
- * Decides whether a request may run, by the crashes that are known.  Requests
- * under which targets crashed do not run beside one another, as the next crash
- * would not tell which of them is the cause.
- */
-static JdReason
-check_crashes(JdWorkItem *it)
-{
-    const JdWorkItem *other;
-
-    if (!may_crash_target(it)) {
-        return JD_REASON_NONE;
-    }
-    if (JdCrashTable_Refuses(&it->node->tree.crashes, get_fingerprint(it))) {
-        return JD_REASON_CRASHES;
-    }
-    other = find_other_suspect(it);
-    if (other == NULL) {
-        return JD_REASON_NONE;
-    }
-    return JdFingerprint_IsCopy(&other->fingerprint, &it->fingerprint)
-               ? JD_REASON_COPY_RUNS
-               : JD_REASON_ISOLATED;
-}
-
 static void
 on_response(void *ctx, const JdHttpResponse *ans)
 {
@@ -250,7 +123,7 @@
 
     it->call = NULL;
     it->was_sent = ans->result != JD_HTTP_NOT_SENT;
-    record_end(it, ans->result);
+    JdWorkItem_RecordEnd(it, ans);
     JdTargetNotice_OnResponse(nd, it->target_started, it->work.started_at,
                               ans);
     JdLatencies_Record(&nd->latencies, JD_LATENCY_TARGET, it->msg->service,
@@ -275,9 +148,8 @@
         return;
     }
     if (reason == JD_REASON_NONE) {
-        clear_crashes(it, ans);
         JdTargetResponse_Relay(nd, it->msg->id, it->origin, ans);
-        free_item(it);
+        JdWorkItem_Free(it);
     }
     else if (JdReason_Info(reason)->is_not_executed) {
         refuse_not_run(it, reason);
@@ -326,7 +198,7 @@
     JdLatencies_Record(&nd->latencies, JD_LATENCY_QUEUE, it->msg->service,
                        "started", now - it->submitted_at);
 
-    it->reason = check_crashes(it);
+    it->reason = JdWorkItem_CheckCrashes(it);
     if (it->claim.key[0] != '\0' &&
         !JdClaims_IsUsable(&nd->claims, &it->claim)) {
         it->reason = JD_REASON_CLAIM_FAILED;
@@ -369,7 +241,7 @@
 admit_item(JdWorkItem *it)
 {
     bool has_slot = JdAdmission_HasFreeSlot(&it->node->admit);
-    JdReason reason = check_crashes(it);
+    JdReason reason = JdWorkItem_CheckCrashes(it);
 
     if (reason == JD_REASON_NONE) {
         reason = JdAdmission_Offer(&it->node->admit, &it->work);
@@ -528,7 +400,7 @@
     JdWorkItem *it = ctx;
 
     JdAdmission_FreeSlot(&it->node->admit, &it->work, false);
-    free_item(it);
+    JdWorkItem_Free(it);
 }
 
 /*
@@ -581,7 +453,7 @@
         return;
     }
     JdTimer_Cancel(&it->node->loop.clock, &it->timer);
-    free_item(it);
+    JdWorkItem_Free(it);
 }
 
 /* Cancels the request with an id on a connection, or for NULL of a caller of
@@ -621,51 +493,6 @@
     }
 }
 
-/* Returns a request whose response waits for the check of the target, or NULL.
- */
-static JdWorkItem *
-find_checking(const JdNode *nd)
-{
-    JdWorkItem *it;
-
-    TAILQ_FOREACH(it, &nd->work_items, link)
-    {
-        if (it->is_checking) {
-            return it;
-        }
-    }
-    return NULL;
-}
-
-/* It is known whether the target has crashed: 0, or the process that has.
- * Sends the responses that waited for it. */
-void
-JdWorker_OnTargetChecked(JdNode *nd, uint64_t crashed_process)
-{
-    JdTargetRefusal refusal = {JD_REASON_BROKEN, true, crashed_process};
-    JdWorkItem *it;
-
-    while ((it = find_checking(nd)) != NULL) {
-        it->is_checking = false;
-        JdTargetResponse_Refuse(nd, it->msg, it->origin, &refusal);
-        free_item(it);
-    }
-}
-
-/* Records the requests that the target is running as unanswered. */
-void
-JdWorker_RecordUnanswered(JdNode *nd)
-{
-    const JdWorkItem *it;
-
-    TAILQ_FOREACH(it, &nd->work_items, link)
-    {
-        if (it->call != NULL) {
-            JdTargetCrash_OnUnanswered(nd, it->msg, it->target_started);
-        }
-    }
-}
-
 /*
  * Returns the percentage of retries among the requests that run at the target.
  * A retried run repeats its calls to other services, so the same share of the
