--- a/regress/unit/crash.c
+++ b/regress/unit/crash.c
@@ -190,6 +190,26 @@
     }
 }
 
+/* What came over two links before it was forwarded goes to both. */
+static void
+test_changes_of_two_links(void)
+{
+    JdFingerprint fp = make_request(7, OPS);
+    JdCrash first = {.process = 11, .caller = OPS};
+    JdCrash second = {.process = 12, .caller = OPS};
+    const JdCrashRecord *rec;
+    JdCrashTable ct;
+
+    start(&ct);
+    JdCrashTable_Add(&ct, &fp, &first, 1);
+    rec = TAILQ_FIRST(&ct.pending);
+    CU_ASSERT_EQUAL(rec->source_link, 1);
+    JdCrashTable_Add(&ct, &fp, &second, 2);
+    CU_ASSERT_EQUAL(rec->source_link, 0);
+    CU_ASSERT_PTR_NULL(TAILQ_NEXT(rec, pending_link));
+    JdCrashTable_Finish(&ct);
+}
+
 static void
 test_flood_does_not_displace(void)
 {
@@ -339,6 +359,7 @@
     CU_add_test(suite, "answer clears the caller",
                 test_answer_clears_the_caller);
     CU_add_test(suite, "replicas agree", test_replicas_agree);
+    CU_add_test(suite, "changes of two links", test_changes_of_two_links);
     CU_add_test(suite, "flood does not displace",
                 test_flood_does_not_displace);
     CU_add_test(suite, "refused is kept for a day",
