Count a crashed process once, whoever's copies it was running

A process that ended under copies of two callers counted twice towards the three crashes after which a request is refused, so that two crashes could be enough. Found on reading. unit/crash: process counts once.

--- a/lib/request/crash.c
+++ b/lib/request/crash.c
@@ -183,14 +183,29 @@
     return g_hash_table_lookup(ct->by_request, fp);
 }
 
-/* Returns the number of crashes of a request that are not cleared. */
+/* Returns whether the process of a crash stands before it in a record, with
+ * another caller, as a crash that is not cleared. */
+static bool
+is_counted_before(const JdCrashRecord *rec, unsigned index)
+{
+    for (unsigned i = 0; i < index; i++) {
+        if (!rec->crash[i].is_cleared &&
+            rec->crash[i].process == rec->crash[index].process) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the number of processes that crashed under a request, with any
+ * caller, and are not cleared. */
 unsigned
 JdCrashRecord_CountCrashes(const JdCrashRecord *rec)
 {
     unsigned n = 0;
 
     for (unsigned i = 0; i < rec->crash_count; i++) {
-        n += !rec->crash[i].is_cleared;
+        n += !rec->crash[i].is_cleared && !is_counted_before(rec, i);
     }
     return n;
 }
--- a/regress/unit/crash.c
+++ b/regress/unit/crash.c
@@ -90,6 +90,24 @@
     JdCrashTable_Finish(&ct);
 }
 
+/* Copies of two callers that ran at the same processes do not make the crashes
+ * more. */
+static void
+test_process_counts_once(void)
+{
+    JdCrashTable ct;
+
+    start(&ct);
+    for (unsigned i = 0; i < 2; i++) {
+        crash(&ct, make_request(7, OPS), 11 + i);
+        crash(&ct, make_request(7, KILN), 11 + i);
+    }
+    CU_ASSERT_FALSE(is_refused(&ct, make_request(7, OPS)));
+    crash(&ct, make_request(7, OPS), 13);
+    CU_ASSERT_TRUE(is_refused(&ct, make_request(7, OPS)));
+    JdCrashTable_Finish(&ct);
+}
+
 static void
 test_answer_clears_the_caller(void)
 {
@@ -356,6 +374,7 @@
                 test_refused_after_three_crashes);
     CU_add_test(suite, "other caller is judged by itself",
                 test_other_caller_is_judged_by_itself);
+    CU_add_test(suite, "process counts once", test_process_counts_once);
     CU_add_test(suite, "answer clears the caller",
                 test_answer_clears_the_caller);
     CU_add_test(suite, "replicas agree", test_replicas_agree);
