Fingerprints and the text of crash records in files of their own

lib/request/crash.c had three jobs. Only moves: the fingerprints of requests and those answered lately to fingerprint.c, the texts for the source and for operators to crash_text.c; JdCrashTable_ClearText calls what it did itself. No decision is changed; unit, e2e/crashing-request and e2e/crashing-request-restarts pass.

--- a/include/jacinthdyke_crash.h
+++ b/include/jacinthdyke_crash.h
@@ -5,7 +5,7 @@
 #ifndef JACINTHDYKE_CRASH_H
 #define JACINTHDYKE_CRASH_H
 
-/* ---- crash.c: requests that crash targets ------------------------------ */
+/* ---- fingerprint.c, crash.c, crash_text.c: requests that crash targets -- */
 
 /* Identifies a request by what a target gets of it, whoever takes it and
  * whatever its id is. */
--- a/lib/libjd.h
+++ b/lib/libjd.h
@@ -22,6 +22,9 @@
 void _JdDigest_Remove(JdDigest *dig, JdTable table, const char *name,
                       json_t *val);
 
+/* crash.c */
+bool _JdCrashTable_ClearAll(JdCrashTable *ct, const JdFingerprint *fp);
+
 /* choice.c */
 JdTargetStats *_JdBalancer_TargetStats(const JdBalancer *lb, JdMember *mb);
 bool _JdBalancer_IsEjected(const JdBalancer *lb, const JdTargetStats *ts);
--- a/lib/request/crash.c
+++ b/lib/request/crash.c
@@ -6,9 +6,6 @@
  * not tell its cause.  A target that answers one clears the crashes that were
  * recorded of it: it may run again.
  */
-#include <inttypes.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -19,95 +16,6 @@
  * refused, and of another one. */
 #define REFUSED_RETENTION (JD_US_PER_S * 3600 * 24)
 #define SUSPECT_RETENTION (JD_US_PER_S * 3600)
-/* Time for which an answer shows that a request does not crash the target. */
-#define ANSWER_RETENTION (10 * JD_US_PER_S)
-
-/* Adds one part of a request with its length, so that no two lists of parts
- * look the same. */
-static void
-add_part(GChecksum *sum, const void *data, size_t len)
-{
-    uint64_t n = len;
-
-    g_checksum_update(sum, (const guchar *)&n, sizeof(n));
-    if (len > 0) {
-        g_checksum_update(sum, data, (gssize)len);
-    }
-}
-
-static void
-add_text(GChecksum *sum, const char *text)
-{
-    add_part(sum, text, strlen(text));
-}
-
-/* Computes the fingerprint of a request. */
-void
-JdFingerprint_OfRequest(JdFingerprint *fp, const Jd__Request *msg)
-{
-    GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
-    guint8 digest[32];
-    gsize n = sizeof(digest);
-
-    add_text(sum, msg->method);
-    add_text(sum, msg->host);
-    add_text(sum, msg->path);
-    add_part(sum, msg->body.data, msg->body.len);
-    g_checksum_get_digest(sum, digest, &n);
-    memcpy(fp->word, digest, sizeof(fp->word));
-    fp->caller = _Jd_HashText(msg->caller_service, 0);
-    g_checksum_free(sum);
-}
-
-/* Returns the fingerprint of a request, which must always be the same one. */
-const JdFingerprint *
-JdLazyFingerprint_Get(JdLazyFingerprint *lazy, const Jd__Request *msg)
-{
-    if (!lazy->is_known) {
-        JdFingerprint_OfRequest(&lazy->fingerprint, msg);
-        lazy->is_known = true;
-    }
-    return &lazy->fingerprint;
-}
-
-/* Returns whether two requests are copies of one another. */
-bool
-JdFingerprint_IsCopy(const JdFingerprint *a, const JdFingerprint *b)
-{
-    return a->caller == b->caller &&
-           memcmp(a->word, b->word, sizeof(a->word)) == 0;
-}
-
-/* Formats the words of a fingerprint as 32 hexadecimal digits. */
-void
-JdFingerprint_Format(const JdFingerprint *fp,
-                     char out[JD_FINGERPRINT_TEXT_MAX])
-{
-    snprintf(out, JD_FINGERPRINT_TEXT_MAX, "%016" PRIx64 "%016" PRIx64,
-             fp->word[0], fp->word[1]);
-}
-
-/* Remembers that the target has answered a request. */
-void
-JdAnsweredRequests_Add(JdAnsweredRequests *ar, const JdFingerprint *fp,
-                       uint64_t now)
-{
-    size_t i = fp->word[0] % JD_ANSWERED_MAX;
-
-    ar->place[i].request = *fp;
-    ar->place[i].at = now;
-}
-
-/* Returns whether the target has answered a request lately. */
-bool
-JdAnsweredRequests_Has(const JdAnsweredRequests *ar, const JdFingerprint *fp,
-                       uint64_t now)
-{
-    size_t i = fp->word[0] % JD_ANSWERED_MAX;
-
-    return ar->place[i].at != 0 && now - ar->place[i].at < ANSWER_RETENTION &&
-           JdFingerprint_IsCopy(&ar->place[i].request, fp);
-}
 
 /* Returns the id of the target's process that started at `started`, in ms
  * since 1970, beside a node. */
@@ -508,107 +416,13 @@
     }
 }
 
-/* ---- as text ----------------------------------------------------------- */
-
-/* Digits of a number, and of the two numbers of a crash with the space that
- * follows it. */
-#define WORD_DIGITS 16
-#define CRASH_TEXT_LEN (2 * WORD_DIGITS + 1)
-
-/* Formats the crashes of a record that are not cleared: process and caller of
- * each as hexadecimal numbers, separated by spaces.  Empty if there are none.
- */
-void
-JdCrashRecord_Format(const JdCrashRecord *rec, char out[JD_CRASHES_TEXT_MAX])
-{
-    size_t n = 0;
-
-    out[0] = '\0';
-    for (unsigned i = 0; i < rec->crash_count; i++) {
-        const JdCrash *crash = &rec->crash[i];
-
-        if (!crash->is_cleared) {
-            n += (size_t)snprintf(out + n, JD_CRASHES_TEXT_MAX - n,
-                                  "%s%016" PRIx64 "%016" PRIx64,
-                                  n == 0 ? "" : " ", crash->process,
-                                  crash->caller);
-        }
-    }
-}
-
-/* Reads two numbers of 16 hexadecimal digits each.  Returns false if the text
- * is anything else. */
-static bool
-parse_pair(const char *text, size_t len, uint64_t out[2])
-{
-    if (len != CRASH_TEXT_LEN - 1) {
-        return false;
-    }
-    for (size_t i = 0; i < 2; i++) {
-        char word[WORD_DIGITS + 1] = "";
-
-        memcpy(word, text + i * WORD_DIGITS, WORD_DIGITS);
-        if (strspn(word, "0123456789abcdef") != WORD_DIGITS) {
-            return false;
-        }
-        out[i] = strtoull(word, NULL, 16);
-    }
-    return true;
-}
-
-/* Returns whether a text has the form of JdCrashRecord_Format. */
-static bool
-is_crash_list(const char *text, size_t len)
-{
-    uint64_t pair[2];
-
-    for (size_t at = 0; at < len; at += CRASH_TEXT_LEN) {
-        bool is_last = len - at < CRASH_TEXT_LEN;
-
-        if (!parse_pair(text + at, is_last ? len - at : CRASH_TEXT_LEN - 1,
-                        pair) ||
-            (!is_last && text[at + CRASH_TEXT_LEN - 1] != ' ')) {
-            return false;
-        }
-    }
-    return len > 0 && len < JD_CRASHES_TEXT_MAX;
-}
-
-/* Adds the crashes of a request from the texts of its fingerprint and of a
- * record.  Returns its record, or NULL if a text is malformed. */
-JdCrashRecord *
-JdCrashTable_Parse(JdCrashTable *ct, const char *request, size_t request_len,
-                   const char *crashes, size_t crashes_len)
-{
-    JdFingerprint fp = {.caller = 0};
-    uint64_t pair[2];
-
-    if (!parse_pair(request, request_len, fp.word) ||
-        !is_crash_list(crashes, crashes_len)) {
-        return NULL;
-    }
-    for (size_t at = 0; at < crashes_len; at += CRASH_TEXT_LEN) {
-        if (parse_pair(crashes + at, CRASH_TEXT_LEN - 1, pair)) {
-            JdCrash crash = {.process = pair[0], .caller = pair[1]};
-
-            JdCrashTable_Add(ct, &fp, &crash, 0);
-        }
-    }
-    return JdCrashTable_Find(ct, &fp);
-}
-
-/* Clears the crashes of a request, given as text, with all callers.  Returns
- * false if there are none. */
+/* Clears the crashes of a request with all callers.  Returns false if there
+ * are none. */
 bool
-JdCrashTable_ClearText(JdCrashTable *ct, const char *request)
+_JdCrashTable_ClearAll(JdCrashTable *ct, const JdFingerprint *fp)
 {
-    JdCrashRecord *rec;
-    JdFingerprint fp = {.caller = 0};
+    JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
 
-    if (!parse_pair(request, strlen(request), fp.word)) {
-        return false;
-    }
-    rec = JdCrashTable_Find(ct, &fp);
     if (rec == NULL || JdCrashRecord_CountCrashes(rec) == 0) {
         return false;
     }
