Tests of crashing requests wait for the third crash

The test was wrong to take 20 copies within a second for enough: copies run one at a time at one target once a target has crashed, the others are refused, and each restart takes a second, so that the number of crashes in a second depends on the load. It now sends copies until three workers have crashed, and so does e2e/crashing-request-restarts; all checks and bounds are as before.

--- a/regress/e2e/crashing-request-cut.sh
+++ b/regress/e2e/crashing-request-cut.sh
@@ -14,8 +14,7 @@
 platform_start_eight 60
 fault_between_regions silence both
 fleet_until 200 has_two_roots || die "the regions are not apart"
-platform_send_copies crash 20 1-1 /kiln/crash
-[ -n "$(platform_third_crash crash)" ] || die "fewer than three crashes"
+platform_crash_three crash 1-1 /kiln/crash
 sleep 3.2
 for n in 3-1 4-1; do
 	platform_send_copies crash 4 $n /kiln/crash
--- a/regress/e2e/crashing-request-restarts.sh
+++ b/regress/e2e/crashing-request-restarts.sh
@@ -11,8 +11,7 @@
 fleet_fault "from=1&to=4&mode=silence"
 fleet_fault "from=2&to=4&mode=silence"
 fleet_fault "from=3&to=4&mode=silence"
-platform_send_copies crash 20 3-2 /kiln/crash
-fleet_until 100 platform_third_crash crash || die "fewer than three crashes"
+platform_crash_three crash 3-2 /kiln/crash
 fleet_kill 2-2 CONT
 fleet_fault mode=none
 sleep 3.2
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -198,6 +198,16 @@
 	cat "$FLEET_DIR"/*.ran | grep " crashed $1[.]" | sort -n | sed -n '3s/ .*//p'
 }
 
+# Sends copies of a request to a node until three workers have crashed.
+platform_crash_three() { # NAME D-I PATH
+	local i
+	for i in $(seq 30); do
+		platform_send_copies "$1" 5 "$2" "$3"
+		[ -z "$(platform_third_crash "$1")" ] || return 0
+	done
+	die "fewer than three crashes"
+}
+
 # Prints how many of the requests whose ids begin with NAME ran at any worker
 # after the time FROM in us.
 platform_copies_since() { # NAME FROM
