The local target and its callers know each other by callbacks

peer/ called the worker and the health of the target, and targets/ called the calls of peer/ back, so that neither could be read, tested or extended without the other. Requests now reach the target by JdLocalTargetOps, its responses leave by JdResponseOps, each with a context pointer; what sends a response to another node is peer/response.c, where a link's room can be kept later. No decision is changed.

--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -43,6 +43,7 @@
     }
     if (s == JD_OK) {
         JdForward_Init(nd);
+        JdResponse_Init(nd);
         s = JdCallerServer_Init(nd, err);
     }
     if (s == JD_OK) {
--- a/node/node.h
+++ b/node/node.h
@@ -110,6 +110,32 @@
 
 typedef struct JdCall JdCall;
 typedef struct JdWorkItem JdWorkItem;
+
+/*
+ * The local target, as other nodes' connections and this node's calls see it.
+ * `origin` is the connection that a request came over, or NULL for a call of
+ * this node.
+ */
+typedef struct JdLocalTargetOps {
+    /* Takes ownership of a request.  JdResponseOps.respond follows, unless the
+     * request is cancelled. */
+    void (*submit)(void *ctx, Jd__Request *msg, JdConn *origin);
+    /* The response to the request with this id is no longer needed. */
+    void (*cancel)(void *ctx, uint64_t id, const JdConn *origin);
+    /* A connection closed; its requests are cancelled. */
+    void (*conn_closed)(void *ctx, const JdConn *origin);
+    /* This node became ready. */
+    void (*node_ready)(void *ctx);
+    /* Returns the percentage of retries among the requests that run. */
+    unsigned (*retry_percent)(void *ctx);
+} JdLocalTargetOps;
+
+/* Where the responses of the local target go. */
+typedef struct JdResponseOps {
+    /* Responds to a request that `origin` submitted; the message is valid
+     * until this returns. */
+    void (*respond)(void *ctx, JdConn *origin, Jd__Response *msg);
+} JdResponseOps;
 typedef struct JdWaitingRequest JdWaitingRequest;
 
 /* What the source of configuration holds of the requests that crash targets.
@@ -176,6 +202,10 @@
     JdTimer poll_timer; /* for baseline_poll_ms */
 
     /* The local target: targets/worker.c, claims.c and health.c */
+    const JdLocalTargetOps *target_ops;
+    void *target_ctx;
+    const JdResponseOps *response_ops; /* peer/response.c */
+    void *response_ctx;
     bool has_target;
     /* The target reports its state in heartbeats and is not probed. */
     bool target_sends_heartbeats;
@@ -243,18 +273,17 @@
 void JdForward_Init(JdNode *nd);
 void JdForward_OnResponse(JdNode *nd, const Jd__Response *msg);
 
+/* peer/response.c: responses of the local target, on their way out */
+void JdResponse_Init(JdNode *nd);
+
 /* peer/lost.c: attempts that were lost with the node of their target */
 void JdLostAttempt_OnTargetReplaced(JdNode *nd, const JdMember *mb,
                                     uint64_t started);
 
 /* targets/worker.c: execution of requests on the local target */
 JdStatus JdWorker_Init(JdNode *nd, JdError *err);
-void JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin);
-void JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
-void JdWorker_OnConnClosed(JdNode *nd, const JdConn *origin);
 void JdWorker_RecordUnanswered(JdNode *nd);
 void JdWorker_OnTargetChecked(JdNode *nd, uint64_t crashed_process);
-unsigned JdWorker_RetryPercent(const JdNode *nd);
 
 /* targets/headers.c: headers of requests to the local target */
 bool JdTargetHeaders_IsRelayed(const JdHttpHeader *h);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -35,7 +35,7 @@
     Jd__Frame frame = JD__FRAME__INIT;
 
     if (att->request_conn == NULL) {
-        JdWorker_Cancel(nd, att->id, NULL);
+        nd->target_ops->cancel(nd->target_ctx, att->id, NULL);
         return;
     }
     msg.id = att->id;
@@ -261,15 +261,17 @@
     try_next_target(ctx);
 }
 
-/* Hands a copy of the request to the worker of this node, which frees it. */
+/* Hands a copy of the request to the local target, which frees it. */
 static void
 submit_to_local_target(JdCall *call)
 {
     size_t n = jd__request__get_packed_size(call->msg);
     uint8_t *buf = g_malloc(n);
+    JdNode *nd = call->node;
 
     jd__request__pack(call->msg, buf);
-    JdWorker_Submit(call->node, jd__request__unpack(NULL, n, buf), NULL);
+    nd->target_ops->submit(nd->target_ctx, jd__request__unpack(NULL, n, buf),
+                           NULL);
     g_free(buf);
 }
 
--- a/peer/link.c
+++ b/peer/link.c
@@ -20,10 +20,10 @@
 {
     Jd__Request *msg = frame->request;
 
-    /* The worker owns the message from here on. */
+    /* The target owns the message from here on. */
     frame->request = NULL;
     frame->body_case = JD__FRAME__BODY__NOT_SET;
-    JdWorker_Submit(nd, msg, conn);
+    nd->target_ops->submit(nd->target_ctx, msg, conn);
 }
 
 static void
@@ -53,7 +53,7 @@
         submit_request(nd, conn, frame);
         break;
     case JD__FRAME__BODY_CANCEL:
-        JdWorker_Cancel(nd, frame->cancel->id, conn);
+        nd->target_ops->cancel(nd->target_ctx, frame->cancel->id, conn);
         break;
     case JD__FRAME__BODY_PING:
         reply_to_ping(nd, conn, frame->ping);
@@ -74,7 +74,7 @@
 {
     JdNode *nd = ctx;
 
-    JdWorker_OnConnClosed(nd, conn);
+    nd->target_ops->conn_closed(nd->target_ctx, conn);
     JdTree_Closed(&nd->tree, conn);
 }
 
@@ -175,7 +175,7 @@
     if (nd->tree.is_ready && is_starting) {
         JD_LOG(JD_EVENT_READY,
                JD_NUMBER("version", nd->store.config->version));
-        JdTargetHealth_OnNodeReady(nd);
+        nd->target_ops->node_ready(nd->target_ctx);
     }
 }
 
--- /dev/null
+++ b/peer/response.c
@@ -0,0 +1,28 @@
+/* Sends the responses of the local target to the nodes that asked for them. */
+#include "../node/node.h"
+
+static void
+on_response(void *ctx, JdConn *origin, Jd__Response *msg)
+{
+    Jd__Frame frame = JD__FRAME__INIT;
+    JdNode *nd = ctx;
+
+    if (origin == NULL) {
+        JdForward_OnResponse(nd, msg);
+        return;
+    }
+    frame.version = nd->store.config->version;
+    frame.body_case = JD__FRAME__BODY_RESPONSE;
+    frame.response = msg;
+    JdConn_Send(origin, &frame);
+}
+
+static const JdResponseOps response_ops = {on_response};
+
+/* Makes the local target's responses go to calls and to other nodes. */
+void
+JdResponse_Init(JdNode *nd)
+{
+    nd->response_ops = &response_ops;
+    nd->response_ctx = nd;
+}
--- a/peer/retry.c
+++ b/peer/retry.c
@@ -99,7 +99,7 @@
 {
     return strcmp(service, nd->settings.service) == 0
                ? 0
-               : JdWorker_RetryPercent(nd);
+               : nd->target_ops->retry_percent(nd->target_ctx);
 }
 
 /* Credits the retry budget for the first attempt of a call. */
--- a/targets/response.c
+++ b/targets/response.c
@@ -26,22 +26,13 @@
 static void
 send_response(JdNode *nd, JdConn *origin, Jd__Response *msg)
 {
-    Jd__Frame frame = JD__FRAME__INIT;
-
     msg->load = JdAdmission_Load(&nd->admit);
     msg->service_us = nd->admit.service_time.mean;
     msg->target_started = nd->target_process.started;
     msg->rate_limit = nd->target_process.rate_limit;
     msg->target_leaving = JdTargetHealth_IsLeaving(nd);
     msg->limit_wait_ms = rate_limit_wait_ms(nd, 0);
-    if (origin == NULL) {
-        JdForward_OnResponse(nd, msg);
-        return;
-    }
-    frame.version = nd->store.config->version;
-    frame.body_case = JD__FRAME__BODY_RESPONSE;
-    frame.response = msg;
-    JdConn_Send(origin, &frame);
+    nd->response_ops->respond(nd->response_ctx, origin, msg);
 }
 
 static void
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -351,9 +351,10 @@
  * Submits a request for the target and takes ownership of the message.
  * `origin` is the connection it came over, or NULL for a caller of this node.
  */
-void
-JdWorker_Submit(JdNode *nd, Jd__Request *msg, JdConn *origin)
+static void
+submit(void *ctx, Jd__Request *msg, JdConn *origin)
 {
+    JdNode *nd = ctx;
     JdTargetRefusal refusal = {check_target(nd, msg), false, 0};
     JdWorkItem *it;
 
@@ -458,9 +459,10 @@
 
 /* Cancels the request with an id on a connection, or for NULL of a caller of
  * this node; its response is no longer needed. */
-void
-JdWorker_Cancel(JdNode *nd, uint64_t id, const JdConn *origin)
+static void
+cancel(void *ctx, uint64_t id, const JdConn *origin)
 {
+    JdNode *nd = ctx;
     JdWorkItem *it;
 
     TAILQ_FOREACH(it, &nd->work_items, link)
@@ -473,9 +475,10 @@
 }
 
 /* A connection closed: cancels all requests that came over it. */
-void
-JdWorker_OnConnClosed(JdNode *nd, const JdConn *origin)
+static void
+on_conn_closed(void *ctx, const JdConn *origin)
 {
+    JdNode *nd = ctx;
     bool is_found = true;
     JdWorkItem *it;
 
@@ -498,9 +501,10 @@
  * A retried run repeats its calls to other services, so the same share of the
  * target's outgoing calls is charged as retries.
  */
-unsigned
-JdWorker_RetryPercent(const JdNode *nd)
+static unsigned
+retry_percent(void *ctx)
 {
+    const JdNode *nd = ctx;
     unsigned running = 0, retries = 0;
     const JdWorkItem *it;
 
@@ -512,12 +516,23 @@
     return running == 0 ? 0 : retries * 100 / running;
 }
 
+static void
+on_node_ready(void *ctx)
+{
+    JdTargetHealth_OnNodeReady(ctx);
+}
+
+static const JdLocalTargetOps target_ops = {submit, cancel, on_conn_closed,
+                                            on_node_ready, retry_percent};
+
 /* Initializes admission, claims and the HTTP client of the target, if any. */
 JdStatus
 JdWorker_Init(JdNode *nd, JdError *err)
 {
     JdStatus s;
 
+    nd->target_ops = &target_ops;
+    nd->target_ctx = nd;
     TAILQ_INIT(&nd->work_items);
     JdTargetEstimate_Init(nd);
     JdAdmission_Init(&nd->admit, (unsigned)nd->settings.slots,
