--- a/caller/intake.c
+++ b/caller/intake.c
@@ -8,6 +8,9 @@
 /* Limits how long a request waits: its timeout counts as this one when its
  * caller states none, or a longer one. */
 #define ASSUMED_TIMEOUT JD_US_PER_S
+/* Time since the last word of the source of configuration from which the keys
+ * of client accounts count as outdated. */
+#define KEYS_MAX_AGE (3 * JD_US_PER_S)
 
 /* The parts of a request that this node acts on. */
 typedef struct ParsedRequest {
@@ -15,6 +18,8 @@
     char key[JD_KEY_MAX];         /* idempotency key, or empty */
     uint64_t timeout;             /* us */
     JdRoute route;
+    JdAccount account; /* its name is NULL if the request needs none */
+    char key_digest[JD_KEY_DIGEST_SIZE]; /* of the account key, or empty */
 } ParsedRequest;
 
 static bool
@@ -101,6 +106,10 @@
     msg.priority = call->route.priority;
     msg.key = (char *)parsed->key;
     msg.once = call->route.requires_key;
+    if (parsed->account.name != NULL) {
+        msg.account = (char *)parsed->account.name;
+        msg.account_priority = parsed->account.priority;
+    }
     msg.config_version = call->config->version;
     n = jd__request__get_packed_size(&msg);
     buf = g_malloc(n);
@@ -177,6 +186,32 @@
            strcmp(req->method, "GET") != 0 && strcmp(req->method, "HEAD") != 0;
 }
 
+/*
+ * Finds the client account of a request by its key.  Where no account holds
+ * the key, but the source of configuration has not been heard of lately, an
+ * account in a newer version may.
+ */
+static JdReason
+identify_account(const JdNode *nd, const JdServerRequest *req,
+                 ParsedRequest *parsed)
+{
+    const JdHttpHeader *h =
+        JdServer_FindHeader(req, nd->dialect->header[JD_FIELD_ACCOUNT_KEY]);
+
+    if (!JdConfig_HasAccounts(nd->store.config) || parsed->route.is_public) {
+        return JD_REASON_NONE;
+    }
+    if (h != NULL) {
+        JdAccountKey_Digest(h->value, h->value_len, parsed->key_digest);
+        if (JdConfig_FindAccount(nd->store.config, parsed->key_digest,
+                                 &parsed->account)) {
+            return JD_REASON_NONE;
+        }
+    }
+    return JdTree_SourceAge(&nd->tree) > KEYS_MAX_AGE ? JD_REASON_NOT_READY
+                                                      : JD_REASON_UNKNOWN_KEY;
+}
+
 /* Parses a request.  Returns why it is refused, or JD_REASON_NONE. */
 static JdReason
 parse_request(JdNode *nd, const JdServerRequest *req, ParsedRequest *parsed)
@@ -187,6 +222,7 @@
     const JdHttpHeader *key = JdServer_FindHeader(req, "idempotency-key");
     bool is_version_missing =
         nd->config_source->needs_version && nd->store.config->version == 0;
+    JdReason reason;
 
     if (id != NULL) {
         copy_header_value(id, parsed->request_id, sizeof(parsed->request_id));
@@ -197,6 +233,10 @@
     if (!find_route(nd, req, &parsed->route)) {
         return JD_REASON_NO_ROUTE;
     }
+    reason = identify_account(nd, req, parsed);
+    if (reason != JD_REASON_NONE) {
+        return reason;
+    }
     parsed->timeout = parsed->route.timeout;
     if (!parse_timeout(nd->dialect, req, &parsed->timeout)) {
         return JD_REASON_BAD_REQUEST;
@@ -247,12 +287,17 @@
        JdReason reason, uint64_t arrived_at)
 {
     uint64_t now = JdClock_Now(&nd->loop.clock);
+    const char *account =
+        parsed->account.name == NULL ? "" : parsed->account.name;
+    char logged_digest[JD_KEY_DIGEST_LOGGED + 1];
 
+    g_strlcpy(logged_digest, parsed->key_digest, sizeof(logged_digest));
     nd->counters.value[JdReason_Info(reason)->counter]++;
     JD_LOG(JD_EVENT_REQUEST, JD_TEXT("id", parsed->request_id),
            JD_TEXT("outcome", JdReason_Info(reason)->name),
            JD_NUMBER("version", nd->store.config->version),
-           JD_NUMBER("ready", nd->tree.is_ready),
+           JD_NUMBER("ready", nd->tree.is_ready), JD_TEXT("account", account),
+           JD_TEXT("key_digest", logged_digest),
            JD_NUMBER("held_ms", (now - arrived_at) / JD_US_PER_MS));
     JdReply_Refuse(nd, req, reason, get_retry_after_ms(nd, reason, now));
 }
--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -155,6 +155,7 @@
     JD_TABLE_ENDPOINT_SETS,
     JD_TABLE_ROUTES,
     JD_TABLE_POLICIES,
+    JD_TABLE_ACCOUNTS, /* client accounts; since version 2 of the rules */
     JD_TABLE_MAX
 } JdTable;
 
@@ -175,6 +176,7 @@
     uint64_t version;
     JdDigest digest;
     json_t *table[JD_TABLE_MAX]; /* each maps names to entries */
+    struct JdAccountIndex *accounts;
 } JdConfig;
 
 /*
@@ -182,7 +184,7 @@
  * record in the config stream raises the version that is applied, so that all
  * nodes apply the same rules to the same record.
  */
-#define JD_RULES_NEWEST 1U
+#define JD_RULES_NEWEST 2U
 
 const char *JdTable_Name(JdTable table);
 JdConfig *JdConfig_New(void);
@@ -194,6 +196,7 @@
 JdStatus JdConfig_ApplyPatch(const JdConfig *old, const json_t *patch,
                              uint64_t version, JdConfig **out, JdError *err);
 JdStatus JdConfig_Validate(const JdConfig *cfg, unsigned rules, JdError *err);
+unsigned JdConfig_RulesNeeded(const JdConfig *cfg);
 json_t *JdConfig_ToJson(const JdConfig *cfg);
 JdStatus JdConfig_FromJson(json_t *doc, uint64_t version, JdConfig **out,
                            JdError *err);
@@ -215,6 +218,8 @@
     unsigned retry_percent; /* retries allowed per 100 first attempts */
     bool is_idempotent;     /* requests of any method may be retried */
     bool requires_key;      /* requests require an idempotency key */
+    bool is_public;         /* requests need not name a client account */
+    bool is_bulk;           /* responses are large */
 } JdRoute;
 
 /* Host and path of a request, by which a route is found.  The host may be
@@ -298,6 +303,7 @@
 char *JdRecord_MakePatch(uint64_t base, const char *id, const char *author,
                          json_t *patch);
 
+#include "jacinthdyke_account.h"
 #include "jacinthdyke_crash.h"
 #include "jacinthdyke_reader.h"
 #include "jacinthdyke_tree.h"
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -27,6 +27,10 @@
     /* a target that ran it crashed, and this one runs another such request */
     JD_REASON_ISOLATED,
     JD_REASON_COPY_RUNS, /* the same, and the other request is a copy of it */
+    JD_REASON_UNKNOWN_KEY,  /* no client account holds the request's key */
+    JD_REASON_OVER_QUOTA,   /* its client account has used its rate */
+    JD_REASON_NO_LINK_ROOM, /* the target's link cannot carry the response in
+                               time */
     JD_REASON_MAX
 } JdReason;
 
--- a/lib/config/doc.c
+++ b/lib/config/doc.c
@@ -1,7 +1,7 @@
 /*
  * Configuration documents: parsing, merge patches and validation.
  *
- * A document has four tables of named entries.  A patch is a JSON merge patch
+ * A document has five tables of named entries.  A patch is a JSON merge patch
  * (RFC 7396) of these tables.  Applying a patch copies the tables and entries
  * that it changes and shares all others, so earlier versions remain valid for
  * the requests that still use them.
@@ -18,6 +18,8 @@
 #define NAME_MAX_LEN 64
 /* Maximum weight of an endpoint set in a split. */
 #define WEIGHT_MAX 1000000
+/* Maximum rate of an account in requests per 1000 s, and its largest burst. */
+#define RATE_MAX 1000000000000
 
 /* A field that entries of a table may have. */
 typedef struct Field {
@@ -30,7 +32,8 @@
     int ref_table;  /* JdTable of the entry that the value names, or -1 */
 } Field;
 
-/* The fields of each table in version 1 of the validation rules. */
+/* The fields of each table.  Version 2 of the validation rules added those of
+ * accounts, /routes/.../public and /policies/.../bulk. */
 static const Field fields[] = {
     {JD_TABLE_SERVICES, "policy", JSON_STRING, false, 0, 0, JD_TABLE_POLICIES},
     {JD_TABLE_SERVICES, "note", JSON_STRING, false, 0, 0, -1},
@@ -44,6 +47,7 @@
     {JD_TABLE_ROUTES, "policy", JSON_STRING, false, 0, 0, JD_TABLE_POLICIES},
     /* Maps endpoint sets to weights; takes precedence over endpoint_set. */
     {JD_TABLE_ROUTES, "split", JSON_OBJECT, false, 0, 0, -1},
+    {JD_TABLE_ROUTES, "public", JSON_TRUE, false, 0, 0, -1},
     {JD_TABLE_POLICIES, "priority", JSON_INTEGER, false, 0, 3, -1},
     {JD_TABLE_POLICIES, "deadline_ms", JSON_INTEGER, false, 1, 600000, -1},
     {JD_TABLE_POLICIES, "latency_ms", JSON_INTEGER, false, 1, 600000, -1},
@@ -51,6 +55,13 @@
     {JD_TABLE_POLICIES, "retry_percent", JSON_INTEGER, false, 0, 100, -1},
     {JD_TABLE_POLICIES, "idempotent", JSON_TRUE, false, 0, 0, -1},
     {JD_TABLE_POLICIES, "once", JSON_TRUE, false, 0, 0, -1},
+    {JD_TABLE_POLICIES, "bulk", JSON_TRUE, false, 0, 0, -1},
+    /* Digests of the account's keys, see JdAccountKey_Digest. */
+    {JD_TABLE_ACCOUNTS, "keys", JSON_ARRAY, true, 0, 0, -1},
+    {JD_TABLE_ACCOUNTS, "priority", JSON_INTEGER, false, 0, 3, -1},
+    {JD_TABLE_ACCOUNTS, "rate_per_1000s", JSON_INTEGER, false, 0, RATE_MAX,
+     -1},
+    {JD_TABLE_ACCOUNTS, "burst", JSON_INTEGER, false, 0, RATE_MAX, -1},
 };
 
 static const char *const table_names[JD_TABLE_MAX] = {
@@ -58,6 +69,7 @@
     [JD_TABLE_ENDPOINT_SETS] = "endpoint_sets",
     [JD_TABLE_ROUTES] = "routes",
     [JD_TABLE_POLICIES] = "policies",
+    [JD_TABLE_ACCOUNTS] = "accounts",
 };
 
 /* Returns the name of a table as documents spell it. */
@@ -140,6 +152,7 @@
     for (int t = 0; t < JD_TABLE_MAX; t++) {
         cfg->table[t] = json_object();
     }
+    cfg->accounts = JdAccountIndex_New();
     return cfg;
 }
 
@@ -161,6 +174,7 @@
     for (int t = 0; t < JD_TABLE_MAX; t++) {
         json_decref(cfg->table[t]);
     }
+    JdAccountIndex_Unref(cfg->accounts);
     g_free(cfg);
 }
 
@@ -248,6 +262,26 @@
     return JD_OK;
 }
 
+/* Checks the digests of an account's keys. */
+static JdStatus
+check_keys(const char *name, const json_t *keys, JdError *err)
+{
+    json_t *key;
+    size_t i;
+
+    json_array_foreach((json_t *)keys, i, key)
+    {
+        const char *text = json_string_value(key);
+
+        if (text == NULL || strlen(text) != JD_KEY_DIGEST_SIZE - 1 ||
+            strspn(text, "0123456789abcdef") != JD_KEY_DIGEST_SIZE - 1) {
+            return fail(err, JD_ERR_TYPE, JD_TABLE_ACCOUNTS, name, "keys",
+                        "not a list of SHA-256 digests in hexadecimal");
+        }
+    }
+    return JD_OK;
+}
+
 /* Checks one field of an entry, except whether the entry it names exists. */
 static JdStatus
 check_field(JdTable table, const char *name, const char *field,
@@ -268,6 +302,9 @@
         return fail(err, JD_ERR_RANGE, table, name, field,
                     "number is out of range");
     }
+    if (f->type == JSON_ARRAY) {
+        return check_keys(name, val, err);
+    }
     return f->type == JSON_OBJECT ? check_split(name, val, err) : JD_OK;
 }
 
@@ -414,6 +451,10 @@
     for (int t = 0; t < JD_TABLE_MAX; t++) {
         cfg->table[t] = json_incref(old->table[t]);
     }
+    cfg->accounts =
+        json_object_get(patch, table_names[JD_TABLE_ACCOUNTS]) == NULL
+            ? JdAccountIndex_Ref(old->accounts)
+            : JdAccountIndex_New();
     json_object_foreach((json_t *)patch, key, tab)
     {
         merge_table(cfg, (JdTable)find_table(key), tab);
@@ -486,6 +527,34 @@
     return JD_OK;
 }
 
+/* Returns whether a table has an entry with this field. */
+static bool
+has_field(const JdConfig *cfg, JdTable table, const char *field)
+{
+    const char *name;
+    json_t *entry;
+
+    json_object_foreach(cfg->table[table], name, entry)
+    {
+        if (json_object_get(entry, field) != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the lowest version of the validation rules that knows all fields of
+ * a configuration. */
+unsigned
+JdConfig_RulesNeeded(const JdConfig *cfg)
+{
+    return JdConfig_HasAccounts(cfg) ||
+                   has_field(cfg, JD_TABLE_ROUTES, "public") ||
+                   has_field(cfg, JD_TABLE_POLICIES, "bulk")
+               ? 2
+               : 1;
+}
+
 /*
  * Validates a configuration by the given version of the validation rules.
  * Fails with JD_ERR_RULES_UNKNOWN if this release does not implement that
@@ -502,6 +571,11 @@
         return JdError_Set(err, JD_ERR_RULES_UNKNOWN, "",
                            "validation rules %u are not supported", rules);
     }
+    if (rules < JdConfig_RulesNeeded(cfg)) {
+        return JdError_Set(err, JD_ERR_UNKNOWN_FIELD, "/accounts",
+                           "client accounts, public routes and bulk policies "
+                           "need validation rules 2");
+    }
     for (int t = 0; t < JD_TABLE_MAX; t++) {
         json_object_foreach(cfg->table[t], name, entry)
         {
@@ -515,17 +589,20 @@
             }
         }
     }
-    return JD_OK;
+    return JdConfig_IndexAccounts(cfg, err);
 }
 
-/* Returns a configuration as a JSON document, a new reference. */
+/* Returns a configuration as a JSON document, a new reference.  Accounts are
+ * left out where there are none, as releases before them refuse the table. */
 json_t *
 JdConfig_ToJson(const JdConfig *cfg)
 {
     json_t *doc = json_object();
 
     for (int t = 0; t < JD_TABLE_MAX; t++) {
-        json_object_set(doc, table_names[t], cfg->table[t]);
+        if (t != JD_TABLE_ACCOUNTS || JdConfig_HasAccounts(cfg)) {
+            json_object_set(doc, table_names[t], cfg->table[t]);
+        }
     }
     return doc;
 }
--- a/lib/config/store.c
+++ b/lib/config/store.c
@@ -249,8 +249,13 @@
     patch = JdPatch_Diff(st->config, doc);
     s = JdConfig_ApplyPatch(st->config, patch, version, &cfg, err);
     if (s == JD_OK) {
-        s = JdConfig_Validate(cfg, st->rules_version, err);
+        unsigned needed = JdConfig_RulesNeeded(cfg);
+        unsigned rules =
+            needed > st->rules_version ? needed : st->rules_version;
+
+        s = JdConfig_Validate(cfg, rules, err);
         if (s == JD_OK) {
+            st->rules_version = rules;
             set_current(st, cfg);
             append_history(st, from, patch);
         }
--- a/lib/request/reason.c
+++ b/lib/request/reason.c
@@ -40,6 +40,12 @@
                             JD_C_REFUSED_ISOLATED},
     [JD_REASON_COPY_RUNS] = {"copy-runs", 503, true, false, 200,
                              JD_C_REFUSED_COPY_RUNS},
+    [JD_REASON_UNKNOWN_KEY] = {"unknown-key", 401, true, false, 0,
+                               JD_C_REFUSED_UNKNOWN_KEY},
+    [JD_REASON_OVER_QUOTA] = {"over-quota", 429, true, false, 200,
+                              JD_C_REFUSED_OVER_QUOTA},
+    [JD_REASON_NO_LINK_ROOM] = {"no-link-room", 503, true, true, 200,
+                                JD_C_REFUSED_NO_LINK_ROOM},
 };
 
 /* Returns the properties of a reason.  Unknown values count as
--- a/lib/request/route.c
+++ b/lib/request/route.c
@@ -52,6 +52,8 @@
         (unsigned)integer_of(pol, "retry_percent", DEFAULT_RETRY_PERCENT);
     out->is_idempotent = json_is_true(json_object_get(pol, "idempotent"));
     out->requires_key = json_is_true(json_object_get(pol, "once"));
+    out->is_bulk = json_is_true(json_object_get(pol, "bulk"));
+    out->is_public = json_is_true(json_object_get(route, "public"));
 }
 
 /* Finds the route whose name is the longest prefix of `key`, which has `n`
--- a/node/dialect.c
+++ b/node/dialect.c
@@ -25,7 +25,9 @@
 }
 
 const JdDialect JdDialect_Default = {
-    .header = {[JD_FIELD_TIMEOUT_MS] = "x-timeout-ms"},
+    .header = {[JD_FIELD_TIMEOUT_MS] = "x-timeout-ms",
+               [JD_FIELD_ACCOUNT_KEY] = "x-account-key",
+               [JD_FIELD_ACCOUNT] = "x-account"},
     .notice = {[JD_NOTICE_RATE_LIMIT] = {"x-rate-limit"},
                [JD_NOTICE_LEAVING] = {"x-leaving"}},
     .reports_outcome = true,
--- a/node/dialect.h
+++ b/node/dialect.h
@@ -13,6 +13,8 @@
     JD_FIELD_TIMEOUT_MS,     /* time left until the caller's timeout */
     JD_FIELD_CALLER_SERVICE, /* service of the node that took the request */
     JD_FIELD_TARGET_ID,      /* target process the request is meant for */
+    JD_FIELD_ACCOUNT_KEY,    /* key of the caller's client account */
+    JD_FIELD_ACCOUNT,        /* name of that account, for the target */
     JD_FIELD_MAX
 } JdHeaderField;
 
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1642,7 +1642,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[20] = {
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[22] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                        /* quantifier_offset */
@@ -1771,8 +1771,23 @@
         offsetof(Jd__Request, target_started), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "account", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, account), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "account_priority", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, account_priority), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
+    20, /* field[20] = account */
+    21, /* field[21] = account_priority */
     5,  /* field[5] = body */
     12, /* field[12] = caller_service */
     9,  /* field[9] = config_version */
@@ -1795,7 +1810,7 @@
     19, /* field[19] = target_started */
 };
 static const ProtobufCIntRange jd__request__number_ranges[1 + 1] = {{1, 0},
-                                                                    {0, 20}};
+                                                                    {0, 22}};
 const ProtobufCMessageDescriptor jd__request__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Request",
@@ -1803,7 +1818,7 @@
     "Jd__Request",
     "jd",
     sizeof(Jd__Request),
-    20,
+    22,
     jd__request__field_descriptors,
     jd__request__field_indices_by_name,
     1,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -431,10 +431,15 @@
    */
   uint32_t rate_limit;
   uint64_t target_started;
+  /*
+   * Client account that the request belongs to, empty: none, and its priority.
+   */
+  char *account;
+  uint32_t account_priority;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -204,6 +204,7 @@
     Unit_AddHeads();
     Unit_AddOverload();
     Unit_AddLimit();
+    Unit_AddAccount();
     Unit_AddCrash();
     Unit_AddFollower();
     Unit_AddLoop();
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -9,6 +9,7 @@
 void Unit_AddHeads(void);
 void Unit_AddOverload(void);
 void Unit_AddLimit(void);
+void Unit_AddAccount(void);
 void Unit_AddCrash(void);
 void Unit_AddFollower(void);
 void Unit_AddLoop(void);
--- a/targets/headers.c
+++ b/targets/headers.c
@@ -51,5 +51,6 @@
     append_header(out, nd->dialect, JD_FIELD_CALLER_SERVICE,
                   msg->caller_service);
     append_header(out, nd->dialect, JD_FIELD_TARGET_ID, nd->target_process.id);
+    append_header(out, nd->dialect, JD_FIELD_ACCOUNT, msg->account);
     return g_string_free(out, FALSE);
 }
