--- a/regress/e2e/leaving-target-used.sh
+++ b/regress/e2e/leaving-target-used.sh
@@ -18,17 +18,6 @@
     "$(cat "$FLEET_DIR"/?-?.answers | grep -c -v '^200$')"
 fleet_kill 1-1
 fleet_start_node 1 1
-fleet_until 200 platform_is_ready 1-1 || die "1-1 is not ready again"
-# A node that has just started learns from others what it had been told.
-sleep 1
-learnt=$(platform_now)
-sleep 2
-say "requests to it after a restart of its node, of other nodes:" \
-    "$(platform_ran_since 1-1 "$told" '^3-')"
-say "of that node's own callers, a second later:" \
-    "$(platform_ran_since 1-1 "$learnt")"
-platform_control_worker 1-1 id=second
-fleet_until 100 platform_served_by 3-1 /kiln/1 second || die "second is not used"
-say "the next process is used"
+platform_check_left_after_restart "$told"
 touch "$FLEET_DIR/stop"
 wait
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -136,6 +136,26 @@
 	date +%s%6N
 }
 
+# Checks that the worker of 1-1, which left before the time SINCE in us, gets no
+# requests after the restart of its node that is under way, and that the next
+# process at its address does.
+platform_check_left_after_restart() { # SINCE
+	local learnt
+	fleet_until 200 platform_is_ready 1-1 || die "1-1 is not ready again"
+	# A node that has just started learns from others what it had been told.
+	sleep 1
+	learnt=$(platform_now)
+	sleep 2
+	say "requests to it after a restart of its node, of other nodes:" \
+	    "$(platform_ran_since 1-1 "$1" '^3-')"
+	say "of that node's own callers, a second later:" \
+	    "$(platform_ran_since 1-1 "$learnt")"
+	platform_control_worker 1-1 id=second
+	fleet_until 100 platform_served_by 3-1 /kiln/1 second ||
+	    die "second is not used"
+	say "the next process is used"
+}
+
 # Kills nodes, so that they lose their state, and starts them together; without
 # arguments those of the fleet of four.
 platform_restart_all() { # [D-I...]
