Quotas of client accounts over all nodes, a first whole version

Callers of an account beyond its rate were all served, and what the account may use at most held nowhere. Nodes now lend their parts of the rates to an allocator for each shard of accounts, and take a token for each request.

--- a/base/base.h
+++ b/base/base.h
@@ -38,6 +38,7 @@
 void JdLoop_CatchSignals(JdLoop *lp, void (*handler)(void *ctx, int signal),
                          void *ctx);
 uint64_t JdLoop_WallClock(void);
+uint64_t JdLoop_BootClock(void);
 JdStatus JdAddress_Parse(const char *text, struct sockaddr_in *out,
                          JdError *err);
 JdStatus JdListen(const char *address, int *fd, JdError *err);
@@ -314,6 +315,7 @@
     JD_EVENT_WORK,    /* work refused or failed at the node of its target */
     JD_EVENT_DRAINING,
     JD_EVENT_STOPPED,
+    JD_EVENT_QUOTA, /* of a shard of client accounts, or of one of them */
     JD_EVENT_FAILED,
     JD_EVENT_MAX
 } JdLogEvent;
--- a/base/loop.c
+++ b/base/loop.c
@@ -35,6 +35,17 @@
     return (uint64_t)ts.tv_sec * JD_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
 }
 
+/* Returns a time in us that never steps, and counts while the machine is
+ * suspended. */
+uint64_t
+JdLoop_BootClock(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return (uint64_t)ts.tv_sec * JD_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
+}
+
 /* Callback of h2o that runs the timers that are due. */
 static void
 run_due_timers(h2o_timeout_entry_t *entry)
--- a/caller/front.c
+++ b/caller/front.c
@@ -8,11 +8,12 @@
 }
 
 /* A caller disconnected before its answer: ends its request, which waits for
- * this node to be ready or is a call. */
+ * this node to be ready or for a token, or is a call. */
 static void
 on_caller_disconnected(void *ctx, JdServerRequest *req)
 {
-    if (!JdWaitingRequest_CallerDisconnected(ctx, req)) {
+    if (!JdWaitingRequest_CallerDisconnected(ctx, req) &&
+        !JdQuotaRequest_CallerDisconnected(ctx, req)) {
         JdForward_CallerDisconnected(req->user_data);
     }
 }
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -283,8 +283,8 @@
 }
 
 static void
-refuse(JdNode *nd, JdServerRequest *req, const ParsedRequest *parsed,
-       JdReason reason, uint64_t arrived_at)
+refuse_after(JdNode *nd, JdServerRequest *req, const ParsedRequest *parsed,
+             JdReason reason, uint64_t arrived_at, unsigned retry_after_ms)
 {
     uint64_t now = JdClock_Now(&nd->loop.clock);
     const char *account =
@@ -299,7 +299,17 @@
            JD_NUMBER("ready", nd->tree.is_ready), JD_TEXT("account", account),
            JD_TEXT("key_digest", logged_digest),
            JD_NUMBER("held_ms", (now - arrived_at) / JD_US_PER_MS));
-    JdReply_Refuse(nd, req, reason, get_retry_after_ms(nd, reason, now));
+    JdReply_Refuse(nd, req, reason, retry_after_ms);
+}
+
+static void
+refuse(JdNode *nd, JdServerRequest *req, const ParsedRequest *parsed,
+       JdReason reason, uint64_t arrived_at)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    refuse_after(nd, req, parsed, reason, arrived_at,
+                 get_retry_after_ms(nd, reason, now));
 }
 
 static void
@@ -314,6 +324,7 @@
     call->route = parsed->route;
     call->arrived_at = arrived_at;
     call->deadline = arrived_at + parsed->timeout;
+    call->has_token = parsed->account.rate > 0;
     call->msg = copy_request(call, req, parsed);
     req->user_data = call;
     JdForward_Begin(call);
@@ -333,10 +344,73 @@
            arrived_at + parsed->timeout > nd->drain_deadline;
 }
 
+/* Returns why a request that was parsed is refused now, or JD_REASON_NONE. */
+static JdReason
+check_time(JdNode *nd, const ParsedRequest *parsed, uint64_t arrived_at)
+{
+    if (arrived_at + parsed->timeout <= JdClock_Now(&nd->loop.clock)) {
+        return JD_REASON_TOO_LATE;
+    }
+    return outlasts_drain(nd, parsed, arrived_at) ? JD_REASON_DRAINING
+                                                  : JD_REASON_NONE;
+}
+
+/* Starts a call for a checked request, once it has a token if its account has
+ * a rate. */
+static void
+admit(JdNode *nd, JdServerRequest *req, const ParsedRequest *parsed,
+      uint64_t arrived_at)
+{
+    unsigned retry_after_ms = 0;
+    JdQuotaResult result = JD_QUOTA_TAKEN;
+
+    if (parsed->account.rate > 0) {
+        result = JdQuotaRequest_Take(nd, req, &parsed->account, arrived_at,
+                                     &retry_after_ms);
+    }
+    if (result == JD_QUOTA_TAKEN) {
+        begin_call(nd, req, parsed, arrived_at);
+    }
+    else if (result == JD_QUOTA_REFUSED) {
+        refuse_after(nd, req, parsed, JD_REASON_OVER_QUOTA, arrived_at,
+                     retry_after_ms);
+    }
+}
+
+/*
+ * Goes on with a request that has waited for a token and got one, or was
+ * refused it.  The configuration may have changed since.
+ */
+void
+JdIntake_Resume(JdNode *nd, JdServerRequest *req, uint64_t arrived_at,
+                bool has_token, unsigned retry_after_ms)
+{
+    ParsedRequest parsed = {.timeout = 0};
+    JdReason reason = parse_request(nd, req, &parsed);
+
+    if (reason == JD_REASON_NONE) {
+        reason = check_time(nd, &parsed, arrived_at);
+    }
+    if (reason == JD_REASON_NONE && has_token) {
+        begin_call(nd, req, &parsed, arrived_at);
+        return;
+    }
+    if (has_token && parsed.account.name != NULL) {
+        JdQuota_Return(&nd->quota, parsed.account.name);
+    }
+    if (reason == JD_REASON_NONE) {
+        refuse_after(nd, req, &parsed, JD_REASON_OVER_QUOTA, arrived_at,
+                     retry_after_ms);
+    }
+    else {
+        refuse(nd, req, &parsed, reason, arrived_at);
+    }
+}
+
 /*
  * Starts a call for a request that arrived at the time `arrived_at`, or
- * refuses it.  Returns false, having done neither, when the request should
- * wait for this node to be ready.
+ * refuses it, at once or when it has waited for a token.  Returns false,
+ * having done neither, when the request should wait for this node to be ready.
  */
 bool
 JdIntake_Process(JdNode *nd, JdServerRequest *req, uint64_t arrived_at)
@@ -347,15 +421,11 @@
     if (may_wait(nd, req, &parsed, reason, arrived_at)) {
         return false;
     }
-    if (reason == JD_REASON_NONE &&
-        arrived_at + parsed.timeout <= JdClock_Now(&nd->loop.clock)) {
-        reason = JD_REASON_TOO_LATE;
-    }
-    if (reason == JD_REASON_NONE && outlasts_drain(nd, &parsed, arrived_at)) {
-        reason = JD_REASON_DRAINING;
+    if (reason == JD_REASON_NONE) {
+        reason = check_time(nd, &parsed, arrived_at);
     }
     if (reason == JD_REASON_NONE) {
-        begin_call(nd, req, &parsed, arrived_at);
+        admit(nd, req, &parsed, arrived_at);
     }
     else {
         refuse(nd, req, &parsed, reason, arrived_at);
--- a/lib/account/key.c
+++ b/lib/account/key.c
@@ -117,6 +117,23 @@
     return json_object_size(cfg->table[JD_TABLE_ACCOUNTS]) > 0;
 }
 
+/* Returns whether any account has a rate. */
+bool
+JdConfig_HasRates(const JdConfig *cfg)
+{
+    const char *name;
+    json_t *account;
+
+    json_object_foreach(cfg->table[JD_TABLE_ACCOUNTS], name, account)
+    {
+        if (json_integer_value(json_object_get(account, "rate_per_1000s")) >
+            0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Finds an account by its name.  The name in `out` is valid as long as the
  * configuration. */
 bool
--- a/node/drain.c
+++ b/node/drain.c
@@ -36,6 +36,7 @@
 static void
 announce_leave(JdNode *nd)
 {
+    JdQuota_EndLoans(&nd->quota);
     JdTree_Leave(&nd->tree);
     nd->drain_timer.fire = stop;
     JdTimer_Arm(&nd->loop.clock, &nd->drain_timer, ANNOUNCE_TIME);
@@ -54,8 +55,8 @@
     JdNode *nd = ctx;
     uint64_t now = JdClock_Now(&nd->loop.clock);
     bool is_target_idle = nd->admit.running == 0 && nd->admit.queued == 0;
-    bool is_idle =
-        nd->call_count == 0 && nd->waiting_count == 0 && is_target_idle;
+    bool is_idle = nd->call_count == 0 && nd->waiting_count == 0 &&
+                   nd->quota_request_count == 0 && is_target_idle;
 
     if (now >= nd->announce_at && !nd->is_drain_announced) {
         announce_drain(nd);
--- a/node/node.h
+++ b/node/node.h
@@ -137,6 +137,7 @@
     void (*respond)(void *ctx, JdConn *origin, Jd__Response *msg);
 } JdResponseOps;
 typedef struct JdWaitingRequest JdWaitingRequest;
+typedef struct JdQuotaRequest JdQuotaRequest;
 
 /* What the source of configuration holds of the requests that crash targets.
  */
@@ -227,6 +228,12 @@
     TAILQ_HEAD(JdWaitingRequestHead, JdWaitingRequest) waiting;
     unsigned waiting_count;
 
+    /* Quotas of client accounts, and the requests that wait for a token:
+     * accounts.c and caller/quota.c */
+    JdQuota quota;
+    TAILQ_HEAD(JdQuotaRequestHead, JdQuotaRequest) quota_requests;
+    unsigned quota_request_count;
+
     /* Calls, and the connections that carry them: peer/forward.c and
      * request_conn.c */
     JdBalancer balancer;
@@ -262,6 +269,15 @@
 /* caller/intake.c: requests from callers */
 void JdIntake_OnRequest(JdNode *nd, JdServerRequest *req);
 bool JdIntake_Process(JdNode *nd, JdServerRequest *req, uint64_t arrived_at);
+void JdIntake_Resume(JdNode *nd, JdServerRequest *req, uint64_t arrived_at,
+                     bool has_token, unsigned retry_after_ms);
+
+/* caller/quota.c: requests that wait for a token of their client account */
+JdQuotaResult JdQuotaRequest_Take(JdNode *nd, JdServerRequest *req,
+                                  const JdAccount *account,
+                                  uint64_t arrived_at,
+                                  unsigned *retry_after_ms);
+bool JdQuotaRequest_CallerDisconnected(JdNode *nd, const JdServerRequest *req);
 
 /* caller/waiting.c: requests that wait for this node to be ready */
 void JdWaitingRequest_Add(JdNode *nd, JdServerRequest *req,
@@ -335,6 +351,11 @@
 JdStatus JdAdmin_Init(JdNode *nd, JdError *err);
 void JdAdmin_ReplyMetrics(JdNode *nd, h2o_req_t *req);
 
+/* node/accounts.c: quotas of client accounts */
+void JdAccounts_Init(JdNode *nd);
+bool JdAccounts_OnFrame(JdNode *nd, JdConn *conn, const Jd__Frame *frame);
+void JdAccounts_OnStatusChanged(JdNode *nd);
+
 /* node/crashes.c: requests that crash targets, at the source */
 void JdCrashStore_Init(JdNode *nd);
 void JdCrashStore_SetReader(JdNode *nd, bool is_reader);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -152,6 +152,9 @@
     if (retry_after_ms == 0 || !JdReason_Info(reason)->is_not_executed) {
         retry_after_ms = JdReason_Info(reason)->retry_after_ms;
     }
+    if (call->has_token && JdReason_Info(reason)->is_not_executed) {
+        JdQuota_Return(&nd->quota, call->msg->account);
+    }
     /* A refusal by the target's node is counted by that node. */
     if (call->attempt_count == 0 || reason == JD_REASON_DEADLINE ||
         reason == JD_REASON_BROKEN) {
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -51,6 +51,7 @@
     unsigned failed_sent_count;
     /* Failed attempts whose target lacked the capacity. */
     unsigned full_count;
+    bool has_token;          /* of its client account, for its run */
     bool may_have_run;       /* a target may have run the request */
     JdReason last_reason;    /* why the last attempt failed */
     unsigned retry_after_ms; /* shortest of all failures, 0: none */
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -799,6 +799,135 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+jd__quota_report__init(Jd__QuotaReport *message)
+{
+    static const Jd__QuotaReport init_value = JD__QUOTA_REPORT__INIT;
+    *message = init_value;
+}
+size_t
+jd__quota_report__get_packed_size(const Jd__QuotaReport *message)
+{
+    assert(message->base.descriptor == &jd__quota_report__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__quota_report__pack(const Jd__QuotaReport *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__quota_report__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__quota_report__pack_to_buffer(const Jd__QuotaReport *message,
+                                 ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__quota_report__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__QuotaReport *
+jd__quota_report__unpack(ProtobufCAllocator *allocator, size_t len,
+                         const uint8_t *data)
+{
+    return (Jd__QuotaReport *)protobuf_c_message_unpack(
+        &jd__quota_report__descriptor, allocator, len, data);
+}
+void
+jd__quota_report__free_unpacked(Jd__QuotaReport *message,
+                                ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__quota_report__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+jd__quota_ask__init(Jd__QuotaAsk *message)
+{
+    static const Jd__QuotaAsk init_value = JD__QUOTA_ASK__INIT;
+    *message = init_value;
+}
+size_t
+jd__quota_ask__get_packed_size(const Jd__QuotaAsk *message)
+{
+    assert(message->base.descriptor == &jd__quota_ask__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__quota_ask__pack(const Jd__QuotaAsk *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__quota_ask__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__quota_ask__pack_to_buffer(const Jd__QuotaAsk *message,
+                              ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__quota_ask__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__QuotaAsk *
+jd__quota_ask__unpack(ProtobufCAllocator *allocator, size_t len,
+                      const uint8_t *data)
+{
+    return (Jd__QuotaAsk *)protobuf_c_message_unpack(
+        &jd__quota_ask__descriptor, allocator, len, data);
+}
+void
+jd__quota_ask__free_unpacked(Jd__QuotaAsk *message,
+                             ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__quota_ask__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+jd__quota_grant__init(Jd__QuotaGrant *message)
+{
+    static const Jd__QuotaGrant init_value = JD__QUOTA_GRANT__INIT;
+    *message = init_value;
+}
+size_t
+jd__quota_grant__get_packed_size(const Jd__QuotaGrant *message)
+{
+    assert(message->base.descriptor == &jd__quota_grant__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__quota_grant__pack(const Jd__QuotaGrant *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__quota_grant__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__quota_grant__pack_to_buffer(const Jd__QuotaGrant *message,
+                                ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__quota_grant__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__QuotaGrant *
+jd__quota_grant__unpack(ProtobufCAllocator *allocator, size_t len,
+                        const uint8_t *data)
+{
+    return (Jd__QuotaGrant *)protobuf_c_message_unpack(
+        &jd__quota_grant__descriptor, allocator, len, data);
+}
+void
+jd__quota_grant__free_unpacked(Jd__QuotaGrant *message,
+                               ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__quota_grant__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 jd__frame__init(Jd__Frame *message)
 {
     static const Jd__Frame init_value = JD__FRAME__INIT;
@@ -2009,7 +2138,236 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__frame__field_descriptors[15] = {
+static const ProtobufCFieldDescriptor jd__quota_report__field_descriptors[5] =
+    {
+        {
+            "shard", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaReport, shard), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "id", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaReport, id), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "sent_at", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaReport, sent_at), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "echo", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaReport, echo), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "nodes", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaReport, nodes), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned jd__quota_report__field_indices_by_name[] = {
+    3, /* field[3] = echo */
+    1, /* field[1] = id */
+    4, /* field[4] = nodes */
+    2, /* field[2] = sent_at */
+    0, /* field[0] = shard */
+};
+static const ProtobufCIntRange jd__quota_report__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor jd__quota_report__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.QuotaReport",
+    "QuotaReport",
+    "Jd__QuotaReport",
+    "jd",
+    sizeof(Jd__QuotaReport),
+    5,
+    jd__quota_report__field_descriptors,
+    jd__quota_report__field_indices_by_name,
+    1,
+    jd__quota_report__number_ranges,
+    (ProtobufCMessageInit)jd__quota_report__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__quota_ask__field_descriptors[6] = {
+    {
+        "account", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__QuotaAsk, account), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "sent_at", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Jd__QuotaAsk, sent_at), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "needed", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__QuotaAsk, needed), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "spare", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                            /* quantifier_offset */
+        offsetof(Jd__QuotaAsk, spare), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "used", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__QuotaAsk, used), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "returned", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__QuotaAsk, returned), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned jd__quota_ask__field_indices_by_name[] = {
+    0, /* field[0] = account */
+    2, /* field[2] = needed */
+    5, /* field[5] = returned */
+    1, /* field[1] = sent_at */
+    3, /* field[3] = spare */
+    4, /* field[4] = used */
+};
+static const ProtobufCIntRange jd__quota_ask__number_ranges[1 + 1] = {{1, 0},
+                                                                      {0, 6}};
+const ProtobufCMessageDescriptor jd__quota_ask__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.QuotaAsk",
+    "QuotaAsk",
+    "Jd__QuotaAsk",
+    "jd",
+    sizeof(Jd__QuotaAsk),
+    6,
+    jd__quota_ask__field_descriptors,
+    jd__quota_ask__field_indices_by_name,
+    1,
+    jd__quota_ask__number_ranges,
+    (ProtobufCMessageInit)jd__quota_ask__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__quota_grant__field_descriptors[11] =
+    {
+        {
+            "shard", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, shard), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "time", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, time), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "echo", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, echo), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "account", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, account), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "tokens", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, tokens), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "wait_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, wait_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "spread_ms", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, spread_ms), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "scarce", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, scarce), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "ended", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, ended), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "scarce_account", 10, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_STRING, offsetof(Jd__QuotaGrant, n_scarce_account),
+            offsetof(Jd__QuotaGrant, scarce_account), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "all_scarce", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaGrant, all_scarce), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned jd__quota_grant__field_indices_by_name[] = {
+    3,  /* field[3] = account */
+    10, /* field[10] = all_scarce */
+    2,  /* field[2] = echo */
+    8,  /* field[8] = ended */
+    7,  /* field[7] = scarce */
+    9,  /* field[9] = scarce_account */
+    0,  /* field[0] = shard */
+    6,  /* field[6] = spread_ms */
+    1,  /* field[1] = time */
+    4,  /* field[4] = tokens */
+    5,  /* field[5] = wait_ms */
+};
+static const ProtobufCIntRange jd__quota_grant__number_ranges[1 + 1] = {
+    {1, 0}, {0, 11}};
+const ProtobufCMessageDescriptor jd__quota_grant__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.QuotaGrant",
+    "QuotaGrant",
+    "Jd__QuotaGrant",
+    "jd",
+    sizeof(Jd__QuotaGrant),
+    11,
+    jd__quota_grant__field_descriptors,
+    jd__quota_grant__field_indices_by_name,
+    1,
+    jd__quota_grant__number_ranges,
+    (ProtobufCMessageInit)jd__quota_grant__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__frame__field_descriptors[18] = {
     {
         "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                           /* quantifier_offset */
@@ -2114,6 +2472,27 @@
         0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
         0, NULL, NULL                    /* reserved1,reserved2, etc */
     },
+    {
+        "quota_report", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, quota_report),
+        &jd__quota_report__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "quota_ask", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, quota_ask),
+        &jd__quota_ask__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "quota_grant", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, quota_grant),
+        &jd__quota_grant__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__frame__field_indices_by_name[] = {
     2,  /* field[2] = accept */
@@ -2127,13 +2506,16 @@
     12, /* field[12] = ping */
     8,  /* field[8] = promote */
     6,  /* field[6] = pull */
+    16, /* field[16] = quota_ask */
+    17, /* field[17] = quota_grant */
+    15, /* field[15] = quota_report */
     3,  /* field[3] = redirect */
     9,  /* field[9] = request */
     10, /* field[10] = response */
     0,  /* field[0] = version */
 };
 static const ProtobufCIntRange jd__frame__number_ranges[1 + 1] = {{1, 0},
-                                                                  {0, 15}};
+                                                                  {0, 18}};
 const ProtobufCMessageDescriptor jd__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Frame",
@@ -2141,7 +2523,7 @@
     "Jd__Frame",
     "jd",
     sizeof(Jd__Frame),
-    15,
+    18,
     jd__frame__field_descriptors,
     jd__frame__field_indices_by_name,
     1,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -34,6 +34,9 @@
 typedef struct Jd__Response Jd__Response;
 typedef struct Jd__Cancel Jd__Cancel;
 typedef struct Jd__Ping Jd__Ping;
+typedef struct Jd__QuotaReport Jd__QuotaReport;
+typedef struct Jd__QuotaAsk Jd__QuotaAsk;
+typedef struct Jd__QuotaGrant Jd__QuotaGrant;
 typedef struct Jd__Frame Jd__Frame;
 
 
@@ -524,6 +527,114 @@
     , 0 }
 
 
+/*
+ * From a node to the allocator of a shard of accounts: lends it the sender's
+ * part of their rates for a while.  See lib/account/shard.c.
+ */
+struct  Jd__QuotaReport
+{
+  ProtobufCMessage base;
+  uint32_t shard;
+  /*
+   * of the sender
+   */
+  char *id;
+  /*
+   * sender's clock in us
+   */
+  uint64_t sent_at;
+  /*
+   * `time` of the allocator's last answer, 0: none yet
+   */
+  uint64_t echo;
+  /*
+   * number of nodes that the sender knows, 0: lends no more
+   */
+  uint32_t nodes;
+};
+#define JD__QUOTA_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__quota_report__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Asks the allocator of an account's shard for tokens.
+ */
+struct  Jd__QuotaAsk
+{
+  ProtobufCMessage base;
+  char *account;
+  /*
+   * sender's clock in us
+   */
+  uint64_t sent_at;
+  /*
+   * for requests that wait
+   */
+  uint32_t needed;
+  /*
+   * for requests that are expected
+   */
+  uint32_t spare;
+  /*
+   * used ahead of this message
+   */
+  uint32_t used;
+  /*
+   * granted earlier and not used
+   */
+  uint32_t returned;
+};
+#define JD__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__quota_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * An allocator's answer to a report, which names no account, or to an ask.
+ */
+struct  Jd__QuotaGrant
+{
+  ProtobufCMessage base;
+  uint32_t shard;
+  /*
+   * allocator's clock in us
+   */
+  uint64_t time;
+  /*
+   * `sent_at` of what it answers, 0: a notice
+   */
+  uint64_t echo;
+  char *account;
+  uint32_t tokens;
+  /*
+   * time until there is a token, 0: all needed are here
+   */
+  uint32_t wait_ms;
+  /*
+   * time over which refused callers should come back
+   */
+  uint32_t spread_ms;
+  /*
+   * tokens have to be asked for before their use
+   */
+  protobuf_c_boolean scarce;
+  /*
+   * the sender's part is not lent any more
+   */
+  protobuf_c_boolean ended;
+  /*
+   * Accounts of the shard that are scarce, without `account`.
+   */
+  size_t n_scarce_account;
+  char **scarce_account;
+  protobuf_c_boolean all_scarce;
+};
+#define JD__QUOTA_GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__quota_grant__descriptor) \
+    , 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL, 0 }
+
+
 typedef enum {
   JD__FRAME__BODY__NOT_SET = 0,
   JD__FRAME__BODY_JOIN = 2,
@@ -539,7 +650,10 @@
   JD__FRAME__BODY_CANCEL = 12,
   JD__FRAME__BODY_PING = 13,
   JD__FRAME__BODY_INVITE = 14,
-  JD__FRAME__BODY_CRASHES = 15
+  JD__FRAME__BODY_CRASHES = 15,
+  JD__FRAME__BODY_QUOTA_REPORT = 16,
+  JD__FRAME__BODY_QUOTA_ASK = 17,
+  JD__FRAME__BODY_QUOTA_GRANT = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JD__FRAME__BODY__CASE)
 } Jd__Frame__BodyCase;
 
@@ -566,6 +680,9 @@
     Jd__Ping *ping;
     Jd__Invite *invite;
     Jd__Crashes *crashes;
+    Jd__QuotaReport *quota_report;
+    Jd__QuotaAsk *quota_ask;
+    Jd__QuotaGrant *quota_grant;
   };
 };
 #define JD__FRAME__INIT \
@@ -934,6 +1051,63 @@
 void   jd__ping__free_unpacked
                      (Jd__Ping *message,
                       ProtobufCAllocator *allocator);
+/* Jd__QuotaReport methods */
+void   jd__quota_report__init
+                     (Jd__QuotaReport         *message);
+size_t jd__quota_report__get_packed_size
+                     (const Jd__QuotaReport   *message);
+size_t jd__quota_report__pack
+                     (const Jd__QuotaReport   *message,
+                      uint8_t             *out);
+size_t jd__quota_report__pack_to_buffer
+                     (const Jd__QuotaReport   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__QuotaReport *
+       jd__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__quota_report__free_unpacked
+                     (Jd__QuotaReport *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__QuotaAsk methods */
+void   jd__quota_ask__init
+                     (Jd__QuotaAsk         *message);
+size_t jd__quota_ask__get_packed_size
+                     (const Jd__QuotaAsk   *message);
+size_t jd__quota_ask__pack
+                     (const Jd__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t jd__quota_ask__pack_to_buffer
+                     (const Jd__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__QuotaAsk *
+       jd__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__quota_ask__free_unpacked
+                     (Jd__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__QuotaGrant methods */
+void   jd__quota_grant__init
+                     (Jd__QuotaGrant         *message);
+size_t jd__quota_grant__get_packed_size
+                     (const Jd__QuotaGrant   *message);
+size_t jd__quota_grant__pack
+                     (const Jd__QuotaGrant   *message,
+                      uint8_t             *out);
+size_t jd__quota_grant__pack_to_buffer
+                     (const Jd__QuotaGrant   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__QuotaGrant *
+       jd__quota_grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__quota_grant__free_unpacked
+                     (Jd__QuotaGrant *message,
+                      ProtobufCAllocator *allocator);
 /* Jd__Frame methods */
 void   jd__frame__init
                      (Jd__Frame         *message);
@@ -1012,6 +1186,15 @@
 typedef void (*Jd__Ping_Closure)
                  (const Jd__Ping *message,
                   void *closure_data);
+typedef void (*Jd__QuotaReport_Closure)
+                 (const Jd__QuotaReport *message,
+                  void *closure_data);
+typedef void (*Jd__QuotaAsk_Closure)
+                 (const Jd__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Jd__QuotaGrant_Closure)
+                 (const Jd__QuotaGrant *message,
+                  void *closure_data);
 typedef void (*Jd__Frame_Closure)
                  (const Jd__Frame *message,
                   void *closure_data);
@@ -1040,6 +1223,9 @@
 extern const ProtobufCMessageDescriptor jd__response__descriptor;
 extern const ProtobufCMessageDescriptor jd__cancel__descriptor;
 extern const ProtobufCMessageDescriptor jd__ping__descriptor;
+extern const ProtobufCMessageDescriptor jd__quota_report__descriptor;
+extern const ProtobufCMessageDescriptor jd__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor jd__quota_grant__descriptor;
 extern const ProtobufCMessageDescriptor jd__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/peer/link.c
+++ b/peer/link.c
@@ -48,6 +48,9 @@
 {
     JdNode *nd = ctx;
 
+    if (JdAccounts_OnFrame(nd, conn, frame)) {
+        return;
+    }
     switch (frame->body_case) {
     case JD__FRAME__BODY_REQUEST:
         submit_request(nd, conn, frame);
@@ -75,6 +78,7 @@
     JdNode *nd = ctx;
 
     nd->target_ops->conn_closed(nd->target_ctx, conn);
+    JdQuota_PeerClosed(&nd->quota, conn);
     JdTree_Closed(&nd->tree, conn);
 }
 
@@ -169,6 +173,7 @@
     bool is_starting = nd->tree.state == JD_MEMBER_STARTING;
 
     record_applied_version(nd);
+    JdAccounts_OnStatusChanged(nd);
     if (nd->config_source->status_changed != NULL) {
         nd->config_source->status_changed(nd);
     }
@@ -291,6 +296,7 @@
     fill_identity(nd, &id);
     JdTree_Init(&nd->tree, &id, JdPreset_Tuning(nd->settings.preset),
                 &nd->store, &nd->loop.clock, &nd->counters, &tree_ops, nd);
+    JdAccounts_Init(nd);
     JdCrashStore_Init(nd);
     JdConnSet_Init(&nd->conns, &nd->loop, &nd->counters);
     return JdConnSet_Listen(&nd->conns, nd->settings.peer_address, &conn_ops,
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -80,10 +80,12 @@
 static void
 on_frame(void *ctx, JdConn *conn, Jd__Frame *frame)
 {
-    (void)conn;
     if (frame->body_case == JD__FRAME__BODY_RESPONSE) {
         JdForward_OnResponse(ctx, frame->response);
     }
+    else {
+        JdAccounts_OnFrame(ctx, conn, frame);
+    }
 }
 
 static void
