--- a/node/accounts.c
+++ b/node/accounts.c
@@ -44,22 +44,36 @@
     JdConn_Send(peer, frame);
 }
 
+/* Logs that an account at this allocator has no more tokens, or has again. */
 static void
-on_changed(void *ctx, JdQuotaEvent event, unsigned shard, const char *name)
+log_account(const JdNode *nd, const char *outcome, const char *name)
 {
-    static const char *const outcomes[JD_QUOTA_EVENT_MAX] = {
-        [JD_QUOTA_ENROLLED] = "enrolled",
-        [JD_QUOTA_UNLENT] = "own part",
-        [JD_QUOTA_EXHAUSTED] = "exhausted",
-        [JD_QUOTA_HAS_ROOM] = "has room",
-    };
-    bool is_account =
-        event == JD_QUOTA_EXHAUSTED || event == JD_QUOTA_HAS_ROOM;
+    JdAccount account = {.rate = 0};
 
-    (void)ctx;
-    JD_LOG(JD_EVENT_QUOTA, JD_TEXT("outcome", outcomes[event]),
-           JD_NUMBER("shard", shard),
-           JD_TEXT(is_account ? "account" : "allocator", name));
+    JdConfig_GetAccount(nd->store.config, name, &account);
+    JD_LOG(JD_EVENT_QUOTA, JD_TEXT("outcome", outcome),
+           JD_TEXT("account", name), JD_NUMBER("rate_per_1000s", account.rate),
+           JD_NUMBER("burst", account.burst),
+           JD_NUMBER("version", nd->store.config->version));
+}
+
+static void
+on_changed(void *ctx, JdQuotaEvent event, unsigned shard, const char *name)
+{
+    switch (event) {
+    case JD_QUOTA_EXHAUSTED:
+        log_account(ctx, "exhausted", name);
+        break;
+    case JD_QUOTA_HAS_ROOM:
+        log_account(ctx, "has room", name);
+        break;
+    default:
+        JD_LOG(JD_EVENT_QUOTA,
+               JD_TEXT("outcome",
+                       event == JD_QUOTA_ENROLLED ? "enrolled" : "own part"),
+               JD_TEXT("allocator", name), JD_NUMBER("shard", shard));
+        break;
+    }
 }
 
 static const JdQuotaOps quota_ops = {
