Large responses leave in chunks, paced by the link's bandwidth

What callers saw: on links of 17 Mbit/s that downloads fill, small answers of the same machines waited behind them, for seconds at the top of a wave, and the calls that needed them failed.

Cause: a response was handed to the kernel as a whole, whatever the link had to send already, and targets were chosen without a look at their links.

Change: lib/link has a token bucket of the link's bandwidth, the order of the large responses and the admission of requests for them. Responses of bulk routes are sent in chunks while the bucket has credit; small frames are sent at once and charged. A request whose response does not fit is refused before it runs.

The balancer's state in three tests is set by names, as it has a new field.

--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -308,5 +308,6 @@
 #include "jacinthdyke_reader.h"
 #include "jacinthdyke_tree.h"
 #include "jacinthdyke_request.h"
+#include "jacinthdyke_link.h"
 
 #endif
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -325,6 +325,11 @@
     uint64_t limited_process;
     unsigned rate_limit;
     uint64_t limited_until;
+    /* us until a large response is whole, as reported; 0: unknown */
+    uint64_t link_wait;
+    uint64_t link_wait_at;
+    uint64_t link_unit; /* us that one takes, the least that was reported */
+    unsigned large_since_report; /* requests for such sent since */
 } JdTargetStats;
 
 /* Load of a target, reported by its node with each answer. */
@@ -337,6 +342,7 @@
     unsigned rate_limit; /* requests per 1000 s, 0: none */
     uint64_t limit_wait; /* us until its limit allows another request */
     bool is_leaving;     /* the target's process has said that it leaves */
+    uint64_t link_wait;  /* us until a large response is whole, 0: unknown */
 } JdLoadReport;
 
 /* Load balancer of a node.  `region` and `domain` are those of the node. */
@@ -347,6 +353,8 @@
     JdCounters *counters;
     const char *region;
     const char *domain;
+    /* The response to the request that is placed is large: links count. */
+    bool counts_link;
 } JdBalancer;
 
 /* Locality of a target, as seen from this node. */
@@ -377,6 +385,7 @@
 
 /* outcome.c: statistics of the load balancer */
 void JdBalancer_RecordSend(const JdBalancer *lb, JdMember *mb);
+void JdBalancer_RecordProgress(const JdBalancer *lb, const char *id);
 void JdBalancer_RecordAnswer(const JdBalancer *lb, const char *id,
                              uint64_t took, const JdLoadReport *rep);
 void JdBalancer_RecordFailure(const JdBalancer *lb, const char *id,
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -25,6 +25,8 @@
 /* Age from which a reported service time is ignored, so that the target gets
  * requests and reports a new one. */
 #define SERVICE_TIME_MAX_AGE (5 * JD_US_PER_S)
+/* Age from which a reported wait for a link is ignored. */
+#define LINK_WAIT_MAX_AGE (2 * JD_US_PER_S)
 /* Limits on the wait and on the run time of a request in the node's own
  * failure domain, in percent of the time left.  If either is exceeded, the
  * other targets of the region are considered as well. */
@@ -191,6 +193,26 @@
                                                 : (double)ts->service_time;
 }
 
+/* Returns the time in us for which the link of a target's machine delays a
+ * large response: as it was reported, less with its age, and for what this
+ * node has asked for since. */
+static double
+link_wait(const JdBalancer *lb, JdMember *mb)
+{
+    const JdTargetStats *ts = _JdBalancer_TargetStats(lb, mb);
+    uint64_t age = JdClock_Now(lb->clock) - ts->link_wait_at;
+    double fresh = 0;
+
+    if (!lb->counts_link || ts->link_wait == 0) {
+        return 0;
+    }
+    if (age < LINK_WAIT_MAX_AGE) {
+        fresh = 1 - (double)age / (double)LINK_WAIT_MAX_AGE;
+    }
+    return (double)ts->link_wait * fresh +
+           (double)ts->link_unit * ts->large_since_report;
+}
+
 /*
  * Returns the cost of sending a request to a target.  The cost includes the
  * run time of the request itself, so that a slow target is not preferred just
@@ -199,7 +221,9 @@
 static double
 cost(const JdBalancer *lb, JdMember *mb, double default_time)
 {
-    return service_time_of(lb, mb, default_time) * (1 + work_per_slot(lb, mb));
+    return service_time_of(lb, mb, default_time) *
+               (1 + work_per_slot(lb, mb)) +
+           link_wait(lb, mb);
 }
 
 static JdTier
@@ -402,7 +426,7 @@
     }
     return time_left == 0 ||
            (run <= (double)time_left * DOMAIN_RUN_PERCENT / 100 &&
-            run * work_per_slot(lb, local) <=
+            run * work_per_slot(lb, local) + link_wait(lb, local) <=
                 (double)time_left * DOMAIN_WAIT_PERCENT / 100);
 }
 
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -25,6 +25,18 @@
     }
     ts->outstanding++;
     ts->sent_since_report++;
+    ts->large_since_report += lb->counts_link;
+}
+
+/* Records that a part of a large response has arrived. */
+void
+JdBalancer_RecordProgress(const JdBalancer *lb, const char *id)
+{
+    JdMember *mb = JdMembers_Find(lb->members, id);
+
+    if (mb != NULL) {
+        _JdBalancer_TargetStats(lb, mb)->progress_at = JdClock_Now(lb->clock);
+    }
 }
 
 /* Decrements the number of outstanding requests of a member.  Returns NULL if
@@ -45,6 +57,21 @@
     return ts;
 }
 
+/* Records what the target's node tells of its link. */
+static void
+record_link(const JdBalancer *lb, JdTargetStats *ts, const JdLoadReport *rep)
+{
+    if (rep->link_wait == 0) {
+        return;
+    }
+    ts->link_wait = rep->link_wait;
+    ts->link_wait_at = JdClock_Now(lb->clock);
+    ts->large_since_report = 0;
+    if (ts->link_unit == 0 || rep->link_wait < ts->link_unit) {
+        ts->link_unit = rep->link_wait;
+    }
+}
+
 static void
 record_report(const JdBalancer *lb, JdTargetStats *ts, const JdLoadReport *rep)
 {
@@ -55,6 +82,7 @@
         ts->service_time_at = JdClock_Now(lb->clock);
     }
     ts->load_reported_at = JdClock_Now(lb->clock);
+    record_link(lb, ts, rep);
 }
 
 /* Records what the target says of itself, as reported by its node. */
@@ -154,6 +182,10 @@
         ts->last_full_at = ts->progress_at;
         record_report(lb, ts, rep);
         return;
+    case JD_REASON_NO_LINK_ROOM:
+        ts->progress_at = JdClock_Now(lb->clock);
+        record_report(lb, ts, rep);
+        return;
     case JD_REASON_CRASHES:
     case JD_REASON_ISOLATED:
     case JD_REASON_COPY_RUNS:
--- a/node/drain.c
+++ b/node/drain.c
@@ -53,7 +53,8 @@
 {
     JdNode *nd = ctx;
     uint64_t now = JdClock_Now(&nd->loop.clock);
-    bool is_target_idle = nd->admit.running == 0 && nd->admit.queued == 0;
+    bool is_target_idle = nd->admit.running == 0 && nd->admit.queued == 0 &&
+                          nd->link_queue.count == 0;
     bool is_idle =
         nd->call_count == 0 && nd->waiting_count == 0 && is_target_idle;
 
--- a/node/node.h
+++ b/node/node.h
@@ -136,6 +136,14 @@
      * until this returns. */
     void (*respond)(void *ctx, JdConn *origin, Jd__Response *msg);
 } JdResponseOps;
+
+/* Until when a large response is of use, and its rank. */
+typedef struct JdBulkTimes {
+    uint64_t deadline;
+    uint64_t soft_deadline;
+    unsigned priority;
+} JdBulkTimes;
+
 typedef struct JdWaitingRequest JdWaitingRequest;
 
 /* What the source of configuration holds of the requests that crash targets.
@@ -218,8 +226,11 @@
     TAILQ_HEAD(JdWorkItemHead, JdWorkItem) work_items;
     JdClaims claims;
     char claim_stream[JD_PATH_MAX]; /* log stream of the service's claims */
-    JdTimer probe_timer;   /* next probe of a target without heartbeats */
-    bool is_probe_pending; /* the last probe has not ended */
+    /* Average sizes of large responses: targets/room.c */
+    GHashTable *response_sizes; /* route name -> JdLinkSize */
+    JdLinkSize response_size;   /* of all routes */
+    JdTimer probe_timer;        /* next probe of a target without heartbeats */
+    bool is_probe_pending;      /* the last probe has not ended */
 
     /* Requests that wait for this node to be ready: caller/front.c, intake.c
      * and waiting.c */
@@ -241,6 +252,12 @@
     unsigned next_lost_attempt;
     JdTimer conn_check_timer; /* checks request connections */
 
+    /* Large responses on the link of this machine: peer/bulk.c */
+    JdPacer pacer;
+    JdLinkQueue link_queue;
+    JdLinkRoom link_room;
+    JdTimer link_timer; /* next chunk */
+
     /* Reload of the settings: node/reload.c */
     JdReload reload;
 
@@ -276,6 +293,13 @@
 /* peer/response.c: responses of the local target, on their way out */
 void JdResponse_Init(JdNode *nd);
 
+/* peer/bulk.c: large responses of the local target, on their way out */
+void JdBulk_Init(JdNode *nd);
+void JdBulk_Respond(JdNode *nd, JdConn *origin, const Jd__Response *msg,
+                    const JdBulkTimes *times);
+void JdBulk_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
+void JdBulk_ConnClosed(JdNode *nd, const JdConn *origin);
+
 /* peer/lost.c: attempts that were lost with the node of their target */
 void JdLostAttempt_OnTargetReplaced(JdNode *nd, const JdMember *mb,
                                     uint64_t started);
@@ -294,8 +318,7 @@
 unsigned JdTargetResponse_Priority(const Jd__Request *msg);
 void JdTargetResponse_Refuse(JdNode *nd, const Jd__Request *request,
                              JdConn *origin, const JdTargetRefusal *refusal);
-void JdTargetResponse_Relay(JdNode *nd, uint64_t id, JdConn *origin,
-                            const JdHttpResponse *ans);
+void JdTargetResponse_Relay(JdWorkItem *it, const JdHttpResponse *ans);
 
 /* targets/notice.c: what the local target says of itself in its answers */
 void JdTargetNotice_OnRequest(JdNode *nd, const Jd__Request *msg);
@@ -316,6 +339,11 @@
 void JdTargetEstimate_Init(JdNode *nd);
 JdServiceTime *JdTargetEstimate_Get(JdNode *nd, const char *route);
 
+/* targets/room.c: room on the link for its responses */
+void JdTargetRoom_Init(JdNode *nd);
+uint32_t JdTargetRoom_RetryAfter(JdNode *nd, const Jd__Request *msg);
+uint32_t JdTargetRoom_Wait(const JdNode *nd);
+
 /* targets/health.c: health of the local target */
 void JdTargetHealth_Init(JdNode *nd);
 void JdTargetHealth_SetTarget(JdNode *nd, const JdSettings *s);
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -102,6 +102,7 @@
     case JD__FRAME__BODY_RESPONSE:
     case JD__FRAME__BODY_CANCEL:
     case JD__FRAME__BODY_PING:
+    case JD__FRAME__BODY_CHUNK:
         return false;
     default:
         return true;
@@ -322,6 +323,21 @@
     return conn->queued->size + conn->sending->size;
 }
 
+/* Charges a frame to the bandwidth of the link. */
+static void
+charge_link(JdPacer *pc, const Jd__Frame *frame, size_t bytes)
+{
+    if (pc == NULL) {
+        return;
+    }
+    if (frame->body_case == JD__FRAME__BODY_CHUNK) {
+        JdPacer_ChargeChunk(pc, bytes);
+    }
+    else {
+        JdPacer_ChargeSmall(pc, bytes);
+    }
+}
+
 /*
  * Queues a frame, and returns its size on the wire in bytes.  On a connection
  * that is closing, the frame is dropped and 0 is returned.
@@ -342,6 +358,7 @@
     dest.base[3] = (char)n;
     jd__frame__pack(frame, (uint8_t *)dest.base + LENGTH_SIZE);
     conn->queued->size += LENGTH_SIZE + n;
+    charge_link(conn->set->pacer, frame, LENGTH_SIZE + n);
     if (is_control_frame(frame)) {
         conn->counters->value[JD_C_CONTROL_SENT] += LENGTH_SIZE + n;
         if (conn->is_cross_region) {
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -46,6 +46,7 @@
     TAILQ_HEAD(JdConnHead, JdConn) conns;
     JdLoop *loop;
     JdCounters *counters;
+    JdPacer *pacer; /* is charged for what is sent; NULL: none */
     h2o_socket_t *listener;
     const JdConnOps *accept_ops;
     void *accept_ctx;
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -57,6 +57,7 @@
 end_attempt(JdAttempt *att)
 {
     JdRequestConn_RemoveAttempt(att);
+    JdPartial_Clear(&att->partial);
     att->is_active = false;
     att->call->active_count--;
 }
@@ -210,7 +211,8 @@
     call->last_reason = failure->reason;
     call->full_count += failure->reason == JD_REASON_QUEUE_FULL ||
                         failure->reason == JD_REASON_TOO_LATE ||
-                        failure->reason == JD_REASON_RATE_LIMITED;
+                        failure->reason == JD_REASON_RATE_LIMITED ||
+                        failure->reason == JD_REASON_NO_LINK_ROOM;
     if (failure->was_sent) {
         call->failed_sent_count++;
         call->may_have_run = call->may_have_run ||
@@ -305,6 +307,13 @@
     }
 }
 
+/* Returns whether the answer is large and comes in chunks. */
+static bool
+expects_chunks(const JdCall *call)
+{
+    return call->route.is_bulk && JdPacer_IsOn(&call->node->pacer);
+}
+
 /* Schedules the hedge of an idempotent request that is sent to `mb`. */
 static void
 arm_hedge_timer(JdCall *call, const JdMember *mb)
@@ -322,6 +331,11 @@
     if (delay < HEDGE_DELAY_MIN) {
         delay = HEDGE_DELAY_MIN;
     }
+    if (expects_chunks(call)) {
+        /* The answer waits for the link of its target's machine, and a second
+         * one would fill another link. */
+        delay = left;
+    }
     /* Leave the second attempt at least half of the remaining time. */
     JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer,
                 delay < left / 2 ? delay : left / 2);
@@ -347,6 +361,7 @@
     call->attempt_count++;
     call->active_count++;
     call->msg->id = att->id;
+    call->msg->takes_chunks = expects_chunks(call);
     call->msg->left_ms = (uint32_t)((call->deadline - now) / JD_US_PER_MS);
     call->msg->rate_limit = JdBalancer_RateLimit(&nd->balancer, mb);
     call->msg->target_started = mb->target_started;
@@ -374,10 +389,11 @@
 static JdMember *
 pick_target(JdCall *call, JdTier *tier)
 {
-    const JdBalancer *lb = &call->node->balancer;
+    JdBalancer *lb = &call->node->balancer;
     JdExcludedTargets avoid = {call->target_ids, call->attempt_count,
                                call->full_count};
 
+    lb->counts_link = expects_chunks(call);
     if (JdRetry_MayCrashTargets(call)) {
         return JdBalancer_PickPinned(lb, call->route.endpoint_set, &avoid,
                                      call->fingerprint.fingerprint.word[0],
@@ -476,7 +492,8 @@
                            .process = msg->target_started,
                            .rate_limit = msg->rate_limit,
                            .limit_wait = msg->limit_wait_ms * JD_US_PER_MS,
-                           .is_leaving = msg->target_leaving};
+                           .is_leaving = msg->target_leaving,
+                           .link_wait = msg->link_wait_ms * JD_US_PER_MS};
     JdAttempt *att = find_attempt(nd, msg->id);
 
     if (att == NULL) {
@@ -507,6 +524,31 @@
     answer_call(att->call, msg);
 }
 
+/* Handles a part of a large answer. */
+void
+JdForward_OnChunk(JdNode *nd, Jd__Chunk *chunk)
+{
+    JdAttemptFailure broken = {.reason = JD_REASON_BROKEN, .was_sent = true};
+    JdAttempt *att = find_attempt(nd, chunk->id);
+    Jd__Response *msg;
+
+    if (att == NULL) {
+        nd->counters.value[JD_C_LATE_ANSWERS] += !chunk->more;
+        return;
+    }
+    if (!JdPartial_Add(&att->partial, chunk)) {
+        JdForward_AttemptFailed(att, &broken);
+        return;
+    }
+    JdTimer_Cancel(&nd->loop.clock, &att->call->hedge_timer);
+    JdBalancer_RecordProgress(&nd->balancer, JdForward_TargetId(att));
+    if (JdPartial_IsWhole(&att->partial)) {
+        msg = JdPartial_Take(&att->partial);
+        JdForward_OnResponse(nd, msg);
+        jd__response__free_unpacked(msg, NULL);
+    }
+}
+
 /* Ends a call at its deadline.  Attempts still under way may have run. */
 static void
 on_deadline(void *ctx)
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -19,6 +19,13 @@
     uint64_t last_pinged_at;
 } JdRequestConn;
 
+/* A large response of which not all parts have arrived. */
+typedef struct JdPartial {
+    Jd__Response *head; /* NULL: nothing has arrived */
+    GByteArray *body;
+    uint64_t total; /* length of the whole body */
+} JdPartial;
+
 /* One attempt to have a call answered by a target. */
 typedef struct JdAttempt {
     TAILQ_ENTRY(JdAttempt) conn_link;
@@ -28,6 +35,7 @@
     uint64_t sent_at;
     uint64_t target_started; /* process that it is sent to, 0: unknown */
     JdTier tier;
+    JdPartial partial;
     JdRequestConn *request_conn; /* NULL: at the local target, or over */
 } JdAttempt;
 
@@ -80,8 +88,15 @@
 void JdForward_Begin(JdCall *call);
 const char *JdForward_TargetId(const JdAttempt *att);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
+void JdForward_OnChunk(JdNode *nd, Jd__Chunk *chunk);
 void JdForward_CallerDisconnected(JdCall *call);
 
+/* partial.c */
+bool JdPartial_Add(JdPartial *pt, Jd__Chunk *chunk);
+bool JdPartial_IsWhole(const JdPartial *pt);
+Jd__Response *JdPartial_Take(JdPartial *pt);
+void JdPartial_Clear(JdPartial *pt);
+
 /* retry.c */
 bool JdRetry_IsIdempotent(const JdCall *call);
 bool JdRetry_HasAttemptsLeft(const JdCall *call);
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -717,6 +717,47 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+jd__chunk__init(Jd__Chunk *message)
+{
+    static const Jd__Chunk init_value = JD__CHUNK__INIT;
+    *message = init_value;
+}
+size_t
+jd__chunk__get_packed_size(const Jd__Chunk *message)
+{
+    assert(message->base.descriptor == &jd__chunk__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__chunk__pack(const Jd__Chunk *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__chunk__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__chunk__pack_to_buffer(const Jd__Chunk *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__chunk__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__Chunk *
+jd__chunk__unpack(ProtobufCAllocator *allocator, size_t len,
+                  const uint8_t *data)
+{
+    return (Jd__Chunk *)protobuf_c_message_unpack(&jd__chunk__descriptor,
+                                                  allocator, len, data);
+}
+void
+jd__chunk__free_unpacked(Jd__Chunk *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__chunk__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 jd__cancel__init(Jd__Cancel *message)
 {
     static const Jd__Cancel init_value = JD__CANCEL__INIT;
@@ -1642,7 +1683,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[22] = {
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[23] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                        /* quantifier_offset */
@@ -1784,6 +1825,12 @@
         offsetof(Jd__Request, account_priority), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "takes_chunks", 23, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0, /* quantifier_offset */
+        offsetof(Jd__Request, takes_chunks), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
     20, /* field[20] = account */
@@ -1807,10 +1854,11 @@
     17, /* field[17] = retry */
     16, /* field[16] = route */
     1,  /* field[1] = service */
+    22, /* field[22] = takes_chunks */
     19, /* field[19] = target_started */
 };
 static const ProtobufCIntRange jd__request__number_ranges[1 + 1] = {{1, 0},
-                                                                    {0, 22}};
+                                                                    {0, 23}};
 const ProtobufCMessageDescriptor jd__request__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Request",
@@ -1818,7 +1866,7 @@
     "Jd__Request",
     "jd",
     sizeof(Jd__Request),
-    22,
+    23,
     jd__request__field_descriptors,
     jd__request__field_indices_by_name,
     1,
@@ -1828,7 +1876,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[14] = {
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[15] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                         /* quantifier_offset */
@@ -1913,6 +1961,12 @@
         offsetof(Jd__Response, crashed_process), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "link_wait_ms", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, link_wait_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
     3,  /* field[3] = body */
@@ -1920,6 +1974,7 @@
     2,  /* field[2] = header */
     0,  /* field[0] = id */
     11, /* field[11] = limit_wait_ms */
+    14, /* field[14] = link_wait_ms */
     6,  /* field[6] = load */
     10, /* field[10] = rate_limit */
     4,  /* field[4] = reason */
@@ -1931,7 +1986,7 @@
     9,  /* field[9] = target_started */
 };
 static const ProtobufCIntRange jd__response__number_ranges[1 + 1] = {{1, 0},
-                                                                     {0, 14}};
+                                                                     {0, 15}};
 const ProtobufCMessageDescriptor jd__response__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Response",
@@ -1939,7 +1994,7 @@
     "Jd__Response",
     "jd",
     sizeof(Jd__Response),
-    14,
+    15,
     jd__response__field_descriptors,
     jd__response__field_indices_by_name,
     1,
@@ -1949,6 +2004,65 @@
     NULL,
     NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jd__chunk__field_descriptors[5] = {
+    {
+        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                      /* quantifier_offset */
+        offsetof(Jd__Chunk, id), NULL, NULL, 0, /* flags */
+        0, NULL, NULL                           /* reserved1,reserved2, etc */
+    },
+    {
+        "head", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        0, /* quantifier_offset */
+        offsetof(Jd__Chunk, head), &jd__response__descriptor, NULL,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "total", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                         /* quantifier_offset */
+        offsetof(Jd__Chunk, total), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "body", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Chunk, body), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "more", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                        /* quantifier_offset */
+        offsetof(Jd__Chunk, more), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned jd__chunk__field_indices_by_name[] = {
+    3, /* field[3] = body */
+    1, /* field[1] = head */
+    0, /* field[0] = id */
+    4, /* field[4] = more */
+    2, /* field[2] = total */
+};
+static const ProtobufCIntRange jd__chunk__number_ranges[1 + 1] = {{1, 0},
+                                                                  {0, 5}};
+const ProtobufCMessageDescriptor jd__chunk__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Chunk",
+    "Chunk",
+    "Jd__Chunk",
+    "jd",
+    sizeof(Jd__Chunk),
+    5,
+    jd__chunk__field_descriptors,
+    jd__chunk__field_indices_by_name,
+    1,
+    jd__chunk__number_ranges,
+    (ProtobufCMessageInit)jd__chunk__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jd__cancel__field_descriptors[1] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
@@ -2009,7 +2123,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__frame__field_descriptors[15] = {
+static const ProtobufCFieldDescriptor jd__frame__field_descriptors[16] = {
     {
         "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                           /* quantifier_offset */
@@ -2114,11 +2228,19 @@
         0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
         0, NULL, NULL                    /* reserved1,reserved2, etc */
     },
+    {
+        "chunk", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, chunk),
+        &jd__chunk__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__frame__field_indices_by_name[] = {
     2,  /* field[2] = accept */
     4,  /* field[4] = beat */
     11, /* field[11] = cancel */
+    15, /* field[15] = chunk */
     14, /* field[14] = crashes */
     5,  /* field[5] = delta */
     13, /* field[13] = invite */
@@ -2132,8 +2254,8 @@
     10, /* field[10] = response */
     0,  /* field[0] = version */
 };
-static const ProtobufCIntRange jd__frame__number_ranges[1 + 1] = {{1, 0},
-                                                                  {0, 15}};
+static const ProtobufCIntRange jd__frame__number_ranges[2 + 1] = {
+    {1, 0}, {21, 15}, {0, 16}};
 const ProtobufCMessageDescriptor jd__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Frame",
@@ -2141,10 +2263,10 @@
     "Jd__Frame",
     "jd",
     sizeof(Jd__Frame),
-    15,
+    16,
     jd__frame__field_descriptors,
     jd__frame__field_indices_by_name,
-    1,
+    2,
     jd__frame__number_ranges,
     (ProtobufCMessageInit)jd__frame__init,
     NULL,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct Jd__Header Jd__Header;
 typedef struct Jd__Request Jd__Request;
 typedef struct Jd__Response Jd__Response;
+typedef struct Jd__Chunk Jd__Chunk;
 typedef struct Jd__Cancel Jd__Cancel;
 typedef struct Jd__Ping Jd__Ping;
 typedef struct Jd__Frame Jd__Frame;
@@ -436,10 +437,14 @@
    */
   char *account;
   uint32_t account_priority;
+  /*
+   * The response is expected to be large, and the sender takes it in chunks.
+   */
+  protobuf_c_boolean takes_chunks;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -489,10 +494,41 @@
    * The request may have crashed the target: id of its process, 0: none did.
    */
   uint64_t crashed_process;
+  /*
+   * Time until another large response would be whole, by the link of the
+   * target's machine; 0: unknown.
+   */
+  uint32_t link_wait_ms;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A part of a large response.  The parts come in order.
+ */
+struct  Jd__Chunk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  /*
+   * in the first part: the response without its body
+   */
+  Jd__Response *head;
+  /*
+   * in the first part: length of the whole body
+   */
+  uint64_t total;
+  ProtobufCBinaryData body;
+  /*
+   * another part follows
+   */
+  protobuf_c_boolean more;
+};
+#define JD__CHUNK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__chunk__descriptor) \
+    , 0, NULL, 0, {0,NULL}, 0 }
 
 
 /*
@@ -539,7 +575,8 @@
   JD__FRAME__BODY_CANCEL = 12,
   JD__FRAME__BODY_PING = 13,
   JD__FRAME__BODY_INVITE = 14,
-  JD__FRAME__BODY_CRASHES = 15
+  JD__FRAME__BODY_CRASHES = 15,
+  JD__FRAME__BODY_CHUNK = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JD__FRAME__BODY__CASE)
 } Jd__Frame__BodyCase;
 
@@ -566,6 +603,7 @@
     Jd__Ping *ping;
     Jd__Invite *invite;
     Jd__Crashes *crashes;
+    Jd__Chunk *chunk;
   };
 };
 #define JD__FRAME__INIT \
@@ -896,6 +934,25 @@
 void   jd__response__free_unpacked
                      (Jd__Response *message,
                       ProtobufCAllocator *allocator);
+/* Jd__Chunk methods */
+void   jd__chunk__init
+                     (Jd__Chunk         *message);
+size_t jd__chunk__get_packed_size
+                     (const Jd__Chunk   *message);
+size_t jd__chunk__pack
+                     (const Jd__Chunk   *message,
+                      uint8_t             *out);
+size_t jd__chunk__pack_to_buffer
+                     (const Jd__Chunk   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__Chunk *
+       jd__chunk__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__chunk__free_unpacked
+                     (Jd__Chunk *message,
+                      ProtobufCAllocator *allocator);
 /* Jd__Cancel methods */
 void   jd__cancel__init
                      (Jd__Cancel         *message);
@@ -1006,6 +1063,9 @@
 typedef void (*Jd__Response_Closure)
                  (const Jd__Response *message,
                   void *closure_data);
+typedef void (*Jd__Chunk_Closure)
+                 (const Jd__Chunk *message,
+                  void *closure_data);
 typedef void (*Jd__Cancel_Closure)
                  (const Jd__Cancel *message,
                   void *closure_data);
@@ -1038,6 +1098,7 @@
 extern const ProtobufCMessageDescriptor jd__header__descriptor;
 extern const ProtobufCMessageDescriptor jd__request__descriptor;
 extern const ProtobufCMessageDescriptor jd__response__descriptor;
+extern const ProtobufCMessageDescriptor jd__chunk__descriptor;
 extern const ProtobufCMessageDescriptor jd__cancel__descriptor;
 extern const ProtobufCMessageDescriptor jd__ping__descriptor;
 extern const ProtobufCMessageDescriptor jd__frame__descriptor;
--- a/peer/link.c
+++ b/peer/link.c
@@ -54,6 +54,7 @@
         break;
     case JD__FRAME__BODY_CANCEL:
         nd->target_ops->cancel(nd->target_ctx, frame->cancel->id, conn);
+        JdBulk_Cancel(nd, frame->cancel->id, conn);
         break;
     case JD__FRAME__BODY_PING:
         reply_to_ping(nd, conn, frame->ping);
@@ -75,6 +76,7 @@
     JdNode *nd = ctx;
 
     nd->target_ops->conn_closed(nd->target_ctx, conn);
+    JdBulk_ConnClosed(nd, conn);
     JdTree_Closed(&nd->tree, conn);
 }
 
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -84,6 +84,9 @@
     if (frame->body_case == JD__FRAME__BODY_RESPONSE) {
         JdForward_OnResponse(ctx, frame->response);
     }
+    else if (frame->body_case == JD__FRAME__BODY_CHUNK) {
+        JdForward_OnChunk(ctx, frame->chunk);
+    }
 }
 
 static void
--- a/peer/response.c
+++ b/peer/response.c
@@ -25,4 +25,5 @@
 {
     nd->response_ops = &response_ops;
     nd->response_ctx = nd;
+    JdBulk_Init(nd);
 }
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -136,8 +136,12 @@
     has_members = true;
     JdMembers_Init(&members, &script_clock, &script_counters);
     JdRandom_Init(&rnd, 1);
-    balancer = (JdBalancer){&members,         &script_clock, &rnd,
-                            &script_counters, "near",        "d1"};
+    balancer = (JdBalancer){.members = &members,
+                            .clock = &script_clock,
+                            .random = &rnd,
+                            .counters = &script_counters,
+                            .region = "near",
+                            .domain = "d1"};
 }
 
 /* member set ID REGION DOMAIN STATE SLOTS INCARNATION SEQ [TARGET-STARTED] */
--- a/targets/response.c
+++ b/targets/response.c
@@ -5,7 +5,7 @@
  */
 #include <string.h>
 
-#include "../node/node.h"
+#include "work_item.h"
 
 /* Returns the priority of a request; the lowest one for unknown numbers. */
 unsigned
@@ -23,8 +23,9 @@
     return (uint32_t)((wait + JD_US_PER_MS - 1) / JD_US_PER_MS);
 }
 
+/* Adds the state of the target and of its link to a response. */
 static void
-send_response(JdNode *nd, JdConn *origin, Jd__Response *msg)
+add_reports(JdNode *nd, Jd__Response *msg)
 {
     msg->load = JdAdmission_Load(&nd->admit);
     msg->service_us = nd->admit.service_time.mean;
@@ -32,7 +33,7 @@
     msg->rate_limit = nd->target_process.rate_limit;
     msg->target_leaving = JdTargetHealth_IsLeaving(nd);
     msg->limit_wait_ms = rate_limit_wait_ms(nd, 0);
-    nd->response_ops->respond(nd->response_ctx, origin, msg);
+    msg->link_wait_ms = JdTargetRoom_Wait(nd);
 }
 
 static void
@@ -72,23 +73,26 @@
         msg.retry_after_ms =
             rate_limit_wait_ms(nd, JdTargetResponse_Priority(request));
     }
+    if (reason == JD_REASON_NO_LINK_ROOM) {
+        msg.retry_after_ms = JdTargetRoom_RetryAfter(nd, request);
+    }
     nd->counters.value[JdReason_Info(reason)->counter]++;
     log_refusal(nd, request, reason, refusal->was_sent);
-    send_response(nd, origin, &msg);
+    add_reports(nd, &msg);
+    nd->response_ops->respond(nd->response_ctx, origin, &msg);
 }
 
-/* Relays the target's answer to the request with an id on `origin`, or of a
- * caller of this node if that is NULL. */
+/* Relays the target's answer to a request. */
 void
-JdTargetResponse_Relay(JdNode *nd, uint64_t id, JdConn *origin,
-                       const JdHttpResponse *ans)
+JdTargetResponse_Relay(JdWorkItem *it, const JdHttpResponse *ans)
 {
+    JdNode *nd = it->node;
     Jd__Header header[JD_HTTP_HEADERS_MAX];
     Jd__Header *list[JD_HTTP_HEADERS_MAX];
     char *names[JD_HTTP_HEADERS_MAX] = {NULL};
     Jd__Response msg = JD__RESPONSE__INIT;
 
-    msg.id = id;
+    msg.id = it->msg->id;
     msg.sent = true;
     msg.status = (uint32_t)ans->status;
     msg.body.data = (uint8_t *)ans->body;
@@ -109,7 +113,10 @@
         msg.n_header++;
     }
     msg.header = list;
-    send_response(nd, origin, &msg);
+    add_reports(nd, &msg);
+    if (!JdTargetRoom_Respond(it, &msg)) {
+        nd->response_ops->respond(nd->response_ctx, it->origin, &msg);
+    }
     for (size_t i = 0; i < msg.n_header; i++) {
         g_free(names[i]);
     }
--- a/targets/work_item.h
+++ b/targets/work_item.h
@@ -12,6 +12,7 @@
     Jd__Request *msg;
     JdConn *origin; /* NULL: the caller is connected to this node */
     JdHttpCall *call;
+    JdLinkClaim link_claim; /* room that is kept for its response */
     JdClaim claim;   /* of the idempotency key, if the route requires one */
     JdReason reason; /* of a refusal that is sent later */
     JdTimer timer;   /* on_not_sent or on_grace_over */
@@ -28,6 +29,11 @@
 /* worker.c */
 void JdWorkItem_Free(JdWorkItem *it);
 
+/* room.c */
+JdReason JdTargetRoom_Reserve(JdWorkItem *it);
+void JdTargetRoom_Release(JdWorkItem *it);
+bool JdTargetRoom_Respond(JdWorkItem *it, const Jd__Response *msg);
+
 /* suspect.c */
 void JdWorkItem_RecordEnd(JdWorkItem *it, const JdHttpResponse *ans);
 JdReason JdWorkItem_CheckCrashes(JdWorkItem *it);
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -33,6 +33,7 @@
 void
 JdWorkItem_Free(JdWorkItem *it)
 {
+    JdTargetRoom_Release(it);
     TAILQ_REMOVE(&it->node->work_items, it, link);
     jd__request__free_unpacked(it->msg, NULL);
     g_free(it);
@@ -148,7 +149,7 @@
         return;
     }
     if (reason == JD_REASON_NONE) {
-        JdTargetResponse_Relay(nd, it->msg->id, it->origin, ans);
+        JdTargetResponse_Relay(it, ans);
         JdWorkItem_Free(it);
     }
     else if (JdReason_Info(reason)->is_not_executed) {
@@ -243,6 +244,9 @@
     bool has_slot = JdAdmission_HasFreeSlot(&it->node->admit);
     JdReason reason = JdWorkItem_CheckCrashes(it);
 
+    if (reason == JD_REASON_NONE) {
+        reason = JdTargetRoom_Reserve(it);
+    }
     if (reason == JD_REASON_NONE) {
         reason = JdAdmission_Offer(&it->node->admit, &it->work);
     }
@@ -411,6 +415,7 @@
 static void
 hold_slot(JdWorkItem *it)
 {
+    JdTargetRoom_Release(it);
     it->is_orphan = true;
     it->origin = NULL;
     /* The claim of this work may just have expired. */
@@ -535,6 +540,7 @@
     nd->target_ctx = nd;
     TAILQ_INIT(&nd->work_items);
     JdTargetEstimate_Init(nd);
+    JdTargetRoom_Init(nd);
     JdAdmission_Init(&nd->admit, (unsigned)nd->settings.slots,
                      (unsigned)nd->settings.max_queued, &nd->loop.clock,
                      &admit_ops, nd);
