--- a/peer/link.c
+++ b/peer/link.c
@@ -57,6 +57,7 @@
         break;
     case JD__FRAME__BODY_CANCEL:
         nd->target_ops->cancel(nd->target_ctx, frame->cancel->id, conn);
+        JdBulk_Cancel(nd, frame->cancel->id, conn);
         break;
     case JD__FRAME__BODY_PING:
         reply_to_ping(nd, conn, frame->ping);
@@ -79,6 +80,7 @@
 
     nd->target_ops->conn_closed(nd->target_ctx, conn);
     JdQuota_PeerClosed(&nd->quota, conn);
+    JdBulk_ConnClosed(nd, conn);
     JdTree_Closed(&nd->tree, conn);
 }
 
