Say that a request has not run where that is certain

The knowledge was lost in four places:

- A request waited in the buffer of a connection that was not open yet, and counted as sent.
It now stays with its attempt until the connection opens.
- A target's node gave a request the whole time that was left when it was sent, though it had spent hundreds of ms on the way, and refused it after its caller had got 504.
Where the configuration asks for shares, requests carry the sender's clock, and the delay beyond that of the fastest one is taken off.
- Queued work was refused at its deadline, too late for the way back.
It is refused at the time from which it cannot end in time.
- A request was sent to another target with a few ms left.
Such a retry now needs half of the target's mean service time.

--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -304,6 +304,7 @@
                          json_t *patch);
 
 #include "jacinthdyke_account.h"
+#include "jacinthdyke_shortage.h"
 #include "jacinthdyke_crash.h"
 #include "jacinthdyke_reader.h"
 #include "jacinthdyke_tree.h"
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -222,7 +222,18 @@
     ad->ops->start(ad->ctx, work);
 }
 
-/* Arms the timer for the earliest deadline in the queue. */
+/* Returns the time from which queued work can no longer end in time.  It is
+ * refused then, so that its caller knows before its own deadline that it has
+ * not run. */
+static uint64_t
+latest_start(const JdAdmission *ad, const JdWork *work)
+{
+    uint64_t expected = expected_time_of(ad, work);
+
+    return work->deadline > expected ? work->deadline - expected : 0;
+}
+
+/* Arms the timer for the earliest time at which queued work is refused. */
 static void
 arm_deadline_timer(JdAdmission *ad)
 {
@@ -232,15 +243,16 @@
 
     TAILQ_FOREACH(w, &ad->queue, link)
     {
-        if (w->deadline < first) {
-            first = w->deadline;
+        if (latest_start(ad, w) < first) {
+            first = latest_start(ad, w);
         }
     }
     if (first == UINT64_MAX) {
         JdTimer_Cancel(ad->clock, &ad->deadline_timer);
         return;
     }
-    JdTimer_Arm(ad->clock, &ad->deadline_timer, first > now ? first - now : 0);
+    JdTimer_Arm(ad->clock, &ad->deadline_timer,
+                first >= now ? first + 1 - now : 0);
 }
 
 static void
@@ -251,7 +263,7 @@
 
     for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
         next = TAILQ_NEXT(w, link);
-        if (w->deadline <= JdClock_Now(ad->clock)) {
+        if (latest_start(ad, w) < JdClock_Now(ad->clock)) {
             dequeue(ad, w);
             ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
         }
--- a/node/node.h
+++ b/node/node.h
@@ -237,6 +237,8 @@
     TAILQ_HEAD(JdCallHead, JdCall) calls;
     unsigned call_count;
     uint64_t last_attempt_id;
+    /* The configuration asks for ranks and shares: JdConfig_AsksForShares */
+    bool is_shortage_asked;
     JdLostAttempt lost_attempts[JD_LOST_ATTEMPTS_MAX]; /* ring: peer/lost.c */
     unsigned next_lost_attempt;
     JdTimer conn_check_timer; /* checks request connections */
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -37,6 +37,7 @@
     bool carries_requests; /* opened to send requests: see JdRequestConn */
     bool is_cross_region;  /* the other node is in another region */
     uint64_t last_read_at; /* last input, or opening; 0: never opened */
+    JdTransit transit;     /* of requests that come in */
     JdTimer free_timer;
     JdCounters *counters;
 };
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -19,6 +19,9 @@
  * often resets others within a few milliseconds, and a retry that is sent on
  * one of them is lost as well. */
 #define RETRY_PAUSE (5 * JD_US_PER_MS)
+/* A request is not sent to another target with less time left than this share
+ * of the target's mean service time, in percent. */
+#define RETRY_MIN_PERCENT 50
 /* Interval between two checks of the connections that carry requests. */
 #define CONN_CHECK_PERIOD (250 * JD_US_PER_MS)
 
@@ -34,6 +37,9 @@
     Jd__Cancel msg = JD__CANCEL__INIT;
     Jd__Frame frame = JD__FRAME__INIT;
 
+    if (!att->is_sent) {
+        return;
+    }
     if (att->request_conn == NULL) {
         nd->target_ops->cancel(nd->target_ctx, att->id, NULL);
         return;
@@ -76,7 +82,7 @@
              * long the target takes. */
             JdLoadReport report = {.service_time = now - att->sent_at};
 
-            if (reason == JD_REASON_DEADLINE) {
+            if (reason == JD_REASON_DEADLINE && att->is_sent) {
                 JdLostAttempt_Add(att);
             }
             send_cancel(att);
@@ -145,7 +151,11 @@
     JdServerRequest *req = call->req;
     JdNode *nd = call->node;
     unsigned retry_after_ms = call->retry_after_ms;
+    JdReason cancel_reason = reason;
 
+    if (reason == JD_REASON_DEADLINE && !call->may_have_run) {
+        reason = JD_REASON_TOO_LATE;
+    }
     if (call->may_have_run && JdReason_Info(reason)->is_not_executed) {
         reason = JD_REASON_BROKEN;
     }
@@ -153,13 +163,13 @@
         retry_after_ms = JdReason_Info(reason)->retry_after_ms;
     }
     /* A refusal by the target's node is counted by that node. */
-    if (call->attempt_count == 0 || reason == JD_REASON_DEADLINE ||
+    if (call->attempt_count == 0 || cancel_reason == JD_REASON_DEADLINE ||
         reason == JD_REASON_BROKEN) {
         nd->counters.value[JdReason_Info(reason)->counter]++;
     }
     log_refused_call(call, reason);
     record_total_latency(call, JdReason_Info(reason)->name);
-    cancel_attempts(call, reason);
+    cancel_attempts(call, cancel_reason);
     free_call(call);
     if (req != NULL) {
         JdReply_Refuse(nd, req, reason, retry_after_ms);
@@ -261,38 +271,79 @@
     try_next_target(ctx);
 }
 
+/* Updates the message of a call for an attempt that is sent now. */
+static void
+fill_message(JdAttempt *att)
+{
+    JdCall *call = att->call;
+    uint64_t now = JdClock_Now(&call->node->loop.clock);
+    uint64_t goal_at = call->arrived_at + call->route.latency_goal;
+    Jd__Request *msg = call->msg;
+
+    att->is_sent = true;
+    msg->retry = att->is_retry;
+    msg->id = att->id;
+    msg->left_ms = call->deadline > now
+                       ? (uint32_t)((call->deadline - now) / JD_US_PER_MS)
+                       : 0;
+    msg->rate_limit = att->rate_limit;
+    msg->target_started = att->target_started;
+    msg->latency_ms =
+        goal_at > now ? (uint32_t)((goal_at - now) / JD_US_PER_MS) : 0;
+}
+
 /* Hands a copy of the request to the local target, which frees it. */
 static void
-submit_to_local_target(JdCall *call)
+submit_to_local_target(JdAttempt *att)
 {
-    size_t n = jd__request__get_packed_size(call->msg);
-    uint8_t *buf = g_malloc(n);
+    JdCall *call = att->call;
     JdNode *nd = call->node;
+    uint8_t *buf;
+    size_t n;
 
+    fill_message(att);
+    n = jd__request__get_packed_size(call->msg);
+    buf = g_malloc(n);
     jd__request__pack(call->msg, buf);
     nd->target_ops->submit(nd->target_ctx, jd__request__unpack(NULL, n, buf),
                            NULL);
     g_free(buf);
 }
 
-static void
-send_request(JdAttempt *att, JdRequestConn *rconn)
+/* Sends the request of an attempt on its connection, which is open. */
+void
+JdForward_SendAttempt(JdAttempt *att)
 {
     JdNode *nd = att->call->node;
     Jd__Frame frame = JD__FRAME__INIT;
     size_t n;
 
-    JdRequestConn_AddAttempt(rconn, att);
+    fill_message(att);
+    if (nd->is_shortage_asked) {
+        att->call->msg->sent_ms =
+            JdTransit_Stamp(JdClock_Now(&nd->loop.clock));
+    }
     frame.version = nd->store.config->version;
     frame.body_case = JD__FRAME__BODY_REQUEST;
     frame.request = att->call->msg;
-    n = JdConn_Send(rconn->conn, &frame);
+    n = JdConn_Send(att->request_conn->conn, &frame);
     nd->counters.value[JD_C_REQUEST_BYTES] += n;
     if (att->tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += n;
     }
 }
 
+/* Assigns an attempt to a connection.  While that is not open, the request
+ * stays here, so that it is known not to have run. */
+static void
+send_on_conn(JdAttempt *att, JdRequestConn *rconn)
+{
+    JdRequestConn_AddAttempt(rconn, att);
+    if (rconn->conn->is_open) {
+        JdForward_SendAttempt(att);
+    }
+}
+
 /* Starts another attempt beside the slow one, if a retry is allowed. */
 static void
 on_hedge_timer(void *ctx)
@@ -327,16 +378,15 @@
                 delay < left / 2 ? delay : left / 2);
 }
 
-/* Adds an attempt at a member and updates the message for it. */
+/* Adds an attempt at a member. */
 static JdAttempt *
 begin_attempt(JdCall *call, JdMember *mb, JdTier tier)
 {
     JdNode *nd = call->node;
     uint64_t now = JdClock_Now(&nd->loop.clock);
-    uint64_t goal_at = call->arrived_at + call->route.latency_goal;
     JdAttempt *att = &call->attempts[call->attempt_count];
 
-    call->msg->retry = call->failed_sent_count + call->active_count > 0;
+    att->is_retry = call->failed_sent_count + call->active_count > 0;
     att->call = call;
     att->id = ++nd->last_attempt_id;
     att->is_active = true;
@@ -346,12 +396,7 @@
     g_strlcpy(call->target_ids[call->attempt_count], mb->id, JD_NAME_MAX);
     call->attempt_count++;
     call->active_count++;
-    call->msg->id = att->id;
-    call->msg->left_ms = (uint32_t)((call->deadline - now) / JD_US_PER_MS);
-    call->msg->rate_limit = JdBalancer_RateLimit(&nd->balancer, mb);
-    call->msg->target_started = mb->target_started;
-    call->msg->latency_ms =
-        goal_at > now ? (uint32_t)((goal_at - now) / JD_US_PER_MS) : 0;
+    att->rate_limit = JdBalancer_RateLimit(&nd->balancer, mb);
     JdBalancer_RecordSend(&nd->balancer, mb);
     return att;
 }
@@ -387,6 +432,18 @@
                            time_until_latency_goal(call), tier);
 }
 
+/* Returns whether enough time is left for a target to run the request.  A
+ * first attempt is made in any case, as the estimate may be outdated. */
+static bool
+has_time_for_retry(const JdCall *call, const JdMember *mb)
+{
+    uint64_t now = JdClock_Now(&call->node->loop.clock);
+    const JdTargetStats *ts = mb->user;
+
+    return call->attempt_count == 0 || ts == NULL ||
+           now + ts->service_time * RETRY_MIN_PERCENT / 100 < call->deadline;
+}
+
 /* Sends the request to a target that has not been tried, or refuses the call
  * when there is none and no attempt is under way. */
 static void
@@ -399,7 +456,7 @@
     JdRequestConn *rconn;
     JdAttempt *att;
 
-    if (mb == NULL) {
+    if (mb == NULL || !has_time_for_retry(call, mb)) {
         if (call->active_count == 0) {
             refuse_call(call, call->attempt_count == 0 ? JD_REASON_NO_TARGET
                                                        : call->last_reason);
@@ -409,7 +466,7 @@
     att = begin_attempt(call, mb, tier);
     arm_hedge_timer(call, mb);
     if (strcmp(mb->id, nd->settings.node) == 0) {
-        submit_to_local_target(call);
+        submit_to_local_target(att);
         return;
     }
     if (tier == JD_TIER_FAR) {
@@ -420,7 +477,7 @@
         JdForward_AttemptFailed(att, &down);
         return;
     }
-    send_request(att, rconn);
+    send_on_conn(att, rconn);
 }
 
 /* Sends the request to another target, unless it crashes targets. */
@@ -507,13 +564,25 @@
     answer_call(att->call, msg);
 }
 
-/* Ends a call at its deadline.  Attempts still under way may have run. */
+/* Returns whether a request is under way to a target or at one. */
+static bool
+has_sent_attempt(const JdCall *call)
+{
+    for (unsigned i = 0; i < call->attempt_count; i++) {
+        if (call->attempts[i].is_active && call->attempts[i].is_sent) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Ends a call at its deadline.  Attempts that were sent may have run. */
 static void
 on_deadline(void *ctx)
 {
     JdCall *call = ctx;
 
-    call->may_have_run = call->may_have_run || call->active_count > 0;
+    call->may_have_run = call->may_have_run || has_sent_attempt(call);
     refuse_call(call, JD_REASON_DEADLINE);
 }
 
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -25,6 +25,9 @@
     struct JdCall *call;
     uint64_t id;    /* on the wire; unique among the attempts of this node */
     bool is_active; /* under way: may still be answered */
+    bool is_sent;   /* false: waits for its connection to open */
+    bool is_retry;  /* an earlier attempt may have reached a target */
+    unsigned rate_limit; /* known limit of the target, see Jd__Request */
     uint64_t sent_at;
     uint64_t target_started; /* process that it is sent to, 0: unknown */
     JdTier tier;
@@ -79,6 +82,7 @@
 /* forward.c */
 void JdForward_Begin(JdCall *call);
 const char *JdForward_TargetId(const JdAttempt *att);
+void JdForward_SendAttempt(JdAttempt *att);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
 void JdForward_CallerDisconnected(JdCall *call);
 
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1642,7 +1642,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[22] = {
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[23] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                        /* quantifier_offset */
@@ -1784,6 +1784,12 @@
         offsetof(Jd__Request, account_priority), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "sent_ms", 24, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Request, sent_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
     20, /* field[20] = account */
@@ -1806,11 +1812,12 @@
     11, /* field[11] = request_id */
     17, /* field[17] = retry */
     16, /* field[16] = route */
+    22, /* field[22] = sent_ms */
     1,  /* field[1] = service */
     19, /* field[19] = target_started */
 };
-static const ProtobufCIntRange jd__request__number_ranges[1 + 1] = {{1, 0},
-                                                                    {0, 22}};
+static const ProtobufCIntRange jd__request__number_ranges[2 + 1] = {
+    {1, 0}, {24, 22}, {0, 23}};
 const ProtobufCMessageDescriptor jd__request__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Request",
@@ -1818,10 +1825,10 @@
     "Jd__Request",
     "jd",
     sizeof(Jd__Request),
-    22,
+    23,
     jd__request__field_descriptors,
     jd__request__field_indices_by_name,
-    1,
+    2,
     jd__request__number_ranges,
     (ProtobufCMessageInit)jd__request__init,
     NULL,
--- a/peer/link.c
+++ b/peer/link.c
@@ -169,6 +169,7 @@
     bool is_starting = nd->tree.state == JD_MEMBER_STARTING;
 
     record_applied_version(nd);
+    nd->is_shortage_asked = JdConfig_AsksForShares(nd->store.config);
     if (nd->config_source->status_changed != NULL) {
         nd->config_source->status_changed(nd);
     }
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -73,8 +73,15 @@
 static void
 on_opened(void *ctx, JdConn *conn)
 {
+    JdRequestConn *rconn = conn->user;
+    JdAttempt *att;
+
     (void)ctx;
-    ((JdRequestConn *)conn->user)->last_used_at = conn->last_read_at;
+    rconn->last_used_at = conn->last_read_at;
+    TAILQ_FOREACH(att, &rconn->attempts, conn_link)
+    {
+        JdForward_SendAttempt(att);
+    }
 }
 
 static void
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -203,6 +203,7 @@
     Unit_AddBalance();
     Unit_AddHeads();
     Unit_AddOverload();
+    Unit_AddShortage();
     Unit_AddLimit();
     Unit_AddAccount();
     Unit_AddCrash();
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -8,6 +8,7 @@
 void Unit_AddBalance(void);
 void Unit_AddHeads(void);
 void Unit_AddOverload(void);
+void Unit_AddShortage(void);
 void Unit_AddLimit(void);
 void Unit_AddAccount(void);
 void Unit_AddCrash(void);
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -248,7 +248,8 @@
     }
     /* The estimate alone made it too late; lower it, so that the route is
      * measured again after some refusals. */
-    if (reason == JD_REASON_TOO_LATE && has_slot) {
+    if (reason == JD_REASON_TOO_LATE && has_slot &&
+        it->work.deadline > JdClock_Now(&it->node->loop.clock)) {
         JdServiceTime_Decay(JdTargetEstimate_Get(it->node, it->msg->route));
     }
     if (reason != JD_REASON_NONE) {
@@ -347,6 +348,27 @@
     return JD_REASON_NONE;
 }
 
+/* Sets the times by which work has to end, by the clock of its caller's node:
+ * what its message was delayed on the way has been used up. */
+static void
+set_deadlines(JdNode *nd, const Jd__Request *msg, JdConn *origin, JdWork *work)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+    uint64_t left = msg->left_ms * JD_US_PER_MS;
+    uint64_t goal = msg->latency_ms * JD_US_PER_MS;
+    uint64_t delay = 0;
+
+    if (origin != NULL) {
+        delay = JdTransit_Record(&origin->transit, msg->sent_ms, now);
+    }
+    work->deadline = now + (left > delay ? left - delay : 0);
+    if (nd->is_draining && work->deadline > nd->drain_deadline) {
+        work->deadline = nd->drain_deadline;
+    }
+    /* The latency goal may have passed; 0 would mean that there is none. */
+    work->soft_deadline = goal > delay ? now + goal - delay : 1;
+}
+
 /*
  * Submits a request for the target and takes ownership of the message.
  * `origin` is the connection it came over, or NULL for a caller of this node.
@@ -369,19 +391,7 @@
     it->msg = msg;
     it->origin = origin;
     it->work.priority = JdTargetResponse_Priority(msg);
-    it->work.deadline =
-        JdClock_Now(&nd->loop.clock) + msg->left_ms * JD_US_PER_MS;
-    if (nd->is_draining && it->work.deadline > nd->drain_deadline) {
-        it->work.deadline = nd->drain_deadline;
-    }
-    if (msg->latency_ms > 0) {
-        it->work.soft_deadline =
-            JdClock_Now(&nd->loop.clock) + msg->latency_ms * JD_US_PER_MS;
-    }
-    else {
-        /* The latency goal has passed; 0 would mean that there is none. */
-        it->work.soft_deadline = 1;
-    }
+    set_deadlines(nd, msg, origin, &it->work);
     it->submitted_at = JdClock_Now(&nd->loop.clock);
     it->work.expected_time = JdTargetEstimate_Get(nd, msg->route)->mean;
     JdTimer_Init(&it->timer, on_not_sent, it);
