Serve by rank, calls of running requests first, and fair shares by account

Where callers competed for too little room, an account at many times its usual took the room of all others, priorities of accounts counted for nothing, and requests were run whose calls were then turned away. Where the configuration holds client accounts or bulk routes:

- Work has one of 32 ranks: the account's priority, the route's, and calls of the local target before new requests.
A call is known by the address that its connection comes from.
- Within a rank, accounts are served by start-time fair queueing over the expected run time, weighted by their rates.
A full queue gives up work that is late or whose account is further ahead of its share.

Tests play an account at five times its usual (others lose less than 5%), shares by rates, a burst of a low rank, and calls under shortage.

--- a/base/base.h
+++ b/base/base.h
@@ -243,6 +243,8 @@
     TAILQ_HEAD(JdServerConns, JdServerConn) conns;
 } JdServer;
 
+bool JdServer_IsFrom(const JdServerRequest *rq,
+                     const struct sockaddr_in *address);
 JdStatus JdServer_Init(JdServer *sv, JdLoop *lp, const char *address,
                        size_t max_body, const JdServerOps *ops, void *ctx,
                        JdError *err);
--- a/base/server.c
+++ b/base/server.c
@@ -417,6 +417,21 @@
     return JdHttpHeader_Find(rq->header, rq->header_count, name);
 }
 
+/* Returns whether a request came from the host of an address. */
+bool
+JdServer_IsFrom(const JdServerRequest *rq, const struct sockaddr_in *address)
+{
+    const JdServerExchange *ex =
+        (const JdServerExchange *)((const char *)rq -
+                                   offsetof(JdServerExchange, request));
+    struct sockaddr_in from;
+
+    return h2o_socket_getpeername(ex->conn->sock, (struct sockaddr *)&from) ==
+               sizeof(from) &&
+           from.sin_family == AF_INET &&
+           from.sin_addr.s_addr == address->sin_addr.s_addr;
+}
+
 static void
 enqueue(JdServerConn *cn, JdServerExchange *ex)
 {
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -59,6 +59,15 @@
     return true;
 }
 
+/* Returns whether the target beside this node made a request.  It does so only
+ * while it runs one. */
+static bool
+is_call_of_target(const JdNode *nd, const JdServerRequest *req)
+{
+    return nd->is_shortage_asked && nd->has_target &&
+           JdServer_IsFrom(req, &nd->target_client.address);
+}
+
 /* Copies a caller's request into a message that owns all its memory, by
  * packing and unpacking one that points into the request. */
 static Jd__Request *
@@ -110,6 +119,7 @@
         msg.account = (char *)parsed->account.name;
         msg.account_priority = parsed->account.priority;
     }
+    msg.is_call = is_call_of_target(call->node, req);
     msg.config_version = call->config->version;
     n = jd__request__get_packed_size(&msg);
     buf = g_malloc(n);
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -48,8 +48,6 @@
 
 /* ---- rate.c: rate limits that targets name ----------------------------- */
 
-#define JD_PRIORITIES 4
-
 /* Bounds on the rates that are kept, in requests per 1000 s. */
 #define JD_RATE_MIN 250U
 #define JD_RATE_MAX 1000000000U
@@ -86,8 +84,12 @@
     uint64_t soft_deadline;
     uint64_t expected_time; /* us that it will run, 0: use the mean */
     uint64_t started_at;
-    unsigned priority; /* 0 is served first */
-    bool is_late;      /* can no longer finish by its soft deadline */
+    unsigned priority;   /* of its route, 0 is served first */
+    unsigned rank;       /* JdRank_Make; set by admission if it has no ranks */
+    const char *account; /* client account, NULL or empty: none */
+    uint64_t rate;       /* of the account, requests per 1000 s, 0: no limit */
+    double tag;          /* JdShares_Tag */
+    bool is_late;        /* can no longer finish by its soft deadline */
     bool is_queued;
     bool is_running;
 } JdWork;
@@ -105,10 +107,12 @@
     unsigned running;
     unsigned queued;
     JdServiceTime service_time; /* mean over all work */
-    /* expected us of started work by priority, decaying exponentially */
-    double recent_load[JD_PRIORITIES];
+    /* expected us of started work by rank, decaying exponentially */
+    double recent_load[JD_RANKS];
     uint64_t recent_load_at; /* time of the last decay */
     JdRateLimit rate_limit;
+    JdShares shares;
+    bool has_ranks; /* the caller ranks the work; else priorities do */
     bool is_closed;
     TAILQ_HEAD(JdWorkHead, JdWork) queue;
     JdClock *clock;
--- a/include/jacinthdyke_shortage.h
+++ b/include/jacinthdyke_shortage.h
@@ -9,6 +9,41 @@
 
 bool JdConfig_AsksForShares(const JdConfig *cfg);
 
+/* ---- lib/admission/rank.c: the order in which requests are served ------ */
+
+/* Number of priorities of routes and of client accounts; 0 is served first. */
+#define JD_PRIORITIES 4
+/* Number of ranks; 0 is served first. */
+#define JD_RANKS (JD_PRIORITIES * JD_PRIORITIES * 2)
+
+unsigned JdRank_Make(unsigned account_priority, unsigned route_priority,
+                     bool is_call);
+unsigned JdRank_OfRequest(const Jd__Request *msg);
+
+/* ---- lib/admission/share.c: fair shares between client accounts -------- */
+
+/* Start-time fair queueing: an account's work is tagged with the account's
+ * virtual time, and of two accounts the one with the lower tag is next. */
+typedef struct JdShares {
+    void *finish;          /* GHashTable: rank and account to a virtual time */
+    double time[JD_RANKS]; /* virtual time: highest tag that was started */
+} JdShares;
+
+/* Work of one account. */
+typedef struct JdShareClaim {
+    const char *account; /* NULL or empty: takes no part */
+    unsigned rank;
+    uint64_t rate; /* of the account, in requests per 1000 s, 0: no limit */
+    uint64_t cost; /* expected run time in us */
+} JdShareClaim;
+
+void JdShares_Init(JdShares *sh);
+void JdShares_Finish(JdShares *sh);
+double JdShares_Tag(const JdShares *sh, const JdShareClaim *cl);
+void JdShares_Charge(JdShares *sh, const JdShareClaim *cl, double tag);
+void JdShares_Refund(JdShares *sh, const JdShareClaim *cl);
+void JdShares_Start(JdShares *sh, unsigned rank, double tag);
+
 /* ---- lib/admission/transit.c: time that messages spend on the way ------ */
 
 /* One direction of a connection. */
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -3,12 +3,14 @@
  * priority queue.  Only the target's own node runs admission for it, so the
  * limit on running work is exact.
  *
+ * Work is served by rank, then by the client accounts' fair shares.
+ *
  * The policy is made for an offered load above the target's capacity.  A queue
  * ordered by deadline alone would then finish all work just before its
  * deadline and none by its soft deadline.  Work is therefore queued only if it
  * is expected to finish by its soft deadline.  Work that would miss its soft
  * deadline on an idle target as well is queued behind the other work of its
- * priority, and work that cannot finish by its deadline is refused as soon as
+ * rank, and work that cannot finish by its deadline is refused as soon as
  * this is known.
  */
 #include <math.h>
@@ -42,6 +44,7 @@
     ad->clock = clk;
     ad->ops = ops;
     ad->ctx = ctx;
+    JdShares_Init(&ad->shares);
     TAILQ_INIT(&ad->queue);
     JdTimer_Init(&ad->deadline_timer, on_deadline, ad);
 }
@@ -51,6 +54,7 @@
 JdAdmission_Finish(JdAdmission *ad)
 {
     JdTimer_Cancel(ad->clock, &ad->deadline_timer);
+    JdShares_Finish(&ad->shares);
 }
 
 /* Adds a measured service time to the moving average. */
@@ -95,12 +99,15 @@
 static bool
 precedes(const JdWork *a, const JdWork *b)
 {
-    if (a->priority != b->priority) {
-        return a->priority < b->priority;
+    if (a->rank != b->rank) {
+        return a->rank < b->rank;
     }
     if (a->is_late != b->is_late) {
         return b->is_late;
     }
+    if (a->tag < b->tag || a->tag > b->tag) {
+        return a->tag < b->tag;
+    }
     if (!a->is_late && a->soft_deadline != b->soft_deadline) {
         return a->soft_deadline < b->soft_deadline;
     }
@@ -114,22 +121,22 @@
     uint64_t now = JdClock_Now(ad->clock);
     double factor = exp(-(double)(now - ad->recent_load_at) / LOAD_DECAY_US);
 
-    for (int p = 0; p < JD_PRIORITIES; p++) {
-        ad->recent_load[p] *= factor;
+    for (int r = 0; r < JD_RANKS; r++) {
+        ad->recent_load[r] *= factor;
     }
     ad->recent_load_at = now;
 }
 
-/* Returns the share of the slots that work of higher priorities has occupied
+/* Returns the share of the slots that work of higher ranks has occupied
  * recently, at most MAX_HIGHER_SHARE. */
 static double
-higher_priority_share(JdAdmission *ad, unsigned priority)
+higher_rank_share(JdAdmission *ad, unsigned rank)
 {
     double sum = 0;
 
     decay_recent_load(ad);
-    for (unsigned p = 0; p < priority && p < JD_PRIORITIES; p++) {
-        sum += ad->recent_load[p];
+    for (unsigned r = 0; r < rank && r < JD_RANKS; r++) {
+        sum += ad->recent_load[r];
     }
     sum /= LOAD_DECAY_US * ad->slots;
     return sum < MAX_HIGHER_SHARE ? sum : MAX_HIGHER_SHARE;
@@ -137,13 +144,13 @@
 
 /*
  * Returns the estimated time in us until a slot is free for work that has
- * `ahead` us of queued work before it.  Work of higher priorities that arrives
+ * `ahead` us of queued work before it.  Work of higher ranks that arrives
  * meanwhile is served first, so only the remaining share of the slots counts.
  */
 static uint64_t
-estimate_wait(JdAdmission *ad, uint64_t ahead, unsigned priority)
+estimate_wait(JdAdmission *ad, uint64_t ahead, unsigned rank)
 {
-    double available = ad->slots * (1 - higher_priority_share(ad, priority));
+    double available = ad->slots * (1 - higher_rank_share(ad, rank));
 
     return (uint64_t)((double)(ahead + ad->service_time.mean) / available);
 }
@@ -210,14 +217,37 @@
     ad->queued--;
 }
 
+/* Returns what work claims of its account's share. */
+static JdShareClaim
+share_claim(const JdAdmission *ad, const JdWork *work)
+{
+    JdShareClaim cl = {.account = work->account,
+                       .rank = work->rank,
+                       .rate = work->rate,
+                       .cost = expected_time_of(ad, work)};
+
+    return cl;
+}
+
+/* Takes work that will not be started out of the queue. */
+static void
+dequeue_unserved(JdAdmission *ad, JdWork *work)
+{
+    JdShareClaim cl = share_claim(ad, work);
+
+    JdShares_Refund(&ad->shares, &cl);
+    dequeue(ad, work);
+}
+
 static void
 start_work(JdAdmission *ad, JdWork *work)
 {
     work->is_running = true;
     work->started_at = JdClock_Now(ad->clock);
     decay_recent_load(ad);
-    ad->recent_load[work->priority] += (double)expected_time_of(ad, work);
+    ad->recent_load[work->rank] += (double)expected_time_of(ad, work);
     ad->running++;
+    JdShares_Start(&ad->shares, work->rank, work->tag);
     JdRateLimit_Take(&ad->rate_limit, work->started_at);
     ad->ops->start(ad->ctx, work);
 }
@@ -264,7 +294,7 @@
     for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
         next = TAILQ_NEXT(w, link);
         if (latest_start(ad, w) < JdClock_Now(ad->clock)) {
-            dequeue(ad, w);
+            dequeue_unserved(ad, w);
             ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
         }
     }
@@ -300,12 +330,12 @@
 
     for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
         next = TAILQ_NEXT(w, link);
-        if (finishes_by(ad, w, estimate_wait(ad, ahead, w->priority),
+        if (finishes_by(ad, w, estimate_wait(ad, ahead, w->rank),
                         w->deadline)) {
             ahead += expected_time_of(ad, w);
             continue;
         }
-        dequeue(ad, w);
+        dequeue_unserved(ad, w);
         ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
     }
 }
@@ -333,16 +363,18 @@
 }
 
 /* Makes room for `work` by refusing the last work in the queue.  Returns false
- * if the queue has no work of a lower priority. */
+ * if that is not of a lower rank.  With ranks, it may be of the same one and
+ * late, or of an account further ahead of its share. */
 static bool
 evict_last(JdAdmission *ad, const JdWork *work)
 {
     JdWork *last = TAILQ_LAST(&ad->queue, JdWorkHead);
 
-    if (last == NULL || last->priority <= work->priority) {
+    if (last == NULL || (!ad->has_ranks && last->rank <= work->rank) ||
+        !precedes(work, last)) {
         return false;
     }
-    dequeue(ad, last);
+    dequeue_unserved(ad, last);
     ad->ops->refuse(ad->ctx, last, JD_REASON_QUEUE_FULL);
     return true;
 }
@@ -359,7 +391,7 @@
     /* Such work would be late on an idle target as well. */
     work->is_late =
         !finishes_by(ad, work, time_margin(ad, work), work->soft_deadline);
-    wait = estimate_wait(ad, queued_time_before(ad, work), work->priority);
+    wait = estimate_wait(ad, queued_time_before(ad, work), work->rank);
     if (!finishes_by(ad, work, wait, work->deadline)) {
         return JD_REASON_TOO_LATE;
     }
@@ -395,8 +427,15 @@
 JdReason
 JdAdmission_Offer(JdAdmission *ad, JdWork *work)
 {
+    JdShareClaim cl;
     JdReason reason;
 
+    if (!ad->has_ranks) {
+        work->rank = JdRank_Make(0, work->priority, false);
+        work->account = NULL;
+    }
+    cl = share_claim(ad, work);
+    work->tag = JdShares_Tag(&ad->shares, &cl);
     work->is_queued = false;
     work->is_running = false;
     if (ad->is_closed) {
@@ -406,7 +445,11 @@
         return JD_REASON_RATE_LIMITED;
     }
     if (JdAdmission_HasFreeSlot(ad)) {
-        return start_now(ad, work);
+        reason = start_now(ad, work);
+        if (reason == JD_REASON_NONE) {
+            JdShares_Charge(&ad->shares, &cl, work->tag);
+        }
+        return reason;
     }
     reason = check_queueing(ad, work);
     if (reason != JD_REASON_NONE) {
@@ -415,6 +458,7 @@
     if (ad->queued >= ad->queue_limit && !evict_last(ad, work)) {
         return JD_REASON_QUEUE_FULL;
     }
+    JdShares_Charge(&ad->shares, &cl, work->tag);
     enqueue(ad, work);
     arm_deadline_timer(ad);
     return JD_REASON_NONE;
@@ -457,7 +501,7 @@
 JdAdmission_Cancel(JdAdmission *ad, JdWork *work)
 {
     if (work->is_queued) {
-        dequeue(ad, work);
+        dequeue_unserved(ad, work);
         arm_deadline_timer(ad);
     }
     else if (work->is_running) {
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -127,6 +127,7 @@
 
     JD_LOG(JD_EVENT_REQUEST, JD_TEXT("id", call->msg->request_id),
            JD_TEXT("outcome", JdReason_Info(reason)->name),
+           JD_TEXT("account", call->msg->account),
            JD_TEXT("route", call->route.name),
            JD_TEXT("service", call->route.service),
            JD_NUMBER("version", call->config->version),
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1642,7 +1642,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[23] = {
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[24] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                        /* quantifier_offset */
@@ -1790,6 +1790,12 @@
         offsetof(Jd__Request, sent_ms), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "is_call", 25, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Request, is_call), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
     20, /* field[20] = account */
@@ -1801,6 +1807,7 @@
     15, /* field[15] = host */
     0,  /* field[0] = id */
     14, /* field[14] = idempotent */
+    23, /* field[23] = is_call */
     8,  /* field[8] = key */
     13, /* field[13] = latency_ms */
     6,  /* field[6] = left_ms */
@@ -1817,7 +1824,7 @@
     19, /* field[19] = target_started */
 };
 static const ProtobufCIntRange jd__request__number_ranges[2 + 1] = {
-    {1, 0}, {24, 22}, {0, 23}};
+    {1, 0}, {24, 22}, {0, 24}};
 const ProtobufCMessageDescriptor jd__request__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Request",
@@ -1825,7 +1832,7 @@
     "Jd__Request",
     "jd",
     sizeof(Jd__Request),
-    23,
+    24,
     jd__request__field_descriptors,
     jd__request__field_indices_by_name,
     2,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -440,10 +440,14 @@
    * Clock of the sender in ms, 0: not told.  Its zero is any time.
    */
   uint32_t sent_ms;
+  /*
+   * a request that a target runs made it
+   */
+  protobuf_c_boolean is_call;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -82,6 +82,302 @@
     JdAdmission_Finish(&ad);
 }
 
+/* ---- loads played against targets -------------------------------------- */
+
+#define SLOTS 6
+#define QUEUE_LIMIT 32
+#define RUN_TIME (60 * JD_US_PER_S)
+#define MEAN_SERVICE_TIME (90 * JD_US_PER_MS)
+#define SOFT_DEADLINE (400 * JD_US_PER_MS)
+#define DEADLINE (1500 * JD_US_PER_MS)
+/* Standard deviation of the logarithm of service times. */
+#define LOG_SIGMA 0.5
+#define MAX_JOBS 40000
+#define MAX_SOURCES 6
+#define MAX_TARGETS 2
+
+/* Requests of one kind from one account. */
+typedef struct Source {
+    const char *account;
+    uint64_t rate; /* of the account, in requests per 1000 s */
+    unsigned rank;
+    double load;     /* as a multiple of the target's capacity */
+    unsigned target; /* that runs them */
+    bool calls;      /* each run calls the other target in its middle */
+    JdTimer next;
+    unsigned asked;
+    unsigned in_time;
+    unsigned lost_runs; /* ran in vain, as their call was refused */
+} Source;
+
+typedef struct Job {
+    JdWork work;
+    Source *source; /* NULL: a call */
+    struct Job *parent;
+    unsigned target;
+    uint64_t arrival;
+    uint64_t takes;
+    JdTimer timer;
+} Job;
+
+typedef struct Play {
+    JdClock clock;
+    JdRandom random;
+    JdAdmission target[MAX_TARGETS];
+    Source source[MAX_SOURCES];
+    Job *job;
+    unsigned jobs;
+} Play;
+
+static Play *play;
+
+static double
+uniform(void)
+{
+    return ((double)JdRandom_Below(&play->random, 1 << 30) + 1) / (1 << 30);
+}
+
+static uint64_t
+draw_service_time(void)
+{
+    double normal = sqrt(-2 * log(uniform())) * cos(2 * G_PI * uniform());
+
+    return (uint64_t)((double)MEAN_SERVICE_TIME *
+                      exp(LOG_SIGMA * normal - LOG_SIGMA * LOG_SIGMA / 2));
+}
+
+static void
+end_run(Job *job, bool is_lost)
+{
+    uint64_t took = JdClock_Now(&play->clock) - job->arrival;
+
+    if (is_lost) {
+        job->source->lost_runs++;
+    }
+    else if (took <= SOFT_DEADLINE) {
+        job->source->in_time++;
+    }
+    JdAdmission_FreeSlot(&play->target[job->target], &job->work, !is_lost);
+}
+
+static void
+on_second_half(void *ctx)
+{
+    end_run(ctx, false);
+}
+
+static void
+end_call(Job *call)
+{
+    Job *job = call->parent;
+
+    JdAdmission_FreeSlot(&play->target[call->target], &call->work, true);
+    JdTimer_Init(&job->timer, on_second_half, job);
+    JdTimer_Arm(&play->clock, &job->timer, job->takes / 2);
+}
+
+static Job *
+new_job(unsigned target, uint64_t arrival)
+{
+    Job *job = &play->job[play->jobs++];
+
+    job->target = target;
+    job->arrival = arrival;
+    job->takes = draw_service_time();
+    job->work.deadline = arrival + DEADLINE;
+    job->work.soft_deadline = arrival + SOFT_DEADLINE;
+    return job;
+}
+
+static void
+make_call(Job *parent)
+{
+    Job *call = new_job(1 - parent->target, parent->arrival);
+
+    call->parent = parent;
+    call->work.rank = JdRank_Make(0, 1, true);
+    if (JdAdmission_Offer(&play->target[call->target], &call->work) !=
+        JD_REASON_NONE) {
+        end_run(parent, true);
+    }
+}
+
+static void
+on_run_time_over(void *ctx)
+{
+    Job *job = ctx;
+
+    if (job->source == NULL) {
+        end_call(job);
+    }
+    else if (job->source->calls) {
+        make_call(job);
+    }
+    else {
+        end_run(job, false);
+    }
+}
+
+static void
+on_start(void *ctx, JdWork *work)
+{
+    Job *job = (Job *)work;
+    bool is_split = job->source != NULL && job->source->calls;
+
+    (void)ctx;
+    JdTimer_Init(&job->timer, on_run_time_over, job);
+    JdTimer_Arm(&play->clock, &job->timer,
+                is_split ? job->takes / 2 : job->takes);
+}
+
+static void
+on_refuse(void *ctx, JdWork *work, JdReason reason)
+{
+    Job *job = (Job *)work;
+
+    (void)ctx;
+    (void)reason;
+    if (job->source == NULL) {
+        end_run(job->parent, true);
+    }
+}
+
+static const JdAdmissionOps play_ops = {on_start, on_refuse};
+
+static void
+on_arrival(void *ctx)
+{
+    Source *src = ctx;
+    Job *job = new_job(src->target, JdClock_Now(&play->clock));
+    double gap = (double)MEAN_SERVICE_TIME / SLOTS / src->load;
+
+    src->asked++;
+    job->source = src;
+    job->work.rank = src->rank;
+    job->work.account = src->account;
+    job->work.rate = src->rate;
+    JdAdmission_Offer(&play->target[src->target], &job->work);
+    if (JdClock_Now(&play->clock) < RUN_TIME && play->jobs + 2 < MAX_JOBS) {
+        JdTimer_Arm(&play->clock, &src->next,
+                    (uint64_t)(-log(uniform()) * gap));
+    }
+}
+
+/* Plays the load of the sources, which are copied; those with a load of 0 are
+ * left out.  Results are in `play` until finish_play(). */
+static void
+start_play(const Source *source, size_t n)
+{
+    play = g_new0(Play, 1);
+    play->job = g_new0(Job, MAX_JOBS);
+    JdClock_Init(&play->clock, NULL, NULL);
+    JdRandom_Init(&play->random, 5);
+    for (int t = 0; t < MAX_TARGETS; t++) {
+        JdAdmission_Init(&play->target[t], SLOTS, QUEUE_LIMIT, &play->clock,
+                         &play_ops, NULL);
+        play->target[t].has_ranks = true;
+    }
+    for (size_t i = 0; i < n; i++) {
+        play->source[i] = source[i];
+        JdTimer_Init(&play->source[i].next, on_arrival, &play->source[i]);
+        if (source[i].load > 0) {
+            JdTimer_Arm(&play->clock, &play->source[i].next, 0);
+        }
+    }
+    JdClock_Advance(&play->clock, RUN_TIME + 3 * JD_US_PER_S);
+}
+
+static void
+finish_play(void)
+{
+    for (int t = 0; t < MAX_TARGETS; t++) {
+        JdAdmission_Finish(&play->target[t]);
+    }
+    g_free(play->job);
+    g_free(play);
+}
+
+/* Returns the share of a source's requests that were answered in time. */
+static double
+share_in_time(unsigned source)
+{
+    return (double)play->source[source].in_time / play->source[source].asked;
+}
+
+/* Load: four accounts of equal rates that ask for 0.8 of the capacity, and one
+ * of them then for five times its usual.  The others lose less than 5%. */
+static void
+test_hot_account(void)
+{
+    Source source[] = {{"hot", 50000, 5, .load = 0.2},
+                       {"one", 50000, 5, .load = 0.2},
+                       {"two", 50000, 5, .load = 0.2},
+                       {"three", 50000, 5, .load = 0.2}};
+    double calm[G_N_ELEMENTS(source)];
+
+    start_play(source, G_N_ELEMENTS(source));
+    for (unsigned i = 0; i < G_N_ELEMENTS(source); i++) {
+        calm[i] = share_in_time(i);
+    }
+    finish_play();
+    source[0].load *= 5;
+    start_play(source, G_N_ELEMENTS(source));
+    for (unsigned i = 1; i < G_N_ELEMENTS(source); i++) {
+        CU_ASSERT(share_in_time(i) >= 0.95 * calm[i]);
+    }
+    /* It has what the others leave. */
+    CU_ASSERT(share_in_time(0) * source[0].load >= 0.3);
+    finish_play();
+}
+
+/* Load: an account of a quarter of the others' rate asks for as much as they
+ * do; all ask for twice the capacity.  Each gets room by its rate. */
+static void
+test_shares_by_rate(void)
+{
+    const Source source[] = {{"large", 80000, 5, .load = 1},
+                             {"small", 20000, 5, .load = 1}};
+    double large, small;
+
+    start_play(source, G_N_ELEMENTS(source));
+    large = share_in_time(0);
+    small = share_in_time(1);
+    CU_ASSERT(large + small >= 0.9);
+    CU_ASSERT(large / small >= 3 && large / small <= 5);
+    finish_play();
+}
+
+/* Load: a burst of a low rank, three times the capacity, beside a higher rank
+ * that asks for 0.6 of it.  The higher rank is served as if it were alone, and
+ * the burst gets the room that is left. */
+static void
+test_burst_of_low_rank(void)
+{
+    const Source source[] = {{"one", 0, 4, .load = 0.6},
+                             {"two", 0, 6, .load = 3}};
+
+    start_play(source, G_N_ELEMENTS(source));
+    CU_ASSERT(share_in_time(0) >= 0.95);
+    CU_ASSERT(share_in_time(1) * 3 >= 0.3);
+    finish_play();
+}
+
+/* Load: one target runs requests that call another, and new requests ask that
+ * one for 1.5 times its capacity.  Of the runs that call it, less than 1 in
+ * 100 is in vain. */
+static void
+test_calls_of_running_requests(void)
+{
+    const Source source[] = {
+        {"one", 0, 5, .load = 0.3, .target = 0, .calls = true},
+        {"two", 0, 5, .load = 1.5, .target = 1}};
+
+    start_play(source, G_N_ELEMENTS(source));
+    CU_ASSERT(play->source[0].lost_runs < play->source[0].asked / 100);
+    CU_ASSERT(share_in_time(0) >= 0.9);
+    finish_play();
+}
+
 void
 Unit_AddShortage(void)
 {
@@ -89,4 +385,9 @@
 
     CU_add_test(s, "transit", test_transit);
     CU_add_test(s, "refused before deadline", test_refused_before_deadline);
+    CU_add_test(s, "hot account", test_hot_account);
+    CU_add_test(s, "shares by rate", test_shares_by_rate);
+    CU_add_test(s, "burst of low rank", test_burst_of_low_rank);
+    CU_add_test(s, "calls of running requests",
+                test_calls_of_running_requests);
 }
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -369,6 +369,20 @@
     work->soft_deadline = goal > delay ? now + goal - delay : 1;
 }
 
+/* Sets the rank of work and the client account that it counts for. */
+static void
+set_rank(JdNode *nd, const Jd__Request *msg, JdWork *work)
+{
+    JdAccount account;
+
+    nd->admit.has_ranks = nd->is_shortage_asked;
+    work->rank = JdRank_OfRequest(msg);
+    work->account = msg->account;
+    if (JdConfig_GetAccount(nd->store.config, msg->account, &account)) {
+        work->rate = account.rate;
+    }
+}
+
 /*
  * Submits a request for the target and takes ownership of the message.
  * `origin` is the connection it came over, or NULL for a caller of this node.
@@ -391,6 +405,7 @@
     it->msg = msg;
     it->origin = origin;
     it->work.priority = JdTargetResponse_Priority(msg);
+    set_rank(nd, msg, &it->work);
     set_deadlines(nd, msg, origin, &it->work);
     it->submitted_at = JdClock_Now(&nd->loop.clock);
     it->work.expected_time = JdTargetEstimate_Get(nd, msg->route)->mean;
