--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1812,7 +1812,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__request__field_descriptors[23] = {
+static const ProtobufCFieldDescriptor jd__request__field_descriptors[25] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                        /* quantifier_offset */
@@ -1960,6 +1960,18 @@
         offsetof(Jd__Request, takes_chunks), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "sent_ms", 24, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Request, sent_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "is_call", 25, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Request, is_call), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__request__field_indices_by_name[] = {
     20, /* field[20] = account */
@@ -1971,6 +1983,7 @@
     15, /* field[15] = host */
     0,  /* field[0] = id */
     14, /* field[14] = idempotent */
+    24, /* field[24] = is_call */
     8,  /* field[8] = key */
     13, /* field[13] = latency_ms */
     6,  /* field[6] = left_ms */
@@ -1982,12 +1995,13 @@
     11, /* field[11] = request_id */
     17, /* field[17] = retry */
     16, /* field[16] = route */
+    23, /* field[23] = sent_ms */
     1,  /* field[1] = service */
     22, /* field[22] = takes_chunks */
     19, /* field[19] = target_started */
 };
 static const ProtobufCIntRange jd__request__number_ranges[1 + 1] = {{1, 0},
-                                                                    {0, 23}};
+                                                                    {0, 25}};
 const ProtobufCMessageDescriptor jd__request__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Request",
@@ -1995,7 +2009,7 @@
     "Jd__Request",
     "jd",
     sizeof(Jd__Request),
-    23,
+    25,
     jd__request__field_descriptors,
     jd__request__field_indices_by_name,
     1,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -444,10 +444,18 @@
    * The response is expected to be large, and the sender takes it in chunks.
    */
   protobuf_c_boolean takes_chunks;
+  /*
+   * Clock of the sender in ms, 0: not told.  Its zero is any time.
+   */
+  uint32_t sent_ms;
+  /*
+   * a request that a target runs made it
+   */
+  protobuf_c_boolean is_call;
 };
 #define JD__REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/peer/link.c
+++ b/peer/link.c
@@ -176,6 +176,7 @@
 
     record_applied_version(nd);
     JdAccounts_OnStatusChanged(nd);
+    nd->is_shortage_asked = JdConfig_AsksForShares(nd->store.config);
     if (nd->config_source->status_changed != NULL) {
         nd->config_source->status_changed(nd);
     }
