--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -306,6 +306,7 @@
 #include "jacinthdyke_account.h"
 #include "jacinthdyke_crash.h"
 #include "jacinthdyke_reader.h"
+#include "jacinthdyke_rollout.h"
 #include "jacinthdyke_tree.h"
 #include "jacinthdyke_request.h"
 
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -251,6 +251,8 @@
     uint64_t seq;     /* orders the heartbeats of one process */
     unsigned slots;
     bool is_draining;
+    char version[JD_NAME_MAX]; /* of the target's software, empty: unknown */
+    uint64_t warmup_left;      /* us until it is as fast as it gets */
 } JdHeartbeat;
 
 typedef enum JdHeartbeatResult {
@@ -364,6 +366,7 @@
     char (*id)[JD_NAME_MAX];
     unsigned count;
     unsigned full_count; /* how many of them refused for lack of capacity */
+    const JdVersionFilter *versions; /* that are allowed, or NULL */
 } JdExcludedTargets;
 
 JdMember *JdBalancer_Pick(const JdBalancer *lb, const char *endpoint_set,
--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -50,6 +50,10 @@
     /* Start of the newest process of the target that said that it leaves, 0:
        none did. It outlives restarts of the node. */
     uint64_t target_left;
+    char version[JD_NAME_MAX]; /* of the target's software, empty: unknown */
+    /* Times at which that version, and any of its service, were first seen. */
+    uint64_t version_seen_at;
+    uint64_t service_seen_at;
     uint64_t changed_at;     /* time of the last change */
     bool is_pending;         /* on the list of changes to forward */
     uint64_t source_link;    /* link that the last change came over, 0: none */
@@ -77,6 +81,9 @@
     const char *self_id; /* member that is never suspected, or NULL */
     void *by_id;         /* GHashTable: id to JdMember */
     void *by_set;        /* GHashTable: endpoint set to JdMemberSet */
+    /* GHashTable: service, or service and version, to the time (uint64_t) at
+       which it was first seen */
+    void *versions;
     uint64_t bucket_digest[JD_MEMBER_BUCKETS];
     unsigned count;
     unsigned count_by_state[JD_MEMBER_STATE_MAX];
@@ -150,7 +157,8 @@
     unsigned slots;
     uint64_t target_started; /* ms since 1970, 0: unknown */
     uint64_t target_left; /* process of the target that left, as in JdMember */
-    unsigned link_kbps;   /* bandwidth of the node's link, 0: unknown */
+    char version[JD_NAME_MAX]; /* of the target's software, empty: unknown */
+    unsigned link_kbps;        /* bandwidth of the node's link, 0: unknown */
 } JdTreeIdentity;
 
 /*
@@ -185,6 +193,11 @@
     void (*target_replaced)(void *ctx, const JdMember *mb, uint64_t started);
     /* Records of crashes changed; may be NULL. */
     void (*crashes_changed)(void *ctx);
+    /* A roll-out was added or has changed its step; may be NULL. */
+    void (*rollout_changed)(void *ctx, JdRollout *ro);
+    /* Returns the number of this node's requests that are under way at targets
+       of old versions; NULL: none are. */
+    unsigned (*count_old_running)(void *ctx, const JdRollout *ro);
 } JdTreeOps;
 
 typedef enum JdLinkState {
@@ -260,6 +273,8 @@
     JdStore *store;
     JdMembers members;
     JdCrashTable crashes;
+    JdRollouts rollouts;
+    JdRolloutReports reports;
     JdClock *clock;
     JdRandom random;
     JdCounters *counters;
@@ -317,6 +332,8 @@
     JdTimer update_timer;
     JdTimer promotion_timer;
     JdTimer crash_timer;       /* forwards changed records of crashes */
+    JdTimer rollout_timer;     /* forwards changed roll-outs */
+    JdTimer report_timer;      /* next reports on roll-outs */
     uint64_t next_reparent_at; /* next search for a better parent */
     uint64_t reparent_wait; /* doubles each search, up to reparent_interval */
     uint64_t next_pull_at;  /* earliest next pull, except from the parent */
@@ -341,7 +358,9 @@
 void JdTree_SetTargetLeft(JdTree *tr, uint64_t started);
 void JdTree_SetTarget(JdTree *tr, uint64_t started, unsigned slots,
                       JdMemberState state);
+void JdTree_SetVersion(JdTree *tr, const char *version);
 void JdTree_SetState(JdTree *tr, JdMemberState state);
+JdRolloutReport *JdTree_OwnReport(JdTree *tr, const JdRollout *ro);
 void JdTree_Connected(JdTree *tr, void *peer);
 void JdTree_Closed(JdTree *tr, void *peer);
 void JdTree_HandleFrame(JdTree *tr, void *peer, const Jd__Frame *frame);
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -272,6 +272,10 @@
 static bool
 is_excluded(const JdExcludedTargets *excluded, const JdMember *mb)
 {
+    if (excluded != NULL && excluded->versions != NULL &&
+        !JdVersionFilter_Allows(excluded->versions, mb)) {
+        return true;
+    }
     for (unsigned i = 0; excluded != NULL && i < excluded->count; i++) {
         if (strcmp(excluded->id[i], mb->id) == 0) {
             return true;
--- a/lib/tree/child.c
+++ b/lib/tree/child.c
@@ -150,6 +150,7 @@
     tr->child_count++;
     send_accept(tr, ch);
     _JdTree_SendCrashes(tr, peer);
+    _JdTree_SendRollouts(tr, peer);
     _JdTree_SendMembers(tr, peer, msg->bucket, msg->n_bucket);
     _JdTree_PushDelta(tr, ch);
 }
--- a/lib/tree/libtree.h
+++ b/lib/tree/libtree.h
@@ -57,6 +57,14 @@
 void _JdTree_SendCrashes(JdTree *tr, void *peer);
 void _JdTree_OnCrashes(JdTree *tr, void *peer, const Jd__Crashes *msg);
 
+/* rollouts.c */
+void _JdTree_InitRollouts(JdTree *tr);
+void _JdTree_FinishRollouts(JdTree *tr);
+void _JdTree_SendRollouts(JdTree *tr, void *peer);
+void _JdTree_OnRollouts(JdTree *tr, void *peer, const Jd__Rollouts *msg);
+void _JdTree_ResendReports(JdTree *tr);
+void _JdTree_OnRolloutCounts(JdTree *tr, const Jd__RolloutCounts *msg);
+
 /* invite.c */
 void _JdTree_SendInvites(JdTree *tr);
 bool _JdTree_InviteConnected(JdTree *tr, void *peer);
--- a/lib/tree/member.c
+++ b/lib/tree/member.c
@@ -34,6 +34,8 @@
     ms->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     ms->by_set =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    ms->versions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     ms->clock = clk;
     ms->counters = ctr;
 }
@@ -51,6 +53,7 @@
     }
     g_hash_table_destroy(ms->by_id);
     g_hash_table_destroy(ms->by_set);
+    g_hash_table_destroy(ms->versions);
 }
 
 /* Looks up a member; returns NULL if it is unknown. */
@@ -215,6 +218,33 @@
     }
 }
 
+/* Returns the time at which a service, or a version of it, was first seen. */
+static uint64_t
+first_seen(JdMembers *ms, const char *service, const char *version)
+{
+    char key[2 * JD_NAME_MAX];
+    uint64_t *at;
+
+    g_snprintf(key, sizeof(key), "%s\n%s", service, version);
+    at = g_hash_table_lookup(ms->versions, key);
+    if (at == NULL) {
+        at = g_new(uint64_t, 1);
+        *at = JdClock_Now(ms->clock);
+        g_hash_table_insert(ms->versions, g_strdup(key), at);
+    }
+    return *at;
+}
+
+static void
+set_version(JdMembers *ms, JdMember *mb, const char *version)
+{
+    _Jd_CopyText(mb->version, sizeof(mb->version), version);
+    if (version[0] != '\0') {
+        mb->service_seen_at = first_seen(ms, mb->service, "");
+        mb->version_seen_at = first_seen(ms, mb->service, version);
+    }
+}
+
 /*
  * Applies one announcement.  Returns the member if the table changed, NULL if
  * the announcement is invalid or not newer.  `source_link` is the link that it
@@ -252,6 +282,7 @@
     _Jd_CopyText(mb->service, sizeof(mb->service), msg->service);
     _Jd_CopyText(mb->endpoint_set, sizeof(mb->endpoint_set),
                  msg->endpoint_set);
+    set_version(ms, mb, msg->version);
     mb->slots = msg->slots;
     mb->target_started = msg->target_started;
     if (msg->target_started != 0) {
@@ -285,6 +316,7 @@
     msg->slots = mb->slots;
     msg->target_started = mb->target_started;
     msg->target_left = mb->target_left;
+    msg->version = (char *)mb->version;
 }
 
 /* Marks a member lost after `grace` us unless a newer announcement comes. */
--- a/lib/tree/tree.c
+++ b/lib/tree/tree.c
@@ -61,6 +61,7 @@
     _JdTree_InitHeads(tr);
     _JdTree_InitUpdates(tr);
     _JdTree_InitCrashes(tr);
+    _JdTree_InitRollouts(tr);
 }
 
 /* Frees a tree; its connections stay with the embedding program. */
@@ -80,6 +81,7 @@
         TAILQ_REMOVE(&tr->children, ch, link);
         g_free(ch);
     }
+    _JdTree_FinishRollouts(tr);
     JdMembers_Finish(&tr->members);
     JdCrashTable_Finish(&tr->crashes);
 }
@@ -419,6 +421,12 @@
     case JD__FRAME__BODY_CRASHES:
         _JdTree_OnCrashes(tr, peer, frame->crashes);
         break;
+    case JD__FRAME__BODY_ROLLOUTS:
+        _JdTree_OnRollouts(tr, peer, frame->rollouts);
+        break;
+    case JD__FRAME__BODY_ROLLOUT_COUNTS:
+        _JdTree_OnRolloutCounts(tr, frame->rollout_counts);
+        break;
     case JD__FRAME__BODY_PROMOTE:
         _JdTree_OnPromote(tr);
         break;
--- a/lib/tree/update.c
+++ b/lib/tree/update.c
@@ -51,6 +51,7 @@
     msg.slots = tr->self.slots;
     msg.target_started = tr->self.target_started;
     msg.target_left = tr->self.target_left;
+    msg.version = tr->self.version;
     JdMembers_Update(&tr->members, &msg, 0);
     schedule_updates(tr);
 }
@@ -238,6 +239,14 @@
     }
 }
 
+/* Sets the version of the target's software.  The next announcement of this
+ * node names it. */
+void
+JdTree_SetVersion(JdTree *tr, const char *version)
+{
+    _Jd_CopyText(tr->self.version, sizeof(tr->self.version), version);
+}
+
 /* Sets the target beside this node; announces it if anything changed. */
 void
 JdTree_SetTarget(JdTree *tr, uint64_t started, unsigned slots,
--- a/lib/tree/uplink.c
+++ b/lib/tree/uplink.c
@@ -320,6 +320,8 @@
     }
     _JdTree_UpdateLogReading(tr);
     _JdTree_SendCrashes(tr, peer);
+    _JdTree_SendRollouts(tr, peer);
+    _JdTree_ResendReports(tr);
     _JdTree_SendMembers(tr, peer, msg->bucket, msg->n_bucket);
     _JdTree_AnnounceSelf(tr);
     _JdTree_SendPathToChildren(tr);
--- a/node/node.h
+++ b/node/node.h
@@ -175,6 +175,15 @@
     uint64_t crashed_at; /* wall clock, us, of the last crash */
 } JdTargetCrashes;
 
+/* How a request ended at the local target, as roll-outs count it. */
+typedef enum JdAnswerKind {
+    JD_ANSWER_GOOD,
+    JD_ANSWER_FAILED,
+    JD_ANSWER_LATE,      /* none by the deadline */
+    JD_ANSWER_CANCELLED, /* no longer needed while the target was at work */
+    JD_ANSWER_KIND_MAX
+} JdAnswerKind;
+
 typedef struct JdNode {
     JdLoop loop;
     JdSettings settings;
@@ -213,6 +222,9 @@
     JdHttpc target_client;
     JdTargetCrashes target_crashes; /* targets/crash.c */
     JdCrashStore crash_store;       /* crashes.c */
+    uint64_t target_warm_at; /* time from which on it is as fast as it gets */
+    JdDirector director;     /* rollouts.c */
+    bool is_following_rollouts;
     JdAdmission admit;
     GHashTable *route_estimates; /* route name -> JdServiceTime */
     TAILQ_HEAD(JdWorkItemHead, JdWorkItem) work_items;
@@ -272,6 +284,7 @@
 /* peer/forward.c: requests to the nodes of targets, and their responses */
 void JdForward_Init(JdNode *nd);
 void JdForward_OnResponse(JdNode *nd, const Jd__Response *msg);
+unsigned JdForward_CountOldRunning(const JdNode *nd, const JdRollout *ro);
 
 /* peer/response.c: responses of the local target, on their way out */
 void JdResponse_Init(JdNode *nd);
@@ -297,6 +310,19 @@
 void JdTargetResponse_Relay(JdNode *nd, uint64_t id, JdConn *origin,
                             const JdHttpResponse *ans);
 
+/* rollouts.c: roll-outs, and their states at the source */
+void JdRolloutNode_Init(JdNode *nd);
+void JdRolloutNode_OnChanged(JdNode *nd, JdRollout *ro);
+bool JdRolloutNode_MayTest(const JdNode *nd);
+void JdRolloutNode_CountAnswer(JdNode *nd, const Jd__Request *msg,
+                               JdAnswerKind kind, uint64_t took);
+void JdRolloutStore_OnOrder(JdNode *nd, const JdRolloutOrder *order);
+void JdRolloutStore_OnRecord(JdNode *nd, const JdRolloutOrder *order,
+                             JdRolloutStep step, uint64_t left);
+void JdRolloutStore_OnReadEnd(JdNode *nd, JdStatus status);
+void JdRolloutStore_OnFollowed(JdNode *nd, JdStatus status);
+void JdRolloutStore_OnPut(JdNode *nd, JdStatus status);
+
 /* targets/notice.c: what the local target says of itself in its answers */
 void JdTargetNotice_OnRequest(JdNode *nd, const Jd__Request *msg);
 void JdTargetNotice_OnSend(JdNode *nd);
--- a/node/source.h
+++ b/node/source.h
@@ -28,6 +28,14 @@
     void (*follow_crashes)(struct JdNode *nd);
     void (*put_crashes)(struct JdNode *nd, const char *request,
                         const char *crashes);
+    /* Read all states of roll-outs, wait for changes of them, and write one
+     * under the condition that nothing was written since they were read.
+     * Answered by JdRolloutStore_On...; NULL if the source cannot keep them.
+     */
+    void (*read_rollouts)(struct JdNode *nd);
+    void (*follow_rollouts)(struct JdNode *nd);
+    void (*put_rollout)(struct JdNode *nd, const JdRollout *ro,
+                        JdRolloutStep step);
     /* A version was applied or readiness changed; may be NULL. */
     void (*status_changed)(struct JdNode *nd);
     /* The settings file was reloaded; may be NULL. */
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -343,6 +343,7 @@
     att->sent_at = now;
     att->target_started = mb->target_started;
     att->tier = tier;
+    att->is_old_version = JdRollouts_IsOldVersion(&nd->tree.rollouts, mb);
     g_strlcpy(call->target_ids[call->attempt_count], mb->id, JD_NAME_MAX);
     call->attempt_count++;
     call->active_count++;
@@ -369,14 +370,14 @@
     return goal_at > now ? goal_at - now : 1;
 }
 
-/* Picks a target that has not been tried, or NULL.  All copies of a request
- * under which a target has crashed get the same one. */
+/* Picks a target of the versions that `versions` allows, or NULL.  All copies
+ * of a request under which a target has crashed get the same one. */
 static JdMember *
-pick_target(JdCall *call, JdTier *tier)
+pick_among(JdCall *call, const JdVersionFilter *versions, JdTier *tier)
 {
     const JdBalancer *lb = &call->node->balancer;
     JdExcludedTargets avoid = {call->target_ids, call->attempt_count,
-                               call->full_count};
+                               call->full_count, versions};
 
     if (JdRetry_MayCrashTargets(call)) {
         return JdBalancer_PickPinned(lb, call->route.endpoint_set, &avoid,
@@ -387,6 +388,27 @@
                            time_until_latency_goal(call), tier);
 }
 
+/* Picks a target that has not been tried, of a version that the roll-out of
+ * the service allows; NULL if there is none. */
+static JdMember *
+pick_target(JdCall *call, JdTier *tier)
+{
+    JdNode *nd = call->node;
+    const JdMemberSet *set =
+        JdMembers_FindSet(&nd->tree.members, call->route.endpoint_set);
+    JdVersionFilter vf;
+    JdMember *mb;
+
+    JdVersionFilter_Init(&vf, &nd->tree.rollouts, call->route.service, set,
+                         &call->version, JdRolloutNode_MayTest(nd));
+    do {
+        mb = pick_among(call, &vf, tier);
+    } while (mb == NULL && JdVersionFilter_Widen(&vf, set));
+    nd->counters.value[JD_C_ROLLOUT_CANARY] +=
+        mb != NULL && vf.choice == JD_CHOICE_CANARY;
+    return mb;
+}
+
 /* Sends the request to a target that has not been tried, or refuses the call
  * when there is none and no attempt is under way. */
 static void
@@ -507,6 +529,24 @@
     answer_call(att->call, msg);
 }
 
+/* Counts the attempts under way at targets of old versions of a service. */
+unsigned
+JdForward_CountOldRunning(const JdNode *nd, const JdRollout *ro)
+{
+    const JdCall *call;
+    unsigned n = 0;
+
+    TAILQ_FOREACH(call, &nd->calls, link)
+    {
+        for (unsigned i = 0; i < call->attempt_count; i++) {
+            n += call->attempts[i].is_active &&
+                 call->attempts[i].is_old_version &&
+                 strcmp(call->route.service, ro->order.service) == 0;
+        }
+    }
+    return n;
+}
+
 /* Ends a call at its deadline.  Attempts still under way may have run. */
 static void
 on_deadline(void *ctx)
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -28,6 +28,7 @@
     uint64_t sent_at;
     uint64_t target_started; /* process that it is sent to, 0: unknown */
     JdTier tier;
+    bool is_old_version; /* of the target, where a roll-out is under way */
     JdRequestConn *request_conn; /* NULL: at the local target, or over */
 } JdAttempt;
 
@@ -51,9 +52,10 @@
     unsigned failed_sent_count;
     /* Failed attempts whose target lacked the capacity. */
     unsigned full_count;
-    bool may_have_run;       /* a target may have run the request */
-    JdReason last_reason;    /* why the last attempt failed */
-    unsigned retry_after_ms; /* shortest of all failures, 0: none */
+    JdRequestVersion version; /* of targets that it may be sent to */
+    bool may_have_run;        /* a target may have run the request */
+    JdReason last_reason;     /* why the last attempt failed */
+    unsigned retry_after_ms;  /* shortest of all failures, 0: none */
     JdTimer deadline_timer;
     JdTimer hedge_timer; /* starts another attempt beside the one under way */
     JdTimer retry_timer; /* starts a retry after a broken connection */
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -591,6 +591,220 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+jd__rollout__init(Jd__Rollout *message)
+{
+    static const Jd__Rollout init_value = JD__ROLLOUT__INIT;
+    *message = init_value;
+}
+size_t
+jd__rollout__get_packed_size(const Jd__Rollout *message)
+{
+    assert(message->base.descriptor == &jd__rollout__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__rollout__pack(const Jd__Rollout *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__rollout__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__rollout__pack_to_buffer(const Jd__Rollout *message,
+                            ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__rollout__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__Rollout *
+jd__rollout__unpack(ProtobufCAllocator *allocator, size_t len,
+                    const uint8_t *data)
+{
+    return (Jd__Rollout *)protobuf_c_message_unpack(&jd__rollout__descriptor,
+                                                    allocator, len, data);
+}
+void
+jd__rollout__free_unpacked(Jd__Rollout *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__rollout__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+jd__rollouts__init(Jd__Rollouts *message)
+{
+    static const Jd__Rollouts init_value = JD__ROLLOUTS__INIT;
+    *message = init_value;
+}
+size_t
+jd__rollouts__get_packed_size(const Jd__Rollouts *message)
+{
+    assert(message->base.descriptor == &jd__rollouts__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__rollouts__pack(const Jd__Rollouts *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__rollouts__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__rollouts__pack_to_buffer(const Jd__Rollouts *message,
+                             ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__rollouts__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__Rollouts *
+jd__rollouts__unpack(ProtobufCAllocator *allocator, size_t len,
+                     const uint8_t *data)
+{
+    return (Jd__Rollouts *)protobuf_c_message_unpack(&jd__rollouts__descriptor,
+                                                     allocator, len, data);
+}
+void
+jd__rollouts__free_unpacked(Jd__Rollouts *message,
+                            ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__rollouts__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+jd__rollout_count__init(Jd__RolloutCount *message)
+{
+    static const Jd__RolloutCount init_value = JD__ROLLOUT_COUNT__INIT;
+    *message = init_value;
+}
+size_t
+jd__rollout_count__get_packed_size(const Jd__RolloutCount *message)
+{
+    assert(message->base.descriptor == &jd__rollout_count__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__rollout_count__pack(const Jd__RolloutCount *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__rollout_count__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__rollout_count__pack_to_buffer(const Jd__RolloutCount *message,
+                                  ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__rollout_count__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__RolloutCount *
+jd__rollout_count__unpack(ProtobufCAllocator *allocator, size_t len,
+                          const uint8_t *data)
+{
+    return (Jd__RolloutCount *)protobuf_c_message_unpack(
+        &jd__rollout_count__descriptor, allocator, len, data);
+}
+void
+jd__rollout_count__free_unpacked(Jd__RolloutCount *message,
+                                 ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__rollout_count__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+jd__rollout_report__init(Jd__RolloutReport *message)
+{
+    static const Jd__RolloutReport init_value = JD__ROLLOUT_REPORT__INIT;
+    *message = init_value;
+}
+size_t
+jd__rollout_report__get_packed_size(const Jd__RolloutReport *message)
+{
+    assert(message->base.descriptor == &jd__rollout_report__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__rollout_report__pack(const Jd__RolloutReport *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__rollout_report__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__rollout_report__pack_to_buffer(const Jd__RolloutReport *message,
+                                   ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__rollout_report__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__RolloutReport *
+jd__rollout_report__unpack(ProtobufCAllocator *allocator, size_t len,
+                           const uint8_t *data)
+{
+    return (Jd__RolloutReport *)protobuf_c_message_unpack(
+        &jd__rollout_report__descriptor, allocator, len, data);
+}
+void
+jd__rollout_report__free_unpacked(Jd__RolloutReport *message,
+                                  ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__rollout_report__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
+jd__rollout_counts__init(Jd__RolloutCounts *message)
+{
+    static const Jd__RolloutCounts init_value = JD__ROLLOUT_COUNTS__INIT;
+    *message = init_value;
+}
+size_t
+jd__rollout_counts__get_packed_size(const Jd__RolloutCounts *message)
+{
+    assert(message->base.descriptor == &jd__rollout_counts__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__rollout_counts__pack(const Jd__RolloutCounts *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__rollout_counts__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__rollout_counts__pack_to_buffer(const Jd__RolloutCounts *message,
+                                   ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__rollout_counts__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__RolloutCounts *
+jd__rollout_counts__unpack(ProtobufCAllocator *allocator, size_t len,
+                           const uint8_t *data)
+{
+    return (Jd__RolloutCounts *)protobuf_c_message_unpack(
+        &jd__rollout_counts__descriptor, allocator, len, data);
+}
+void
+jd__rollout_counts__free_unpacked(Jd__RolloutCounts *message,
+                                  ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__rollout_counts__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 jd__header__init(Jd__Header *message)
 {
     static const Jd__Header init_value = JD__HEADER__INIT;
@@ -839,7 +1053,7 @@
     assert(message->base.descriptor == &jd__frame__descriptor);
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
-static const ProtobufCFieldDescriptor jd__member__field_descriptors[15] = {
+static const ProtobufCFieldDescriptor jd__member__field_descriptors[16] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
         0, /* quantifier_offset */
@@ -938,6 +1152,13 @@
         offsetof(Jd__Member, target_left), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "version", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Member, version), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__member__field_indices_by_name[] = {
     7,  /* field[7] = admin */
@@ -954,10 +1175,11 @@
     3,  /* field[3] = state */
     14, /* field[14] = target_left */
     13, /* field[13] = target_started */
+    15, /* field[15] = version */
     8,  /* field[8] = via */
 };
 static const ProtobufCIntRange jd__member__number_ranges[1 + 1] = {{1, 0},
-                                                                   {0, 15}};
+                                                                   {0, 16}};
 const ProtobufCMessageDescriptor jd__member__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Member",
@@ -965,7 +1187,7 @@
     "Jd__Member",
     "jd",
     sizeof(Jd__Member),
-    15,
+    16,
     jd__member__field_descriptors,
     jd__member__field_indices_by_name,
     1,
@@ -1604,6 +1826,303 @@
     NULL,
     NULL /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor jd__rollout__field_descriptors[8] = {
+    {
+        "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Rollout, service), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Rollout, version), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "epoch", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Rollout, epoch), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "offset", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                            /* quantifier_offset */
+        offsetof(Jd__Rollout, offset), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "step", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                          /* quantifier_offset */
+        offsetof(Jd__Rollout, step), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "left_ms", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Rollout, left_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "barred", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+        0, /* quantifier_offset */
+        offsetof(Jd__Rollout, barred), NULL, &protobuf_c_empty_string,
+        0,            /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "duration_ms", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Rollout, duration_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned jd__rollout__field_indices_by_name[] = {
+    6, /* field[6] = barred */
+    7, /* field[7] = duration_ms */
+    2, /* field[2] = epoch */
+    5, /* field[5] = left_ms */
+    3, /* field[3] = offset */
+    0, /* field[0] = service */
+    4, /* field[4] = step */
+    1, /* field[1] = version */
+};
+static const ProtobufCIntRange jd__rollout__number_ranges[1 + 1] = {{1, 0},
+                                                                    {0, 8}};
+const ProtobufCMessageDescriptor jd__rollout__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Rollout",
+    "Rollout",
+    "Jd__Rollout",
+    "jd",
+    sizeof(Jd__Rollout),
+    8,
+    jd__rollout__field_descriptors,
+    jd__rollout__field_indices_by_name,
+    1,
+    jd__rollout__number_ranges,
+    (ProtobufCMessageInit)jd__rollout__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__rollouts__field_descriptors[1] = {
+    {
+        "rollout", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Rollouts, n_rollout), offsetof(Jd__Rollouts, rollout),
+        &jd__rollout__descriptor, NULL, 0, /* flags */
+        0, NULL, NULL                      /* reserved1,reserved2, etc */
+    },
+};
+static const unsigned jd__rollouts__field_indices_by_name[] = {
+    0, /* field[0] = rollout */
+};
+static const ProtobufCIntRange jd__rollouts__number_ranges[1 + 1] = {{1, 0},
+                                                                     {0, 1}};
+const ProtobufCMessageDescriptor jd__rollouts__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Rollouts",
+    "Rollouts",
+    "Jd__Rollouts",
+    "jd",
+    sizeof(Jd__Rollouts),
+    1,
+    jd__rollouts__field_descriptors,
+    jd__rollouts__field_indices_by_name,
+    1,
+    jd__rollouts__number_ranges,
+    (ProtobufCMessageInit)jd__rollouts__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor jd__rollout_count__field_descriptors[5] =
+    {
+        {
+            "route", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutCount, route), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "is_new", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutCount, is_new), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "answered", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutCount, answered), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "failed", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutCount, failed), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "took", 5, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_UINT32,
+            offsetof(Jd__RolloutCount, n_took),
+            offsetof(Jd__RolloutCount, took), NULL, NULL,
+            0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
+            0, NULL, NULL                     /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned jd__rollout_count__field_indices_by_name[] = {
+    2, /* field[2] = answered */
+    3, /* field[3] = failed */
+    1, /* field[1] = is_new */
+    0, /* field[0] = route */
+    4, /* field[4] = took */
+};
+static const ProtobufCIntRange jd__rollout_count__number_ranges[1 + 1] = {
+    {1, 0}, {0, 5}};
+const ProtobufCMessageDescriptor jd__rollout_count__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.RolloutCount",
+    "RolloutCount",
+    "Jd__RolloutCount",
+    "jd",
+    sizeof(Jd__RolloutCount),
+    5,
+    jd__rollout_count__field_descriptors,
+    jd__rollout_count__field_indices_by_name,
+    1,
+    jd__rollout_count__number_ranges,
+    (ProtobufCMessageInit)jd__rollout_count__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    jd__rollout_report__field_descriptors[9] = {
+        {
+            "node", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, node), NULL, &protobuf_c_empty_string,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "incarnation", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, incarnation), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "seq", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, seq), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "service", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, service), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "epoch", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, epoch), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "offset", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, offset), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "step", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, step), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "old_running", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+            0, /* quantifier_offset */
+            offsetof(Jd__RolloutReport, old_running), NULL, NULL,
+            0,            /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+        {
+            "count", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Jd__RolloutReport, n_count),
+            offsetof(Jd__RolloutReport, count), &jd__rollout_count__descriptor,
+            NULL, 0,      /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned jd__rollout_report__field_indices_by_name[] = {
+    8, /* field[8] = count */
+    4, /* field[4] = epoch */
+    1, /* field[1] = incarnation */
+    0, /* field[0] = node */
+    5, /* field[5] = offset */
+    7, /* field[7] = old_running */
+    2, /* field[2] = seq */
+    3, /* field[3] = service */
+    6, /* field[6] = step */
+};
+static const ProtobufCIntRange jd__rollout_report__number_ranges[1 + 1] = {
+    {1, 0}, {0, 9}};
+const ProtobufCMessageDescriptor jd__rollout_report__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.RolloutReport",
+    "RolloutReport",
+    "Jd__RolloutReport",
+    "jd",
+    sizeof(Jd__RolloutReport),
+    9,
+    jd__rollout_report__field_descriptors,
+    jd__rollout_report__field_indices_by_name,
+    1,
+    jd__rollout_report__number_ranges,
+    (ProtobufCMessageInit)jd__rollout_report__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor
+    jd__rollout_counts__field_descriptors[1] = {
+        {
+            "report", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
+            offsetof(Jd__RolloutCounts, n_report),
+            offsetof(Jd__RolloutCounts, report),
+            &jd__rollout_report__descriptor, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
+};
+static const unsigned jd__rollout_counts__field_indices_by_name[] = {
+    0, /* field[0] = report */
+};
+static const ProtobufCIntRange jd__rollout_counts__number_ranges[1 + 1] = {
+    {1, 0}, {0, 1}};
+const ProtobufCMessageDescriptor jd__rollout_counts__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.RolloutCounts",
+    "RolloutCounts",
+    "Jd__RolloutCounts",
+    "jd",
+    sizeof(Jd__RolloutCounts),
+    1,
+    jd__rollout_counts__field_descriptors,
+    jd__rollout_counts__field_indices_by_name,
+    1,
+    jd__rollout_counts__number_ranges,
+    (ProtobufCMessageInit)jd__rollout_counts__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jd__header__field_descriptors[2] = {
     {
         "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING,
@@ -2009,7 +2528,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__frame__field_descriptors[15] = {
+static const ProtobufCFieldDescriptor jd__frame__field_descriptors[17] = {
     {
         "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                           /* quantifier_offset */
@@ -2114,6 +2633,20 @@
         0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
         0, NULL, NULL                    /* reserved1,reserved2, etc */
     },
+    {
+        "rollouts", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, rollouts),
+        &jd__rollouts__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
+    {
+        "rollout_counts", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, rollout_counts),
+        &jd__rollout_counts__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__frame__field_indices_by_name[] = {
     2,  /* field[2] = accept */
@@ -2130,10 +2663,12 @@
     3,  /* field[3] = redirect */
     9,  /* field[9] = request */
     10, /* field[10] = response */
+    16, /* field[16] = rollout_counts */
+    15, /* field[15] = rollouts */
     0,  /* field[0] = version */
 };
-static const ProtobufCIntRange jd__frame__number_ranges[1 + 1] = {{1, 0},
-                                                                  {0, 15}};
+static const ProtobufCIntRange jd__frame__number_ranges[2 + 1] = {
+    {1, 0}, {19, 15}, {0, 17}};
 const ProtobufCMessageDescriptor jd__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Frame",
@@ -2141,10 +2676,10 @@
     "Jd__Frame",
     "jd",
     sizeof(Jd__Frame),
-    15,
+    17,
     jd__frame__field_descriptors,
     jd__frame__field_indices_by_name,
-    1,
+    2,
     jd__frame__number_ranges,
     (ProtobufCMessageInit)jd__frame__init,
     NULL,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -29,6 +29,11 @@
 typedef struct Jd__Crash Jd__Crash;
 typedef struct Jd__CrashRecord Jd__CrashRecord;
 typedef struct Jd__Crashes Jd__Crashes;
+typedef struct Jd__Rollout Jd__Rollout;
+typedef struct Jd__Rollouts Jd__Rollouts;
+typedef struct Jd__RolloutCount Jd__RolloutCount;
+typedef struct Jd__RolloutReport Jd__RolloutReport;
+typedef struct Jd__RolloutCounts Jd__RolloutCounts;
 typedef struct Jd__Header Jd__Header;
 typedef struct Jd__Request Jd__Request;
 typedef struct Jd__Response Jd__Response;
@@ -93,10 +98,14 @@
    * The node may have forgotten it in a restart; others keep it.
    */
   uint64_t target_left;
+  /*
+   * of the target's software, empty: unknown
+   */
+  char *version;
 };
 #define JD__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__member__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -358,6 +367,125 @@
     , 0,NULL }
 
 
+/*
+ * State of a roll-out.  The highest step of the newest order is valid.
+ */
+struct  Jd__Rollout
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * that the service is to move to
+   */
+  char *version;
+  /*
+   * of the source, and the order's offset there
+   */
+  uint64_t epoch;
+  uint64_t offset;
+  /*
+   * JdRolloutStep
+   */
+  uint32_t step;
+  /*
+   * time left until the deadline of the order
+   */
+  uint32_t left_ms;
+  /*
+   * version that an earlier order rolled back
+   */
+  char *barred;
+  /*
+   * from the order to its deadline
+   */
+  uint32_t duration_ms;
+};
+#define JD__ROLLOUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__rollout__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * Roll-outs whose state the receiver may lack.
+ */
+struct  Jd__Rollouts
+{
+  ProtobufCMessage base;
+  size_t n_rollout;
+  Jd__Rollout **rollout;
+};
+#define JD__ROLLOUTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__rollouts__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Answers of one route's requests at a target since the order.
+ */
+struct  Jd__RolloutCount
+{
+  ProtobufCMessage base;
+  char *route;
+  /*
+   * by the version that is rolled out
+   */
+  protobuf_c_boolean is_new;
+  uint64_t answered;
+  uint64_t failed;
+  /*
+   * answers by their time, see JdAnswerCounts
+   */
+  size_t n_took;
+  uint32_t *took;
+};
+#define JD__ROLLOUT_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__rollout_count__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Report of one node on a roll-out.  The highest incarnation and sequence
+ * number are valid.
+ */
+struct  Jd__RolloutReport
+{
+  ProtobufCMessage base;
+  char *node;
+  uint64_t incarnation;
+  uint64_t seq;
+  char *service;
+  uint64_t epoch;
+  uint64_t offset;
+  /*
+   * that the node acts upon
+   */
+  uint32_t step;
+  /*
+   * its requests under way at targets of old versions
+   */
+  uint32_t old_running;
+  size_t n_count;
+  Jd__RolloutCount **count;
+};
+#define JD__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__rollout_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Reports on their way to the root.
+ */
+struct  Jd__RolloutCounts
+{
+  ProtobufCMessage base;
+  size_t n_report;
+  Jd__RolloutReport **report;
+};
+#define JD__ROLLOUT_COUNTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__rollout_counts__descriptor) \
+    , 0,NULL }
+
+
 struct  Jd__Header
 {
   ProtobufCMessage base;
@@ -539,7 +667,9 @@
   JD__FRAME__BODY_CANCEL = 12,
   JD__FRAME__BODY_PING = 13,
   JD__FRAME__BODY_INVITE = 14,
-  JD__FRAME__BODY_CRASHES = 15
+  JD__FRAME__BODY_CRASHES = 15,
+  JD__FRAME__BODY_ROLLOUTS = 19,
+  JD__FRAME__BODY_ROLLOUT_COUNTS = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JD__FRAME__BODY__CASE)
 } Jd__Frame__BodyCase;
 
@@ -566,6 +696,8 @@
     Jd__Ping *ping;
     Jd__Invite *invite;
     Jd__Crashes *crashes;
+    Jd__Rollouts *rollouts;
+    Jd__RolloutCounts *rollout_counts;
   };
 };
 #define JD__FRAME__INIT \
@@ -839,6 +971,101 @@
 void   jd__crashes__free_unpacked
                      (Jd__Crashes *message,
                       ProtobufCAllocator *allocator);
+/* Jd__Rollout methods */
+void   jd__rollout__init
+                     (Jd__Rollout         *message);
+size_t jd__rollout__get_packed_size
+                     (const Jd__Rollout   *message);
+size_t jd__rollout__pack
+                     (const Jd__Rollout   *message,
+                      uint8_t             *out);
+size_t jd__rollout__pack_to_buffer
+                     (const Jd__Rollout   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__Rollout *
+       jd__rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__rollout__free_unpacked
+                     (Jd__Rollout *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__Rollouts methods */
+void   jd__rollouts__init
+                     (Jd__Rollouts         *message);
+size_t jd__rollouts__get_packed_size
+                     (const Jd__Rollouts   *message);
+size_t jd__rollouts__pack
+                     (const Jd__Rollouts   *message,
+                      uint8_t             *out);
+size_t jd__rollouts__pack_to_buffer
+                     (const Jd__Rollouts   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__Rollouts *
+       jd__rollouts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__rollouts__free_unpacked
+                     (Jd__Rollouts *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__RolloutCount methods */
+void   jd__rollout_count__init
+                     (Jd__RolloutCount         *message);
+size_t jd__rollout_count__get_packed_size
+                     (const Jd__RolloutCount   *message);
+size_t jd__rollout_count__pack
+                     (const Jd__RolloutCount   *message,
+                      uint8_t             *out);
+size_t jd__rollout_count__pack_to_buffer
+                     (const Jd__RolloutCount   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__RolloutCount *
+       jd__rollout_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__rollout_count__free_unpacked
+                     (Jd__RolloutCount *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__RolloutReport methods */
+void   jd__rollout_report__init
+                     (Jd__RolloutReport         *message);
+size_t jd__rollout_report__get_packed_size
+                     (const Jd__RolloutReport   *message);
+size_t jd__rollout_report__pack
+                     (const Jd__RolloutReport   *message,
+                      uint8_t             *out);
+size_t jd__rollout_report__pack_to_buffer
+                     (const Jd__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__RolloutReport *
+       jd__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__rollout_report__free_unpacked
+                     (Jd__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
+/* Jd__RolloutCounts methods */
+void   jd__rollout_counts__init
+                     (Jd__RolloutCounts         *message);
+size_t jd__rollout_counts__get_packed_size
+                     (const Jd__RolloutCounts   *message);
+size_t jd__rollout_counts__pack
+                     (const Jd__RolloutCounts   *message,
+                      uint8_t             *out);
+size_t jd__rollout_counts__pack_to_buffer
+                     (const Jd__RolloutCounts   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__RolloutCounts *
+       jd__rollout_counts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__rollout_counts__free_unpacked
+                     (Jd__RolloutCounts *message,
+                      ProtobufCAllocator *allocator);
 /* Jd__Header methods */
 void   jd__header__init
                      (Jd__Header         *message);
@@ -997,6 +1224,21 @@
 typedef void (*Jd__Crashes_Closure)
                  (const Jd__Crashes *message,
                   void *closure_data);
+typedef void (*Jd__Rollout_Closure)
+                 (const Jd__Rollout *message,
+                  void *closure_data);
+typedef void (*Jd__Rollouts_Closure)
+                 (const Jd__Rollouts *message,
+                  void *closure_data);
+typedef void (*Jd__RolloutCount_Closure)
+                 (const Jd__RolloutCount *message,
+                  void *closure_data);
+typedef void (*Jd__RolloutReport_Closure)
+                 (const Jd__RolloutReport *message,
+                  void *closure_data);
+typedef void (*Jd__RolloutCounts_Closure)
+                 (const Jd__RolloutCounts *message,
+                  void *closure_data);
 typedef void (*Jd__Header_Closure)
                  (const Jd__Header *message,
                   void *closure_data);
@@ -1035,6 +1277,11 @@
 extern const ProtobufCMessageDescriptor jd__crash__descriptor;
 extern const ProtobufCMessageDescriptor jd__crash_record__descriptor;
 extern const ProtobufCMessageDescriptor jd__crashes__descriptor;
+extern const ProtobufCMessageDescriptor jd__rollout__descriptor;
+extern const ProtobufCMessageDescriptor jd__rollouts__descriptor;
+extern const ProtobufCMessageDescriptor jd__rollout_count__descriptor;
+extern const ProtobufCMessageDescriptor jd__rollout_report__descriptor;
+extern const ProtobufCMessageDescriptor jd__rollout_counts__descriptor;
 extern const ProtobufCMessageDescriptor jd__header__descriptor;
 extern const ProtobufCMessageDescriptor jd__request__descriptor;
 extern const ProtobufCMessageDescriptor jd__response__descriptor;
--- a/peer/link.c
+++ b/peer/link.c
@@ -246,6 +246,18 @@
     JdCrashStore_OnChanged(ctx);
 }
 
+static void
+on_rollout_changed(void *ctx, JdRollout *ro)
+{
+    JdRolloutNode_OnChanged(ctx, ro);
+}
+
+static unsigned
+count_old_running(void *ctx, const JdRollout *ro)
+{
+    return JdForward_CountOldRunning(ctx, ro);
+}
+
 static const JdTreeOps tree_ops = {
     .dial = dial,
     .send = send_frame,
@@ -260,6 +272,8 @@
     .member_changed = on_member_changed,
     .target_replaced = on_target_replaced,
     .crashes_changed = on_crashes_changed,
+    .rollout_changed = on_rollout_changed,
+    .count_old_running = count_old_running,
 };
 
 /* Copies this node's identity from its settings. */
@@ -292,6 +306,7 @@
     JdTree_Init(&nd->tree, &id, JdPreset_Tuning(nd->settings.preset),
                 &nd->store, &nd->loop.clock, &nd->counters, &tree_ops, nd);
     JdCrashStore_Init(nd);
+    JdRolloutNode_Init(nd);
     JdConnSet_Init(&nd->conns, &nd->loop, &nd->counters);
     return JdConnSet_Listen(&nd->conns, nd->settings.peer_address, &conn_ops,
                             nd, err);
--- a/targets/health.c
+++ b/targets/health.c
@@ -66,6 +66,8 @@
         nd->counters.value[JD_C_HEARTBEATS_OLD]++;
         return;
     }
+    nd->target_warm_at = JdClock_Now(&nd->loop.clock) + hb->warmup_left;
+    JdTree_SetVersion(&nd->tree, hb->version);
     JdAdmission_SetSlots(&nd->admit, hb->slots);
     JdAdmission_SetRateLimit(&nd->admit, nd->target_process.rate_limit);
     if (result == JD_HEARTBEAT_CHANGED) {
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -114,6 +114,30 @@
     JdAdmission_RecordAbort(&nd->admit, &it->work);
 }
 
+/* Gateway Timeout: the target's own answer at the deadline. */
+#define STATUS_TIMED_OUT 504
+#define SERVER_ERROR_MIN 500
+
+/* Counts how a request ended, for a roll-out of the target's service. */
+static void
+count_answer(const JdWorkItem *it, const JdHttpResponse *ans, JdReason reason)
+{
+    JdAnswerKind kind = JD_ANSWER_GOOD;
+
+    if (reason == JD_REASON_TARGET_DOWN || reason == JD_REASON_SHED) {
+        return;
+    }
+    if (reason == JD_REASON_DEADLINE || ans->status == STATUS_TIMED_OUT) {
+        kind = JD_ANSWER_LATE;
+    }
+    else if (reason != JD_REASON_NONE || ans->status >= SERVER_ERROR_MIN) {
+        kind = JD_ANSWER_FAILED;
+    }
+    JdRolloutNode_CountAnswer(it->node, it->msg, kind,
+                              JdClock_Now(&it->node->loop.clock) -
+                                  it->work.started_at);
+}
+
 static void
 on_response(void *ctx, const JdHttpResponse *ans)
 {
@@ -124,6 +148,7 @@
     it->call = NULL;
     it->was_sent = ans->result != JD_HTTP_NOT_SENT;
     JdWorkItem_RecordEnd(it, ans);
+    count_answer(it, ans, reason);
     JdTargetNotice_OnResponse(nd, it->target_started, it->work.started_at,
                               ans);
     JdLatencies_Record(&nd->latencies, JD_LATENCY_TARGET, it->msg->service,
@@ -419,6 +444,21 @@
     JdTimer_Arm(&it->node->loop.clock, &it->timer, CANCEL_GRACE);
 }
 
+/* A caller that waits until the deadline cancels at about that time. */
+#define DEADLINE_TOLERANCE (50 * JD_US_PER_MS)
+
+/* Counts running work that is cancelled, for a roll-out. */
+static void
+count_cancelled(const JdWorkItem *it)
+{
+    uint64_t now = JdClock_Now(&it->node->loop.clock);
+    bool is_late = now + DEADLINE_TOLERANCE >= it->work.deadline;
+
+    JdRolloutNode_CountAnswer(it->node, it->msg,
+                              is_late ? JD_ANSWER_LATE : JD_ANSWER_CANCELLED,
+                              now - it->work.started_at);
+}
+
 /* Cancels a request whose response nobody waits for any more. */
 static void
 cancel_item(JdWorkItem *it)
@@ -441,6 +481,7 @@
         return;
     }
     if (it->work.is_running) {
+        count_cancelled(it);
         record_cancelled(it);
         hold_slot(it);
         return;
