--- a/lib/rollout/director.c
+++ b/lib/rollout/director.c
@@ -25,7 +25,7 @@
  * and its limits. */
 #define FULL_TIME_DIVISOR 4
 #define FULL_TIME_MIN JD_US_PER_S
-#define FULL_TIME_MAX (4 * JD_US_PER_S)
+#define FULL_TIME_MAX (3 * JD_US_PER_S)
 
 static void on_tick(void *ctx);
 
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -206,6 +206,7 @@
     Unit_AddLimit();
     Unit_AddAccount();
     Unit_AddCrash();
+    Unit_AddRollout();
     Unit_AddFollower();
     Unit_AddLoop();
     Unit_AddStart();
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -11,6 +11,7 @@
 void Unit_AddLimit(void);
 void Unit_AddAccount(void);
 void Unit_AddCrash(void);
+void Unit_AddRollout(void);
 void Unit_AddFollower(void);
 void Unit_AddLoop(void);
 void Unit_AddStart(void);
--- a/targets/health.c
+++ b/targets/health.c
@@ -73,8 +73,9 @@
     if (result == JD_HEARTBEAT_CHANGED) {
         JD_LOG(JD_EVENT_TARGET,
                JD_TEXT("outcome", hb->is_draining ? "draining" : "ready"),
-               JD_TEXT("target", hb->id), JD_NUMBER("started", hb->started),
-               JD_NUMBER("seq", hb->seq), JD_NUMBER("slots", hb->slots));
+               JD_TEXT("target", hb->id), JD_TEXT("version", hb->version),
+               JD_NUMBER("started", hb->started), JD_NUMBER("seq", hb->seq),
+               JD_NUMBER("slots", hb->slots));
     }
     announce_target(nd);
 }
