--- a/operator/admin.c
+++ b/operator/admin.c
@@ -216,6 +216,50 @@
     JdHttpd_ReplyJson(req, 200, json_pack("{s:s}", "cleared", request));
 }
 
+/* Replies with the roll-outs that this node knows and acts upon. */
+static void
+reply_rollouts(JdNode *nd, h2o_req_t *req)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+    json_t *list = json_array();
+    const JdRollout *ro;
+
+    TAILQ_FOREACH(ro, &nd->tree.rollouts.all, link)
+    {
+        uint64_t left = ro->deadline > now ? ro->deadline - now : 0;
+
+        json_array_append_new(
+            list, json_pack("{s:s, s:s, s:I, s:s, s:I, s:s}", "service",
+                            ro->order.service, "version", ro->order.version,
+                            "order", (json_int_t)ro->order.offset, "step",
+                            JdRolloutStep_Name(ro->step), "left_ms",
+                            (json_int_t)(left / JD_US_PER_MS), "barred",
+                            ro->barred));
+    }
+    JdHttpd_ReplyJson(req, 200, list);
+}
+
+/* Takes the new version of a service back.  The tree passes it on, and the
+ * director records it. */
+static void
+abort_rollout(JdNode *nd, h2o_req_t *req)
+{
+    char service[JD_NAME_MAX] = "";
+    JdRollout *ro;
+
+    JdHttpd_CopyQueryParam(req, "service", service, sizeof(service));
+    ro = JdRollouts_Find(&nd->tree.rollouts, service);
+    if (ro == NULL || JdRollout_IsFinal(ro)) {
+        JdHttpd_Reply(req, 404, "text/plain", "no such roll-out\n", 17);
+        return;
+    }
+    JD_LOG(JD_EVENT_ROLLOUT, JD_TEXT("service", service),
+           JD_TEXT("target_version", ro->order.version),
+           JD_TEXT("outcome", "aborted"));
+    JdRollouts_SetStep(&nd->tree.rollouts, ro, JD_ROLLOUT_STOPPED, 0);
+    JdHttpd_ReplyJson(req, 200, json_pack("{s:s}", "aborted", service));
+}
+
 static void
 on_request(void *ctx, h2o_req_t *req)
 {
@@ -243,6 +287,13 @@
              JdHttpd_IsMethod(req, "POST")) {
         clear_crashes(nd, req);
     }
+    else if (JdHttpd_IsPath(req, "/rollouts")) {
+        reply_rollouts(nd, req);
+    }
+    else if (JdHttpd_IsPath(req, "/rollouts/abort") &&
+             JdHttpd_IsMethod(req, "POST")) {
+        abort_rollout(nd, req);
+    }
     else if (JdHttpd_IsPath(req, "/drain") && JdHttpd_IsMethod(req, "POST")) {
         JdDrain_OnSignal(nd, 0);
         JdHttpd_ReplyJson(req, 200, make_status(nd));
--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -39,6 +39,8 @@
      "                list requests under which targets crashed"},
     {"clear", CtlFleet_Clear, 1, 1,
      "REQUEST           let such a request run again"},
+    {"rollout", CtlFleet_Rollout, 1, 2,
+     "status           list roll-outs; rollout abort SERVICE: take it back"},
     {"explain", CtlExplain_Explain, 2, MAX_LOG_FILES,
      "ID FILE...      trace a request through log files"},
 };
--- a/operator/ctl.h
+++ b/operator/ctl.h
@@ -71,6 +71,7 @@
 CtlExit CtlFleet_Wait(Ctl *ctl, int argc, char **args);
 CtlExit CtlFleet_Drain(Ctl *ctl, int argc, char **args);
 CtlExit CtlFleet_Crashes(Ctl *ctl, int argc, char **args);
+CtlExit CtlFleet_Rollout(Ctl *ctl, int argc, char **args);
 CtlExit CtlFleet_Clear(Ctl *ctl, int argc, char **args);
 CtlExit CtlExplain_Explain(Ctl *ctl, int argc, char **args);
 
--- a/operator/fleet.c
+++ b/operator/fleet.c
@@ -295,3 +295,66 @@
     Ctl_Print(ctl, js, "%s may run again", args[0]);
     return CTL_EXIT_OK;
 }
+
+static CtlExit
+list_rollouts(Ctl *ctl)
+{
+    JdError err = {0};
+    json_t *list = query_node(ctl, ctl->node_address, "GET", "/rollouts");
+    json_t *js;
+    size_t i;
+
+    if (list == NULL) {
+        JdError_Set(&err, JD_ERR_UNREACHABLE, "", "no answer from %s",
+                    ctl->node_address);
+        return Ctl_Fail(ctl, &err);
+    }
+    json_array_foreach(list, i, js)
+    {
+        Ctl_Print(ctl, json_incref(js), "%s to %s: %s, %lld ms left",
+                  json_string_value(json_object_get(js, "service")),
+                  json_string_value(json_object_get(js, "version")),
+                  json_string_value(json_object_get(js, "step")),
+                  get_integer(js, "left_ms"));
+    }
+    json_decref(list);
+    return CTL_EXIT_OK;
+}
+
+static CtlExit
+abort_rollout(Ctl *ctl, const char *service)
+{
+    char *escaped = g_uri_escape_string(service, NULL, FALSE);
+    char *path = g_strdup_printf("/rollouts/abort?service=%s", escaped);
+    json_t *js = query_node(ctl, ctl->node_address, "POST", path);
+    JdError err = {0};
+
+    g_free(path);
+    g_free(escaped);
+    if (js == NULL) {
+        JdError_Set(&err, JD_ERR_REFUSED, "", "%s knows no roll-out of %s",
+                    ctl->node_address, service);
+        return Ctl_Fail(ctl, &err);
+    }
+    Ctl_Print(ctl, js, "the roll-out of %s is taken back", service);
+    return CTL_EXIT_OK;
+}
+
+/* Lists roll-outs, or takes one back. */
+CtlExit
+CtlFleet_Rollout(Ctl *ctl, int argc, char **args)
+{
+    JdError err = {0};
+
+    if (!require_node_option(ctl, &err)) {
+        return Ctl_Fail(ctl, &err);
+    }
+    if (argc == 1 && strcmp(args[0], "status") == 0) {
+        return list_rollouts(ctl);
+    }
+    if (argc == 2 && strcmp(args[0], "abort") == 0) {
+        return abort_rollout(ctl, args[1]);
+    }
+    JdError_Set(&err, JD_ERR_USAGE, "", "status or abort SERVICE");
+    return Ctl_Fail(ctl, &err);
+}
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -47,6 +47,24 @@
 	    "http://$FLEET_LOG/-/put?topic=keyed.op&key=config"
 }
 
+# Orders that a service move to a version, as the operator does.
+platform_order_rollout() { # SERVICE VERSION SECONDS
+	printf '{"service": "%s", "target_version": "%s", "duration_s": %s}' \
+	    "$1" "$2" "$3" | curl -sf -m 3 -X POST --data-binary @- -o /dev/null \
+	    "http://$FLEET_LOG/-/put?topic=keyed.op&key=rollout/$1"
+}
+
+# Prints the state that the operator reads of a roll-out, and its version.
+platform_rollout_state() { # SERVICE
+	fleet_get "http://$FLEET_LOG/log-newest?topic=keyed.status&part=0" |
+	    sed -n 's|.*"key":"rollout/'"$1"'","value":"\([^"]*\)".*|\1|p' |
+	    base64 -d | sed -n 's/.*"state":"\([^"]*\)","target_version":"\([^"]*\)".*/\2 \1/p'
+}
+
+platform_rollout_is() { # SERVICE STATE
+	[ "$(platform_rollout_state "$1")" = "$2" ]
+}
+
 platform_is_ready() { # D-I
 	fleet_get "http://127.$FLEET_NET.${1%-*}.${1#*-}:8200/ready"
 }
--- a/regress/stand/stored.c
+++ b/regress/stand/stored.c
@@ -250,6 +250,11 @@
     size_t n = req->entity.len;
     json_int_t offset = tp->records->len;
 
+    if (JdHttpd_QueryNumber(req, "as_of", (uint64_t)offset) !=
+        (uint64_t)offset) {
+        JdHttpd_ReplyJson(req, 412, json_pack("{s:I}", "end", offset));
+        return;
+    }
     while (n >= RECORD_LENGTH_BYTES) {
         size_t len = (size_t)(uint8_t)p[0] << 24 |
                      (size_t)(uint8_t)p[1] << 16 | (size_t)(uint8_t)p[2] << 8 |
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -9,6 +9,7 @@
  *       say=ready|draining|nothing|noise
  *                           send heartbeats with this state, no heartbeats, or
  *                           malformed ones
+ *       version=V           version of its software
  *       leave=1             deregister and send no more heartbeats
  *       limit=RATE          name this rate limit in the answers; none: no
  *                           limit
@@ -51,6 +52,7 @@
     bool is_leaving;
     gchar *listen;
     gchar *service;
+    char version[JD_NAME_MAX];
     uint64_t started_at_ms;
     uint64_t sequence;
     uint64_t work_time;
@@ -134,9 +136,9 @@
     js = json_pack(
         "{s:s, s:I, s:{s:s, s:s, s:s, s:i}, s:{s:s, s:I, s:f}}", "address",
         worker.listen, "born", (json_int_t)worker.started_at_ms, "info",
-        "service", worker.service, "version", "v1", "zone", "z", "slots",
-        worker.slots, "status", "state", worker.heartbeat_mode, "sequence",
-        (json_int_t)worker.sequence, "warmup_left_s", 0.0);
+        "service", worker.service, "version", worker.version, "zone", "z",
+        "slots", worker.slots, "status", "state", worker.heartbeat_mode,
+        "sequence", (json_int_t)worker.sequence, "warmup_left_s", 0.0);
     text = json_dumps(js, JSON_COMPACT);
     send_to_node("Heartbeat", text);
     free(text);
@@ -327,6 +329,8 @@
 on_control_request(h2o_req_t *req)
 {
     JdHttpd_CopyQueryParam(req, "mode", worker.mode, sizeof(worker.mode));
+    JdHttpd_CopyQueryParam(req, "version", worker.version,
+                           sizeof(worker.version));
     JdHttpd_CopyQueryParam(req, "say", worker.heartbeat_mode,
                            sizeof(worker.heartbeat_mode));
     if (JdHttpd_CopyQueryParam(req, "id", worker.id, sizeof(worker.id))) {
@@ -395,6 +399,7 @@
     gchar *node = NULL;
     gchar *id = NULL;
     gchar *record_path = NULL;
+    gchar *version = NULL;
     gint work_ms = 5;
     gint delay_ms = 0;
     GOptionEntry entries[] = {
@@ -405,6 +410,8 @@
         {"id", 'i', 0, G_OPTION_ARG_STRING, &id, "id of this process", "ID"},
         {"service", 's', 0, G_OPTION_ARG_STRING, &worker.service, "service",
          "NAME"},
+        {"version", 0, 0, G_OPTION_ARG_STRING, &version,
+         "version of its software", "NAME"},
         {"record", 'r', 0, G_OPTION_ARG_FILENAME, &record_path,
          "file for the record of executed requests", "FILE"},
         {"slots", 0, 0, G_OPTION_ARG_INT, &worker.slots, "slots", "N"},
@@ -442,6 +449,8 @@
     }
     g_strlcpy(worker.id, id, sizeof(worker.id));
     g_strlcpy(worker.mode, "ok", sizeof(worker.mode));
+    g_strlcpy(worker.version, version == NULL ? "v1" : version,
+              sizeof(worker.version));
     g_strlcpy(worker.heartbeat_mode, "ready", sizeof(worker.heartbeat_mode));
     worker.work_time = (uint64_t)work_ms * JD_US_PER_MS;
     worker.started_at_ms = JdLoop_WallClock() / JD_US_PER_MS;
