--- a/targets/health.c
+++ b/targets/health.c
@@ -66,13 +66,16 @@
         nd->counters.value[JD_C_HEARTBEATS_OLD]++;
         return;
     }
+    nd->target_warm_at = JdClock_Now(&nd->loop.clock) + hb->warmup_left;
+    JdTree_SetVersion(&nd->tree, hb->version);
     JdAdmission_SetSlots(&nd->admit, hb->slots);
     JdAdmission_SetRateLimit(&nd->admit, nd->target_process.rate_limit);
     if (result == JD_HEARTBEAT_CHANGED) {
         JD_LOG(JD_EVENT_TARGET,
                JD_TEXT("outcome", hb->is_draining ? "draining" : "ready"),
-               JD_TEXT("target", hb->id), JD_NUMBER("started", hb->started),
-               JD_NUMBER("seq", hb->seq), JD_NUMBER("slots", hb->slots));
+               JD_TEXT("target", hb->id), JD_TEXT("version", hb->version),
+               JD_NUMBER("started", hb->started), JD_NUMBER("seq", hb->seq),
+               JD_NUMBER("slots", hb->slots));
     }
     announce_target(nd);
 }
