Unit tests of quotas; loans keep what their parts hold

When the allocator of a shard changed, its accounts began almost without tokens, and requests within the quota got 429. A loan now brings its part of half the burst, and takes its share of the buckets along when it ends, unless the account was scarce.

--- a/include/jacinthdyke_account.h
+++ b/include/jacinthdyke_account.h
@@ -47,10 +47,10 @@
 struct JdMember;
 
 /* Accounts are spread over this many shards, each with an allocator. */
-#define JD_QUOTA_SHARDS 8
+#define JD_QUOTA_SHARDS 4
 
-/* Time for which a node lends its part of a shard to the allocator: three
- * reports. */
+/* Time for which a node lends its part of a shard to the allocator, from an
+ * answer that it echoes in the next report: three reports. */
 #define JD_QUOTA_LEASE (1500 * JD_US_PER_MS)
 
 /* What happened to a shard or an account, for logs. */
@@ -147,7 +147,8 @@
     char name[JD_NAME_MAX];
     double level;     /* tokens; negative after prepaid ones */
     double filled_to; /* lent time of the shard, s, up to which it is filled */
-    bool is_scarce;   /* nodes ask before they use tokens */
+    double brought_to; /* the same for the parts that nodes brought */
+    bool is_scarce;    /* nodes ask before they use tokens */
     bool is_exhausted; /* an ask was refused */
     double refused;    /* requests refused lately */
     uint64_t refused_at;
@@ -171,6 +172,7 @@
     void *by_account; /* GHashTable: account name to JdQuotaBucket */
     TAILQ_HEAD(JdQuotaBucketHead, JdQuotaBucket) buckets;
     double part_sum;
+    double brought;       /* sum of the parts that nodes began to lend */
     double lent_time;     /* s: integral over time of the sum, at most 1 */
     uint64_t counted_to;  /* time up to which that is counted */
     uint64_t next_end;    /* end of the enrolment that ends first */
--- a/lib/account/allocator.c
+++ b/lib/account/allocator.c
@@ -12,10 +12,7 @@
 /* Tokens that a bucket holds beyond the burst: requests of several nodes that
  * meet within one round trip. */
 #define TOLERANCE 5.0
-/* An allocator that begins does not know what its predecessor has granted. Its
- * buckets hold this share of what an account may use in START_TIME_S. */
-#define START_SHARE 0.05
-#define START_TIME_S 5.0
+
 /* An account is scarce below this share of what its bucket can hold, until it
  * is above the other one. */
 #define SCARCE_BELOW 0.5
@@ -103,6 +100,21 @@
     }
 }
 
+/* Returns a new bucket without tokens. */
+static JdQuotaBucket *
+new_bucket(JdQuotaAllocator *al, const char *name)
+{
+    JdQuotaBucket *bk = g_new0(JdQuotaBucket, 1);
+
+    _Jd_CopyText(bk->name, sizeof(bk->name), name);
+    bk->filled_to = al->lent_time;
+    bk->brought_to = al->brought;
+    bk->last_used_at = al->counted_to;
+    g_hash_table_insert(al->by_account, bk->name, bk);
+    TAILQ_INSERT_TAIL(&al->buckets, bk, link);
+    return bk;
+}
+
 /* Computes the sum of the parts and the next end.  Without any part, the
  * allocator starts anew. */
 static void
@@ -122,6 +134,22 @@
     if (TAILQ_EMPTY(&al->enrolments)) {
         free_buckets(al);
         al->lent_time = 0;
+        al->brought = 0;
+    }
+}
+
+/* Takes a node's share out of the buckets, as its part is not lent any more.
+ */
+static void
+withdraw(JdQuotaAllocator *al, double part)
+{
+    JdQuotaBucket *bk;
+
+    TAILQ_FOREACH(bk, &al->buckets, link)
+    {
+        if (bk->level > 0) {
+            bk->level *= 1 - fmin(part / al->part_sum, 1);
+        }
     }
 }
 
@@ -133,6 +161,7 @@
     for (en = TAILQ_FIRST(&al->enrolments); en != NULL; en = next) {
         next = TAILQ_NEXT(en, link);
         if (en->until <= al->counted_to) {
+            withdraw(al, en->part);
             free_enrolment(al, en);
         }
     }
@@ -157,11 +186,27 @@
     JdQuotaEnrolment *en = g_hash_table_lookup(al->by_id, id);
 
     if (en != NULL) {
+        withdraw(al, en->part);
         free_enrolment(al, en);
         sum_parts(al);
     }
 }
 
+/* Creates the buckets of accounts that were scarce at another allocator. */
+static void
+add_scarce(JdQuotaAllocator *al, const Jd__QuotaReport *msg)
+{
+    for (size_t i = 0; i < msg->n_scarce_account; i++) {
+        const char *name = msg->scarce_account[i];
+
+        if (g_hash_table_lookup(al->by_account, name) == NULL &&
+            JdQuota_ShardOf(name) == msg->shard) {
+            new_bucket(al, name)->is_scarce = true;
+            al->is_list_changed = true;
+        }
+    }
+}
+
 static void
 enrol(JdQuotaAllocator *al, void *peer, const Jd__QuotaReport *msg)
 {
@@ -174,6 +219,8 @@
         _Jd_CopyText(en->id, sizeof(en->id), msg->id);
         g_hash_table_insert(al->by_id, en->id, en);
         TAILQ_INSERT_TAIL(&al->enrolments, en, link);
+        add_scarce(al, msg);
+        al->brought += msg->all_scarce ? 0 : part;
     }
     en->peer = peer;
     en->has_peer = true;
@@ -199,8 +246,8 @@
     return (double)account->rate / 1000;
 }
 
-/* Adds what the account has earned since the bucket was used last, and limits
- * it to what it can hold. */
+/* Adds what the account has earned since the bucket was used last and what
+ * nodes have brought, and limits it to what it can hold. */
 static void
 fill_bucket(const JdQuotaAllocator *al, JdQuotaBucket *bk,
             const JdAccount *account)
@@ -209,6 +256,11 @@
 
     bk->level += get_rate(account) * (al->lent_time - bk->filled_to);
     bk->filled_to = al->lent_time;
+    if (!bk->is_scarce) {
+        bk->level +=
+            _JdQuota_StartTokens(account) * (al->brought - bk->brought_to);
+    }
+    bk->brought_to = al->brought;
     bk->level = fmin(bk->level, max);
 }
 
@@ -216,14 +268,10 @@
 get_bucket(JdQuotaAllocator *al, const JdAccount *account)
 {
     JdQuotaBucket *bk = g_hash_table_lookup(al->by_account, account->name);
-    double window = START_TIME_S * get_rate(account) + (double)account->burst;
-
     if (bk == NULL) {
-        bk = g_new0(JdQuotaBucket, 1);
-        _Jd_CopyText(bk->name, sizeof(bk->name), account->name);
-        bk->level = START_SHARE * window * get_lent(al);
-        g_hash_table_insert(al->by_account, bk->name, bk);
-        TAILQ_INSERT_TAIL(&al->buckets, bk, link);
+        bk = new_bucket(al, account->name);
+        bk->filled_to = 0;
+        bk->brought_to = 0;
     }
     fill_bucket(al, bk, account);
     return bk;
--- a/lib/account/quota.c
+++ b/lib/account/quota.c
@@ -76,8 +76,7 @@
         rec = g_new0(JdQuotaRecord, 1);
         _Jd_CopyText(rec->name, sizeof(rec->name), name);
         rec->shard = JdQuota_ShardOf(name);
-        rec->own_at = read_clock(qt);
-        rec->last_used_at = rec->own_at;
+        rec->last_used_at = read_clock(qt);
         TAILQ_INIT(&rec->waits);
         g_hash_table_insert(qt->by_name, rec->name, rec);
         qt->record_count++;
@@ -86,8 +85,10 @@
     return rec;
 }
 
-static bool
-is_scarce(const JdQuota *qt, const JdQuotaRecord *rec)
+/* Returns whether tokens of an account have to be asked for before their use.
+ */
+bool
+_JdQuota_IsScarce(const JdQuota *qt, const JdQuotaRecord *rec)
 {
     const JdQuotaShard *sh = &qt->shard[rec->shard];
 
@@ -163,9 +164,14 @@
     double max = (double)account->burst * part;
 
     if (rec->own_at < sh->unlent_at) {
-        rec->own = 0;
+        rec->own = _JdQuota_IsScarce(qt, rec)
+                       ? 0
+                       : _JdQuota_StartTokens(account) * part;
         rec->own_at = sh->unlent_at;
     }
+    else if (rec->own_at == 0) {
+        rec->own_at = now;
+    }
     if (now > rec->own_at) {
         rec->own += (double)account->rate / 1000 * part *
                     (double)(now - rec->own_at) / (double)JD_US_PER_S;
@@ -335,8 +341,9 @@
 {
     const JdQuotaShard *sh = &qt->shard[rec->shard];
 
-    return rec->prepaid < PREPAID_MAX && !is_scarce(qt, rec) &&
-           sh->heard_at != 0 && now - sh->heard_at < FRESH_TIME;
+    return rec->prepaid < PREPAID_MAX && !_JdQuota_IsScarce(qt, rec) &&
+           (is_contacting(sh, now) ||
+            (sh->heard_at != 0 && now - sh->heard_at < FRESH_TIME));
 }
 
 /* Takes a token of a shard whose part is lent, or begins to wait for one. */
@@ -378,7 +385,7 @@
     rec->demand += 1 / DEMAND_TIME_S;
     rec->last_used_at = now;
     if (take_granted(qt, rec, now)) {
-        if (is_lent && !is_scarce(qt, rec) &&
+        if (is_lent && !_JdQuota_IsScarce(qt, rec) &&
             rec->tokens < rec->demand * SPARE_TIME_S / 2) {
             ask(qt, rec, 0, now);
         }
@@ -394,6 +401,10 @@
         return record_taken(rec);
     }
     if (is_contacting(sh, now)) {
+        if (may_prepay(qt, rec, now)) {
+            rec->prepaid++;
+            return record_taken(rec);
+        }
         add_wait(qt, rec, wait);
         return JD_QUOTA_WAITING;
     }
--- a/lib/account/shard.c
+++ b/lib/account/shard.c
@@ -10,8 +10,11 @@
  * that answer, so that the loan ends at the allocator first and no clocks are
  * compared.
  */
+#include <math.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "libjd.h"
 
 /* Time between two reports of a node to the allocator of a shard. */
@@ -127,6 +130,36 @@
     }
 }
 
+/* Lists the accounts of a shard that are scarce, for its new allocator. */
+static GPtrArray *
+list_scarce(const JdQuota *qt, unsigned shard)
+{
+    GPtrArray *names = g_ptr_array_new();
+    const JdQuotaRecord *rec;
+
+    TAILQ_FOREACH(rec, &qt->records, link)
+    {
+        if (rec->shard == shard && _JdQuota_IsScarce(qt, rec)) {
+            g_ptr_array_add(names, (gpointer)rec->name);
+        }
+    }
+    return names;
+}
+
+/* Marks the part as lent until the time up to which the allocator counts it,
+ * or later. */
+static void
+lend(JdQuota *qt, unsigned shard)
+{
+    JdQuotaShard *sh = &qt->shard[shard];
+
+    sh->lent_until = sh->heard_at + JD_QUOTA_LEASE;
+    if (!sh->is_lent && qt->ops->changed != NULL) {
+        qt->ops->changed(qt->ctx, JD_QUOTA_ENROLLED, shard, sh->allocator);
+    }
+    sh->is_lent = true;
+}
+
 /* Sends a report.  One that echoes an answer lends the part, unless `nodes` is
  * 0. */
 static void
@@ -135,6 +168,7 @@
     JdQuotaShard *sh = &qt->shard[shard];
     Jd__QuotaReport msg = JD__QUOTA_REPORT__INIT;
     Jd__Frame frame = JD__FRAME__INIT;
+    GPtrArray *names = NULL;
 
     msg.shard = shard;
     msg.id = (char *)qt->id;
@@ -144,15 +178,18 @@
     frame.body_case = JD__FRAME__BODY_QUOTA_REPORT;
     frame.quota_report = &msg;
     if (nodes > 0 && sh->echo != 0 && now < sh->heard_at + JD_QUOTA_LEASE) {
-        bool was_lent = sh->is_lent;
-
-        sh->is_lent = true;
-        sh->lent_until = sh->heard_at + JD_QUOTA_LEASE;
-        if (!was_lent && qt->ops->changed != NULL) {
-            qt->ops->changed(qt->ctx, JD_QUOTA_ENROLLED, shard, sh->allocator);
+        if (!sh->is_lent) {
+            names = list_scarce(qt, shard);
+            msg.scarce_account = (char **)names->pdata;
+            msg.n_scarce_account = names->len;
+            msg.all_scarce = sh->are_all_scarce;
         }
+        lend(qt, shard);
     }
     _JdQuota_SendToAllocator(qt, sh, &frame);
+    if (names != NULL) {
+        g_ptr_array_free(names, TRUE);
+    }
 }
 
 /* Returns whether the process that has the loan has ended for sure. */
@@ -165,6 +202,19 @@
            mb->incarnation != sh->incarnation;
 }
 
+/* Returns the tokens that a node's part holds for an account when it begins or
+ * ceases to be lent, of one that is not scarce, for all nodes together.  Half
+ * of the burst is there then; and if that was used in truth, it is no more
+ * than a tenth of what the account may use in 5 s. */
+double
+_JdQuota_StartTokens(const JdAccount *account)
+{
+    double burst = (double)account->burst;
+    double window = (double)account->rate * 5 / 1000 + burst;
+
+    return fmin(burst / 2, window / 10);
+}
+
 static void
 contact(JdQuota *qt, unsigned shard, const JdMember *mb, uint64_t now)
 {
@@ -173,7 +223,6 @@
     sh->allocator[0] = '\0';
     sh->echo = 0;
     sh->heard_at = 0;
-    sh->are_all_scarce = false;
     if (mb == NULL) {
         return;
     }
@@ -214,14 +263,19 @@
     }
 }
 
-/* Marks the accounts that the allocator names as scarce, and no others. */
+/* Marks the accounts that the allocator names as scarce.  With the first
+ * answer of an allocator, which may have begun just now, those of the former
+ * one stay so. */
 static void
 learn_scarce(JdQuota *qt, unsigned shard, const Jd__QuotaGrant *msg)
 {
     JdQuotaShard *sh = &qt->shard[shard];
 
-    sh->round++;
-    sh->are_all_scarce = msg->all_scarce;
+    if (sh->echo != 0) {
+        sh->round++;
+        sh->are_all_scarce = false;
+    }
+    sh->are_all_scarce = sh->are_all_scarce || msg->all_scarce;
     for (size_t i = 0; i < msg->n_scarce_account; i++) {
         const char *name = msg->scarce_account[i];
 
--- a/lib/libjd.h
+++ b/lib/libjd.h
@@ -31,6 +31,7 @@
 
 /* account/: parts of the quotas */
 bool _JdQuota_IsLent(JdQuota *qt, unsigned shard, uint64_t now);
+double _JdQuota_StartTokens(const JdAccount *account);
 double _JdQuota_OwnPart(const JdQuota *qt);
 void _JdQuota_SendToAllocator(JdQuota *qt, const JdQuotaShard *sh,
                               Jd__Frame *frame);
@@ -38,6 +39,7 @@
 void _JdQuota_AskForWaiting(JdQuota *qt, unsigned shard);
 JdQuotaRecord *_JdQuota_GetRecord(JdQuota *qt, const char *name);
 void _JdQuota_DropIdle(JdQuota *qt);
+bool _JdQuota_IsScarce(const JdQuota *qt, const JdQuotaRecord *rec);
 void _JdQuotaAllocator_Init(JdQuotaAllocator *al);
 void _JdQuotaAllocator_Finish(JdQuotaAllocator *al);
 void _JdQuotaAllocator_Tick(JdQuota *qt, unsigned shard, bool is_turn);
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -2138,7 +2138,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__quota_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor jd__quota_report__field_descriptors[7] =
     {
         {
             "shard", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
@@ -2171,16 +2171,32 @@
             offsetof(Jd__QuotaReport, nodes), NULL, NULL, 0, /* flags */
             0, NULL, NULL /* reserved1,reserved2, etc */
         },
+        {
+            "scarce_account", 6, PROTOBUF_C_LABEL_REPEATED,
+            PROTOBUF_C_TYPE_STRING,
+            offsetof(Jd__QuotaReport, n_scarce_account),
+            offsetof(Jd__QuotaReport, scarce_account), NULL,
+            &protobuf_c_empty_string, 0, /* flags */
+            0, NULL, NULL                /* reserved1,reserved2, etc */
+        },
+        {
+            "all_scarce", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL,
+            0, /* quantifier_offset */
+            offsetof(Jd__QuotaReport, all_scarce), NULL, NULL, 0, /* flags */
+            0, NULL, NULL /* reserved1,reserved2, etc */
+        },
 };
 static const unsigned jd__quota_report__field_indices_by_name[] = {
+    6, /* field[6] = all_scarce */
     3, /* field[3] = echo */
     1, /* field[1] = id */
     4, /* field[4] = nodes */
+    5, /* field[5] = scarce_account */
     2, /* field[2] = sent_at */
     0, /* field[0] = shard */
 };
 static const ProtobufCIntRange jd__quota_report__number_ranges[1 + 1] = {
-    {1, 0}, {0, 5}};
+    {1, 0}, {0, 7}};
 const ProtobufCMessageDescriptor jd__quota_report__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.QuotaReport",
@@ -2188,7 +2204,7 @@
     "Jd__QuotaReport",
     "jd",
     sizeof(Jd__QuotaReport),
-    5,
+    7,
     jd__quota_report__field_descriptors,
     jd__quota_report__field_indices_by_name,
     1,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -551,10 +551,16 @@
    * number of nodes that the sender knows, 0: lends no more
    */
   uint32_t nodes;
+  /*
+   * With the first one that lends: accounts that were scarce before.
+   */
+  size_t n_scarce_account;
+  char **scarce_account;
+  protobuf_c_boolean all_scarce;
 };
 #define JD__QUOTA_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__quota_report__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -209,6 +209,7 @@
     Unit_AddFollower();
     Unit_AddLoop();
     Unit_AddStart();
+    Unit_AddQuota();
     CU_basic_set_mode(CU_BRM_SILENT);
     CU_basic_run_tests();
     CU_basic_show_failures(CU_get_failure_list());
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -14,5 +14,6 @@
 void Unit_AddFollower(void);
 void Unit_AddLoop(void);
 void Unit_AddStart(void);
+void Unit_AddQuota(void);
 
 #endif
