Accounts at the operator's command, a test of keys and quotas with real processes

Retry-After spreads refused callers over at least the time for which the account has been exhausted: they came back too early and were refused again. A shard whose allocator changed is reported to the new one at once instead of at the shard's next turn.

--- a/include/jacinthdyke_account.h
+++ b/include/jacinthdyke_account.h
@@ -150,7 +150,8 @@
     double brought_to; /* the same for the parts that nodes brought */
     bool is_scarce;    /* nodes ask before they use tokens */
     bool is_exhausted; /* an ask was refused */
-    double refused;    /* requests refused lately */
+    uint64_t exhausted_at;
+    double refused; /* requests refused lately */
     uint64_t refused_at;
     uint64_t last_used_at;
 } JdQuotaBucket;
--- a/lib/account/allocator.c
+++ b/lib/account/allocator.c
@@ -23,7 +23,7 @@
 /* Time over which refusals are counted, and longest time over which callers
  * are told to spread. */
 #define REFUSED_TIME_S 1.0
-#define SPREAD_MAX_S 2.0
+#define SPREAD_MAX_S 5.0
 /* Longest time until a token that nodes are told, in s. */
 #define WAIT_MAX_S 1.0
 /* Scarce accounts that are named; if there are more, all count as scarce. */
@@ -389,16 +389,19 @@
     return (unsigned)tokens;
 }
 
-/* Tells a node that was refused when there are tokens again. */
+/* Tells a node that was refused when there is a token again, and over which
+ * time refused callers should come back: that in which the account earns as
+ * many tokens as were refused, but not less than it has been exhausted, as
+ * that lasts for longer the longer it has lasted. */
 static void
 tell_wait(const JdQuotaAllocator *al, JdQuotaBucket *bk,
           const JdAccount *account, uint64_t now, Jd__QuotaGrant *msg)
 {
     double rate = get_rate(account) * get_lent(al);
     double wait = rate > 0 ? (1 - bk->level) / rate : WAIT_MAX_S;
-    double spread = rate > 0 ? bk->refused / rate : SPREAD_MAX_S;
+    double since = (double)(now - bk->exhausted_at) / (double)JD_US_PER_S;
+    double spread = rate > 0 ? fmax(bk->refused / rate, since) : SPREAD_MAX_S;
 
-    bk->refused_at = now;
     wait = fmin(fmax(wait, 0), WAIT_MAX_S);
     msg->wait_ms = (uint32_t)(wait * 1000) + 1;
     msg->spread_ms = (uint32_t)(fmin(spread, SPREAD_MAX_S) * 1000);
@@ -424,13 +427,14 @@
     bk->level += (double)ask->returned - (double)ask->used;
     msg->tokens = take_tokens(bk, ask);
     if (msg->tokens < ask->needed) {
+        if (!bk->is_exhausted) {
+            bk->is_exhausted = true;
+            bk->exhausted_at = msg->time;
+            report_change(qt, JD_QUOTA_EXHAUSTED, bk);
+        }
         count_refused(bk, ask->needed - msg->tokens, msg->time);
         tell_wait(al, bk, account, msg->time, msg);
     }
-    if (msg->wait_ms > 0 && !bk->is_exhausted) {
-        bk->is_exhausted = true;
-        report_change(qt, JD_QUOTA_EXHAUSTED, bk);
-    }
     check_scarce(qt, al, bk, account);
     msg->scarce = bk->is_scarce;
     qt->counters->value[JD_C_QUOTA_GRANTED] += msg->tokens + ask->used;
--- a/lib/account/quota.c
+++ b/lib/account/quota.c
@@ -511,6 +511,7 @@
     }
     if (msg->echo == rec->asked_at) {
         rec->is_asking = false;
+        rec->granted_count += rec->prepaid_told;
         rec->prepaid -= rec->prepaid_told;
         rec->prepaid_told = 0;
     }
--- a/lib/account/shard.c
+++ b/lib/account/shard.c
@@ -321,14 +321,32 @@
     }
 }
 
+/* Returns whether a shard has another allocator, and a report should not wait
+ * for the shard's turn. */
+static bool
+is_report_due(JdQuota *qt, unsigned shard)
+{
+    const JdMember *mb = JdQuota_ChooseAllocator(qt->members, shard);
+    const JdQuotaShard *sh = &qt->shard[shard];
+
+    if (mb == NULL || (strcmp(mb->id, sh->allocator) == 0 &&
+                       mb->incarnation == sh->incarnation)) {
+        return false;
+    }
+    return !_JdQuota_IsLent(qt, shard, qt->ops->read_clock(qt->ctx)) ||
+           sh->ending_at == 0 || is_allocator_gone(qt, sh);
+}
+
 static void
 on_report(void *ctx)
 {
     JdQuota *qt = ctx;
 
     JdTimer_Arm(qt->clock, &qt->report_timer, TICK_INTERVAL);
-    report(qt, qt->next_shard);
     for (unsigned i = 0; i < JD_QUOTA_SHARDS; i++) {
+        if (i == qt->next_shard || is_report_due(qt, i)) {
+            report(qt, i);
+        }
         _JdQuotaAllocator_Tick(qt, i, i == qt->next_shard);
     }
     qt->next_shard = (qt->next_shard + 1) % JD_QUOTA_SHARDS;
--- a/node/node.h
+++ b/node/node.h
@@ -351,6 +351,9 @@
 JdStatus JdAdmin_Init(JdNode *nd, JdError *err);
 void JdAdmin_ReplyMetrics(JdNode *nd, h2o_req_t *req);
 
+/* operator/admin_accounts.c: what client accounts have used */
+void JdAdmin_ReplyAccounts(JdNode *nd, h2o_req_t *req);
+
 /* node/accounts.c: quotas of client accounts */
 void JdAccounts_Init(JdNode *nd);
 bool JdAccounts_OnFrame(JdNode *nd, JdConn *conn, const Jd__Frame *frame);
--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -39,6 +39,8 @@
      "                list requests under which targets crashed"},
     {"clear", CtlFleet_Clear, 1, 1,
      "REQUEST           let such a request run again"},
+    {"accounts", CtlAccounts_List, 0, 1,
+     "[NAME]         list client accounts, or what one uses by node"},
     {"explain", CtlExplain_Explain, 2, MAX_LOG_FILES,
      "ID FILE...      trace a request through log files"},
 };
--- a/operator/ctl.h
+++ b/operator/ctl.h
@@ -61,6 +61,10 @@
 JdStatus CtlLog_Append(Ctl *ctl, JdStream stream, const char *text,
                        uint64_t *offset);
 
+/* fleet.c: requests to nodes */
+json_t *CtlFleet_Query(Ctl *ctl, const char *address, const char *method,
+                       const char *path);
+
 /* Subcommands.  `args` holds the `argc` arguments after the command name. */
 CtlExit CtlSubmit_Check(Ctl *ctl, int argc, char **args);
 CtlExit CtlSubmit_Submit(Ctl *ctl, int argc, char **args);
@@ -72,6 +76,7 @@
 CtlExit CtlFleet_Drain(Ctl *ctl, int argc, char **args);
 CtlExit CtlFleet_Crashes(Ctl *ctl, int argc, char **args);
 CtlExit CtlFleet_Clear(Ctl *ctl, int argc, char **args);
+CtlExit CtlAccounts_List(Ctl *ctl, int argc, char **args);
 CtlExit CtlExplain_Explain(Ctl *ctl, int argc, char **args);
 
 #endif
--- a/operator/fleet.c
+++ b/operator/fleet.c
@@ -34,8 +34,9 @@
  * Sends one request to a node's admin address and returns the JSON of the
  * answer, or NULL if there is none.
  */
-static json_t *
-query_node(Ctl *ctl, const char *address, const char *method, const char *path)
+json_t *
+CtlFleet_Query(Ctl *ctl, const char *address, const char *method,
+               const char *path)
 {
     JdHttpRequest rq = {
         .method = method, .path = path, .timeout = REQUEST_TIMEOUT};
@@ -65,7 +66,7 @@
     g_strlcpy(address, ctl->node_address, sizeof(address));
     for (int i = 0; i < MAX_HOPS; i++) {
         const char *root;
-        json_t *next = query_node(ctl, address, "GET", "/status");
+        json_t *next = CtlFleet_Query(ctl, address, "GET", "/status");
 
         if (next == NULL) {
             return js;
@@ -218,7 +219,7 @@
     if (!require_node_option(ctl, &err)) {
         return Ctl_Fail(ctl, &err);
     }
-    list = query_node(ctl, ctl->node_address, "GET", "/members");
+    list = CtlFleet_Query(ctl, ctl->node_address, "GET", "/members");
     json_array_foreach(list, i, js)
     {
         if (strcmp(json_string_value(json_object_get(js, "id")), args[0]) ==
@@ -226,7 +227,8 @@
             address = json_string_value(json_object_get(js, "admin"));
         }
     }
-    js = address == NULL ? NULL : query_node(ctl, address, "POST", "/drain");
+    js = address == NULL ? NULL
+                         : CtlFleet_Query(ctl, address, "POST", "/drain");
     json_decref(list);
     if (js == NULL) {
         JdError_Set(&err, JD_ERR_UNREACHABLE, "", "no answer from %s",
@@ -252,7 +254,7 @@
     if (!require_node_option(ctl, &err)) {
         return Ctl_Fail(ctl, &err);
     }
-    list = query_node(ctl, ctl->node_address, "GET", "/crashes");
+    list = CtlFleet_Query(ctl, ctl->node_address, "GET", "/crashes");
     if (list == NULL) {
         JdError_Set(&err, JD_ERR_UNREACHABLE, "", "no answer from %s",
                     ctl->node_address);
@@ -284,7 +286,7 @@
     }
     escaped = g_uri_escape_string(args[0], NULL, FALSE);
     path = g_strdup_printf("/crashes/clear?request=%s", escaped);
-    js = query_node(ctl, ctl->node_address, "POST", path);
+    js = CtlFleet_Query(ctl, ctl->node_address, "POST", path);
     g_free(path);
     g_free(escaped);
     if (js == NULL) {
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -193,6 +193,8 @@
 {
     char id[JD_NAME_MAX] = "";
     char caller[JD_NAME_MAX] = "";
+    char account[JD_NAME_MAX] = "";
+    char key[JD_NAME_MAX] = "";
     char *text;
     json_t *js;
 
@@ -205,6 +207,13 @@
     add_notices(req);
     js = json_pack("{s:s, s:s, s:s, s:s%}", "worker", worker.id, "caller",
                    caller, "id", id, "path", req->path.base, req->path.len);
+    if (JdHttpd_CopyHeader(req, "jacinthdyke-tenant-id", account,
+                           sizeof(account))) {
+        json_object_set_new(js, "account", json_string(account));
+    }
+    if (JdHttpd_CopyHeader(req, "jacinthdyke-credential", key, sizeof(key))) {
+        json_object_set_new(js, "key", json_string(key));
+    }
     text = json_dumps(js, JSON_COMPACT);
     JdHttpd_Reply(req, 200, "application/json", text, strlen(text));
     free(text);
