--- a/lib/account/quota.c
+++ b/lib/account/quota.c
@@ -276,16 +276,15 @@
 {
     TAILQ_REMOVE(&wait->record->waits, wait, link);
     TAILQ_REMOVE(&qt->waits, wait, all_link);
-    wait->record = NULL;
     if (TAILQ_EMPTY(&qt->waits)) {
         JdTimer_Cancel(qt->clock, &qt->wait_timer);
     }
 }
 
 static void
-finish_wait(JdQuota *qt, JdQuotaWait *wait, bool is_granted)
+finish_wait(JdQuota *qt, JdQuotaRecord *rec, JdQuotaWait *wait,
+            bool is_granted)
 {
-    JdQuotaRecord *rec = wait->record;
     uint64_t retry_after = 0;
     JdQuotaResult result;
 
@@ -327,7 +326,7 @@
                           take_own(qt, rec, &account, now);
 
         qt->counters->value[JD_C_QUOTA_TIMEOUTS]++;
-        finish_wait(qt, wait, is_granted);
+        finish_wait(qt, rec, wait, is_granted);
     }
     if (wait != NULL) {
         JdTimer_Arm(qt->clock, &qt->wait_timer, wait->until - loop_now);
@@ -490,7 +489,7 @@
             ask(qt, rec, 0, now);
             return;
         }
-        finish_wait(qt, wait, is_granted);
+        finish_wait(qt, rec, wait, is_granted);
     }
 }
 
--- a/operator/admin_accounts.c
+++ b/operator/admin_accounts.c
@@ -1,6 +1,4 @@
 /* The page /accounts of a node: what client accounts have used here. */
-#include <stdlib.h>
-
 #include <glib.h>
 
 #include "../node/node.h"
@@ -10,7 +8,7 @@
 #define LISTED_MAX 32
 
 static int
-compare_use(const void *a, const void *b)
+compare_use(gconstpointer a, gconstpointer b)
 {
     const JdQuotaRecord *x = *(JdQuotaRecord *const *)a;
     const JdQuotaRecord *y = *(JdQuotaRecord *const *)b;
@@ -21,18 +19,17 @@
 }
 
 /* Returns the records, those that are used most first. */
-static JdQuotaRecord **
+static GPtrArray *
 sort_records(const JdNode *nd)
 {
-    JdQuotaRecord **list = g_new(JdQuotaRecord *, nd->quota.record_count + 1);
-    unsigned n = 0;
+    GPtrArray *list = g_ptr_array_new();
     JdQuotaRecord *rec;
 
     TAILQ_FOREACH(rec, &nd->quota.records, link)
     {
-        list[n++] = rec;
+        g_ptr_array_add(list, rec);
     }
-    qsort(list, n, sizeof(list[0]), compare_use);
+    g_ptr_array_sort(list, compare_use);
     return list;
 }
 
@@ -57,19 +54,21 @@
     uint64_t granted = nd->quota.dropped_granted;
     uint64_t used = nd->quota.dropped_used;
     uint64_t refused = nd->quota.dropped_refused;
-    JdQuotaRecord **records = sort_records(nd);
+    GPtrArray *records = sort_records(nd);
     json_t *list = json_array();
 
-    for (unsigned i = 0; i < nd->quota.record_count; i++) {
+    for (guint i = 0; i < records->len; i++) {
+        const JdQuotaRecord *rec = g_ptr_array_index(records, i);
+
         if (i < LISTED_MAX) {
-            json_array_append_new(list, make_entry(nd, records[i]));
+            json_array_append_new(list, make_entry(nd, rec));
             continue;
         }
-        granted += records[i]->granted_count;
-        used += records[i]->used_count;
-        refused += records[i]->refused_count;
+        granted += rec->granted_count;
+        used += rec->used_count;
+        refused += rec->refused_count;
     }
-    g_free(records);
+    g_ptr_array_free(records, TRUE);
     JdHttpd_ReplyJson(
         req, 200,
         json_pack("{s:s, s:o, s:{s:I, s:I, s:I}}", "node", nd->settings.node,
