--- a/operator/ctl.c
+++ b/operator/ctl.c
@@ -41,6 +41,8 @@
      "REQUEST           let such a request run again"},
     {"rollout", CtlFleet_Rollout, 1, 2,
      "status           list roll-outs; rollout abort SERVICE: take it back"},
+    {"accounts", CtlAccounts_List, 0, 1,
+     "[NAME]         list client accounts, or what one uses by node"},
     {"explain", CtlExplain_Explain, 2, MAX_LOG_FILES,
      "ID FILE...      trace a request through log files"},
 };
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -17,5 +17,6 @@
 void Unit_AddLoop(void);
 void Unit_AddStart(void);
 void Unit_AddLink(void);
+void Unit_AddQuota(void);
 
 #endif
