--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -112,6 +112,7 @@
     uint64_t recent_load_at; /* time of the last decay */
     JdRateLimit rate_limit;
     JdShares shares;
+    JdCutoff cutoff;
     bool has_ranks; /* the caller ranks the work; else priorities do */
     bool is_closed;
     TAILQ_HEAD(JdWorkHead, JdWork) queue;
@@ -329,6 +330,7 @@
     uint64_t limited_process;
     unsigned rate_limit;
     uint64_t limited_until;
+    JdCutoff cutoff; /* as its node told last */
 } JdTargetStats;
 
 /* Load of a target, reported by its node with each answer. */
@@ -341,6 +343,10 @@
     unsigned rate_limit; /* requests per 1000 s, 0: none */
     uint64_t limit_wait; /* us until its limit allows another request */
     bool is_leaving;     /* the target's process has said that it leaves */
+    /* Ranks that are refused, and the time in us until they are not, 0: none.
+     */
+    unsigned cutoff_rank;
+    uint64_t cutoff_wait;
 } JdLoadReport;
 
 /* Load balancer of a node.  `region` and `domain` are those of the node. */
--- a/include/jacinthdyke_shortage.h
+++ b/include/jacinthdyke_shortage.h
@@ -44,6 +44,28 @@
 void JdShares_Refund(JdShares *sh, const JdShareClaim *cl);
 void JdShares_Start(JdShares *sh, unsigned rank, double tag);
 
+/* ---- lib/admission/cutoff.c: ranks that a target refuses for now ------- */
+
+/* Work of `rank` and lower ones is refused until `until`. */
+typedef struct JdCutoff {
+    unsigned rank;
+    uint64_t until; /* 0: none */
+} JdCutoff;
+
+void JdCutoff_Note(JdCutoff *co, unsigned rank, uint64_t until, uint64_t now);
+bool JdCutoff_Refuses(const JdCutoff *co, unsigned rank, uint64_t now);
+
+/* ---- lib/admission/promise.c: when refused callers may return ---------- */
+
+/* Room that refused callers were told to come back for. */
+typedef struct JdPromises {
+    double owed[JD_RANKS]; /* expected run time in us, by rank */
+    uint64_t updated_at;
+} JdPromises;
+
+uint64_t JdPromises_Make(JdPromises *pr, unsigned rank, uint64_t cost,
+                         double slots, uint64_t now);
+
 /* ---- lib/admission/transit.c: time that messages spend on the way ------ */
 
 /* One direction of a connection. */
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -379,10 +379,43 @@
     return true;
 }
 
+/* Returns whether at most half of the queued work of a rank precedes new work
+ * of that rank: others of its rank would not do better. */
+static bool
+is_typical_of_rank(const JdAdmission *ad, const JdWork *work)
+{
+    unsigned before = 0, count = 0;
+    const JdWork *w;
+
+    TAILQ_FOREACH(w, &ad->queue, link)
+    {
+        if (w->rank == work->rank) {
+            count++;
+            before += !precedes(work, w);
+        }
+    }
+    return before * 2 <= count;
+}
+
+/* Notes for the nodes that send that work of this rank is refused for `time`
+ * us.  Work of an account ahead of its share tells nothing of others. */
+static void
+note_cutoff(JdAdmission *ad, const JdWork *work, uint64_t time)
+{
+    uint64_t now = JdClock_Now(ad->clock);
+
+    if (ad->has_ranks && (work->account == NULL || work->account[0] == '\0' ||
+                          is_typical_of_rank(ad, work))) {
+        JdCutoff_Note(&ad->cutoff, work->rank, now + time, now);
+    }
+}
+
 /* Decides whether work that finds no free slot may be queued. */
 static JdReason
 check_queueing(JdAdmission *ad, JdWork *work)
 {
+    uint64_t now = JdClock_Now(ad->clock);
+    uint64_t end;
     uint64_t wait;
 
     if (work->soft_deadline == 0) {
@@ -397,6 +430,8 @@
     }
     if (!work->is_late && !finishes_by(ad, work, wait + time_margin(ad, work),
                                        work->soft_deadline)) {
+        end = now + wait + time_margin(ad, work) + expected_time_of(ad, work);
+        note_cutoff(ad, work, end - work->soft_deadline);
         return JD_REASON_TOO_LATE;
     }
     return JD_REASON_NONE;
@@ -456,6 +491,7 @@
         return reason;
     }
     if (ad->queued >= ad->queue_limit && !evict_last(ad, work)) {
+        note_cutoff(ad, work, ad->service_time.mean / ad->slots);
         return JD_REASON_QUEUE_FULL;
     }
     JdShares_Charge(&ad->shares, &cl, work->tag);
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -68,6 +68,9 @@
     if (rep->is_leaving) {
         JdMember_SetTargetLeft(mb, rep->process);
     }
+    ts->cutoff.rank = rep->cutoff_rank;
+    ts->cutoff.until =
+        rep->cutoff_wait == 0 ? 0 : JdClock_Now(lb->clock) + rep->cutoff_wait;
     ts->limited_process = rep->process;
     ts->rate_limit = rep->rate_limit;
     ts->limited_until = JdClock_Now(lb->clock) + rep->limit_wait;
--- a/node/node.h
+++ b/node/node.h
@@ -231,6 +231,7 @@
      * request_conn.c */
     JdBalancer balancer;
     GHashTable *retry_budgets; /* service -> JdRetryBudget */
+    GHashTable *promises;      /* service -> JdPromises */
     /* Address -> JdRequestConn that takes new attempts.  A connection that has
      * been replaced is only in `conns`. */
     GHashTable *request_conns;
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1842,7 +1842,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[14] = {
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[16] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                         /* quantifier_offset */
@@ -1927,10 +1927,24 @@
         offsetof(Jd__Response, crashed_process), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "cutoff_rank", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, cutoff_rank), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "cutoff_ms", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, cutoff_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
     3,  /* field[3] = body */
     13, /* field[13] = crashed_process */
+    15, /* field[15] = cutoff_ms */
+    14, /* field[14] = cutoff_rank */
     2,  /* field[2] = header */
     0,  /* field[0] = id */
     11, /* field[11] = limit_wait_ms */
@@ -1944,8 +1958,8 @@
     12, /* field[12] = target_leaving */
     9,  /* field[9] = target_started */
 };
-static const ProtobufCIntRange jd__response__number_ranges[1 + 1] = {{1, 0},
-                                                                     {0, 14}};
+static const ProtobufCIntRange jd__response__number_ranges[2 + 1] = {
+    {1, 0}, {16, 14}, {0, 16}};
 const ProtobufCMessageDescriptor jd__response__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Response",
@@ -1953,10 +1967,10 @@
     "Jd__Response",
     "jd",
     sizeof(Jd__Response),
-    14,
+    16,
     jd__response__field_descriptors,
     jd__response__field_indices_by_name,
-    1,
+    2,
     jd__response__number_ranges,
     (ProtobufCMessageInit)jd__response__init,
     NULL,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -497,10 +497,16 @@
    * The request may have crashed the target: id of its process, 0: none did.
    */
   uint64_t crashed_process;
+  /*
+   * The target refuses requests of this rank and lower ones, for this time, 0:
+   * it refuses none.
+   */
+  uint32_t cutoff_rank;
+  uint32_t cutoff_ms;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -86,6 +86,7 @@
 
 #define SLOTS 6
 #define QUEUE_LIMIT 32
+#define BURST_TIME (3 * JD_US_PER_S)
 #define RUN_TIME (60 * JD_US_PER_S)
 #define MEAN_SERVICE_TIME (90 * JD_US_PER_MS)
 #define SOFT_DEADLINE (400 * JD_US_PER_MS)
@@ -101,9 +102,13 @@
     const char *account;
     uint64_t rate; /* of the account, in requests per 1000 s */
     unsigned rank;
-    double load;     /* as a multiple of the target's capacity */
-    unsigned target; /* that runs them */
-    bool calls;      /* each run calls the other target in its middle */
+    double load;      /* as a multiple of the target's capacity */
+    unsigned target;  /* that runs them */
+    uint64_t ends_at; /* no requests from then on, 0: never */
+    bool returns; /* refused ones come back once, at the time they are told */
+    unsigned returned; /* after BURST_TIME */
+    unsigned refused_again;
+    bool calls; /* each run calls the other target in its middle */
     JdTimer next;
     unsigned asked;
     unsigned in_time;
@@ -117,6 +122,8 @@
     unsigned target;
     uint64_t arrival;
     uint64_t takes;
+    bool has_returned;
+    uint64_t returned_at;
     JdTimer timer;
 } Job;
 
@@ -124,6 +131,7 @@
     JdClock clock;
     JdRandom random;
     JdAdmission target[MAX_TARGETS];
+    JdPromises promises;
     Source source[MAX_SOURCES];
     Job *job;
     unsigned jobs;
@@ -230,6 +238,49 @@
                 is_split ? job->takes / 2 : job->takes);
 }
 
+static void offer(Job *job);
+
+static void
+on_return_time(void *ctx)
+{
+    Job *job = ctx;
+    uint64_t now = JdClock_Now(&play->clock);
+
+    job->has_returned = true;
+    job->returned_at = now;
+    job->source->returned += now >= BURST_TIME;
+    job->work.deadline = now + DEADLINE;
+    job->work.soft_deadline = now + SOFT_DEADLINE;
+    offer(job);
+}
+
+/* Tells a refused caller when to come back. */
+static void
+refuse_caller(Job *job)
+{
+    uint64_t wait =
+        JdAdmission_RetryAfter(&play->target[job->target]) +
+        JdPromises_Make(&play->promises, job->work.rank, MEAN_SERVICE_TIME,
+                        SLOTS, JdClock_Now(&play->clock));
+
+    if (job->has_returned) {
+        job->source->refused_again += job->returned_at >= BURST_TIME;
+    }
+    else if (job->source->returns) {
+        JdTimer_Init(&job->timer, on_return_time, job);
+        JdTimer_Arm(&play->clock, &job->timer, wait);
+    }
+}
+
+static void
+offer(Job *job)
+{
+    if (JdAdmission_Offer(&play->target[job->target], &job->work) !=
+        JD_REASON_NONE) {
+        refuse_caller(job);
+    }
+}
+
 static void
 on_refuse(void *ctx, JdWork *work, JdReason reason)
 {
@@ -240,6 +291,9 @@
     if (job->source == NULL) {
         end_run(job->parent, true);
     }
+    else {
+        refuse_caller(job);
+    }
 }
 
 static const JdAdmissionOps play_ops = {on_start, on_refuse};
@@ -250,14 +304,15 @@
     Source *src = ctx;
     Job *job = new_job(src->target, JdClock_Now(&play->clock));
     double gap = (double)MEAN_SERVICE_TIME / SLOTS / src->load;
+    uint64_t ends_at = src->ends_at == 0 ? RUN_TIME : src->ends_at;
 
     src->asked++;
     job->source = src;
     job->work.rank = src->rank;
     job->work.account = src->account;
     job->work.rate = src->rate;
-    JdAdmission_Offer(&play->target[src->target], &job->work);
-    if (JdClock_Now(&play->clock) < RUN_TIME && play->jobs + 2 < MAX_JOBS) {
+    offer(job);
+    if (JdClock_Now(&play->clock) < ends_at && play->jobs + 2 < MAX_JOBS) {
         JdTimer_Arm(&play->clock, &src->next,
                     (uint64_t)(-log(uniform()) * gap));
     }
@@ -378,6 +433,57 @@
     finish_play();
 }
 
+/* Load: half of the capacity, and a burst of twice the capacity.  Of the
+ * callers that are refused and told to come back after it, 19 of 20 are served
+ * then. */
+static void
+test_return_after_burst(void)
+{
+    const Source source[] = {
+        {"one", 0, 5, .load = 0.5, .returns = true},
+        {"two", 0, 5, .load = 2, .ends_at = BURST_TIME, .returns = true}};
+    unsigned returned, again;
+
+    start_play(source, G_N_ELEMENTS(source));
+    returned = play->source[0].returned + play->source[1].returned;
+    again = play->source[0].refused_again + play->source[1].refused_again;
+    CU_ASSERT(returned > 0 && again <= returned / 20);
+    finish_play();
+}
+
+/* A target that refuses a rank refuses all lower ones, until there is room. */
+static void
+test_cutoff(void)
+{
+    const uint64_t now = JD_US_PER_S;
+    JdCutoff co = {.until = 0};
+
+    CU_ASSERT(!JdCutoff_Refuses(&co, 9, now));
+    JdCutoff_Note(&co, 5, now + 100 * JD_US_PER_MS, now);
+    CU_ASSERT(JdCutoff_Refuses(&co, 5, now) && JdCutoff_Refuses(&co, 9, now));
+    CU_ASSERT(!JdCutoff_Refuses(&co, 4, now));
+    /* Another rank below adds nothing; one above does. */
+    JdCutoff_Note(&co, 7, now + 150 * JD_US_PER_MS, now);
+    CU_ASSERT(co.rank == 5);
+    JdCutoff_Note(&co, 3, now + 50 * JD_US_PER_MS, now);
+    CU_ASSERT(JdCutoff_Refuses(&co, 3, now));
+    CU_ASSERT(!JdCutoff_Refuses(&co, 3, now + 50 * JD_US_PER_MS));
+}
+
+/* Load: twice the capacity, of one rank.  The target's node tells that it
+ * refuses this rank, and not the rank above. */
+static void
+test_cutoff_under_load(void)
+{
+    const Source source[] = {{"", 0, 5, .load = 2}};
+    const JdCutoff *co;
+
+    start_play(source, G_N_ELEMENTS(source));
+    co = &play->target[0].cutoff;
+    CU_ASSERT(co->until > RUN_TIME - JD_US_PER_S && co->rank == 5);
+    finish_play();
+}
+
 void
 Unit_AddShortage(void)
 {
@@ -388,6 +494,9 @@
     CU_add_test(s, "hot account", test_hot_account);
     CU_add_test(s, "shares by rate", test_shares_by_rate);
     CU_add_test(s, "burst of low rank", test_burst_of_low_rank);
+    CU_add_test(s, "return after burst", test_return_after_burst);
+    CU_add_test(s, "cutoff", test_cutoff);
+    CU_add_test(s, "cutoff under load", test_cutoff_under_load);
     CU_add_test(s, "calls of running requests",
                 test_calls_of_running_requests);
 }
--- a/targets/response.c
+++ b/targets/response.c
@@ -23,9 +23,24 @@
     return (uint32_t)((wait + JD_US_PER_MS - 1) / JD_US_PER_MS);
 }
 
+/* Tells which ranks the target refuses for now. */
+static void
+fill_cutoff(JdNode *nd, Jd__Response *msg)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+    const JdCutoff *co = &nd->admit.cutoff;
+
+    if (co->until > now) {
+        msg->cutoff_rank = co->rank;
+        msg->cutoff_ms =
+            (uint32_t)((co->until - now + JD_US_PER_MS - 1) / JD_US_PER_MS);
+    }
+}
+
 static void
 send_response(JdNode *nd, JdConn *origin, Jd__Response *msg)
 {
+    fill_cutoff(nd, msg);
     msg->load = JdAdmission_Load(&nd->admit);
     msg->service_us = nd->admit.service_time.mean;
     msg->target_started = nd->target_process.started;
