Refuse queued work early and skip late retries only where shares are asked for

Where the configuration holds neither client accounts nor bulk routes, queued work is refused at its deadline again, and retries are not held back.

--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -252,13 +252,13 @@
     ad->ops->start(ad->ctx, work);
 }
 
-/* Returns the time from which queued work can no longer end in time.  It is
- * refused then, so that its caller knows before its own deadline that it has
- * not run. */
+/* Returns the time at which queued work is refused.  With ranks, that is when
+ * it can no longer end in time, so that its caller knows before its own
+ * deadline that it has not run. */
 static uint64_t
 latest_start(const JdAdmission *ad, const JdWork *work)
 {
-    uint64_t expected = expected_time_of(ad, work);
+    uint64_t expected = ad->has_ranks ? expected_time_of(ad, work) : 0;
 
     return work->deadline > expected ? work->deadline - expected : 0;
 }
@@ -281,8 +281,7 @@
         JdTimer_Cancel(ad->clock, &ad->deadline_timer);
         return;
     }
-    JdTimer_Arm(ad->clock, &ad->deadline_timer,
-                first >= now ? first + 1 - now : 0);
+    JdTimer_Arm(ad->clock, &ad->deadline_timer, first > now ? first - now : 0);
 }
 
 static void
@@ -293,7 +292,7 @@
 
     for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
         next = TAILQ_NEXT(w, link);
-        if (latest_start(ad, w) < JdClock_Now(ad->clock)) {
+        if (latest_start(ad, w) <= JdClock_Now(ad->clock)) {
             dequeue_unserved(ad, w);
             ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
         }
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -569,7 +569,8 @@
     uint64_t now = JdClock_Now(&call->node->loop.clock);
     const JdTargetStats *ts = mb->user;
 
-    return call->attempt_count == 0 || ts == NULL ||
+    return !call->node->is_shortage_asked || call->attempt_count == 0 ||
+           ts == NULL ||
            now + ts->service_time * RETRY_MIN_PERCENT / 100 < call->deadline;
 }
 
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -74,6 +74,7 @@
     JdClock_Init(&clk, NULL, NULL);
     rf.clock = &clk;
     JdAdmission_Init(&ad, 1, 8, &clk, &ops, &rf);
+    ad.has_ranks = true;
     CU_ASSERT(JdAdmission_Offer(&ad, &running) == JD_REASON_NONE);
     CU_ASSERT(JdAdmission_Offer(&ad, &waiting) == JD_REASON_NONE);
     JdClock_Advance(&clk, 3 * JD_US_PER_S);
