--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -112,6 +112,7 @@
     uint64_t recent_load_at; /* time of the last decay */
     JdRateLimit rate_limit;
     JdShares shares;
+    JdCutoff cutoff;
     bool has_ranks; /* the caller ranks the work; else priorities do */
     bool is_closed;
     TAILQ_HEAD(JdWorkHead, JdWork) queue;
@@ -336,6 +337,7 @@
     uint64_t link_wait_at;
     uint64_t link_unit; /* us that one takes, the least that was reported */
     unsigned large_since_report; /* requests for such sent since */
+    JdCutoff cutoff; /* as its node told last */
 } JdTargetStats;
 
 /* Load of a target, reported by its node with each answer. */
@@ -349,6 +351,10 @@
     uint64_t limit_wait; /* us until its limit allows another request */
     bool is_leaving;     /* the target's process has said that it leaves */
     uint64_t link_wait;  /* us until a large response is whole, 0: unknown */
+    /* Ranks that are refused, and the time in us until they are not, 0: none.
+     */
+    unsigned cutoff_rank;
+    uint64_t cutoff_wait;
 } JdLoadReport;
 
 /* Load balancer of a node.  `region` and `domain` are those of the node. */
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -2666,7 +2666,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__chunk__field_descriptors[5] = {
+static const ProtobufCFieldDescriptor jd__chunk__field_descriptors[7] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                      /* quantifier_offset */
@@ -2698,16 +2698,30 @@
         offsetof(Jd__Chunk, more), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "cutoff_rank", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Chunk, cutoff_rank), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "cutoff_ms", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                             /* quantifier_offset */
+        offsetof(Jd__Chunk, cutoff_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__chunk__field_indices_by_name[] = {
     3, /* field[3] = body */
+    6, /* field[6] = cutoff_ms */
+    5, /* field[5] = cutoff_rank */
     1, /* field[1] = head */
     0, /* field[0] = id */
     4, /* field[4] = more */
     2, /* field[2] = total */
 };
-static const ProtobufCIntRange jd__chunk__number_ranges[1 + 1] = {{1, 0},
-                                                                  {0, 5}};
+static const ProtobufCIntRange jd__chunk__number_ranges[2 + 1] = {
+    {1, 0}, {16, 5}, {0, 7}};
 const ProtobufCMessageDescriptor jd__chunk__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Chunk",
@@ -2715,10 +2729,10 @@
     "Jd__Chunk",
     "jd",
     sizeof(Jd__Chunk),
-    5,
+    7,
     jd__chunk__field_descriptors,
     jd__chunk__field_indices_by_name,
-    1,
+    2,
     jd__chunk__number_ranges,
     (ProtobufCMessageInit)jd__chunk__init,
     NULL,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -664,10 +664,16 @@
    * another part follows
    */
   protobuf_c_boolean more;
+  /*
+   * The target refuses requests of this rank and lower ones, for this time, 0:
+   * it refuses none.
+   */
+  uint32_t cutoff_rank;
+  uint32_t cutoff_ms;
 };
 #define JD__CHUNK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__chunk__descriptor) \
-    , 0, NULL, 0, {0,NULL}, 0 }
+    , 0, NULL, 0, {0,NULL}, 0, 0, 0 }
 
 
 /*
