--- a/include/jacinthdyke_link.h
+++ b/include/jacinthdyke_link.h
@@ -69,7 +69,8 @@
 
 /* Moving average of the size of the responses of one route. */
 typedef struct JdLinkSize {
-    uint64_t mean; /* bytes, 0: unknown */
+    uint64_t mean;  /* bytes */
+    unsigned count; /* responses that it is made of, 0: it is unknown */
 } JdLinkSize;
 
 /* What a request with a large response will need of the link. */
--- a/lib/link/queue.c
+++ b/lib/link/queue.c
@@ -3,7 +3,7 @@
  * a link that is asked for more than it carries: sharing it evenly would make
  * all responses late, so those that can still be whole in time go first, by
  * priority and then deadline.  Responses of about the same deadline take
- * turns.
+ * turns, but only a few of them, so that some are whole early.
  */
 #include <string.h>
 
@@ -12,6 +12,10 @@
 /* Deadlines in the same interval of this length count as equal. */
 #define TURN_INTERVAL (20 * JD_US_PER_MS)
 
+/* Responses that are begun and not whole, from which on no other one of the
+ * same deadline is begun. */
+#define MAX_BEGUN 3
+
 /* How well a response can still be served; the lower one goes first. */
 typedef enum ServiceClass {
     CLASS_IN_TIME, /* whole by its soft deadline, or begun */
@@ -48,36 +52,54 @@
 
 /* Returns when a response would be whole if the link carried nothing else. */
 static uint64_t
-whole_at(const JdLinkItem *it, const JdLinkMoment *state)
+whole_at(const JdLinkItem *it, const JdLinkMoment *moment)
 {
-    return state->now +
-           (uint64_t)((double)it->left * JD_US_PER_S / (state->rate + 1));
+    return moment->now +
+           (uint64_t)((double)it->left * JD_US_PER_S / (moment->rate + 1));
 }
 
 /* Returns whether a response cannot be whole by its deadline any more. */
 bool
-JdLinkItem_IsHopeless(const JdLinkItem *it, const JdLinkMoment *state)
+JdLinkItem_IsHopeless(const JdLinkItem *it, const JdLinkMoment *moment)
 {
-    return whole_at(it, state) > it->deadline;
+    return whole_at(it, moment) > it->deadline;
 }
 
 static ServiceClass
-classify(const JdLinkItem *it, const JdLinkMoment *state)
+classify(const JdLinkItem *it, const JdLinkMoment *moment)
 {
-    if (JdLinkItem_IsHopeless(it, state)) {
+    if (JdLinkItem_IsHopeless(it, moment)) {
         return CLASS_HOPELESS;
     }
-    return whole_at(it, state) <= it->soft_deadline || it->written > 0
+    return whole_at(it, moment) <= it->soft_deadline || it->written > 0
                ? CLASS_IN_TIME
                : CLASS_LATE;
 }
 
+/* What the order depends on besides the responses. */
+typedef struct Order {
+    const JdLinkMoment *moment;
+    unsigned begun; /* responses of which a part is written */
+} Order;
+
+/* Returns whether `a` goes before `b`, whose deadlines are about the same. */
+static bool
+takes_turn_before(const JdLinkItem *a, const JdLinkItem *b, const Order *order)
+{
+    bool is_a_begun = a->written > 0, is_b_begun = b->written > 0;
+
+    if (is_a_begun != is_b_begun && order->begun >= MAX_BEGUN) {
+        return is_a_begun;
+    }
+    return a->turn < b->turn;
+}
+
 /* Returns whether `a` goes before `b`. */
 static bool
-goes_before(const JdLinkItem *a, const JdLinkItem *b,
-            const JdLinkMoment *state)
+goes_before(const JdLinkItem *a, const JdLinkItem *b, const Order *order)
 {
-    ServiceClass class_a = classify(a, state), class_b = classify(b, state);
+    ServiceClass class_a = classify(a, order->moment);
+    ServiceClass class_b = classify(b, order->moment);
     uint64_t at = a->soft_deadline / TURN_INTERVAL;
     uint64_t bt = b->soft_deadline / TURN_INTERVAL;
 
@@ -87,16 +109,30 @@
     if (a->priority != b->priority) {
         return a->priority < b->priority;
     }
-    return at != bt ? at < bt : a->turn < b->turn;
+    return at != bt ? at < bt : takes_turn_before(a, b, order);
+}
+
+static unsigned
+count_begun(const JdLinkQueue *lq)
+{
+    const JdLinkItem *it;
+    unsigned n = 0;
+
+    TAILQ_FOREACH(it, &lq->items, link)
+    {
+        n += it->written > 0;
+    }
+    return n;
 }
 
 /* Returns the response that the next chunk is taken from, or NULL.  Those that
  * `is_blocked` names are passed by; it may be NULL. */
 JdLinkItem *
-JdLinkQueue_Next(JdLinkQueue *lq, const JdLinkMoment *state,
+JdLinkQueue_Next(JdLinkQueue *lq, const JdLinkMoment *moment,
                  bool (*is_blocked)(void *ctx, const JdLinkItem *it),
                  void *ctx)
 {
+    Order order = {moment, count_begun(lq)};
     JdLinkItem *best = NULL;
     JdLinkItem *it;
 
@@ -105,7 +141,7 @@
         if (is_blocked != NULL && is_blocked(ctx, it)) {
             continue;
         }
-        if (best == NULL || goes_before(it, best, state)) {
+        if (best == NULL || goes_before(it, best, &order)) {
             best = it;
         }
     }
--- a/lib/link/room.c
+++ b/lib/link/room.c
@@ -11,6 +11,8 @@
 #define DEFAULT_SIZE 65536U
 /* Bytes of large responses that are kept in memory at a time. */
 #define MAX_BYTES (32U << 20)
+/* Responses over which the size is averaged. */
+#define SIZE_WEIGHT 16
 /* A response that is late in any case may wait for the link for this part of
  * the time that is left. */
 #define LATE_WAIT_DIVISOR 4
@@ -23,14 +25,19 @@
 void
 JdLinkSize_Add(JdLinkSize *sz, uint64_t bytes)
 {
-    sz->mean = sz->mean == 0 ? bytes + 1 : (sz->mean * 15 + bytes) / 16 + 1;
+    int64_t difference = (int64_t)bytes - (int64_t)sz->mean;
+
+    if (sz->count < SIZE_WEIGHT) {
+        sz->count++;
+    }
+    sz->mean = (uint64_t)((int64_t)sz->mean + difference / (int64_t)sz->count);
 }
 
 /* Returns the size that the next response is expected to have. */
 uint64_t
 JdLinkSize_Expected(const JdLinkSize *sz)
 {
-    return sz->mean == 0 ? DEFAULT_SIZE : sz->mean;
+    return sz->count == 0 ? DEFAULT_SIZE : sz->mean;
 }
 
 /* Initializes the admission to a link. */
--- a/regress/unit/link.c
+++ b/regress/unit/link.c
@@ -321,7 +321,7 @@
 {
     Load load = {17000, 0, 0};
     JdLinkMoment moment = {0, 2000000};
-    JdLinkItem a, b, early, late, urgent;
+    JdLinkItem a, b, c, d, early, late, urgent;
 
     start_play(&load);
     add_item(&a, 50000, GOAL);
@@ -332,13 +332,20 @@
         CU_ASSERT_PTR_EQUAL(it, i % 2 == 0 ? &a : &b);
         JdLinkQueue_Take(&play.queue, it, 10000);
     }
+    /* With three begun, a fourth one of the same deadline waits. */
+    add_item(&c, 50000, GOAL);
+    JdLinkQueue_Take(&play.queue, &c, 10000);
+    add_item(&d, 50000, GOAL);
+    CU_ASSERT_PTR_EQUAL(JdLinkQueue_Next(&play.queue, &moment, NULL, NULL),
+                        &a);
     add_item(&early, 50000, GOAL / 2);
     CU_ASSERT_PTR_EQUAL(JdLinkQueue_Next(&play.queue, &moment, NULL, NULL),
                         &early);
     add_item(&late, 500000, GOAL / 6);
     CU_ASSERT_PTR_EQUAL(JdLinkQueue_Next(&play.queue, &moment, NULL, NULL),
                         &early);
-    early.priority = a.priority = b.priority = late.priority = 2;
+    early.priority = late.priority = 2;
+    a.priority = b.priority = c.priority = d.priority = 2;
     add_item(&urgent, 50000, GOAL);
     urgent.priority = 1;
     CU_ASSERT_PTR_EQUAL(JdLinkQueue_Next(&play.queue, &moment, NULL, NULL),
--- a/targets/room.c
+++ b/targets/room.c
@@ -90,7 +90,7 @@
 {
     JdLinkNeed need = {.size = nd->response_size.mean};
 
-    if (need.size == 0 || !JdPacer_IsOn(&nd->pacer)) {
+    if (nd->response_size.count == 0 || !JdPacer_IsOn(&nd->pacer)) {
         return 0;
     }
     return (uint32_t)(JdLinkRoom_UntilWhole(&nd->link_room, &need) /
--- a/targets/targetd.c
+++ b/targets/targetd.c
@@ -11,6 +11,8 @@
 #include "../base/base.h"
 
 #define NAME "jd-targetd"
+/* Largest text that a request may ask for. */
+#define MAX_FILLER (16U << 20)
 #define MAX_BODY_BYTES (8U << 20)
 /* Connections to the node through which the next service is called. */
 #define MAX_NEXT_CONNECTIONS 64
@@ -143,12 +145,30 @@
                             on_next_response, job);
 }
 
+/* Adds a text to the answer of the length that the request asks for. */
+static void
+add_filler(h2o_req_t *req, json_t *answer)
+{
+    char text[16];
+    gsize n;
+    gchar *filler;
+
+    if (!JdHttpd_CopyHeader(req, "x-answer-bytes", text, sizeof(text))) {
+        return;
+    }
+    n = strtoull(text, NULL, 10) % MAX_FILLER;
+    filler = g_strnfill(n, 'x');
+    json_object_set_new(answer, "filler", json_stringn(filler, n));
+    g_free(filler);
+}
+
 static void
 on_work_done(void *ctx)
 {
     Job *job = ctx;
     h2o_req_t *req = job->req;
     char id[JD_NAME_MAX] = "";
+    json_t *answer;
     char *path;
 
     if (targetd.next_path != NULL) {
@@ -163,10 +183,11 @@
     if (id[0] != '\0') {
         JdHttpd_AddHeader(req, "x-request-id", id);
     }
-    JdHttpd_ReplyJson(req, targetd.mode == MODE_ERROR ? 500 : 200,
-                      json_pack("{s:s, s:s, s:s, s:I}", "target", targetd.name,
-                                "path", path, "id", id, "body_bytes",
-                                (json_int_t)req->entity.len));
+    answer =
+        json_pack("{s:s, s:s, s:s, s:I}", "target", targetd.name, "path", path,
+                  "id", id, "body_bytes", (json_int_t)req->entity.len);
+    add_filler(req, answer);
+    JdHttpd_ReplyJson(req, targetd.mode == MODE_ERROR ? 500 : 200, answer);
     g_free(path);
 }
 
