--- a/lib/rollout/director.c
+++ b/lib/rollout/director.c
@@ -266,11 +266,9 @@
     JdRolloutFinding finding;
 
     judge(di, ro, &finding);
-    if (JdVerdict_IsBad(finding.verdict)) {
-        take_step(di, ro, JD_ROLLOUT_STOPPED, &finding);
-    }
-    else if (now + DEADLINE_MARGIN >= ro->deadline) {
-        /* There is no time left to leave the old targets. */
+    /* Without time left to leave the old targets, it is stopped as well. */
+    if (JdVerdict_IsBad(finding.verdict) ||
+        now + DEADLINE_MARGIN >= ro->deadline) {
         take_step(di, ro, JD_ROLLOUT_STOPPED, &finding);
     }
     else if (finding.verdict == JD_VERDICT_GOOD && di->is_loaded &&
--- a/lib/rollout/version.c
+++ b/lib/rollout/version.c
@@ -221,7 +221,10 @@
     if (mb->version[0] == '\0') {
         return true;
     }
-    if (ro != NULL && is_barred(ro, mb)) {
+    if (ro == NULL) {
+        return !is_unordered(vf, mb);
+    }
+    if (is_barred(ro, mb)) {
         return false;
     }
     switch (vf->choice) {
--- a/regress/unit/rollout.c
+++ b/regress/unit/rollout.c
@@ -272,11 +272,13 @@
 static void
 second_of_traffic(Deputy *dp, unsigned s, unsigned failed, unsigned slow)
 {
+    uint64_t seq = UINT64_C(2) * s;
+
     for (unsigned node = 0; node < 4; node++) {
         unsigned n = node < 2 ? 100 * s : 20 * s;
 
-        report(dp, node, 2 * s, "a", n, 0, 0);
-        report(dp, node, 2 * s + 1, "b", n, node < 2 ? 0 : failed,
+        report(dp, node, seq, "a", n, 0, 0);
+        report(dp, node, seq + 1, "b", n, node < 2 ? 0 : failed,
                node < 2 ? 0 : slow);
     }
     JdClock_Advance(&clk, JD_US_PER_S);
