--- a/include/jacinthdyke_rollout.h
+++ b/include/jacinthdyke_rollout.h
@@ -95,6 +95,9 @@
     TAILQ_HEAD(JdRolloutList, JdRollout) all;
     struct JdRolloutList pending;
     unsigned count;
+    /* Largest share of a service's requests for a version under test, in
+     * 1/1000. */
+    unsigned exposed_permille;
     JdClock *clock;
     JdRandom *random;
     /* A roll-out was added or has changed its step. */
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -11,6 +11,8 @@
 
 #include "libjd.h"
 
+#define DEFAULT_EXPOSED_PERMILLE 100
+
 static const char *const step_names[JD_ROLLOUT_STEP_MAX] = {
     [JD_ROLLOUT_HELD] = "held",
     [JD_ROLLOUT_CANARY] = "canary",
@@ -36,6 +38,7 @@
     TAILQ_INIT(&rs->pending);
     rs->clock = clk;
     rs->random = rnd;
+    rs->exposed_permille = DEFAULT_EXPOSED_PERMILLE;
 }
 
 /* Frees all roll-outs. */
--- a/lib/rollout/version.c
+++ b/lib/rollout/version.c
@@ -10,9 +10,10 @@
 #include "libjd.h"
 
 /* Share of the requests that the version under test gets, and its limit where
- * one target needs more to be as loaded as the others; in 1/1000. */
-#define CANARY_SHARE 50
-#define CANARY_SHARE_MAX 80
+ * one target needs more to be as loaded as the others; in percent of the
+ * largest share that is allowed.  Retries come on top. */
+#define CANARY_PERCENT 50
+#define CANARY_PERCENT_MAX 80
 /* Load of a target under test against that of an old one, in percent. */
 #define CANARY_LOAD_PERCENT 115
 /* Targets under test at most. */
@@ -112,8 +113,10 @@
 /* Returns the share of the requests that the version under test gets, in
  * 1/1000, and sets the number of its targets that share it. */
 static unsigned
-canary_share(const Canary *ca, unsigned *targets)
+canary_share(const JdRollouts *rs, const Canary *ca, unsigned *targets)
 {
+    double aim = rs->exposed_permille * CANARY_PERCENT / 100.0;
+    double most = rs->exposed_permille * CANARY_PERCENT_MAX / 100.0;
     double slots =
         ca->new_targets == 0 ? 0 : (double)ca->new_slots / ca->new_targets;
     double n, share;
@@ -124,13 +127,13 @@
     }
     /* The share that loads one target as much as an old one. */
     share = 10.0 * CANARY_LOAD_PERCENT * slots / ca->old_slots;
-    n = CANARY_SHARE / share + 0.5;
+    n = aim / share + 0.5;
     *targets = n < 1 ? 1 : (unsigned)n;
     if (*targets > ca->rank_count) {
         *targets = ca->rank_count;
     }
     share *= *targets;
-    return share < CANARY_SHARE_MAX ? (unsigned)share : CANARY_SHARE_MAX;
+    return (unsigned)(share < most ? share : most);
 }
 
 /* Returns whether the next request belongs to the canary.  A node's share is
@@ -147,14 +150,14 @@
 }
 
 static void
-choose_canary(JdVersionFilter *vf, JdRollout *ro, const JdMemberSet *set,
-              JdRequestVersion *rv, bool may_test)
+choose_canary(JdVersionFilter *vf, const JdRollouts *rs, JdRollout *ro,
+              const JdMemberSet *set, JdRequestVersion *rv, bool may_test)
 {
     unsigned targets, share;
     Canary ca;
 
     survey_targets(ro, set, &ca);
-    share = canary_share(&ca, &targets);
+    share = canary_share(rs, &ca, &targets);
     if (!rv->is_drawn) {
         rv->is_drawn = true;
         rv->is_canary = may_test && draw_canary(ro, share);
@@ -187,7 +190,7 @@
     switch (ro->step) {
     case JD_ROLLOUT_CANARY:
         vf->choice = JD_CHOICE_OLD;
-        choose_canary(vf, ro, set, rv, may_test);
+        choose_canary(vf, rs, ro, set, rv, may_test);
         break;
     case JD_ROLLOUT_FULL:
         vf->choice = JD_CHOICE_NEW;
--- a/node/node.h
+++ b/node/node.h
@@ -61,6 +61,9 @@
     uint64_t claim_hold_s;     /* time for which a key stays claimed */
     uint64_t log_retention_s;  /* 0: unknown */
     uint64_t claim_append_interval_ms;
+    /* Largest share of a service's requests for a version under test, in
+     * 1/1000. */
+    uint64_t exposed_permille;
     JdPlatformSettings platform;
 } JdSettings;
 
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -198,6 +198,8 @@
 void
 JdRolloutNode_Init(JdNode *nd)
 {
+    nd->tree.rollouts.exposed_permille =
+        (unsigned)nd->settings.exposed_permille;
     JdDirector_Init(&nd->director, &nd->tree.rollouts, &nd->tree.reports,
                     &nd->tree.members, &nd->loop.clock, &director_ops, nd);
 }
--- a/node/settings.c
+++ b/node/settings.c
@@ -58,6 +58,7 @@
     NUMBER("/checkpoint/seconds", checkpoint_interval_s, 1, 86400),
     NUMBER("/once/hold_s", claim_hold_s, 1, 86400),
     NUMBER("/once/gap_ms", claim_append_interval_ms, 1, 10000),
+    NUMBER("/rollout/exposed_permille", exposed_permille, 1, 1000),
     NUMBER("/log/retention_s", log_retention_s, 1, 31536000),
     NUMBER("/link_kbps", link_kbps, 1, 1000000000),
     NUMBER("/body_bytes", max_body_bytes, 1, 64 << 20),
@@ -79,6 +80,7 @@
     s->max_body_bytes = 1 << 20;
     s->claim_hold_s = 600;
     s->claim_append_interval_ms = 5;
+    s->exposed_permille = 100;
 }
 
 /* Checks that depend on more than one setting. */
