--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -2538,7 +2538,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[15] = {
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[17] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                         /* quantifier_offset */
@@ -2629,10 +2629,24 @@
         offsetof(Jd__Response, link_wait_ms), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "cutoff_rank", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, cutoff_rank), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "cutoff_ms", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, cutoff_ms), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
     3,  /* field[3] = body */
     13, /* field[13] = crashed_process */
+    16, /* field[16] = cutoff_ms */
+    15, /* field[15] = cutoff_rank */
     2,  /* field[2] = header */
     0,  /* field[0] = id */
     11, /* field[11] = limit_wait_ms */
@@ -2648,7 +2662,7 @@
     9,  /* field[9] = target_started */
 };
 static const ProtobufCIntRange jd__response__number_ranges[1 + 1] = {{1, 0},
-                                                                     {0, 15}};
+                                                                     {0, 17}};
 const ProtobufCMessageDescriptor jd__response__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Response",
@@ -2656,7 +2670,7 @@
     "Jd__Response",
     "jd",
     sizeof(Jd__Response),
-    15,
+    17,
     jd__response__field_descriptors,
     jd__response__field_indices_by_name,
     1,
@@ -2666,7 +2680,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__chunk__field_descriptors[7] = {
+static const ProtobufCFieldDescriptor jd__chunk__field_descriptors[5] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                      /* quantifier_offset */
@@ -2698,30 +2712,16 @@
         offsetof(Jd__Chunk, more), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
-    {
-        "cutoff_rank", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0, /* quantifier_offset */
-        offsetof(Jd__Chunk, cutoff_rank), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "cutoff_ms", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                             /* quantifier_offset */
-        offsetof(Jd__Chunk, cutoff_ms), NULL, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
 };
 static const unsigned jd__chunk__field_indices_by_name[] = {
     3, /* field[3] = body */
-    6, /* field[6] = cutoff_ms */
-    5, /* field[5] = cutoff_rank */
     1, /* field[1] = head */
     0, /* field[0] = id */
     4, /* field[4] = more */
     2, /* field[2] = total */
 };
-static const ProtobufCIntRange jd__chunk__number_ranges[2 + 1] = {
-    {1, 0}, {16, 5}, {0, 7}};
+static const ProtobufCIntRange jd__chunk__number_ranges[1 + 1] = {{1, 0},
+                                                                  {0, 5}};
 const ProtobufCMessageDescriptor jd__chunk__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Chunk",
@@ -2729,10 +2729,10 @@
     "Jd__Chunk",
     "jd",
     sizeof(Jd__Chunk),
-    7,
+    5,
     jd__chunk__field_descriptors,
     jd__chunk__field_indices_by_name,
-    2,
+    1,
     jd__chunk__number_ranges,
     (ProtobufCMessageInit)jd__chunk__init,
     NULL,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -638,10 +638,16 @@
    * target's machine; 0: unknown.
    */
   uint32_t link_wait_ms;
+  /*
+   * The target refuses requests of this rank and lower ones, for this time, 0:
+   * it refuses none.
+   */
+  uint32_t cutoff_rank;
+  uint32_t cutoff_ms;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -664,16 +670,10 @@
    * another part follows
    */
   protobuf_c_boolean more;
-  /*
-   * The target refuses requests of this rank and lower ones, for this time, 0:
-   * it refuses none.
-   */
-  uint32_t cutoff_rank;
-  uint32_t cutoff_ms;
 };
 #define JD__CHUNK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__chunk__descriptor) \
-    , 0, NULL, 0, {0,NULL}, 0, 0, 0 }
+    , 0, NULL, 0, {0,NULL}, 0 }
 
 
 /*
