--- a/operator/fleet.c
+++ b/operator/fleet.c
@@ -302,7 +302,7 @@
 list_rollouts(Ctl *ctl)
 {
     JdError err = {0};
-    json_t *list = query_node(ctl, ctl->node_address, "GET", "/rollouts");
+    json_t *list = CtlFleet_Query(ctl, ctl->node_address, "GET", "/rollouts");
     json_t *js;
     size_t i;
 
@@ -328,7 +328,7 @@
 {
     char *escaped = g_uri_escape_string(service, NULL, FALSE);
     char *path = g_strdup_printf("/rollouts/abort?service=%s", escaped);
-    json_t *js = query_node(ctl, ctl->node_address, "POST", path);
+    json_t *js = CtlFleet_Query(ctl, ctl->node_address, "POST", path);
     JdError err = {0};
 
     g_free(path);
