--- a/regress/unit/quota.c
+++ b/regress/unit/quota.c
@@ -68,6 +68,7 @@
     unsigned loss; /* messages lost, in percent */
     uint64_t delay;
     unsigned process;
+    bool checks_loans; /* all nodes know the same number of nodes */
 };
 
 static uint64_t
@@ -362,6 +363,46 @@
     }
 }
 
+/* Returns the share of a shard's rates that may be used in all: what is lent
+ * to allocators, and the own parts of the nodes that do not lend them. */
+static double
+count_usable(Fleet *fl, unsigned shard)
+{
+    double sum = 0;
+
+    for (unsigned i = 0; i < fl->count; i++) {
+        Node *nd = &fl->node[i];
+        uint64_t now = read_clock(nd);
+        const JdQuotaShard *sh = &nd->quota.shard[shard];
+        const JdQuotaEnrolment *en;
+
+        if (!nd->is_up) {
+            continue;
+        }
+        sum += sh->is_lent && now < sh->lent_until ? 0 : 1.0 / fl->count;
+        TAILQ_FOREACH(en, &nd->quota.allocator[shard].enrolments, link)
+        {
+            sum += now < en->until ? en->part : 0;
+        }
+    }
+    return sum;
+}
+
+static void
+check_loans(Fleet *fl)
+{
+    for (unsigned i = 0; i < JD_QUOTA_SHARDS; i++) {
+        CU_ASSERT(count_usable(fl, i) < 1.001);
+    }
+}
+
+static JdQuotaRecord *
+find_record(Fleet *fl, unsigned node, unsigned account)
+{
+    return g_hash_table_lookup(fl->node[node].quota.by_name,
+                               fl->usage[account].name);
+}
+
 /* Sends requests of an account for a while at random times, `per_s` on
  * average, over the nodes FIRST to LAST - 1. */
 static void
@@ -379,6 +420,9 @@
             send_request(fl, account, node);
         }
         advance(fl, STEP);
+        if (fl->checks_loans) {
+            check_loans(fl);
+        }
     }
 }
 
@@ -573,6 +617,7 @@
     Fleet fl;
 
     start_fleet(&fl, 20, 1);
+    fl.checks_loans = true;
     set_limit(&fl, 0, 50, 50);
     fl.loss = 20;
     load(&fl, 0, 300, 8 * JD_US_PER_S, 0, 20);
@@ -588,6 +633,50 @@
     stop_fleet(&fl);
 }
 
+/* A grant that arrives after the life of its tokens gives none. */
+static void
+test_late_grant(void)
+{
+    Jd__QuotaGrant msg = JD__QUOTA_GRANT__INIT;
+    Fleet fl;
+
+    start_fleet(&fl, 3, 1);
+    set_limit(&fl, 0, 10, 10);
+    advance(&fl, JD_US_PER_S);
+    send_request(&fl, 0, 0);
+    msg.account = fl.usage[0].name;
+    msg.tokens = 3;
+    msg.echo = read_clock(&fl.node[0]);
+    advance(&fl, 900 * JD_US_PER_MS);
+    JdQuota_HandleGrant(&fl.node[0].quota, &msg);
+    CU_ASSERT(find_record(&fl, 0, 0)->tokens >= 3);
+    advance(&fl, 1500 * JD_US_PER_MS);
+    JdQuota_HandleGrant(&fl.node[0].quota, &msg);
+    CU_ASSERT_EQUAL(find_record(&fl, 0, 0)->tokens, 0);
+    stop_fleet(&fl);
+}
+
+/* When an account becomes scarce, also nodes that do not use it know. */
+static void
+test_notice(void)
+{
+    unsigned known = 0;
+    Fleet fl;
+
+    start_fleet(&fl, 20, 1);
+    set_limit(&fl, 0, 10, 10);
+    advance(&fl, 2 * JD_US_PER_S);
+    load(&fl, 0, 700, 50 * JD_US_PER_MS, 0, 2);
+    advance(&fl, 200 * JD_US_PER_MS);
+    for (unsigned i = 2; i < 20; i++) {
+        const JdQuotaRecord *rec = find_record(&fl, i, 0);
+
+        known += rec != NULL && rec->scarce_round != 0;
+    }
+    CU_ASSERT_EQUAL(known, 18);
+    stop_fleet(&fl);
+}
+
 /* The allocator of a hot account is killed; a moment later the others know. */
 static void
 test_allocator_killed(void)
@@ -597,6 +686,7 @@
     Fleet fl;
 
     start_fleet(&fl, 40, 1);
+    fl.checks_loans = true;
     set_limit(&fl, 0, 160, 160);
     load(&fl, 0, 700, 6 * JD_US_PER_S, 0, 40);
     al = get_allocator(&fl, 0);
@@ -620,6 +710,7 @@
     unsigned al;
 
     start_fleet(&fl, 40, 1);
+    fl.checks_loans = true;
     set_limit(&fl, 0, 160, 160);
     load(&fl, 0, 700, 6 * JD_US_PER_S, 0, 40);
     al = get_allocator(&fl, 0);
@@ -649,6 +740,7 @@
     Fleet fl;
 
     start_fleet(&fl, 40, 1);
+    fl.checks_loans = true;
     set_limit(&fl, 0, 160, 160);
     load(&fl, 0, 700, 6 * JD_US_PER_S, 0, 40);
     for (unsigned i = 0; i < 20; i++) {
@@ -670,10 +762,11 @@
 static void
 test_frozen(void)
 {
-    uint64_t end;
+    uint64_t end, expired;
     Fleet fl;
 
     start_fleet(&fl, 10, 1);
+    fl.checks_loans = true;
     set_limit(&fl, 0, 400, 400);
     load(&fl, 0, 300, 4 * JD_US_PER_S, 0, 10);
     end = fl.clock.now + 5 * JD_US_PER_S;
@@ -683,9 +776,14 @@
     }
     load(&fl, 0, 1500, 5 * JD_US_PER_S, 5, 10);
     /* They wake: requests come before their timers have run. */
+    expired = fl.counters.value[JD_C_QUOTA_EXPIRED];
     for (unsigned n = 0; n < 500; n++) {
         send_request(&fl, 0, n % 5);
     }
+    CU_ASSERT(fl.counters.value[JD_C_QUOTA_EXPIRED] > expired);
+    for (unsigned i = 0; i < 5; i++) {
+        CU_ASSERT_EQUAL(find_record(&fl, i, 0)->tokens, 0);
+    }
     for (unsigned i = 0; i < 5; i++) {
         JdTimer_Arm(&fl.clock, &fl.node[i].quota.report_timer, 0);
     }
@@ -811,6 +909,8 @@
     CU_add_test(suite, "moving demand", test_moving_demand);
     CU_add_test(suite, "bytes", test_bytes);
     CU_add_test(suite, "lost and late", test_lost_and_late);
+    CU_add_test(suite, "late grant", test_late_grant);
+    CU_add_test(suite, "notice", test_notice);
     CU_add_test(suite, "allocator killed", test_allocator_killed);
     CU_add_test(suite, "two allocators", test_two_allocators);
     CU_add_test(suite, "cut off", test_cut_off);
