--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 BASE_SRC = $(wildcard base/*.c)
 NODE_SRC = $(wildcard node/*.c caller/*.c platform/*.c) log/follow.c log/log.c \
            peer/conn.c peer/link.c peer/forward.c peer/lost.c peer/retry.c \
-           peer/request_conn.c peer/response.c \
+           peer/request_conn.c peer/response.c peer/room.c \
            targets/worker.c targets/health.c targets/claims.c \
            targets/crash.c targets/suspect.c targets/headers.c targets/notice.c targets/response.c \
            targets/estimate.c operator/admin.c
