--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -304,7 +304,8 @@
 bool JdTarget_SetRateLimit(JdTarget *tg, unsigned rate, uint64_t sent_at);
 bool JdTarget_AdoptRateLimit(JdTarget *tg, uint64_t started, unsigned rate);
 
-/* ---- choice.c: load balancing between the targets of an endpoint set --- */
+/* ---- choice.c, candidates.c: load balancing between the targets of an
+ * endpoint set --- */
 
 /* Statistics that this node keeps about one target. */
 typedef struct JdTargetStats {
@@ -338,6 +339,7 @@
     uint64_t link_unit; /* us that one takes, the least that was reported */
     unsigned large_since_report; /* requests for such sent since */
     JdCutoff cutoff; /* as its node told last */
+    JdTargetView view; /* for placing by work */
 } JdTargetStats;
 
 /* Load of a target, reported by its node with each answer. */
@@ -355,6 +357,7 @@
      */
     unsigned cutoff_rank;
     uint64_t cutoff_wait;
+    JdWorkReport work;
 } JdLoadReport;
 
 /* Load balancer of a node.  `region` and `domain` are those of the node. */
@@ -367,16 +370,9 @@
     const char *domain;
     /* The response to the request that is placed is large: links count. */
     bool counts_link;
+    JdPlacing *placing; /* NULL: nothing is placed by work */
 } JdBalancer;
 
-/* Locality of a target, as seen from this node. */
-typedef enum JdTier {
-    JD_TIER_DOMAIN, /* same failure domain */
-    JD_TIER_REGION, /* another failure domain of the region */
-    JD_TIER_FAR,    /* another region */
-    JD_TIER_MAX
-} JdTier;
-
 const char *JdTier_Name(JdTier tier);
 
 /* Members that were already tried for a request. */
@@ -390,6 +386,12 @@
 JdMember *JdBalancer_Pick(const JdBalancer *lb, const char *endpoint_set,
                           const JdExcludedTargets *excluded,
                           uint64_t time_left, JdTier *tier);
+JdMember *JdBalancer_PickByWork(const JdBalancer *lb, const char *endpoint_set,
+                                const char *route,
+                                const JdExcludedTargets *excluded,
+                                uint64_t time_left, JdTier *tier);
+uint64_t JdBalancer_ExpectedTime(const JdBalancer *lb, JdMember *mb,
+                                 const char *route);
 JdMember *JdBalancer_PickPinned(const JdBalancer *lb, const char *endpoint_set,
                                 const JdExcludedTargets *excluded,
                                 uint64_t key, JdTier *tier);
--- a/node/node.h
+++ b/node/node.h
@@ -238,7 +238,8 @@
     JdDirector director;     /* rollouts.c */
     bool is_following_rollouts;
     JdAdmission admit;
-    GHashTable *route_estimates; /* route name -> JdServiceTime */
+    GHashTable *route_estimates; /* by route: targets/estimate.c */
+    JdPace target_pace;
     TAILQ_HEAD(JdWorkItemHead, JdWorkItem) work_items;
     JdClaims claims;
     char claim_stream[JD_PATH_MAX]; /* log stream of the service's claims */
@@ -263,6 +264,7 @@
     /* Calls, and the connections that carry them: peer/forward.c and
      * request_conn.c */
     JdBalancer balancer;
+    JdPlacing placing;
     GHashTable *retry_budgets; /* service -> JdRetryBudget */
     GHashTable *promises;      /* service -> JdPromises */
     /* Address -> JdRequestConn that takes new attempts.  A connection that has
@@ -386,6 +388,9 @@
 /* targets/estimate.c: average run times of its work */
 void JdTargetEstimate_Init(JdNode *nd);
 JdServiceTime *JdTargetEstimate_Get(JdNode *nd, const char *route);
+void JdTargetEstimate_AddRun(JdNode *nd, const char *route, uint64_t took);
+void JdTargetEstimate_Report(JdNode *nd, const char *route, uint64_t held,
+                             Jd__Response *msg);
 
 /* targets/room.c: room on the link for its responses */
 void JdTargetRoom_Init(JdNode *nd);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -371,19 +371,37 @@
     }
 }
 
+/* Returns the time in us that a request at a target takes as a rule, 0:
+ * unknown.  A service that is balanced by work knows it for each route. */
+static uint64_t
+usual_time(const JdCall *call, JdMember *mb)
+{
+    const JdTargetStats *ts = mb->user;
+    uint64_t expected = 0;
+
+    if (call->route.is_by_work) {
+        expected = JdBalancer_ExpectedTime(&call->node->balancer, mb,
+                                           call->route.name);
+    }
+    if (expected == 0 && ts != NULL) {
+        expected = ts->mean_latency;
+    }
+    return expected;
+}
+
 /* Schedules the hedge of an idempotent request that is sent to `mb`. */
 static void
-arm_hedge_timer(JdCall *call, const JdMember *mb)
+arm_hedge_timer(JdCall *call, JdMember *mb)
 {
-    const JdTargetStats *ts = mb->user;
+    uint64_t usual = usual_time(call, mb);
     uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
     uint64_t delay = HEDGE_DELAY_DEFAULT;
 
     if (!JdRetry_IsIdempotent(call) || !JdRetry_HasAttemptsLeft(call)) {
         return;
     }
-    if (ts != NULL && ts->mean_latency > 0) {
-        delay = ts->mean_latency * HEDGE_LATENCY_FACTOR;
+    if (usual > 0) {
+        delay = usual * HEDGE_LATENCY_FACTOR;
     }
     if (delay < HEDGE_DELAY_MIN) {
         delay = HEDGE_DELAY_MIN;
@@ -561,6 +579,14 @@
         nd->counters.value[JD_C_LATE_ANSWERS]++;
         return;
     }
+    if (att->call->route.is_by_work) {
+        report.work = (JdWorkReport){.route = att->call->route.name,
+                                     .route_time = msg->route_us,
+                                     .load = msg->work,
+                                     .held = msg->held_us,
+                                     .body_len = msg->body.len,
+                                     .domain_load = msg->domain_load};
+    }
     learn_crash(att->call, msg->crashed_process);
     nd->counters.value[JD_C_REQUEST_BYTES] += msg->body.len;
     if (att->tier == JD_TIER_FAR) {
@@ -687,6 +713,28 @@
     JdRequestConn_CheckAll(nd);
 }
 
+static json_int_t
+percent(double part)
+{
+    return (json_int_t)(part * 100 + 0.5);
+}
+
+/* Requests begin or cease to leave the failure domain. */
+static void
+on_share_changed(void *ctx, const char *endpoint_set, JdTier tier,
+                 const JdSpread *sp)
+{
+    (void)ctx;
+    JD_LOG(JD_EVENT_SPREAD, JD_TEXT("endpoint_set", endpoint_set),
+           JD_TEXT("tier", JdTier_Name(tier)),
+           JD_TEXT("state", sp->is_leaving[tier] ? "leaving" : "returned"),
+           JD_NUMBER("share", percent(sp->share[tier])),
+           JD_NUMBER("load_home", percent(sp->load[JD_TIER_DOMAIN])),
+           JD_NUMBER("load_there", percent(sp->load[tier])),
+           JD_NUMBER("wait_home_us", (json_int_t)sp->wait[JD_TIER_DOMAIN]),
+           JD_NUMBER("wait_there_us", (json_int_t)sp->wait[tier]));
+}
+
 /* Initializes the forwarding of requests. */
 void
 JdForward_Init(JdNode *nd)
@@ -702,6 +750,10 @@
     nd->balancer.counters = &nd->counters;
     nd->balancer.region = nd->settings.region;
     nd->balancer.domain = nd->settings.failure_domain;
+    JdPlacing_Init(&nd->placing);
+    nd->placing.share_changed = on_share_changed;
+    nd->placing.ctx = nd;
+    nd->balancer.placing = &nd->placing;
     JdTimer_Init(&nd->conn_check_timer, on_conn_check, nd);
     JdTimer_Arm(&nd->loop.clock, &nd->conn_check_timer, CONN_CHECK_PERIOD);
 }
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -2538,7 +2538,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[17] = {
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[21] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                         /* quantifier_offset */
@@ -2641,13 +2641,39 @@
         offsetof(Jd__Response, cutoff_ms), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "route_us", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, route_us), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "work", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Response, work), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "held_us", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Jd__Response, held_us), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "domain_load", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, domain_load), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
     3,  /* field[3] = body */
     13, /* field[13] = crashed_process */
     16, /* field[16] = cutoff_ms */
     15, /* field[15] = cutoff_rank */
+    20, /* field[20] = domain_load */
     2,  /* field[2] = header */
+    19, /* field[19] = held_us */
     0,  /* field[0] = id */
     11, /* field[11] = limit_wait_ms */
     14, /* field[14] = link_wait_ms */
@@ -2655,14 +2681,16 @@
     10, /* field[10] = rate_limit */
     4,  /* field[4] = reason */
     5,  /* field[5] = retry_after_ms */
+    17, /* field[17] = route_us */
     7,  /* field[7] = sent */
     8,  /* field[8] = service_us */
     1,  /* field[1] = status */
     12, /* field[12] = target_leaving */
     9,  /* field[9] = target_started */
+    18, /* field[18] = work */
 };
 static const ProtobufCIntRange jd__response__number_ranges[1 + 1] = {{1, 0},
-                                                                     {0, 17}};
+                                                                     {0, 21}};
 const ProtobufCMessageDescriptor jd__response__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Response",
@@ -2670,7 +2698,7 @@
     "Jd__Response",
     "jd",
     sizeof(Jd__Response),
-    17,
+    21,
     jd__response__field_descriptors,
     jd__response__field_indices_by_name,
     1,
--- a/peer/room.c
+++ b/peer/room.c
@@ -26,6 +26,22 @@
     return goal_at > now ? goal_at - now : 1;
 }
 
+/* Picks a target by work where the service asks for it.  The response of a
+ * large request waits for the target's link, so it is placed by links. */
+static JdMember *
+pick_any(const JdCall *call, const JdExcludedTargets *excluded, JdTier *tier)
+{
+    const JdBalancer *lb = &call->node->balancer;
+    const char *set = call->route.endpoint_set;
+    uint64_t left = time_until_latency_goal(call);
+
+    if (call->route.is_by_work && !lb->counts_link) {
+        return JdBalancer_PickByWork(lb, set, call->route.name, excluded, left,
+                                     tier);
+    }
+    return JdBalancer_Pick(lb, set, excluded, left, tier);
+}
+
 /* Returns the time in us for which a target refuses a request, as it told
  * last; 0: it may take it. */
 static uint64_t
@@ -73,9 +89,7 @@
 
     memcpy(ids, call->target_ids, sizeof(ids));
     while (avoid.count < JD_ATTEMPTS_MAX) {
-        JdMember *mb =
-            JdBalancer_Pick(&call->node->balancer, call->route.endpoint_set,
-                            &avoid, time_until_latency_goal(call), tier);
+        JdMember *mb = pick_any(call, &avoid, tier);
         uint64_t refused_for = mb == NULL ? 0 : refused_time(call, mb);
 
         if (refused_for == 0) {
--- a/targets/response.c
+++ b/targets/response.c
@@ -37,9 +37,11 @@
     }
 }
 
-/* Adds the state of the target and of its link to a response. */
+/* Adds the state of the target and of its link to the response to a request
+ * that came `held` us ago. */
 static void
-add_reports(JdNode *nd, Jd__Response *msg)
+add_reports(JdNode *nd, const Jd__Request *request, uint64_t held,
+            Jd__Response *msg)
 {
     fill_cutoff(nd, msg);
     msg->load = JdAdmission_Load(&nd->admit);
@@ -49,6 +51,9 @@
     msg->target_leaving = JdTargetHealth_IsLeaving(nd);
     msg->limit_wait_ms = rate_limit_wait_ms(nd, 0);
     msg->link_wait_ms = JdTargetRoom_Wait(nd);
+    if (JdConfig_IsByWork(nd->store.config, request->service)) {
+        JdTargetEstimate_Report(nd, request->route, held, msg);
+    }
 }
 
 static void
@@ -96,7 +101,7 @@
     }
     nd->counters.value[JdReason_Info(reason)->counter]++;
     log_refusal(nd, request, reason, refusal->was_sent);
-    add_reports(nd, &msg);
+    add_reports(nd, request, 0, &msg);
     nd->response_ops->respond(nd->response_ctx, origin, &msg);
 }
 
@@ -131,7 +136,8 @@
         msg.n_header++;
     }
     msg.header = list;
-    add_reports(nd, &msg);
+    add_reports(nd, it->msg, JdClock_Now(&nd->loop.clock) - it->submitted_at,
+                &msg);
     if (!JdTargetRoom_Respond(it, &msg)) {
         nd->response_ops->respond(nd->response_ctx, it->origin, &msg);
     }
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -96,8 +96,10 @@
     JdNode *nd = it->node;
 
     if (is_typical) {
-        JdServiceTime_Add(JdTargetEstimate_Get(nd, it->msg->route),
-                          JdClock_Now(&nd->loop.clock) - it->work.started_at);
+        uint64_t took = JdClock_Now(&nd->loop.clock) - it->work.started_at;
+
+        JdServiceTime_Add(JdTargetEstimate_Get(nd, it->msg->route), took);
+        JdTargetEstimate_AddRun(nd, it->msg->route, took);
     }
     JdAdmission_FreeSlot(&nd->admit, &it->work, is_typical);
 }
