--- a/lib/account/shard.c
+++ b/lib/account/shard.c
@@ -371,7 +371,11 @@
         JdTimer_Cancel(qt->clock, &qt->report_timer);
         return;
     }
-    JdTimer_Arm(qt->clock, &qt->report_timer, TICK_INTERVAL);
+    /* Nodes get the configuration at the same time, and should not all report
+     * at the same time from then on. */
+    qt->next_shard = (unsigned)JdRandom_Below(qt->random, JD_QUOTA_SHARDS);
+    JdTimer_Arm(qt->clock, &qt->report_timer,
+                JdRandom_Below(qt->random, TICK_INTERVAL));
     for (unsigned i = 0; i < JD_QUOTA_SHARDS; i++) {
         report(qt, i);
     }
