The test of roll-outs waits until workers listen

Beside load, once in five runs, 138 of 259 requests seemed to go to the new version: a worker was told its version before it listened and kept the old one, and its node's caller prefers it. The check itself is unchanged.

--- a/regress/e2e/roll-out.sh
+++ b/regress/e2e/roll-out.sh
@@ -6,7 +6,8 @@
 platform_start_fleet 1-1:kiln 1-2:kiln 3-1:kiln 3-2:kiln ||
     die "the store does not start"
 for n in 3-1 3-2; do
-	platform_control_worker $n "version=v2&id=new-$n"
+	fleet_until 100 platform_control_worker $n "version=v2&id=new-$n" ||
+	    die "the worker $n does not listen"
 done
 platform_document 5 kiln | platform_put_document
 platform_order_rollout kiln v2 9
