Requests wait outside of a connection that takes no bytes; link in /status

What callers saw: requests sent on to targets after their callers had left.

Cause: a request was handed to its connection at once, also while that was not open or full, behind other bytes; a cancellation could only follow it, and the time left that it named was that of its hand-over.

Change: such requests wait at the node and are dropped when their callers leave; times left are taken anew when they are sent.

--- a/operator/admin.c
+++ b/operator/admin.c
@@ -80,6 +80,20 @@
     json_object_set_new(js, "rss_kb", json_integer(ru.ru_maxrss));
 }
 
+/* Adds the state of this machine's link, if its bandwidth is known. */
+static void
+add_link(const JdNode *nd, json_t *js)
+{
+    if (!JdPacer_IsOn(&nd->pacer)) {
+        return;
+    }
+    json_object_set_new(js, "link_queued", json_integer(nd->link_queue.count));
+    json_object_set_new(js, "link_queued_bytes",
+                        json_integer((json_int_t)nd->link_queue.bytes));
+    json_object_set_new(js, "link_expected_bytes",
+                        json_integer((json_int_t)nd->link_room.expected));
+}
+
 /* Makes the status of this node and of the subtree below it. */
 static json_t *
 make_status(const JdNode *nd)
@@ -123,6 +137,7 @@
     add_resource_usage(js);
     json_object_set_new(js, "running", json_integer(nd->admit.running));
     json_object_set_new(js, "queued", json_integer(nd->admit.queued));
+    add_link(nd, js);
     json_object_set_new(js, "calls", json_integer(nd->call_count));
     return js;
 }
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -56,6 +56,21 @@
     JdTimer_Arm(&conn->set->loop->clock, &conn->free_timer, 0);
 }
 
+/* Closes a connection whose other side is taken for dead: what the kernel has
+ * not sent yet is dropped, so that it does not arrive when the path is back.
+ */
+void
+JdConn_Abort(JdConn *conn)
+{
+    struct linger now = {.l_onoff = 1, .l_linger = 0};
+
+    if (conn->sock != NULL) {
+        setsockopt(h2o_socket_get_fd(conn->sock), SOL_SOCKET, SO_LINGER, &now,
+                   sizeof(now));
+    }
+    JdConn_Close(conn);
+}
+
 /* Closes the listener and frees all connections, without calling `closed`. */
 void
 JdConnSet_Finish(JdConnSet *cs)
@@ -191,6 +206,9 @@
         return;
     }
     start_write(conn);
+    if (!conn->is_writing && conn->ops->drained != NULL) {
+        conn->ops->drained(conn->ctx, conn);
+    }
 }
 
 /* Starts reading from a connection that has been established. */
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -20,6 +20,8 @@
     /* The connection failed, could not be opened, or was closed by the other
      * side.  Not called after JdConn_Close. */
     void (*closed)(void *ctx, JdConn *conn);
+    /* All that was sent has been handed to the kernel; may be NULL. */
+    void (*drained)(void *ctx, JdConn *conn);
 } JdConnOps;
 
 struct JdConn {
@@ -60,6 +62,7 @@
                     void *ctx);
 size_t JdConn_Send(JdConn *conn, const Jd__Frame *frame);
 void JdConn_Close(JdConn *conn);
+void JdConn_Abort(JdConn *conn);
 bool JdConn_IsPeerOpen(const JdConn *conn);
 size_t JdConn_Backlog(const JdConn *conn);
 
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -38,6 +38,9 @@
         nd->target_ops->cancel(nd->target_ctx, att->id, NULL);
         return;
     }
+    if (att->is_unsent) {
+        return;
+    }
     msg.id = att->id;
     frame.version = nd->store.config->version;
     frame.body_case = JD__FRAME__BODY_CANCEL;
@@ -277,14 +280,44 @@
     g_free(buf);
 }
 
+/* Returns whether the answer is large and comes in chunks. */
+static bool
+expects_chunks(const JdCall *call)
+{
+    return call->route.is_bulk && JdPacer_IsOn(&call->node->pacer);
+}
+
+/* Sets what a request says of this attempt: its id and the times left. */
 static void
-send_request(JdAttempt *att, JdRequestConn *rconn)
+update_message(JdAttempt *att)
+{
+    JdCall *call = att->call;
+    uint64_t now = JdClock_Now(&call->node->loop.clock);
+    uint64_t goal_at = call->arrived_at + call->route.latency_goal;
+
+    call->msg->id = att->id;
+    call->msg->retry = att->is_retry;
+    call->msg->rate_limit = att->rate_limit;
+    call->msg->target_started = att->target_started;
+    call->msg->takes_chunks = expects_chunks(call);
+    call->msg->left_ms =
+        call->deadline > now
+            ? (uint32_t)((call->deadline - now) / JD_US_PER_MS)
+            : 0;
+    call->msg->latency_ms =
+        goal_at > now ? (uint32_t)((goal_at - now) / JD_US_PER_MS) : 0;
+}
+
+/* Sends the request of an attempt on its connection. */
+void
+JdForward_SendRequest(JdAttempt *att)
 {
     JdNode *nd = att->call->node;
+    JdRequestConn *rconn = att->request_conn;
     Jd__Frame frame = JD__FRAME__INIT;
     size_t n;
 
-    JdRequestConn_AddAttempt(rconn, att);
+    update_message(att);
     frame.version = nd->store.config->version;
     frame.body_case = JD__FRAME__BODY_REQUEST;
     frame.request = att->call->msg;
@@ -307,13 +340,6 @@
     }
 }
 
-/* Returns whether the answer is large and comes in chunks. */
-static bool
-expects_chunks(const JdCall *call)
-{
-    return call->route.is_bulk && JdPacer_IsOn(&call->node->pacer);
-}
-
 /* Schedules the hedge of an idempotent request that is sent to `mb`. */
 static void
 arm_hedge_timer(JdCall *call, const JdMember *mb)
@@ -347,10 +373,10 @@
 {
     JdNode *nd = call->node;
     uint64_t now = JdClock_Now(&nd->loop.clock);
-    uint64_t goal_at = call->arrived_at + call->route.latency_goal;
     JdAttempt *att = &call->attempts[call->attempt_count];
 
-    call->msg->retry = call->failed_sent_count + call->active_count > 0;
+    att->is_retry = call->failed_sent_count + call->active_count > 0;
+    att->rate_limit = JdBalancer_RateLimit(&nd->balancer, mb);
     att->call = call;
     att->id = ++nd->last_attempt_id;
     att->is_active = true;
@@ -360,13 +386,7 @@
     g_strlcpy(call->target_ids[call->attempt_count], mb->id, JD_NAME_MAX);
     call->attempt_count++;
     call->active_count++;
-    call->msg->id = att->id;
-    call->msg->takes_chunks = expects_chunks(call);
-    call->msg->left_ms = (uint32_t)((call->deadline - now) / JD_US_PER_MS);
-    call->msg->rate_limit = JdBalancer_RateLimit(&nd->balancer, mb);
-    call->msg->target_started = mb->target_started;
-    call->msg->latency_ms =
-        goal_at > now ? (uint32_t)((goal_at - now) / JD_US_PER_MS) : 0;
+    update_message(att);
     JdBalancer_RecordSend(&nd->balancer, mb);
     return att;
 }
@@ -436,7 +456,7 @@
         JdForward_AttemptFailed(att, &down);
         return;
     }
-    send_request(att, rconn);
+    JdRequestConn_AddAttempt(rconn, att);
 }
 
 /* Sends the request to another target, unless it crashes targets. */
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -13,6 +13,9 @@
     char address[JD_ADDRESS_MAX]; /* as the member announces it */
     JdConn *conn;
     TAILQ_HEAD(RequestConnAttempts, JdAttempt) attempts; /* unanswered */
+    /* Of those, the last ones are not sent: the connection is not open, or
+     * the other side takes no bytes. */
+    unsigned unsent;
     unsigned outstanding;  /* number of unanswered attempts */
     uint64_t opened_at;    /* time of dialing */
     uint64_t last_used_at; /* time of the last request, or of dialing */
@@ -32,6 +35,9 @@
     struct JdCall *call;
     uint64_t id;    /* on the wire; unique among the attempts of this node */
     bool is_active; /* under way: may still be answered */
+    bool is_unsent; /* waits for its connection */
+    bool is_retry;  /* an earlier attempt may have reached a target */
+    unsigned rate_limit; /* of the target, as it is known here */
     uint64_t sent_at;
     uint64_t target_started; /* process that it is sent to, 0: unknown */
     JdTier tier;
@@ -88,6 +94,7 @@
 void JdForward_Begin(JdCall *call);
 const char *JdForward_TargetId(const JdAttempt *att);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
+void JdForward_SendRequest(JdAttempt *att);
 void JdForward_OnChunk(JdNode *nd, Jd__Chunk *chunk);
 void JdForward_CallerDisconnected(JdCall *call);
 
--- a/peer/link.c
+++ b/peer/link.c
@@ -80,7 +80,8 @@
     JdTree_Closed(&nd->tree, conn);
 }
 
-static const JdConnOps conn_ops = {on_opened, on_frame, on_closed};
+static const JdConnOps conn_ops = {
+    .opened = on_opened, .frame = on_frame, .closed = on_closed};
 
 /* Returns whether the node with a peer address is known to be in another
  * region, as a member or from the directory. */
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -18,6 +18,10 @@
  * unknown, so that it could not be retried. */
 #define FRESH_TIMEOUT (1000 * JD_US_PER_MS)
 
+/* Bytes in a connection whose other side does not take them, from which on
+ * requests wait outside of it. */
+#define REQUEST_BACKLOG_MAX 16384U
+
 /* Removes an attempt from the connection that carries it, if any. */
 void
 JdRequestConn_RemoveAttempt(JdAttempt *att)
@@ -25,6 +29,8 @@
     if (att->request_conn != NULL) {
         TAILQ_REMOVE(&att->request_conn->attempts, att, conn_link);
         att->request_conn->outstanding--;
+        att->request_conn->unsent -= att->is_unsent;
+        att->is_unsent = false;
         att->request_conn = NULL;
     }
 }
@@ -50,9 +56,6 @@
 {
     JdRequestConn *current =
         g_hash_table_lookup(nd->request_conns, rconn->address);
-    JdAttemptFailure failure = {.reason = was_open ? JD_REASON_BROKEN
-                                                   : JD_REASON_TARGET_DOWN,
-                                .was_sent = was_open};
     JdAttempt *att;
 
     if (current == rconn) {
@@ -62,7 +65,12 @@
            JD_TEXT("outcome", was_open ? "broken" : "not opened"),
            JD_NUMBER("tries", rconn->outstanding));
     while ((att = TAILQ_FIRST(&rconn->attempts)) != NULL) {
-        if (was_open) {
+        bool was_sent = was_open && !att->is_unsent;
+        JdAttemptFailure failure = {.reason = was_sent ? JD_REASON_BROKEN
+                                                       : JD_REASON_TARGET_DOWN,
+                                    .was_sent = was_sent};
+
+        if (was_sent) {
             JdLostAttempt_Add(att);
         }
         JdForward_AttemptFailed(att, &failure);
@@ -70,11 +78,48 @@
     g_free(rconn);
 }
 
+/* Returns whether a request that is sent now would stay in this process. */
+static bool
+is_choked(const JdRequestConn *rconn)
+{
+    return !rconn->conn->is_open ||
+           JdConn_Backlog(rconn->conn) > REQUEST_BACKLOG_MAX;
+}
+
+/* Sends the attempts that wait, the oldest first, while bytes are taken. */
+static void
+send_waiting(JdRequestConn *rconn)
+{
+    JdAttempt *att;
+
+    TAILQ_FOREACH(att, &rconn->attempts, conn_link)
+    {
+        if (rconn->unsent == 0 || is_choked(rconn)) {
+            return;
+        }
+        if (att->is_unsent) {
+            att->is_unsent = false;
+            rconn->unsent--;
+            JdForward_SendRequest(att);
+        }
+    }
+}
+
 static void
 on_opened(void *ctx, JdConn *conn)
+{
+    JdRequestConn *rconn = conn->user;
+
+    (void)ctx;
+    rconn->last_used_at = conn->last_read_at;
+    send_waiting(rconn);
+}
+
+static void
+on_drained(void *ctx, JdConn *conn)
 {
     (void)ctx;
-    ((JdRequestConn *)conn->user)->last_used_at = conn->last_read_at;
+    send_waiting(conn->user);
 }
 
 static void
@@ -96,7 +141,7 @@
     fail_request_conn(ctx, conn->user, conn->last_read_at != 0);
 }
 
-static const JdConnOps conn_ops = {on_opened, on_frame, on_closed};
+static const JdConnOps conn_ops = {on_opened, on_frame, on_closed, on_drained};
 
 static JdRequestConn *
 open_request_conn(JdNode *nd, const JdMember *mb)
@@ -189,7 +234,7 @@
     }
     if (rconn->last_pinged_at > conn->last_read_at &&
         now - rconn->last_pinged_at > PING_TIMEOUT) {
-        JdConn_Close(conn);
+        JdConn_Abort(conn);
         fail_request_conn(nd, rconn, conn->last_read_at != 0);
         return;
     }
@@ -203,7 +248,8 @@
     }
 }
 
-/* Adds an attempt to the connection that carries its request. */
+/* Adds an attempt to the connection that carries its request, and sends the
+ * request unless it would wait in this process: there it can be cancelled. */
 void
 JdRequestConn_AddAttempt(JdRequestConn *rconn, JdAttempt *att)
 {
@@ -211,6 +257,12 @@
     TAILQ_INSERT_TAIL(&rconn->attempts, att, conn_link);
     rconn->outstanding++;
     rconn->last_used_at = JdClock_Now(&att->call->node->loop.clock);
+    if (rconn->unsent > 0 || is_choked(rconn)) {
+        att->is_unsent = true;
+        rconn->unsent++;
+        return;
+    }
+    JdForward_SendRequest(att);
 }
 
 /* Checks all connections that carry requests; to be called regularly. */
--- a/regress/unit/link.c
+++ b/regress/unit/link.c
@@ -14,8 +14,8 @@
 
 #define TICK JD_US_PER_MS
 #define RUN_TIME (20 * JD_US_PER_S)
-#define SMALL_SIZE 5000U
-#define LARGE_MEAN 90000U
+#define SMALL_SIZE UINT64_C(5000)
+#define LARGE_MEAN UINT64_C(90000)
 #define WORK_TIME (110 * JD_US_PER_MS)
 #define DEADLINE (3 * JD_US_PER_S)
 #define GOAL (600 * JD_US_PER_MS)
