--- a/peer/forward.c
+++ b/peer/forward.c
@@ -348,17 +348,6 @@
     }
 }
 
-/* Assigns an attempt to a connection.  While that is not open, the request
- * stays here, so that it is known not to have run. */
-static void
-send_on_conn(JdAttempt *att, JdRequestConn *rconn)
-{
-    JdRequestConn_AddAttempt(rconn, att);
-    if (rconn->conn->is_open) {
-        JdForward_SendAttempt(att);
-    }
-}
-
 /* Starts another attempt beside the slow one, if a retry is allowed. */
 static void
 on_hedge_timer(void *ctx)
@@ -513,7 +502,7 @@
         JdForward_AttemptFailed(att, &down);
         return;
     }
-    send_on_conn(att, rconn);
+    JdRequestConn_AddAttempt(rconn, att);
 }
 
 /* Sends the request to another target, unless it crashes targets. */
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -13,6 +13,9 @@
     char address[JD_ADDRESS_MAX]; /* as the member announces it */
     JdConn *conn;
     TAILQ_HEAD(RequestConnAttempts, JdAttempt) attempts; /* unanswered */
+    /* Of those, the last ones are not sent: the connection is not open, or
+     * the other side takes no bytes. */
+    unsigned unsent;
     unsigned outstanding;  /* number of unanswered attempts */
     uint64_t opened_at;    /* time of dialing */
     uint64_t last_used_at; /* time of the last request, or of dialing */
@@ -32,7 +35,7 @@
     struct JdCall *call;
     uint64_t id;    /* on the wire; unique among the attempts of this node */
     bool is_active; /* under way: may still be answered */
-    bool is_sent;   /* false: waits for its connection to open */
+    bool is_sent;   /* false: waits for its connection */
     bool is_retry;  /* an earlier attempt may have reached a target */
     unsigned rate_limit; /* known limit of the target, see Jd__Request */
     uint64_t sent_at;
