Targets are picked by work and speed where a service asks for it

What callers saw: with targets of half to one and a half times the usual speed the busiest target of a service got twice the mean, and requests of a domain whose load was at its top waited there or were refused while another domain had free slots.

Cause: the load of a target was a count of requests and faded to zero with the age of its report, its speed was a mean over whatever requests it had got, and a domain was left by each request's luck.

Change: a service with "balance": "work" (rules version 2) is placed by lib/balance/. The node of a target reports the mean run time of the request's route there, its work in percent of its slots, the time it held the request and the load of its domain (Response 18 to 21; only for such services). Senders keep a speed for each target apart from the routes, draw two targets by slots times speed and take the one with less work; below a load of 90% the quicker one counts as less loaded. Reports fade into the mean of the targets. The share that leaves a failure domain is kept for each endpoint set and follows the waits with the ways there and back. A change of it is logged ("spread"). The candidates of choice.c moved to candidates.c.

--- a/base/base.h
+++ b/base/base.h
@@ -314,6 +314,7 @@
     JD_EVENT_WORK,    /* work refused or failed at the node of its target */
     JD_EVENT_DRAINING,
     JD_EVENT_STOPPED,
+    JD_EVENT_SPREAD, /* requests begin or cease to leave the failure domain */
     JD_EVENT_FAILED,
     JD_EVENT_MAX
 } JdLogEvent;
--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -198,6 +198,7 @@
 JdStatus JdConfig_Validate(const JdConfig *cfg, unsigned rules, JdError *err);
 unsigned JdConfig_RulesNeeded(const JdConfig *cfg);
 json_t *JdConfig_ToJson(const JdConfig *cfg);
+bool JdConfig_IsByWork(const JdConfig *cfg, const char *service);
 JdStatus JdConfig_FromJson(json_t *doc, uint64_t version, JdConfig **out,
                            JdError *err);
 json_t *JdPatch_Diff(const JdConfig *old, const json_t *doc);
@@ -220,6 +221,7 @@
     bool requires_key;      /* requests require an idempotency key */
     bool is_public;         /* requests need not name a client account */
     bool is_bulk;           /* responses are large */
+    bool is_by_work;        /* targets are picked by work and speed */
 } JdRoute;
 
 /* Host and path of a request, by which a route is found.  The host may be
@@ -307,6 +309,7 @@
 #include "jacinthdyke_crash.h"
 #include "jacinthdyke_reader.h"
 #include "jacinthdyke_tree.h"
+#include "jacinthdyke_balance.h"
 #include "jacinthdyke_request.h"
 
 #endif
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -297,7 +297,8 @@
 bool JdTarget_SetRateLimit(JdTarget *tg, unsigned rate, uint64_t sent_at);
 bool JdTarget_AdoptRateLimit(JdTarget *tg, uint64_t started, unsigned rate);
 
-/* ---- choice.c: load balancing between the targets of an endpoint set --- */
+/* ---- choice.c, candidates.c: load balancing between the targets of an
+ * endpoint set --- */
 
 /* Statistics that this node keeps about one target. */
 typedef struct JdTargetStats {
@@ -325,6 +326,7 @@
     uint64_t limited_process;
     unsigned rate_limit;
     uint64_t limited_until;
+    JdTargetView view; /* for placing by work */
 } JdTargetStats;
 
 /* Load of a target, reported by its node with each answer. */
@@ -337,6 +339,7 @@
     unsigned rate_limit; /* requests per 1000 s, 0: none */
     uint64_t limit_wait; /* us until its limit allows another request */
     bool is_leaving;     /* the target's process has said that it leaves */
+    JdWorkReport work;
 } JdLoadReport;
 
 /* Load balancer of a node.  `region` and `domain` are those of the node. */
@@ -347,16 +350,9 @@
     JdCounters *counters;
     const char *region;
     const char *domain;
+    JdPlacing *placing; /* NULL: nothing is placed by work */
 } JdBalancer;
 
-/* Locality of a target, as seen from this node. */
-typedef enum JdTier {
-    JD_TIER_DOMAIN, /* same failure domain */
-    JD_TIER_REGION, /* another failure domain of the region */
-    JD_TIER_FAR,    /* another region */
-    JD_TIER_MAX
-} JdTier;
-
 const char *JdTier_Name(JdTier tier);
 
 /* Members that were already tried for a request. */
@@ -369,6 +365,10 @@
 JdMember *JdBalancer_Pick(const JdBalancer *lb, const char *endpoint_set,
                           const JdExcludedTargets *excluded,
                           uint64_t time_left, JdTier *tier);
+JdMember *JdBalancer_PickByWork(const JdBalancer *lb, const char *endpoint_set,
+                                const char *route,
+                                const JdExcludedTargets *excluded,
+                                uint64_t time_left, JdTier *tier);
 JdMember *JdBalancer_PickPinned(const JdBalancer *lb, const char *endpoint_set,
                                 const JdExcludedTargets *excluded,
                                 uint64_t key, JdTier *tier);
--- a/lib/config/doc.c
+++ b/lib/config/doc.c
@@ -33,11 +33,14 @@
 } Field;
 
 /* The fields of each table.  Version 2 of the validation rules added those of
- * accounts, /routes/.../public and /policies/.../bulk. */
+ * accounts, /services/.../balance, /routes/.../public and
+ * /policies/.../bulk. */
 static const Field fields[] = {
     {JD_TABLE_SERVICES, "policy", JSON_STRING, false, 0, 0, JD_TABLE_POLICIES},
     {JD_TABLE_SERVICES, "note", JSON_STRING, false, 0, 0, -1},
     {JD_TABLE_SERVICES, "connections", JSON_INTEGER, false, 1, 1000000, -1},
+    /* "work": targets are picked by work and speed. */
+    {JD_TABLE_SERVICES, "balance", JSON_STRING, false, 0, 0, -1},
     {JD_TABLE_ENDPOINT_SETS, "service", JSON_STRING, true, 0, 0,
      JD_TABLE_SERVICES},
     {JD_TABLE_ENDPOINT_SETS, "note", JSON_STRING, false, 0, 0, -1},
@@ -305,6 +308,11 @@
     if (f->type == JSON_ARRAY) {
         return check_keys(name, val, err);
     }
+    if (strcmp(field, "balance") == 0 &&
+        strcmp(json_string_value(val), "work") != 0) {
+        return fail(err, JD_ERR_RANGE, table, name, field,
+                    "not a way to balance");
+    }
     return f->type == JSON_OBJECT ? check_split(name, val, err) : JD_OK;
 }
 
@@ -549,6 +557,7 @@
 JdConfig_RulesNeeded(const JdConfig *cfg)
 {
     return JdConfig_HasAccounts(cfg) ||
+                   has_field(cfg, JD_TABLE_SERVICES, "balance") ||
                    has_field(cfg, JD_TABLE_ROUTES, "public") ||
                    has_field(cfg, JD_TABLE_POLICIES, "bulk")
                ? 2
@@ -573,8 +582,8 @@
     }
     if (rules < JdConfig_RulesNeeded(cfg)) {
         return JdError_Set(err, JD_ERR_UNKNOWN_FIELD, "/accounts",
-                           "client accounts, public routes and bulk policies "
-                           "need validation rules 2");
+                           "client accounts, balanced services, public routes "
+                           "and bulk policies need validation rules 2");
     }
     for (int t = 0; t < JD_TABLE_MAX; t++) {
         json_object_foreach(cfg->table[t], name, entry)
--- a/lib/libjd.h
+++ b/lib/libjd.h
@@ -25,8 +25,50 @@
 /* crash.c */
 bool _JdCrashTable_ClearAll(JdCrashTable *ct, const JdFingerprint *fp);
 
-/* choice.c */
+/* Maximum number of targets of a tier that are considered for one request; of
+ * more, a random sample is. */
+#define _JD_CANDIDATES_MAX 256
+
+/* Members of an endpoint set that may be picked, by tier. */
+typedef struct _JdCandidates {
+    JdMember *list[JD_TIER_MAX][_JD_CANDIDATES_MAX];
+    unsigned count[JD_TIER_MAX];
+    unsigned full[JD_TIER_MAX]; /* candidates at full load */
+    unsigned seen[JD_TIER_MAX]; /* members that may be picked */
+} _JdCandidates;
+
+/* Health that a target needs to be picked.  The filters are tried in this
+ * order until a target passes. */
+typedef enum _JdHealthFilter {
+    _JD_FILTER_HEALTHY, /* ready, not ejected, stalled or rate limited */
+    _JD_FILTER_READY,
+    _JD_FILTER_READY_OR_LOST, /* perhaps only this node lost contact */
+    _JD_FILTER_MAX
+} _JdHealthFilter;
+
+/* candidates.c */
 JdTargetStats *_JdBalancer_TargetStats(const JdBalancer *lb, JdMember *mb);
 bool _JdBalancer_IsEjected(const JdBalancer *lb, const JdTargetStats *ts);
+unsigned _JdBalancer_Weight(const JdBalancer *lb, const JdTargetStats *ts);
+JdTier _JdBalancer_TierOf(const JdBalancer *lb, const JdMember *mb);
+bool _JdBalancer_Passes(const JdBalancer *lb, JdMember *mb,
+                        _JdHealthFilter filter);
+bool _JdBalancer_IsExcluded(const JdExcludedTargets *excluded,
+                            const JdMember *mb);
+void _JdBalancer_Collect(const JdBalancer *lb, const JdMemberSet *set,
+                         const JdExcludedTargets *excluded,
+                         _JdHealthFilter filter, _JdCandidates *out);
+
+/* work.c */
+void _JdTargetView_Add(JdTargetView *tv, const JdWorkReport *rep,
+                       double usual_time, uint64_t now);
+
+/* placing.c */
+JdPlacingSet *_JdPlacing_Get(JdPlacing *pl, const char *endpoint_set);
+double _JdPlacingSet_RouteTime(const JdPlacingSet *ps, const char *route);
+bool _JdPlacingSet_IsSmall(const JdPlacingSet *ps, const char *route);
+void _JdPlacing_Record(JdPlacing *pl, const char *endpoint_set,
+                       JdTargetView *tv, JdTier tier, const JdWorkReport *rep,
+                       uint64_t took, uint64_t now);
 
 #endif
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -13,13 +13,6 @@
 
 #include "libjd.h"
 
-/* Time without an answer after which a target with outstanding requests counts
- * as stalled.  The time is longer for a target with a high latency. */
-#define STALL_TIMEOUT (500 * JD_US_PER_MS)
-/* Time within which the weight of a new or returning target grows to 100%. */
-#define SLOW_START_TIME (5 * JD_US_PER_S)
-/* Weight at the beginning of the slow start, in percent. */
-#define SLOW_START_MIN_PERCENT 10
 /* Age from which a reported load is ignored. */
 #define LOAD_MAX_AGE (500 * JD_US_PER_MS)
 /* Age from which a reported service time is ignored, so that the target gets
@@ -40,90 +33,10 @@
 #define SPILLOVER_PAUSE JD_US_PER_S
 /* Least time left with which a request may spill over to another region. */
 #define SPILLOVER_MIN_TIME (100 * JD_US_PER_MS)
-/* Maximum number of targets of a tier that are considered for one request; of
- * more, a random sample is. */
-#define MAX_CANDIDATES 256
 /* Maximum number of draws.  The last target drawn is taken even if it is in
  * its slow start. */
 #define MAX_DRAWS 8
 
-static const char *const tier_names[JD_TIER_MAX] = {
-    [JD_TIER_DOMAIN] = "domain",
-    [JD_TIER_REGION] = "region",
-    [JD_TIER_FAR] = "far",
-};
-
-/* Returns the name of a locality tier. */
-const char *
-JdTier_Name(JdTier tier)
-{
-    return tier < JD_TIER_MAX ? tier_names[tier] : "none";
-}
-
-/*
- * Resets the statistics of a target whose node or process has restarted.  A
- * new process begins a slow start.  A process that was running before its node
- * restarted is warm, and continues where it was.  While the node has not heard
- * of its target, its member names no process.
- */
-static void
-reset_stats(const JdBalancer *lb, JdTargetStats *ts, const JdMember *mb)
-{
-    uint64_t process = ts->process_started;
-    uint64_t seen_at = ts->process_seen_at;
-    uint64_t limited_process = ts->limited_process;
-    unsigned rate_limit = ts->rate_limit;
-
-    memset(ts, 0, sizeof(*ts));
-    ts->limited_process = limited_process;
-    ts->rate_limit = rate_limit;
-    ts->incarnation = mb->incarnation;
-    ts->target_started = mb->target_started;
-    ts->process_started = process;
-    ts->process_seen_at = seen_at;
-    if (process == 0 ||
-        (mb->target_started != 0 && mb->target_started != process)) {
-        ts->process_started = mb->target_started;
-        ts->process_seen_at = JdClock_Now(lb->clock);
-    }
-    ts->slow_start_at = ts->process_seen_at;
-}
-
-/* Returns the statistics of a member's target. */
-JdTargetStats *
-_JdBalancer_TargetStats(const JdBalancer *lb, JdMember *mb)
-{
-    JdTargetStats *ts = mb->user;
-
-    if (ts == NULL) {
-        ts = g_new0(JdTargetStats, 1);
-        mb->user = ts;
-    }
-    if (ts->incarnation != mb->incarnation ||
-        ts->target_started != mb->target_started) {
-        reset_stats(lb, ts, mb);
-    }
-    return ts;
-}
-
-bool
-_JdBalancer_IsEjected(const JdBalancer *lb, const JdTargetStats *ts)
-{
-    return ts->ejected_until > JdClock_Now(lb->clock);
-}
-
-static bool
-is_stalled(const JdBalancer *lb, const JdTargetStats *ts)
-{
-    uint64_t limit = ts->mean_latency * 4;
-
-    if (limit < STALL_TIMEOUT) {
-        limit = STALL_TIMEOUT;
-    }
-    return ts->outstanding > 0 &&
-           JdClock_Now(lb->clock) - ts->progress_at > limit;
-}
-
 /* Returns the age of the last load report as a fraction of its maximum age: 1
  * if it is ignored. */
 static double
@@ -165,19 +78,6 @@
     return (work + 1) / slots;
 }
 
-/* Returns the weight in percent: less than 100 during the slow start. */
-static unsigned
-slow_start_weight(const JdBalancer *lb, const JdTargetStats *ts)
-{
-    uint64_t age = JdClock_Now(lb->clock) - ts->slow_start_at;
-
-    if (age >= SLOW_START_TIME) {
-        return 100;
-    }
-    return SLOW_START_MIN_PERCENT +
-           (unsigned)((100 - SLOW_START_MIN_PERCENT) * age / SLOW_START_TIME);
-}
-
 /* Returns the service time of a target in us, or `default_time` if it is
  * unknown or outdated. */
 static double
@@ -202,106 +102,8 @@
     return service_time_of(lb, mb, default_time) * (1 + work_per_slot(lb, mb));
 }
 
-static JdTier
-tier_of(const JdBalancer *lb, const JdMember *mb)
-{
-    if (strcmp(mb->region, lb->region) != 0) {
-        return JD_TIER_FAR;
-    }
-    return strcmp(mb->domain, lb->domain) == 0 ? JD_TIER_DOMAIN
-                                               : JD_TIER_REGION;
-}
-
-/* Returns the rate limit that the target's present process has named to this
- * node, in requests per 1000 s, 0: none.  It outlives a restart of the
- * target's node. */
-unsigned
-JdBalancer_RateLimit(const JdBalancer *lb, JdMember *mb)
-{
-    const JdTargetStats *ts = _JdBalancer_TargetStats(lb, mb);
-
-    return ts->limited_process == mb->target_started ? ts->rate_limit : 0;
-}
-
-/* Returns whether the target's rate limit allows no request for now. */
-static bool
-is_rate_limited(const JdBalancer *lb, JdMember *mb)
-{
-    return JdBalancer_RateLimit(lb, mb) != 0 &&
-           _JdBalancer_TargetStats(lb, mb)->limited_until >
-               JdClock_Now(lb->clock);
-}
-
-/* Members of an endpoint set that may be picked, by tier. */
-typedef struct Candidates {
-    JdMember *list[JD_TIER_MAX][MAX_CANDIDATES];
-    unsigned count[JD_TIER_MAX];
-    unsigned full[JD_TIER_MAX]; /* candidates at full load */
-    unsigned seen[JD_TIER_MAX]; /* members that may be picked */
-} Candidates;
-
-/* Health that a target needs to be picked.  The filters are tried in this
- * order until a target passes. */
-typedef enum HealthFilter {
-    FILTER_HEALTHY, /* ready, not ejected, stalled or rate limited */
-    FILTER_READY,
-    FILTER_READY_OR_LOST, /* perhaps only this node lost contact */
-    FILTER_MAX
-} HealthFilter;
-
-static bool
-passes_filter(const JdBalancer *lb, JdMember *mb, HealthFilter filter)
-{
-    const JdTargetStats *ts = _JdBalancer_TargetStats(lb, mb);
-
-    if (JdMember_HasTargetLeft(mb)) {
-        return false;
-    }
-    switch (filter) {
-    case FILTER_HEALTHY:
-        return mb->state == JD_MEMBER_READY &&
-               !_JdBalancer_IsEjected(lb, ts) && !is_stalled(lb, ts) &&
-               !is_rate_limited(lb, mb);
-    case FILTER_READY:
-        return mb->state == JD_MEMBER_READY;
-    default:
-        return mb->state == JD_MEMBER_READY || mb->state == JD_MEMBER_LOST;
-    }
-}
-
-static bool
-is_excluded(const JdExcludedTargets *excluded, const JdMember *mb)
-{
-    for (unsigned i = 0; excluded != NULL && i < excluded->count; i++) {
-        if (strcmp(excluded->id[i], mb->id) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Adds a member to the candidates of its tier, by reservoir sampling once
- * there are too many: each member is as likely to be a candidate as any other.
- */
 static void
-add_candidate(const JdBalancer *lb, Candidates *out, JdMember *mb)
-{
-    JdTier t = tier_of(lb, mb);
-    uint64_t i;
-
-    out->seen[t]++;
-    if (out->count[t] < MAX_CANDIDATES) {
-        out->list[t][out->count[t]++] = mb;
-        return;
-    }
-    i = JdRandom_Below(lb->random, out->seen[t]);
-    if (i < MAX_CANDIDATES) {
-        out->list[t][i] = mb;
-    }
-}
-
-static void
-count_full(const JdBalancer *lb, Candidates *c)
+count_full(const JdBalancer *lb, _JdCandidates *c)
 {
     for (int t = 0; t < JD_TIER_MAX; t++) {
         c->full[t] = 0;
@@ -313,30 +115,6 @@
     }
 }
 
-static void
-collect_candidates(const JdBalancer *lb, const JdMemberSet *set,
-                   const JdExcludedTargets *excluded, HealthFilter filter,
-                   Candidates *out)
-{
-    JdMember *mb;
-
-    memset(out->count, 0, sizeof(out->count));
-    memset(out->seen, 0, sizeof(out->seen));
-    TAILQ_FOREACH(mb, &set->members, set_link)
-    {
-        if (passes_filter(lb, mb, filter) && !is_excluded(excluded, mb)) {
-            add_candidate(lb, out, mb);
-        }
-    }
-    count_full(lb, out);
-    for (int t = 0; t < JD_TIER_MAX; t++) {
-        if (out->seen[t] > out->count[t]) {
-            lb->counters->value[JD_C_CANDIDATES_SAMPLED]++;
-            break;
-        }
-    }
-}
-
 /*
  * Draws a target at random and returns its index.  A target in its slow start
  * is rejected with a probability that falls as its weight grows.  Its share of
@@ -350,7 +128,7 @@
     for (int tries = 0; tries < MAX_DRAWS; tries++) {
         i = (unsigned)JdRandom_Below(lb->random, n);
         if (JdRandom_Below(lb->random, 100) <
-            slow_start_weight(lb, _JdBalancer_TargetStats(lb, list[i]))) {
+            _JdBalancer_Weight(lb, _JdBalancer_TargetStats(lb, list[i]))) {
             break;
         }
     }
@@ -360,7 +138,7 @@
 /* Returns the mean of the candidates' known service times, 1 if none is known.
  */
 static double
-mean_service_time(const JdBalancer *lb, const Candidates *c)
+mean_service_time(const JdBalancer *lb, const _JdCandidates *c)
 {
     double sum = 0;
     unsigned n = 0;
@@ -392,8 +170,8 @@
 /* Returns whether the node's own failure domain can serve a request well
  * within the time left.  `local` is the target that would be picked there. */
 static bool
-domain_has_capacity(const JdBalancer *lb, const Candidates *c, JdMember *local,
-                    double default_time, uint64_t time_left)
+domain_has_capacity(const JdBalancer *lb, const _JdCandidates *c,
+                    JdMember *local, double default_time, uint64_t time_left)
 {
     double run = service_time_of(lb, local, default_time);
 
@@ -407,7 +185,7 @@
 }
 
 static JdMember *
-pick_in_tier(const JdBalancer *lb, const Candidates *c, JdTier tier,
+pick_in_tier(const JdBalancer *lb, const _JdCandidates *c, JdTier tier,
              double default_time)
 {
     return c->count[tier] == 0 ? NULL
@@ -421,7 +199,7 @@
  * if the picked target has refused a request for lack of capacity recently.
  */
 static JdMember *
-pick_spillover(const JdBalancer *lb, const Candidates *c,
+pick_spillover(const JdBalancer *lb, const _JdCandidates *c,
                const JdExcludedTargets *excluded, uint64_t time_left,
                double default_time)
 {
@@ -451,7 +229,7 @@
  * left or no capacity.
  */
 static JdMember *
-pick_by_locality(const JdBalancer *lb, const Candidates *c,
+pick_by_locality(const JdBalancer *lb, const _JdCandidates *c,
                  const JdExcludedTargets *excluded, uint64_t time_left,
                  JdTier *tier)
 {
@@ -496,14 +274,15 @@
                 JdTier *tier)
 {
     const JdMemberSet *set = JdMembers_FindSet(lb->members, endpoint_set);
-    static Candidates c;
+    static _JdCandidates c;
     JdMember *mb;
 
     if (set == NULL) {
         return NULL;
     }
-    for (int f = FILTER_HEALTHY; f < FILTER_MAX; f++) {
-        collect_candidates(lb, set, excluded, (HealthFilter)f, &c);
+    for (int f = _JD_FILTER_HEALTHY; f < _JD_FILTER_MAX; f++) {
+        _JdBalancer_Collect(lb, set, excluded, (_JdHealthFilter)f, &c);
+        count_full(lb, &c);
         mb = pick_by_locality(lb, &c, excluded, time_left, tier);
         if (mb != NULL) {
             return mb;
@@ -528,20 +307,20 @@
     uint64_t best_rank = 0;
     JdMember *mb;
 
-    for (int f = FILTER_HEALTHY; set != NULL && f < FILTER_MAX; f++) {
+    for (int f = _JD_FILTER_HEALTHY; set != NULL && f < _JD_FILTER_MAX; f++) {
         TAILQ_FOREACH(mb, &set->members, set_link)
         {
             uint64_t rank = _Jd_HashText(mb->id, key);
 
-            if (passes_filter(lb, mb, (HealthFilter)f) &&
-                !is_excluded(excluded, mb) &&
+            if (_JdBalancer_Passes(lb, mb, (_JdHealthFilter)f) &&
+                !_JdBalancer_IsExcluded(excluded, mb) &&
                 (best == NULL || rank > best_rank)) {
                 best = mb;
                 best_rank = rank;
             }
         }
         if (best != NULL) {
-            *tier = tier_of(lb, best);
+            *tier = _JdBalancer_TierOf(lb, best);
             return best;
         }
     }
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -25,6 +25,8 @@
     }
     ts->outstanding++;
     ts->sent_since_report++;
+    ts->view.outstanding++;
+    ts->view.sent++;
 }
 
 /* Decrements the number of outstanding requests of a member.  Returns NULL if
@@ -41,6 +43,7 @@
     ts = _JdBalancer_TargetStats(lb, *mb);
     if (ts->outstanding > 0) {
         ts->outstanding--;
+        ts->view.outstanding--;
     }
     return ts;
 }
@@ -57,6 +60,19 @@
     ts->load_reported_at = JdClock_Now(lb->clock);
 }
 
+/* Records the report of the target's work, if it has one.  The request took
+ * `took` us, 0: it did not run. */
+static void
+record_work(const JdBalancer *lb, const JdMember *mb, JdTargetStats *ts,
+            const JdWorkReport *rep, uint64_t took)
+{
+    if (lb->placing != NULL && rep->route != NULL && rep->route_time != 0) {
+        _JdPlacing_Record(lb->placing, mb->endpoint_set, &ts->view,
+                          _JdBalancer_TierOf(lb, mb), rep, took,
+                          JdClock_Now(lb->clock));
+    }
+}
+
 /* Records what the target says of itself, as reported by its node. */
 static void
 record_notices(const JdBalancer *lb, JdMember *mb, JdTargetStats *ts,
@@ -90,6 +106,7 @@
     ts->mean_latency =
         ts->mean_latency == 0 ? took : (ts->mean_latency * 7 + took) / 8;
     record_report(lb, ts, rep);
+    record_work(lb, mb, ts, &rep->work, took);
     record_notices(lb, mb, ts, rep);
 }
 
@@ -153,6 +170,7 @@
         ts->progress_at = JdClock_Now(lb->clock);
         ts->last_full_at = ts->progress_at;
         record_report(lb, ts, rep);
+        record_work(lb, mb, ts, &rep->work, 0);
         return;
     case JD_REASON_CRASHES:
     case JD_REASON_ISOLATED:
--- a/lib/request/route.c
+++ b/lib/request/route.c
@@ -25,6 +25,16 @@
     return v == NULL ? fallback : json_integer_value(v);
 }
 
+/* Returns whether a service's targets are picked by work and speed. */
+bool
+JdConfig_IsByWork(const JdConfig *cfg, const char *service)
+{
+    const json_t *svc =
+        json_object_get(cfg->table[JD_TABLE_SERVICES], service);
+
+    return text_of(svc, "balance") != NULL;
+}
+
 static void
 fill_route(const JdConfig *cfg, const json_t *route, JdRoute *out)
 {
@@ -170,5 +180,6 @@
     if (split != NULL) {
         choose_split_part(cfg, split, draw, out);
     }
+    out->is_by_work = JdConfig_IsByWork(cfg, out->service);
     return true;
 }
--- a/node/node.h
+++ b/node/node.h
@@ -214,7 +214,8 @@
     JdTargetCrashes target_crashes; /* targets/crash.c */
     JdCrashStore crash_store;       /* crashes.c */
     JdAdmission admit;
-    GHashTable *route_estimates; /* route name -> JdServiceTime */
+    GHashTable *route_estimates; /* by route: targets/estimate.c */
+    JdPace target_pace;
     TAILQ_HEAD(JdWorkItemHead, JdWorkItem) work_items;
     JdClaims claims;
     char claim_stream[JD_PATH_MAX]; /* log stream of the service's claims */
@@ -230,6 +231,7 @@
     /* Calls, and the connections that carry them: peer/forward.c and
      * request_conn.c */
     JdBalancer balancer;
+    JdPlacing placing;
     GHashTable *retry_budgets; /* service -> JdRetryBudget */
     /* Address -> JdRequestConn that takes new attempts.  A connection that has
      * been replaced is only in `conns`. */
@@ -294,7 +296,8 @@
 unsigned JdTargetResponse_Priority(const Jd__Request *msg);
 void JdTargetResponse_Refuse(JdNode *nd, const Jd__Request *request,
                              JdConn *origin, const JdTargetRefusal *refusal);
-void JdTargetResponse_Relay(JdNode *nd, uint64_t id, JdConn *origin,
+void JdTargetResponse_Relay(JdNode *nd, const Jd__Request *request,
+                            JdConn *origin, uint64_t held,
                             const JdHttpResponse *ans);
 
 /* targets/notice.c: what the local target says of itself in its answers */
@@ -315,6 +318,9 @@
 /* targets/estimate.c: average run times of its work */
 void JdTargetEstimate_Init(JdNode *nd);
 JdServiceTime *JdTargetEstimate_Get(JdNode *nd, const char *route);
+void JdTargetEstimate_AddRun(JdNode *nd, const char *route, uint64_t took);
+void JdTargetEstimate_Report(JdNode *nd, const char *route, uint64_t held,
+                             Jd__Response *msg);
 
 /* targets/health.c: health of the local target */
 void JdTargetHealth_Init(JdNode *nd);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -383,6 +383,11 @@
                                      call->fingerprint.fingerprint.word[0],
                                      tier);
     }
+    if (call->route.is_by_work) {
+        return JdBalancer_PickByWork(lb, call->route.endpoint_set,
+                                     call->route.name, &avoid,
+                                     time_until_latency_goal(call), tier);
+    }
     return JdBalancer_Pick(lb, call->route.endpoint_set, &avoid,
                            time_until_latency_goal(call), tier);
 }
@@ -483,6 +488,14 @@
         nd->counters.value[JD_C_LATE_ANSWERS]++;
         return;
     }
+    if (att->call->route.is_by_work) {
+        report.work = (JdWorkReport){.route = att->call->route.name,
+                                     .route_time = msg->route_us,
+                                     .load = msg->work,
+                                     .held = msg->held_us,
+                                     .body_len = msg->body.len,
+                                     .domain_load = msg->domain_load};
+    }
     learn_crash(att->call, msg->crashed_process);
     nd->counters.value[JD_C_REQUEST_BYTES] += msg->body.len;
     if (att->tier == JD_TIER_FAR) {
@@ -554,6 +567,28 @@
     JdRequestConn_CheckAll(nd);
 }
 
+static json_int_t
+percent(double part)
+{
+    return (json_int_t)(part * 100 + 0.5);
+}
+
+/* Requests begin or cease to leave the failure domain. */
+static void
+on_share_changed(void *ctx, const char *endpoint_set, JdTier tier,
+                 const JdSpread *sp)
+{
+    (void)ctx;
+    JD_LOG(JD_EVENT_SPREAD, JD_TEXT("endpoint_set", endpoint_set),
+           JD_TEXT("tier", JdTier_Name(tier)),
+           JD_TEXT("state", sp->is_leaving[tier] ? "leaving" : "returned"),
+           JD_NUMBER("share", percent(sp->share[tier])),
+           JD_NUMBER("load_home", percent(sp->load[JD_TIER_DOMAIN])),
+           JD_NUMBER("load_there", percent(sp->load[tier])),
+           JD_NUMBER("wait_home_us", (json_int_t)sp->wait[JD_TIER_DOMAIN]),
+           JD_NUMBER("wait_there_us", (json_int_t)sp->wait[tier]));
+}
+
 /* Initializes the forwarding of requests. */
 void
 JdForward_Init(JdNode *nd)
@@ -568,6 +603,10 @@
     nd->balancer.counters = &nd->counters;
     nd->balancer.region = nd->settings.region;
     nd->balancer.domain = nd->settings.failure_domain;
+    JdPlacing_Init(&nd->placing);
+    nd->placing.share_changed = on_share_changed;
+    nd->placing.ctx = nd;
+    nd->balancer.placing = &nd->placing;
     JdTimer_Init(&nd->conn_check_timer, on_conn_check, nd);
     JdTimer_Arm(&nd->loop.clock, &nd->conn_check_timer, CONN_CHECK_PERIOD);
 }
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1828,7 +1828,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__response__field_descriptors[14] = {
+static const ProtobufCFieldDescriptor jd__response__field_descriptors[18] = {
     {
         "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                         /* quantifier_offset */
@@ -1913,25 +1913,53 @@
         offsetof(Jd__Response, crashed_process), NULL, NULL, 0, /* flags */
         0, NULL, NULL /* reserved1,reserved2, etc */
     },
+    {
+        "route_us", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, route_us), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "work", 19, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0,                                           /* quantifier_offset */
+        offsetof(Jd__Response, work), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "held_us", 20, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
+        0,                                              /* quantifier_offset */
+        offsetof(Jd__Response, held_us), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
+    {
+        "domain_load", 21, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
+        0, /* quantifier_offset */
+        offsetof(Jd__Response, domain_load), NULL, NULL, 0, /* flags */
+        0, NULL, NULL /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__response__field_indices_by_name[] = {
     3,  /* field[3] = body */
     13, /* field[13] = crashed_process */
+    17, /* field[17] = domain_load */
     2,  /* field[2] = header */
+    16, /* field[16] = held_us */
     0,  /* field[0] = id */
     11, /* field[11] = limit_wait_ms */
     6,  /* field[6] = load */
     10, /* field[10] = rate_limit */
     4,  /* field[4] = reason */
     5,  /* field[5] = retry_after_ms */
+    14, /* field[14] = route_us */
     7,  /* field[7] = sent */
     8,  /* field[8] = service_us */
     1,  /* field[1] = status */
     12, /* field[12] = target_leaving */
     9,  /* field[9] = target_started */
+    15, /* field[15] = work */
 };
-static const ProtobufCIntRange jd__response__number_ranges[1 + 1] = {{1, 0},
-                                                                     {0, 14}};
+static const ProtobufCIntRange jd__response__number_ranges[2 + 1] = {
+    {1, 0}, {18, 14}, {0, 18}};
 const ProtobufCMessageDescriptor jd__response__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Response",
@@ -1939,10 +1967,10 @@
     "Jd__Response",
     "jd",
     sizeof(Jd__Response),
-    14,
+    18,
     jd__response__field_descriptors,
     jd__response__field_indices_by_name,
-    1,
+    2,
     jd__response__number_ranges,
     (ProtobufCMessageInit)jd__response__init,
     NULL,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -489,10 +489,23 @@
    * The request may have crashed the target: id of its process, 0: none did.
    */
   uint64_t crashed_process;
+  /*
+   * Where the service is balanced by work: mean run time of the request's route
+   * at the target in us; the work there, by its expected time, in percent of
+   * its slots; and the time from the arrival of the request to its answer in us.
+   */
+  uint64_t route_us;
+  uint32_t work;
+  uint64_t held_us;
+  /*
+   * Load that the sender knows of the targets of its failure domain, in percent
+   * of their slots and 1 more, 0: unknown.
+   */
+  uint32_t domain_load;
 };
 #define JD__RESPONSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&jd__response__descriptor) \
-    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -136,8 +136,8 @@
     has_members = true;
     JdMembers_Init(&members, &script_clock, &script_counters);
     JdRandom_Init(&rnd, 1);
-    balancer = (JdBalancer){&members,         &script_clock, &rnd,
-                            &script_counters, "near",        "d1"};
+    balancer = (JdBalancer){&members, &script_clock, &rnd, &script_counters,
+                            "near",   "d1",          NULL};
 }
 
 /* member set ID REGION DOMAIN STATE SLOTS INCARNATION SEQ [TARGET-STARTED] */
--- a/regress/unit/balance.c
+++ b/regress/unit/balance.c
@@ -41,7 +41,7 @@
     JdCounters ctr = {{0}};
     JdRandom rnd;
     JdClock clk;
-    JdBalancer lb = {&ms, &clk, &rnd, &ctr, "near", "d1"};
+    JdBalancer lb = {&ms, &clk, &rnd, &ctr, "near", "d1", NULL};
     JdTier tier;
     unsigned unused = 0, most = 0, picks = TARGETS * PICKS_PER_TARGET;
 
--- a/regress/unit/limit.c
+++ b/regress/unit/limit.c
@@ -226,8 +226,8 @@
     JdClock_Advance(&ch->clock, NOW);
     JdRandom_Init(&ch->random, 3);
     JdMembers_Init(&ch->members, &ch->clock, &ch->counters);
-    ch->balancer = (JdBalancer){&ch->members,  &ch->clock, &ch->random,
-                                &ch->counters, "d",        "d"};
+    ch->balancer = (JdBalancer){
+        &ch->members, &ch->clock, &ch->random, &ch->counters, "d", "d", NULL};
     announce(&ch->members, "a", 1, 100, 0);
     announce(&ch->members, "b", 1, 100, 0);
 }
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -201,6 +201,7 @@
     Unit_AddTarget();
     Unit_AddPlatform();
     Unit_AddBalance();
+    Unit_AddPlacing();
     Unit_AddHeads();
     Unit_AddOverload();
     Unit_AddLimit();
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -6,6 +6,7 @@
 void Unit_AddTarget(void);
 void Unit_AddPlatform(void);
 void Unit_AddBalance(void);
+void Unit_AddPlacing(void);
 void Unit_AddHeads(void);
 void Unit_AddOverload(void);
 void Unit_AddLimit(void);
--- a/targets/response.c
+++ b/targets/response.c
@@ -23,8 +23,10 @@
     return (uint32_t)((wait + JD_US_PER_MS - 1) / JD_US_PER_MS);
 }
 
+/* Sends the response to a request that came `held` us ago. */
 static void
-send_response(JdNode *nd, JdConn *origin, Jd__Response *msg)
+send_response(JdNode *nd, const Jd__Request *request, JdConn *origin,
+              uint64_t held, Jd__Response *msg)
 {
     msg->load = JdAdmission_Load(&nd->admit);
     msg->service_us = nd->admit.service_time.mean;
@@ -32,6 +34,9 @@
     msg->rate_limit = nd->target_process.rate_limit;
     msg->target_leaving = JdTargetHealth_IsLeaving(nd);
     msg->limit_wait_ms = rate_limit_wait_ms(nd, 0);
+    if (JdConfig_IsByWork(nd->store.config, request->service)) {
+        JdTargetEstimate_Report(nd, request->route, held, msg);
+    }
     nd->response_ops->respond(nd->response_ctx, origin, msg);
 }
 
@@ -74,21 +79,21 @@
     }
     nd->counters.value[JdReason_Info(reason)->counter]++;
     log_refusal(nd, request, reason, refusal->was_sent);
-    send_response(nd, origin, &msg);
+    send_response(nd, request, origin, 0, &msg);
 }
 
-/* Relays the target's answer to the request with an id on `origin`, or of a
- * caller of this node if that is NULL. */
+/* Relays the target's answer to a request that came over `origin` `held` us
+ * ago, or from a caller of this node if that is NULL. */
 void
-JdTargetResponse_Relay(JdNode *nd, uint64_t id, JdConn *origin,
-                       const JdHttpResponse *ans)
+JdTargetResponse_Relay(JdNode *nd, const Jd__Request *request, JdConn *origin,
+                       uint64_t held, const JdHttpResponse *ans)
 {
     Jd__Header header[JD_HTTP_HEADERS_MAX];
     Jd__Header *list[JD_HTTP_HEADERS_MAX];
     char *names[JD_HTTP_HEADERS_MAX] = {NULL};
     Jd__Response msg = JD__RESPONSE__INIT;
 
-    msg.id = id;
+    msg.id = request->id;
     msg.sent = true;
     msg.status = (uint32_t)ans->status;
     msg.body.data = (uint8_t *)ans->body;
@@ -109,7 +114,7 @@
         msg.n_header++;
     }
     msg.header = list;
-    send_response(nd, origin, &msg);
+    send_response(nd, request, origin, held, &msg);
     for (size_t i = 0; i < msg.n_header; i++) {
         g_free(names[i]);
     }
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -95,8 +95,10 @@
     JdNode *nd = it->node;
 
     if (is_typical) {
-        JdServiceTime_Add(JdTargetEstimate_Get(nd, it->msg->route),
-                          JdClock_Now(&nd->loop.clock) - it->work.started_at);
+        uint64_t took = JdClock_Now(&nd->loop.clock) - it->work.started_at;
+
+        JdServiceTime_Add(JdTargetEstimate_Get(nd, it->msg->route), took);
+        JdTargetEstimate_AddRun(nd, it->msg->route, took);
     }
     JdAdmission_FreeSlot(&nd->admit, &it->work, is_typical);
 }
@@ -148,7 +150,9 @@
         return;
     }
     if (reason == JD_REASON_NONE) {
-        JdTargetResponse_Relay(nd, it->msg->id, it->origin, ans);
+        JdTargetResponse_Relay(nd, it->msg, it->origin,
+                               JdClock_Now(&nd->loop.clock) - it->submitted_at,
+                               ans);
         JdWorkItem_Free(it);
     }
     else if (JdReason_Info(reason)->is_not_executed) {
