Hedges go out by the route's and the target's own measure

A second attempt went out after four times the target's mean latency, over all routes: a short call was hedged late, a long one early. Where a service is balanced by work, the delay is four times the expected time of its route at this target, with the wait there and the way. Work leaves its region a little earlier (1.5 times the way and 0.3 run times).

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -369,6 +369,8 @@
                                 const char *route,
                                 const JdExcludedTargets *excluded,
                                 uint64_t time_left, JdTier *tier);
+uint64_t JdBalancer_ExpectedTime(const JdBalancer *lb, JdMember *mb,
+                                 const char *route);
 JdMember *JdBalancer_PickPinned(const JdBalancer *lb, const char *endpoint_set,
                                 const JdExcludedTargets *excluded,
                                 uint64_t key, JdTier *tier);
--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -256,6 +256,28 @@
     return view[tier].count > 0 ? tier : nearest_tier(view);
 }
 
+/* Returns the expected time in us from sending a request of a route to a
+ * target until its answer, 0: unknown. */
+uint64_t
+JdBalancer_ExpectedTime(const JdBalancer *lb, JdMember *mb, const char *route)
+{
+    const JdPlacingSet *ps = JdPlacing_Find(lb->placing, mb->endpoint_set);
+    const JdTargetView *tv = &_JdBalancer_TargetStats(lb, mb)->view;
+    unsigned slots = slots_of(mb);
+    double load, run;
+
+    if (ps == NULL || ps->run_time.samples == 0) {
+        return 0;
+    }
+    run = ps->run_time.mean * JdTargetView_Slowness(tv);
+    load = JdTargetView_Load(tv, slots, ps->load[JD_TIER_DOMAIN], run,
+                             JdClock_Now(lb->clock));
+    return (uint64_t)(_JdPlacingSet_RouteTime(ps, route) *
+                          JdTargetView_Slowness(tv) +
+                      run * JdWork_Wait(load, slots) +
+                      lb->placing->way[_JdBalancer_TierOf(lb, mb)]);
+}
+
 /*
  * Picks a target of an endpoint set by work and speed, for a request of a
  * route.  Otherwise as JdBalancer_Pick().
--- a/lib/balance/spread.c
+++ b/lib/balance/spread.c
@@ -29,8 +29,8 @@
 #define MIN_WAY_RUNS 0.1
 /* The way to another region counts this many times, and this part of a run
  * time more: its bytes are the dearest. */
-#define FAR_WAY_FACTOR 2.0
-#define FAR_WAY_RUNS 1.0
+#define FAR_WAY_FACTOR 1.5
+#define FAR_WAY_RUNS 0.3
 /* Load of another tier up to which its share grows, and from which it shrinks:
  * where no slots are free, work moved there only waits elsewhere. */
 #define ROOM_LOAD 0.9
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -305,19 +305,37 @@
     }
 }
 
+/* Returns the time in us that a request at a target takes as a rule, 0:
+ * unknown.  A service that is balanced by work knows it for each route. */
+static uint64_t
+usual_time(const JdCall *call, JdMember *mb)
+{
+    const JdTargetStats *ts = mb->user;
+    uint64_t expected = 0;
+
+    if (call->route.is_by_work) {
+        expected = JdBalancer_ExpectedTime(&call->node->balancer, mb,
+                                           call->route.name);
+    }
+    if (expected == 0 && ts != NULL) {
+        expected = ts->mean_latency;
+    }
+    return expected;
+}
+
 /* Schedules the hedge of an idempotent request that is sent to `mb`. */
 static void
-arm_hedge_timer(JdCall *call, const JdMember *mb)
+arm_hedge_timer(JdCall *call, JdMember *mb)
 {
-    const JdTargetStats *ts = mb->user;
+    uint64_t usual = usual_time(call, mb);
     uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
     uint64_t delay = HEDGE_DELAY_DEFAULT;
 
     if (!JdRetry_IsIdempotent(call) || !JdRetry_HasAttemptsLeft(call)) {
         return;
     }
-    if (ts != NULL && ts->mean_latency > 0) {
-        delay = ts->mean_latency * HEDGE_LATENCY_FACTOR;
+    if (usual > 0) {
+        delay = usual * HEDGE_LATENCY_FACTOR;
     }
     if (delay < HEDGE_DELAY_MIN) {
         delay = HEDGE_DELAY_MIN;
--- a/regress/unit/placing.c
+++ b/regress/unit/placing.c
@@ -458,6 +458,107 @@
     CU_ASSERT(got.changes <= 6 * load.nodes);
 }
 
+/* A target that only got requests of a long route is not slow; one that takes
+ * twice as long on the same routes is.  The usual time of a request, by which
+ * its hedge goes out, is that of its own route and target. */
+static void
+test_speed_by_route(void)
+{
+    static const double one = 1;
+    Load load = {.nodes = 1,
+                 .targets = 3,
+                 .speeds = &one,
+                 .speed_count = 1,
+                 .domains = 1,
+                 .use = 0.1};
+    const struct {
+        const char *id;
+        const char *route;
+        uint64_t time;
+    } answer[] = {
+        {"t0", "/short", 40000}, {"t1", "/long", 200000},
+        {"t1", "/short", 40000}, {"t2", "/short", 80000},
+        {"t0", "/long", 200000}, {"t2", "/long", 400000},
+    };
+    JdMember *mb;
+    Node *nd;
+
+    memset(&sim, 0, sizeof(sim));
+    sim.load = load;
+    JdClock_Init(&sim.clock, NULL, NULL);
+    JdRandom_Init(&sim.random, 3);
+    sim.target_count = load.targets;
+    for (unsigned i = 0; i < load.targets; i++) {
+        add_target(i, 0);
+    }
+    add_node(0);
+    nd = &sim.node[0];
+    for (unsigned i = 0; i < 50 * G_N_ELEMENTS(answer); i++) {
+        unsigned a = i % G_N_ELEMENTS(answer);
+        JdLoadReport rep = {.work = {.route = answer[a].route,
+                                     .route_time = answer[a].time,
+                                     .held = answer[a].time}};
+
+        mb = JdMembers_Find(&nd->members, answer[a].id);
+        JdBalancer_RecordSend(&nd->balancer, mb);
+        JdBalancer_RecordAnswer(&nd->balancer, answer[a].id,
+                                answer[a].time + 500, &rep);
+    }
+    mb = JdMembers_Find(&nd->members, "t0");
+    CU_ASSERT_DOUBLE_EQUAL(
+        JdBalancer_ExpectedTime(&nd->balancer, mb, "/short"), 40500, 4000);
+    CU_ASSERT_DOUBLE_EQUAL(JdBalancer_ExpectedTime(&nd->balancer, mb, "/long"),
+                           200500, 20000);
+    mb = JdMembers_Find(&nd->members, "t1");
+    CU_ASSERT_DOUBLE_EQUAL(
+        JdBalancer_ExpectedTime(&nd->balancer, mb, "/short"), 40500, 4000);
+    mb = JdMembers_Find(&nd->members, "t2");
+    CU_ASSERT_DOUBLE_EQUAL(
+        JdBalancer_ExpectedTime(&nd->balancer, mb, "/short"), 80500, 8000);
+    CU_ASSERT_EQUAL(JdBalancer_ExpectedTime(&nd->balancer, mb, "/new") > 0,
+                    true);
+    JdMembers_Finish(&nd->members);
+    JdPlacing_Finish(&nd->placing);
+}
+
+/* Work leaves for another region only when the wait at home is much longer
+ * than the way there, and not while no slots are free there; a domain that has
+ * lost its targets sends all elsewhere. */
+static void
+test_spread_bounds(void)
+{
+    static const struct {
+        double wait_home, load_home, load_far;
+        bool leaves;
+    } play[] = {
+        {20000, 0.8, 0.5, false},
+        {300000, 1.5, 0.5, true},
+        {300000, 1.5, 1.2, false},
+    };
+    JdTierWait wait[JD_TIER_MAX] = {
+        {.capacity = 60, .way = 500},
+        {.capacity = 0, .way = 5000},
+        {.capacity = 60, .way = 40000},
+    };
+    JdSpread sp;
+
+    for (size_t p = 0; p < G_N_ELEMENTS(play); p++) {
+        memset(&sp, 0, sizeof(sp));
+        wait[JD_TIER_DOMAIN].wait = play[p].wait_home;
+        wait[JD_TIER_DOMAIN].load = play[p].load_home;
+        wait[JD_TIER_FAR].load = play[p].load_far;
+        for (uint64_t now = 1; now < 3 * JD_US_PER_S;
+             now += 50 * JD_US_PER_MS) {
+            JdSpread_Update(&sp, wait, 140000, now);
+        }
+        CU_ASSERT_EQUAL(sp.is_leaving[JD_TIER_FAR], play[p].leaves);
+        CU_ASSERT_EQUAL(sp.share[JD_TIER_REGION], 0);
+    }
+    wait[JD_TIER_DOMAIN].capacity = 0;
+    JdSpread_Update(&sp, wait, 140000, 4 * JD_US_PER_S);
+    CU_ASSERT_EQUAL(sp.share[JD_TIER_DOMAIN], 0);
+}
+
 void
 Unit_AddPlacing(void)
 {
@@ -467,4 +568,6 @@
     CU_add_test(s, "slow by turns", test_slow_turns);
     CU_add_test(s, "old views", test_old_views);
     CU_add_test(s, "counter-phase", test_counter_phase);
+    CU_add_test(s, "speed by route", test_speed_by_route);
+    CU_add_test(s, "bounds of the spread", test_spread_bounds);
 }
