Operators see speeds, loads and shares that placing goes by

GET /placing at a node's admin address has, for each endpoint set that is balanced by work, the share, load, wait and way of each locality tier, and the speed and load of each target.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
            peer/request_conn.c peer/response.c \
            targets/worker.c targets/health.c targets/claims.c \
            targets/crash.c targets/suspect.c targets/headers.c targets/notice.c targets/response.c \
-           targets/estimate.c operator/admin.c
+           targets/estimate.c operator/admin.c operator/placing.c
 CTL_SRC = operator/ctl.c operator/logview.c operator/submit.c \
           operator/view.c operator/fleet.c operator/explain.c log/log.c
 LOAD_SRC = $(wildcard load/*.c) operator/logview.c log/log.c
--- a/node/node.h
+++ b/node/node.h
@@ -341,6 +341,9 @@
 JdStatus JdAdmin_Init(JdNode *nd, JdError *err);
 void JdAdmin_ReplyMetrics(JdNode *nd, h2o_req_t *req);
 
+/* operator/placing.c: speeds, loads and shares of targets */
+void JdAdmin_ReplyPlacing(JdNode *nd, h2o_req_t *req);
+
 /* node/crashes.c: requests that crash targets, at the source */
 void JdCrashStore_Init(JdNode *nd);
 void JdCrashStore_SetReader(JdNode *nd, bool is_reader);
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -236,6 +236,9 @@
     else if (JdHttpd_IsPath(req, "/applied")) {
         reply_applied(nd, req);
     }
+    else if (JdHttpd_IsPath(req, "/placing")) {
+        JdAdmin_ReplyPlacing(nd, req);
+    }
     else if (JdHttpd_IsPath(req, "/crashes")) {
         reply_crashes(nd, req);
     }
