--- a/node/node.h
+++ b/node/node.h
@@ -424,6 +424,9 @@
 bool JdAccounts_OnFrame(JdNode *nd, JdConn *conn, const Jd__Frame *frame);
 void JdAccounts_OnStatusChanged(JdNode *nd);
 
+/* operator/placing.c: speeds, loads and shares of targets */
+void JdAdmin_ReplyPlacing(JdNode *nd, h2o_req_t *req);
+
 /* node/crashes.c: requests that crash targets, at the source */
 void JdCrashStore_Init(JdNode *nd);
 void JdCrashStore_SetReader(JdNode *nd, bool is_reader);
