Soak: client accounts, withdrawn keys and a quota, seen from the targets

Requests name accounts; the targets record which account a request is for. Checked: no key reaches a target, a withdrawn key is refused by every node once it is healthy, no valid key gets 401, and in 5 s an account gets no more than its quota from all nodes together.

--- a/regress/soak/events.sh
+++ b/regress/soak/events.sh
@@ -23,14 +23,16 @@
 
 # Prints the configuration document of a version.  It has a marker route /vN/
 # for each version N up to its own, so that a node with a configuration answers
-# 404 for /vN/ only if its version is older than N.
+# 404 for /vN/ only if its version is older than N.  Of the client accounts,
+# "limited" has a quota, and the key of "changing" is another one in each
+# version.
 soak_document() { # VERSION SERVICE
 	local v
 	printf '{"version": %s, "routes": {' "$1"
 	for v in $(seq "$1"); do
 		printf '"m-%s": {"hostname": "shop.example", "path_prefix": "/v%s/",
  "type": "safe", "timeout_s": 1, "priority": 2, "attempts": 2,
- "service": "ops"},\n' "$v" "$v"
+ "service": "ops", "public": true},\n' "$v" "$v"
 	done
 	cat <<EOF
 "r-a": {"hostname": "shop.example", "path_prefix": "/kiln/", "type": "safe",
@@ -40,7 +42,11 @@
  "type": "unsafe", "timeout_s": 1.2, "target_latency_s": 0.5, "priority": 0,
  "attempts": 2, "service": "kiln"}},
 "services": {"kiln": {"max_connections": 120}, "ops": {"max_connections": 120}},
-"limits": {}}
+"limits": {}, "tenants": {
+ "free": {"api_keys": ["key-of-free"], "priority": 1},
+ "limited": {"api_keys": ["key-of-limited"], "priority": 1,
+  "rate_per_s": $ACCOUNT_RATE, "burst": $ACCOUNT_RATE},
+ "changing": {"api_keys": ["key-of-version-$1"]}}}
 EOF
 }
 
@@ -140,7 +146,8 @@
 soak_send_crash() { # NODE
 	crashes=$((crashes + 1))
 	platform_send_copies "crash$((crashes / 3))" 3 "$1" \
-	    "/kiln/crash$((crashes / 3))" &
+	    "/kiln/crash$((crashes / 3))" \
+	    -H 'Jacinthdyke-Credential: key-of-free' &
 }
 
 # Sends copies of each request under which three workers had crashed to all
@@ -151,7 +158,8 @@
 	for i in $(seq 0 $((crashes / 3))); do
 		[ -n "$(platform_third_crash "crash$i")" ] || continue
 		for n in $(soak_nodes); do
-			platform_send_copies "later$i" 2 "$n" "/kiln/crash$i"
+			platform_send_copies "later$i" 2 "$n" "/kiln/crash$i" \
+			    -H 'Jacinthdyke-Credential: key-of-free'
 		done
 		ran=$(platform_copies_since "later$i" 0)
 		[ "$ran" -le 3 ] || echo "crash$i was sent to workers $ran times" \
@@ -194,9 +202,10 @@
 }
 
 # Sends a request to a node and prints the HTTP status.
-soak_http_status() { # NODE PATH
+soak_http_status() { # NODE PATH [KEY]
 	curl -s -m 2 -o /dev/null -w '%{http_code}' -H 'Host: shop.example' \
 	    -H 'Jacinthdyke-Request-Id: probe' \
+	    -H "Jacinthdyke-Credential: ${3:-key-of-free}" \
 	    "http://127.$FLEET_NET.${1%-*}.${1#*-}:8000$2"
 }
 
@@ -226,6 +235,19 @@
 	done
 }
 
+# Checks that each node takes the key of the newest version and refuses that of
+# the one before, which was withdrawn.
+soak_check_keys() {
+	local n
+	for n in $(soak_nodes); do
+		[ "$(soak_http_status "$n" /kiln/probe "key-of-version-$version")" = 200 ] ||
+		    echo "$n does not take the newest key" >>"$FLEET_DIR/broken"
+		[ "$(soak_http_status "$n" /kiln/probe \
+		    "key-of-version-$((version - 1))")" = 401 ] ||
+		    echo "$n takes a withdrawn key" >>"$FLEET_DIR/broken"
+	done
+}
+
 # Joins the results of the load client with the records of the workers and
 # reports as violations:
 # - new work for a worker more than DRAIN_US after the acknowledgement that it
@@ -241,11 +263,23 @@
 # - a response that belongs to another request,
 # - a request under which three workers had crashed ran more than three times
 #   (soak_check_crashes),
-# - a valid request that was answered with 404 or 400.
+# - a valid request that was answered with 404, 400 or 401,
+# - a request whose key reached a worker, or that ran for another account,
+# - in 5 s, more requests of the account "limited" than its rate and its burst,
+#   a tenth of them and 20.
 soak_check_results() {
 	cat "$FLEET_DIR"/*.ran >"$FLEET_DIR/ran"
 	grep ' said-leaving ' "$FLEET_DIR/seen" >>"$FLEET_DIR/ran"
-	awk -v drain=$DRAIN_US -v restart=$RESTART_US -v settled=$LIMIT_US '
+	awk -v drain=$DRAIN_US -v restart=$RESTART_US -v settled=$LIMIT_US \
+	    -v rate=$ACCOUNT_RATE '
+	function check_quota(at) {
+		taken[++takes] = at
+		while (taken[oldest + 1] <= at - 5000000)
+			oldest++
+		if (takes - oldest > 6.6 * rate + 20)
+			print "account limited got " takes - oldest \
+			    " requests in 5 s"
+	}
 	function check_limit(id, at, n) {
 		n = ++count[id]
 		time[id, n] = at
@@ -271,6 +305,13 @@
 	FNR == NR && $3 == "ran" { ran[$4]++
 		if (($2 in left) && $1 - left[$2] > drain)
 			print "worker " $2 " got request " $4 " after it left" }
+	FNR == NR && $3 == "leaked-key" { print "key reached a worker: " $4 }
+	FNR == NR && $3 == "ran" && $4 ~ /^s[0-9]+-[0-9]+-[qf]$/ {
+		account = $4 ~ /q$/ ? "limited" : "free"
+		if ($5 != account)
+			print "ran for account " $5 ": " $4
+		if (account == "limited")
+			check_quota($1) }
 	FNR == NR && $3 == "leaving" && !($2 in left) { left[$2] = $1 }
 	FNR == NR { next }
 	$2 == "unsafe" && ran[$1] > 1 { print "ran twice: " $1 }
@@ -278,7 +319,7 @@
 	    $3 == 408 || $3 == 421) { print "refused as not run, but ran: " $1 }
 	$3 == 200 && $4 != "own" { print "invalid response: " $1 }
 	$3 == "crossed" { print "response crossed with another request: " $1 }
-	$3 == 404 || $3 == 400 { print "valid request answered with " $3 ": " $1 }
+	$3 == 404 || $3 == 400 || $3 == 401 { print "valid request answered with " $3 ": " $1 }
 	' <(sort -n "$FLEET_DIR/ran") "$FLEET_DIR/seen" >>"$FLEET_DIR/broken"
 }
 
@@ -327,6 +368,7 @@
 	fleet_until $((RECOVERY_S * 10)) soak_is_healthy ||
 	    echo "not every node healthy $RECOVERY_S s after the last fault" \
 	    >>"$FLEET_DIR/broken"
+	soak_check_keys
 	soak_check_crashes
 	kill "$observer" 2>/dev/null
 	wait "$observer" 2>/dev/null
--- a/regress/soak/observe.c
+++ b/regress/soak/observe.c
@@ -8,6 +8,10 @@
  * the response is signed, complete and has the id of the request, otherwise
  * "other".  The last field is "-" for all other results.
  *
+ * Each request names a client account by its key.  The ids of requests of the
+ * account "limited", which has a quota, end with "-q", those of the others,
+ * which are of the account "free", with "-f".
+ *
  * An answer in which the worker says that it leaves gets another line, in the
  * form of the workers' records: time in us, worker, "said-leaving", request
  * id.
@@ -24,6 +28,8 @@
 #define SEND_INTERVAL_US (5 * JD_US_PER_MS)
 /* Deadline sent with each request. */
 #define REQUEST_DEADLINE_MS 1500
+/* One of so many requests is of the account with a quota. */
+#define LIMITED_SHARE 3
 /* Time past the deadline after which the client gives up on a response. */
 #define TIMEOUT_MARGIN_US (1000 * JD_US_PER_MS)
 
@@ -125,6 +131,7 @@
     JdHttpc *hc =
         &observer.nodes[JdRandom_Below(&observer.random, observer.node_count)];
     PendingRequest *pending = g_new0(PendingRequest, 1);
+    bool is_limited = JdRandom_Below(&observer.random, LIMITED_SHARE) == 0;
     char path[JD_PATH_MAX], headers[JD_TEXT_MAX];
     JdHttpRequest rq = {.path = path,
                         .host = "shop.example",
@@ -134,14 +141,16 @@
 
     pending->is_safe = JdRandom_Below(&observer.random, 2) == 0;
     g_snprintf(pending->id, sizeof(pending->id),
-               "s%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT, observer.seed,
-               observer.sent++);
+               "s%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT "-%c",
+               observer.seed, observer.sent++, is_limited ? 'q' : 'f');
     g_snprintf(path, sizeof(path), "/%s/%s",
                pending->is_safe ? "kiln" : "order", pending->id);
     g_snprintf(headers, sizeof(headers),
                "jacinthdyke-request-id: %s\r\n"
-               "jacinthdyke-deadline-ms: %d\r\n",
-               pending->id, REQUEST_DEADLINE_MS);
+               "jacinthdyke-deadline-ms: %d\r\n"
+               "jacinthdyke-credential: %s\r\n",
+               pending->id, REQUEST_DEADLINE_MS,
+               is_limited ? "key-of-limited" : "key-of-free");
     rq.method = pending->is_safe ? "GET" : "POST";
     observer.in_flight++;
     JdHttpc_Send(hc, &rq, on_response, pending);
--- a/regress/soak/soak.sh
+++ b/regress/soak/soak.sh
@@ -26,6 +26,8 @@
 RESTART_US=1000000
 # Time in us from which a rate limit holds after it was first named.
 LIMIT_US=3000000
+# Requests per second of the client account with a quota, also its burst.
+ACCOUNT_RATE=10
 export FLEET_LINKS=1
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -70,7 +70,9 @@
 /* Appends a line to the record: time in us, id of this process, event,
  * subject.  The events are "ran" with a request's id, and "leaving" once the
  * node has acknowledged that no new work may be sent; "limit" with the rate
- * limit that answers name from now on. */
+ * limit that answers name from now on; "leaked-key" with the id of a request
+ * that came with the key of its client account.  After "ran" and its id comes
+ * the account that the request names, if any. */
 static void
 write_record(const char *event, const char *subject)
 {
@@ -275,6 +277,22 @@
     end_request(run);
 }
 
+/* Records that a request runs, with the client account that it names. */
+static void
+record_run(h2o_req_t *req, const char *id)
+{
+    char account[JD_NAME_MAX] = "", key[JD_NAME_MAX];
+    char *subject;
+
+    if (JdHttpd_CopyHeader(req, "jacinthdyke-credential", key, sizeof(key))) {
+        write_record("leaked-key", id);
+    }
+    JdHttpd_CopyHeader(req, "jacinthdyke-tenant-id", account, sizeof(account));
+    subject = g_strjoin(" ", id, account, NULL);
+    write_record("ran", g_strchomp(subject));
+    g_free(subject);
+}
+
 static void
 start_request(h2o_req_t *req)
 {
@@ -288,7 +306,7 @@
     run->slot = slot;
     run->req = req;
     JdHttpd_CopyHeader(req, "jacinthdyke-request-id", id, sizeof(id));
-    write_record("ran", id);
+    record_run(req, id);
     run->crashes = crashes_worker(req, path);
     worker.run_count++;
     g_hash_table_insert(worker.count_by_path, path,
