--- a/base/base.h
+++ b/base/base.h
@@ -317,9 +317,9 @@
     JD_EVENT_WORK,    /* work refused or failed at the node of its target */
     JD_EVENT_DRAINING,
     JD_EVENT_STOPPED,
-    JD_EVENT_QUOTA, /* of a shard of client accounts, or of one of them */
+    JD_EVENT_QUOTA,   /* of a shard of client accounts, or of one of them */
     JD_EVENT_ROLLOUT, /* a step of a roll-out was decided or learned */
-    JD_EVENT_SPREAD, /* requests begin or cease to leave the failure domain */
+    JD_EVENT_SPREAD,  /* requests begin or cease to leave the failure domain */
     JD_EVENT_FAILED,
     JD_EVENT_MAX
 } JdLogEvent;
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -338,8 +338,8 @@
     uint64_t link_wait_at;
     uint64_t link_unit; /* us that one takes, the least that was reported */
     unsigned large_since_report; /* requests for such sent since */
-    JdCutoff cutoff; /* as its node told last */
-    JdTargetView view; /* for placing by work */
+    JdCutoff cutoff;             /* as its node told last */
+    JdTargetView view;           /* for placing by work */
 } JdTargetStats;
 
 /* Load of a target, reported by its node with each answer. */
