A request whose targets all refuse it is widened once only

Where no target of the old version is left during the canary, the filter of versions went from the old version to the new one and back without end, and pick_target() in peer/forward.c with it: a node hung as soon as the new targets had no room. The new version is now the last choice there. The test failed before (unit/rollout.c: n < JD_CHOICE_MAX).

--- a/include/jacinthdyke_rollout.h
+++ b/include/jacinthdyke_rollout.h
@@ -141,6 +141,7 @@
     JdVersionChoice choice;
     uint64_t canary_rank;  /* highest rank of a target under test */
     bool allows_unordered; /* also a version that has just appeared */
+    bool is_old_gone;      /* no old target is left: only new ones remain */
     uint64_t now;
 } JdVersionFilter;
 
--- a/lib/rollout/version.c
+++ b/lib/rollout/version.c
@@ -259,9 +259,9 @@
 }
 
 /*
- * Allows more targets for a request that found none; returns false if no more
- * may be allowed.  A version under test never gets what old targets refuse,
- * except where no old target is left at all.
+ * Allows other targets for a request that found none; returns false if there
+ * are none that it has not been allowed yet.  A version under test never gets
+ * what old targets refuse, except where no old target is left at all.
  */
 bool
 JdVersionFilter_Widen(JdVersionFilter *vf, const JdMemberSet *set)
@@ -271,6 +271,9 @@
     switch (vf->choice) {
     case JD_CHOICE_CANARY:
     case JD_CHOICE_NEW:
+        if (vf->is_old_gone) {
+            return false;
+        }
         vf->choice = JD_CHOICE_OLD;
         return true;
     case JD_CHOICE_OLD:
@@ -278,6 +281,7 @@
             has_old_target(ro, set)) {
             return false;
         }
+        vf->is_old_gone = true;
         vf->choice = JD_CHOICE_NEW;
         return true;
     default:
--- a/regress/unit/rollout.c
+++ b/regress/unit/rollout.c
@@ -643,6 +643,43 @@
     finish();
 }
 
+/* A request that finds no target is widened a limited number of times, at each
+ * step and with any targets: the caller tries again until it is refused. */
+static void
+test_widening_ends(void)
+{
+    JdRequestVersion rv = {.is_drawn = true, .is_canary = true};
+    JdRollout *ro;
+
+    start();
+    /* No target of the old version is left. */
+    for (int i = 0; i < 2; i++) {
+        JdMember *mb = JdMembers_Find(&members, i == 0 ? "vm-0" : "vm-1");
+
+        mb->target_started = 1;
+        JdMember_SetTargetLeft(mb, 1);
+    }
+    ro = JdRollouts_Merge(&first.rollouts, &the_order, JD_ROLLOUT_HELD,
+                          JD_US_PER_S, 0);
+    for (int step = JD_ROLLOUT_HELD; step < JD_ROLLOUT_STEP_MAX; step++) {
+        const JdMemberSet *set = JdMembers_FindSet(&members, "kilns");
+        JdVersionFilter vf;
+        unsigned n = 0;
+
+        JdRollouts_SetStep(&first.rollouts, ro, (JdRolloutStep)step, 0);
+        choose(&first, &vf, &rv, true);
+        while (n < JD_CHOICE_MAX && JdVersionFilter_Widen(&vf, set)) {
+            n++;
+        }
+        CU_ASSERT(n < JD_CHOICE_MAX);
+        /* The new targets are all that is left. */
+        if (step == JD_ROLLOUT_CANARY) {
+            CU_ASSERT_EQUAL(vf.choice, JD_CHOICE_NEW);
+        }
+    }
+    finish();
+}
+
 /* Without an order, targets of another version that replace the old ones one
  * by one wait shortly, and never when they are all that is left. */
 static void
@@ -696,5 +733,6 @@
     CU_add_test(su, "steps never go back", test_steps_never_go_back);
     CU_add_test(su, "share of all nodes", test_share_of_all_nodes);
     CU_add_test(su, "out of touch", test_out_of_touch);
+    CU_add_test(su, "widening ends", test_widening_ends);
     CU_add_test(su, "plain release", test_plain_release);
 }
