Requests that wait to be lent to an allocator are limited too

Only those of a part that is lent were; while the allocator is being asked for the first time, any number of requests of an account could wait. The count is kept now instead of walking the list for each request. The limit is for each account, as it was applied, and its comment says so.

--- a/include/jacinthdyke_account.h
+++ b/include/jacinthdyke_account.h
@@ -120,6 +120,7 @@
     uint64_t own_at;
     uint64_t last_used_at;
     TAILQ_HEAD(JdQuotaWaitHead, JdQuotaWait) waits;
+    unsigned wait_count;
     uint64_t granted_count;
     uint64_t used_count;
     uint64_t refused_count;
--- a/lib/account/quota.c
+++ b/lib/account/quota.c
@@ -43,7 +43,7 @@
 /* Bounds of what callers are told to wait. */
 #define RETRY_AFTER_MIN (100 * JD_US_PER_MS)
 #define RETRY_AFTER_SPREAD (500 * JD_US_PER_MS)
-/* Requests that may wait at a node. */
+/* Requests of one account that may wait at a node. */
 #define WAITS_MAX 1024
 /* Time after which the record of an unused account is dropped. */
 #define RECORD_IDLE (60 * JD_US_PER_S)
@@ -187,19 +187,6 @@
 
 /* ---- asks -------------------------------------------------------------- */
 
-static unsigned
-count_waits(const JdQuotaRecord *rec)
-{
-    const JdQuotaWait *wait;
-    unsigned n = 0;
-
-    TAILQ_FOREACH(wait, &rec->waits, link)
-    {
-        n++;
-    }
-    return n;
-}
-
 /* Asks for tokens: `more` beyond those that requests wait for.  One ask of an
  * account is under way at a time. */
 static void
@@ -213,7 +200,7 @@
     }
     msg.account = rec->name;
     msg.sent_at = now;
-    msg.needed = count_waits(rec) + more;
+    msg.needed = rec->wait_count + more;
     msg.spare = count_spare(rec, now);
     msg.used = rec->prepaid;
     msg.returned = rec->returned;
@@ -275,6 +262,7 @@
 remove_wait(JdQuota *qt, JdQuotaWait *wait)
 {
     TAILQ_REMOVE(&wait->record->waits, wait, link);
+    wait->record->wait_count--;
     TAILQ_REMOVE(&qt->waits, wait, all_link);
     if (TAILQ_EMPTY(&qt->waits)) {
         JdTimer_Cancel(qt->clock, &qt->wait_timer);
@@ -295,9 +283,14 @@
     wait->done(wait->ctx, result, retry_after);
 }
 
-static void
-add_wait(JdQuota *qt, JdQuotaRecord *rec, JdQuotaWait *wait)
+/* Lets a request wait for a token, or refuses it where too many wait. */
+static JdQuotaResult
+begin_wait(JdQuota *qt, JdQuotaRecord *rec, JdQuotaWait *wait, uint64_t now,
+           uint64_t *retry_after)
 {
+    if (rec->wait_count >= WAITS_MAX) {
+        return record_refused(qt, rec, now, retry_after);
+    }
     wait->record = rec;
     wait->until = JdClock_Now(qt->clock) + ASK_TIMEOUT;
     if (TAILQ_EMPTY(&qt->waits)) {
@@ -305,7 +298,9 @@
     }
     TAILQ_INSERT_TAIL(&rec->waits, wait, link);
     TAILQ_INSERT_TAIL(&qt->waits, wait, all_link);
+    rec->wait_count++;
     qt->counters->value[JD_C_QUOTA_WAITED]++;
+    return JD_QUOTA_WAITING;
 }
 
 /* Ends the waits that have lasted too long. */
@@ -360,11 +355,10 @@
     if (take_granted(qt, rec, now)) {
         return record_taken(rec);
     }
-    if (now < rec->closed_until || count_waits(rec) >= WAITS_MAX) {
+    if (now < rec->closed_until) {
         return record_refused(qt, rec, now, retry_after);
     }
-    add_wait(qt, rec, wait);
-    return JD_QUOTA_WAITING;
+    return begin_wait(qt, rec, wait, now, retry_after);
 }
 
 /*
@@ -404,8 +398,7 @@
             rec->prepaid++;
             return record_taken(rec);
         }
-        add_wait(qt, rec, wait);
-        return JD_QUOTA_WAITING;
+        return begin_wait(qt, rec, wait, now, retry_after);
     }
     return record_refused(qt, rec, now, retry_after);
 }
--- a/regress/unit/quota.c
+++ b/regress/unit/quota.c
@@ -18,6 +18,8 @@
 /* What the users allow beyond a quota in a window. */
 #define OVER 0.1
 #define SLACK 20
+/* Requests of an account that may wait at a node. */
+#define WAITS_MAX 1024
 
 typedef struct Fleet Fleet;
 
@@ -866,6 +868,28 @@
     stop_fleet(&fl);
 }
 
+/* Requests that wait while a node's part is about to be lent are limited as
+ * well: one is used ahead, and one too many is refused. */
+static void
+test_waits_limited(void)
+{
+    unsigned node;
+    Fleet fl;
+
+    start_fleet(&fl, 2, 1);
+    set_limit(&fl, 0, 1, 0);
+    node = 1 - get_allocator(&fl, 0);
+    for (unsigned i = 0; i < WAITS_MAX + 2; i++) {
+        send_request(&fl, 0, node);
+    }
+    CU_ASSERT_EQUAL(fl.usage[0].admitted->len, 1);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, WAITS_MAX);
+    CU_ASSERT_EQUAL(fl.usage[0].refused, 1);
+    advance(&fl, JD_US_PER_S);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, 0);
+    stop_fleet(&fl);
+}
+
 /* A caller that leaves while its request waits, and nodes that go. */
 static void
 test_cancelled(void)
@@ -918,5 +942,6 @@
     CU_add_test(suite, "all restart", test_all_restart);
     CU_add_test(suite, "lowered", test_lowered);
     CU_add_test(suite, "returned", test_returned);
+    CU_add_test(suite, "waits limited", test_waits_limited);
     CU_add_test(suite, "cancelled", test_cancelled);
 }
