Loans that end at the same moment each take their share of a bucket

The sum of the parts was not lowered between them, so each but the first took less than its share: of four equal loans, two that ended left 9/16 instead of a half, beside the parts that their nodes use again. The test failed before (unit/quota.c: 28.1 instead of 25). Comments of the tick, which comes 8 times a second, and of get_bucket().

--- a/lib/account/allocator.c
+++ b/lib/account/allocator.c
@@ -138,8 +138,8 @@
     }
 }
 
-/* Takes a node's share out of the buckets, as its part is not lent any more.
- */
+/* Takes a node's part out of the sum and its share out of the buckets, as it
+ * is not lent any more. */
 static void
 withdraw(JdQuotaAllocator *al, double part)
 {
@@ -151,6 +151,7 @@
             bk->level *= 1 - fmin(part / al->part_sum, 1);
         }
     }
+    al->part_sum -= part;
 }
 
 static void
@@ -264,10 +265,13 @@
     bk->level = fmin(bk->level, max);
 }
 
+/* Returns the bucket of an account, filled up to now.  A new one holds what
+ * the account has earned since the allocator began, as nothing was used. */
 static JdQuotaBucket *
 get_bucket(JdQuotaAllocator *al, const JdAccount *account)
 {
     JdQuotaBucket *bk = g_hash_table_lookup(al->by_account, account->name);
+
     if (bk == NULL) {
         bk = new_bucket(al, account->name);
         bk->filled_to = 0;
@@ -523,7 +527,8 @@
     }
 }
 
-/* To be called every few ms; `is_turn` once in an interval of reports. */
+/* To be called at each tick of the reports, 8 times a second; `is_turn` once
+ * in an interval of reports. */
 void
 _JdQuotaAllocator_Tick(JdQuota *qt, unsigned shard, bool is_turn)
 {
--- a/regress/unit/quota.c
+++ b/regress/unit/quota.c
@@ -890,6 +890,60 @@
     stop_fleet(&fl);
 }
 
+/* Lends a quarter of the account to the first node, as another node would. */
+static void
+lend_quarter(Fleet *fl, const char *id)
+{
+    Jd__QuotaReport msg = JD__QUOTA_REPORT__INIT;
+
+    msg.shard = JdQuota_ShardOf(fl->usage[0].name);
+    msg.id = (char *)id;
+    msg.nodes = 4;
+    msg.echo = msg.sent_at = read_clock(&fl->node[0]);
+    JdQuota_HandleReport(&fl->node[0].quota, &fl->node[0], &msg);
+}
+
+/* Asks the first node for tokens, and returns what is left in the bucket. */
+static double
+ask_level(Fleet *fl, unsigned needed)
+{
+    unsigned shard = JdQuota_ShardOf(fl->usage[0].name);
+    Jd__QuotaAsk msg = JD__QUOTA_ASK__INIT;
+
+    msg.account = fl->usage[0].name;
+    msg.needed = needed;
+    msg.sent_at = read_clock(&fl->node[0]);
+    JdQuota_HandleAsk(&fl->node[0].quota, &fl->node[0], &msg);
+    return TAILQ_FIRST(&fl->node[0].quota.allocator[shard].buckets)->level;
+}
+
+/* Two of four loans that end at the same time take half of a bucket. */
+static void
+test_loans_end_together(void)
+{
+    double level;
+    Fleet fl;
+
+    start_fleet(&fl, 1, 1);
+    JdQuota_SetActive(&fl.node[0].quota, false);
+    JdQuota_EndLoans(&fl.node[0].quota);
+    set_limit(&fl, 0, 1000, 95);
+    lend_quarter(&fl, "a");
+    lend_quarter(&fl, "b");
+    lend_quarter(&fl, "c");
+    lend_quarter(&fl, "d");
+    JdClock_Advance(&fl.clock, JD_US_PER_S);
+    level = ask_level(&fl, 50);
+    CU_ASSERT_EQUAL(level, 50);
+    fl.usage[0].account.rate = 1;
+    lend_quarter(&fl, "c");
+    lend_quarter(&fl, "d");
+    JdClock_Advance(&fl.clock, JD_US_PER_S);
+    level = ask_level(&fl, 0);
+    CU_ASSERT_DOUBLE_EQUAL(level, 25, 0.1);
+    stop_fleet(&fl);
+}
+
 /* A caller that leaves while its request waits, and nodes that go. */
 static void
 test_cancelled(void)
@@ -943,5 +997,6 @@
     CU_add_test(suite, "lowered", test_lowered);
     CU_add_test(suite, "returned", test_returned);
     CU_add_test(suite, "waits limited", test_waits_limited);
+    CU_add_test(suite, "loans end together", test_loans_end_together);
     CU_add_test(suite, "cancelled", test_cancelled);
 }
