The bucket of an unused account is dropped only when it is full

It was dropped after 60 s without requests in any state, and a new one begins with all that the account could have earned. An account with half a request a second and a burst of 100 that had used its burst could use 100 again after a pause in which it had earned 32. Buckets of accounts without a rate are dropped as well. The test failed before (unit/quota.c, long pause).

--- a/lib/account/allocator.c
+++ b/lib/account/allocator.c
@@ -28,7 +28,8 @@
 #define WAIT_MAX_S 1.0
 /* Scarce accounts that are named; if there are more, all count as scarce. */
 #define SCARCE_NAMED 64
-/* Time after which the bucket of an unused account is dropped. */
+/* Time after which the bucket of an unused account is dropped once it is
+ * full. */
 #define BUCKET_IDLE (60 * JD_US_PER_S)
 
 void
@@ -507,7 +508,8 @@
     }
 }
 
-/* Fills the buckets of scarce accounts, and drops those of unused ones. */
+/* Fills the buckets of scarce and of unused accounts.  Drops the full ones of
+ * unused accounts: a new bucket would be no fuller. */
 static void
 check_buckets(JdQuota *qt, JdQuotaAllocator *al, uint64_t now)
 {
@@ -515,15 +517,21 @@
     JdAccount account;
 
     for (bk = TAILQ_FIRST(&al->buckets); bk != NULL; bk = next) {
+        bool is_idle = now - bk->last_used_at > BUCKET_IDLE;
+
         next = TAILQ_NEXT(bk, link);
-        if (now - bk->last_used_at > BUCKET_IDLE ||
-            !qt->ops->get_account(qt->ctx, bk->name, &account)) {
+        if (!qt->ops->get_account(qt->ctx, bk->name, &account) ||
+            account.rate == 0) {
             free_bucket(al, bk);
+            continue;
         }
-        else if (bk->is_scarce) {
+        if (bk->is_scarce || is_idle) {
             fill_bucket(al, bk, &account);
             check_scarce(qt, al, bk, &account);
         }
+        if (is_idle && bk->level >= get_max(al, &account)) {
+            free_bucket(al, bk);
+        }
     }
 }
 
--- a/regress/unit/quota.c
+++ b/regress/unit/quota.c
@@ -944,6 +944,32 @@
     stop_fleet(&fl);
 }
 
+/* An account that used its burst and pauses for longer than the time after
+ * which idle buckets are dropped has only what it earned meanwhile. */
+static void
+test_long_pause(void)
+{
+    uint64_t from;
+    Fleet fl;
+
+    start_fleet(&fl, 1, 1);
+    fl.usage[0].account.rate = 500;
+    fl.usage[0].account.burst = 100;
+    advance(&fl, 300 * JD_US_PER_S);
+    for (unsigned i = 0; i < 120; i++) {
+        send_request(&fl, 0, 0);
+    }
+    advance(&fl, 64 * JD_US_PER_S);
+    CU_ASSERT(fl.usage[0].admitted->len >= 100);
+    from = fl.clock.now;
+    for (unsigned i = 0; i < 120; i++) {
+        send_request(&fl, 0, 0);
+    }
+    CU_ASSERT(count_admitted_since(&fl.usage[0], from) >= 31);
+    CU_ASSERT(count_admitted_since(&fl.usage[0], from) <= 38);
+    stop_fleet(&fl);
+}
+
 /* A caller that leaves while its request waits, and nodes that go. */
 static void
 test_cancelled(void)
@@ -998,5 +1024,6 @@
     CU_add_test(suite, "returned", test_returned);
     CU_add_test(suite, "waits limited", test_waits_limited);
     CU_add_test(suite, "loans end together", test_loans_end_together);
+    CU_add_test(suite, "long pause", test_long_pause);
     CU_add_test(suite, "cancelled", test_cancelled);
 }
