One test of whether a roll-out or report is of an order

The comparison of epoch and offset stood in six places, two of them the same function under two names (is_of, is_about).

--- a/include/jacinthdyke_rollout.h
+++ b/include/jacinthdyke_rollout.h
@@ -116,6 +116,7 @@
 void JdRollouts_Bar(JdRollouts *rs, JdRollout *ro, const char *version,
                     uint64_t source_link);
 void JdRollouts_ClearPending(JdRollouts *rs, JdRollout *ro);
+bool JdRollout_HasOrder(const JdRollout *ro, uint64_t epoch, uint64_t offset);
 bool JdRollout_IsFinal(const JdRollout *ro);
 bool JdRollout_IsUnderWay(const JdRollout *ro);
 
@@ -201,6 +202,7 @@
 JdRolloutReport *JdRolloutReports_Find(const JdRolloutReports *rr,
                                        const JdRollout *ro, const char *node,
                                        uint64_t incarnation);
+bool JdRolloutReport_IsAbout(const JdRolloutReport *rp, const JdRollout *ro);
 JdRouteCounts *JdRolloutReport_Route(JdRolloutReport *rp, const char *route,
                                      bool is_new);
 void JdRolloutReport_Count(JdRolloutReport *rp, const char *route, bool is_new,
--- a/lib/rollout/director.c
+++ b/lib/rollout/director.c
@@ -54,13 +54,6 @@
 
 /* ---- evidence ---------------------------------------------------------- */
 
-static bool
-is_about(const JdRolloutReport *rp, const JdRollout *ro)
-{
-    return rp->offset == ro->order.offset && rp->epoch == ro->order.epoch &&
-           strcmp(rp->service, ro->order.service) == 0;
-}
-
 /* Returns the counts of one route since the order or since the last mark but
  * one. */
 static JdAnswerCounts
@@ -107,7 +100,7 @@
     memset(out, 0, sizeof(*out));
     TAILQ_FOREACH(rp, &di->reports->all, link)
     {
-        if (is_about(rp, ro)) {
+        if (JdRolloutReport_IsAbout(rp, ro)) {
             add_answers(rp, route, is_recent, out);
         }
     }
@@ -161,7 +154,8 @@
     {
         GArray *list = rp->routes;
 
-        for (guint i = 0; is_about(rp, ro) && i < list->len; i++) {
+        for (guint i = 0; JdRolloutReport_IsAbout(rp, ro) && i < list->len;
+             i++) {
             g_hash_table_add(routes,
                              g_array_index(list, JdRouteCounts, i).route);
         }
@@ -222,14 +216,12 @@
 
     TAILQ_FOREACH(mb, &di->members->all, link)
     {
-        const JdRolloutReport *rp =
-            is_up(mb) ? JdRolloutReports_Find(di->reports, ro, mb->id,
-                                              mb->incarnation)
-                      : NULL;
+        const JdRolloutReport *rp;
 
         if (!is_up(mb)) {
             continue;
         }
+        rp = JdRolloutReports_Find(di->reports, ro, mb->id, mb->incarnation);
         if (rp == NULL || rp->step < ro->step) {
             out->unconfirmed++;
             continue;
@@ -470,7 +462,7 @@
     if (ro == NULL) {
         return;
     }
-    if (ro->order.offset != order->offset || ro->order.epoch != order->epoch) {
+    if (!JdRollout_HasOrder(ro, order->epoch, order->offset)) {
         if (record == JD_ROLLOUT_ROLLED_BACK) {
             JdRollouts_Bar(di->rollouts, ro, order->version, 0);
         }
@@ -514,8 +506,8 @@
         di->retry_at = JdClock_Now(di->clock) + RETRY_PAUSE;
         return;
     }
-    if (ro == NULL || ro->order.offset != di->written_offset ||
-        ro->order.epoch != di->written_epoch) {
+    if (ro == NULL ||
+        !JdRollout_HasOrder(ro, di->written_epoch, di->written_offset)) {
         return;
     }
     ro->record = di->written_step;
--- a/lib/rollout/report.c
+++ b/lib/rollout/report.c
@@ -37,10 +37,12 @@
     }
 }
 
-static bool
-is_of(const JdRolloutReport *rp, const JdRollout *ro)
+/* Returns whether a report is about a roll-out, and not an earlier order of
+ * the same service. */
+bool
+JdRolloutReport_IsAbout(const JdRolloutReport *rp, const JdRollout *ro)
 {
-    return rp->offset == ro->order.offset && rp->epoch == ro->order.epoch &&
+    return JdRollout_HasOrder(ro, rp->epoch, rp->offset) &&
            strcmp(rp->service, ro->order.service) == 0;
 }
 
@@ -54,7 +56,7 @@
     TAILQ_FOREACH(rp, &rr->all, link)
     {
         if (rp->incarnation == incarnation && strcmp(rp->node, node) == 0 &&
-            is_of(rp, ro)) {
+            JdRolloutReport_IsAbout(rp, ro)) {
             return rp;
         }
     }
@@ -208,7 +210,8 @@
 {
     const JdRollout *ro = JdRollouts_Find(rs, rp->service);
 
-    return ro != NULL && is_of(rp, ro) && !JdRollout_IsFinal(ro);
+    return ro != NULL && JdRolloutReport_IsAbout(rp, ro) &&
+           !JdRollout_IsFinal(ro);
 }
 
 /* Drops the reports on roll-outs that have ended. */
--- a/lib/rollout/rollout.c
+++ b/lib/rollout/rollout.c
@@ -68,6 +68,14 @@
     return NULL;
 }
 
+/* Returns whether a roll-out is that of the order at this place of the source.
+ */
+bool
+JdRollout_HasOrder(const JdRollout *ro, uint64_t epoch, uint64_t offset)
+{
+    return ro->order.epoch == epoch && ro->order.offset == offset;
+}
+
 /* Returns whether the source has a final state of the roll-out. */
 bool
 JdRollout_IsFinal(const JdRollout *ro)
--- a/lib/tree/rollouts.c
+++ b/lib/tree/rollouts.c
@@ -165,7 +165,7 @@
         _Jd_CopyText(order.version, sizeof(order.version), in->version);
         ro = JdRollouts_Merge(&tr->rollouts, &order, (JdRolloutStep)in->step,
                               in->left_ms * JD_US_PER_MS, link_id);
-        if (ro->order.offset == in->offset && ro->order.epoch == in->epoch) {
+        if (JdRollout_HasOrder(ro, in->epoch, in->offset)) {
             JdRollouts_Bar(&tr->rollouts, ro, in->barred, link_id);
         }
     }
@@ -347,8 +347,8 @@
         const Jd__RolloutReport *in = msg->report[i];
         JdRollout *ro = JdRollouts_Find(&tr->rollouts, in->service);
 
-        if (ro == NULL || ro->order.offset != in->offset ||
-            ro->order.epoch != in->epoch || JdRollout_IsFinal(ro)) {
+        if (ro == NULL || !JdRollout_HasOrder(ro, in->epoch, in->offset) ||
+            JdRollout_IsFinal(ro)) {
             continue;
         }
         if (JdRolloutReports_Update(&tr->reports, ro, in)) {
