Words of the glossary, and comments of times and counts in quotas

VM instead of machine outside of platform/; what JdQuotaEnrolment and the averages of records and buckets hold, with their units; what is counted of a target that is cold, which the comment did not tell clearly.

--- a/base/loop.c
+++ b/base/loop.c
@@ -35,7 +35,7 @@
     return (uint64_t)ts.tv_sec * JD_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
 }
 
-/* Returns a time in us that never steps, and counts while the machine is
+/* Returns a time in us that never steps, and goes on while the VM is
  * suspended. */
 uint64_t
 JdLoop_BootClock(void)
--- a/include/jacinthdyke_account.h
+++ b/include/jacinthdyke_account.h
@@ -72,7 +72,7 @@
 /* Callbacks into the embedding program.  A peer is a connection that a report
  * or an ask came over; NULL is this node itself. */
 typedef struct JdQuotaOps {
-    /* Returns a time in us that counts while the machine is suspended. */
+    /* Returns a time in us that counts while the VM is suspended. */
     uint64_t (*read_clock)(void *ctx);
     /* Finds an account of the configuration in force. */
     bool (*get_account)(void *ctx, const char *name, JdAccount *out);
@@ -106,7 +106,7 @@
     unsigned tokens;
     uint64_t tokens_end;   /* time from which they are not used any more */
     uint64_t closed_until; /* the allocator has no token before */
-    uint64_t spread;       /* us over which refused callers come back */
+    uint64_t spread;       /* time in us over which refused callers return */
     uint64_t scarce_round; /* of the shard when it was scarce */
     bool is_asking;
     uint64_t asked_at;
@@ -116,7 +116,8 @@
     /* Requests in a second, on average, and when it was computed. */
     double demand;
     uint64_t demand_at;
-    double own; /* tokens of this node's own part */
+    /* Tokens of this node's own part, and when they were computed. */
+    double own;
     uint64_t own_at;
     uint64_t last_used_at;
     TAILQ_HEAD(JdQuotaWaitHead, JdQuotaWait) waits;
@@ -152,7 +153,8 @@
     bool is_scarce;    /* nodes ask before they use tokens */
     bool is_exhausted; /* an ask was refused */
     uint64_t exhausted_at;
-    double refused; /* requests refused lately */
+    /* Requests refused lately, a decaying count, and when it was computed. */
+    double refused;
     uint64_t refused_at;
     uint64_t last_used_at;
 } JdQuotaBucket;
@@ -161,10 +163,10 @@
 typedef struct JdQuotaEnrolment {
     TAILQ_ENTRY(JdQuotaEnrolment) link;
     char id[JD_NAME_MAX];
-    void *peer; /* NULL: this node itself */
-    bool has_peer;
-    double part;
-    uint64_t until;
+    void *peer;     /* NULL: this node itself, if `has_peer` */
+    bool has_peer;  /* false: its connection has closed */
+    double part;    /* of the rates, at most 1 */
+    uint64_t until; /* end of the loan, by this node's clock */
 } JdQuotaEnrolment;
 
 /* A shard whose allocator this node is, in the view of some nodes. */
--- a/node/node.h
+++ b/node/node.h
@@ -279,7 +279,7 @@
     unsigned next_lost_attempt;
     JdTimer conn_check_timer; /* checks request connections */
 
-    /* Large responses on the link of this machine: peer/bulk.c */
+    /* Large responses on the link of this VM: peer/bulk.c */
     JdPacer pacer;
     JdLinkQueue link_queue;
     JdLinkRoom link_room;
--- a/node/rollouts.c
+++ b/node/rollouts.c
@@ -29,8 +29,9 @@
 }
 
 /* Counts the end of a request at the local target for the roll-out of its
- * service, if there is one.  Answers that a target owes while it is cold are
- * not counted as late, nor is their time. */
+ * service, if there is one.  `took` is the time since its start, in us.  Of
+ * one that began while the target was cold only an answer counts, not its
+ * time. */
 void
 JdRolloutNode_CountAnswer(JdNode *nd, const Jd__Request *msg,
                           JdAnswerKind kind, uint64_t took)
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -80,7 +80,7 @@
     json_object_set_new(js, "rss_kb", json_integer(ru.ru_maxrss));
 }
 
-/* Adds the state of this machine's link, if its bandwidth is known. */
+/* Adds the state of this VM's link, if its bandwidth is known. */
 static void
 add_link(const JdNode *nd, json_t *js)
 {
