A request that waits uses a token that came back meanwhile

When the allocator had not answered in time it was refused as over its quota, although the node held a token of a request that did not run. The test failed before (unit/quota.c, returned to waiting: 1 refused).

--- a/lib/account/quota.c
+++ b/lib/account/quota.c
@@ -303,6 +303,21 @@
     return JD_QUOTA_WAITING;
 }
 
+/* Takes a token for a request that has waited too long: one that came back
+ * from another request, or of this node's own part if that is not lent. */
+static bool
+take_without_ask(JdQuota *qt, JdQuotaRecord *rec, uint64_t now)
+{
+    JdAccount account;
+
+    if (take_granted(qt, rec, now)) {
+        return true;
+    }
+    return !_JdQuota_IsLent(qt, rec->shard, now) &&
+           qt->ops->get_account(qt->ctx, rec->name, &account) &&
+           take_own(qt, rec, &account, now);
+}
+
 /* Ends the waits that have lasted too long. */
 static void
 on_wait_timeout(void *ctx)
@@ -315,13 +330,9 @@
     while ((wait = TAILQ_FIRST(&qt->waits)) != NULL &&
            wait->until <= loop_now) {
         JdQuotaRecord *rec = wait->record;
-        JdAccount account;
-        bool is_granted = !_JdQuota_IsLent(qt, rec->shard, now) &&
-                          qt->ops->get_account(qt->ctx, rec->name, &account) &&
-                          take_own(qt, rec, &account, now);
 
         qt->counters->value[JD_C_QUOTA_TIMEOUTS]++;
-        finish_wait(qt, rec, wait, is_granted);
+        finish_wait(qt, rec, wait, take_without_ask(qt, rec, now));
     }
     if (wait != NULL) {
         JdTimer_Arm(qt->clock, &qt->wait_timer, wait->until - loop_now);
--- a/regress/unit/quota.c
+++ b/regress/unit/quota.c
@@ -944,6 +944,28 @@
     stop_fleet(&fl);
 }
 
+/* A token that comes back while a request waits serves it, also if the
+ * allocator does not answer. */
+static void
+test_returned_to_waiting(void)
+{
+    unsigned node;
+    Fleet fl;
+
+    start_fleet(&fl, 2, 1);
+    set_limit(&fl, 0, 1, 0);
+    node = 1 - get_allocator(&fl, 0);
+    fl.node[1 - node].is_cut = true;
+    send_request(&fl, 0, node);
+    send_request(&fl, 0, node);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, 1);
+    JdQuota_Return(&fl.node[node].quota, fl.usage[0].name);
+    advance(&fl, 200 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, 0);
+    CU_ASSERT_EQUAL(fl.usage[0].refused, 0);
+    stop_fleet(&fl);
+}
+
 /* An account that used its burst and pauses for longer than the time after
  * which idle buckets are dropped has only what it earned meanwhile. */
 static void
@@ -1024,6 +1046,7 @@
     CU_add_test(suite, "returned", test_returned);
     CU_add_test(suite, "waits limited", test_waits_limited);
     CU_add_test(suite, "loans end together", test_loans_end_together);
+    CU_add_test(suite, "returned to waiting", test_returned_to_waiting);
     CU_add_test(suite, "long pause", test_long_pause);
     CU_add_test(suite, "cancelled", test_cancelled);
 }
