--- a/caller/intake.c
+++ b/caller/intake.c
@@ -68,6 +68,31 @@
            JdServer_IsFrom(req, &nd->target_client.address);
 }
 
+/* Sets what the caller's request states of itself, its route and account; the
+ * message points into all of these. */
+static void
+describe_request(const JdCall *call, const JdServerRequest *req,
+                 const ParsedRequest *parsed, Jd__Request *msg)
+{
+    msg->service = (char *)call->route.service;
+    msg->method = (char *)req->method;
+    msg->request_id = (char *)parsed->request_id;
+    msg->caller_service = (char *)call->node->settings.service;
+    msg->idempotent = call->route.is_idempotent;
+    msg->route = (char *)call->route.name;
+    msg->body.data = req->body->data;
+    msg->body.len = req->body->len;
+    msg->priority = call->route.priority;
+    msg->key = (char *)parsed->key;
+    msg->once = call->route.requires_key;
+    if (parsed->account.name != NULL) {
+        msg->account = (char *)parsed->account.name;
+        msg->account_priority = parsed->account.priority;
+    }
+    msg->is_call = is_call_of_target(call->node, req);
+    msg->config_version = call->config->version;
+}
+
 /* Copies a caller's request into a message that owns all its memory, by
  * packing and unpacking one that points into the request. */
 static Jd__Request *
@@ -83,8 +108,7 @@
     uint8_t *buf;
     size_t n;
 
-    msg.service = (char *)call->route.service;
-    msg.method = (char *)req->method;
+    describe_request(call, req, parsed, &msg);
     msg.path =
         g_string_chunk_insert_len(strings, req->path, (gssize)req->path_len);
     for (size_t i = 0; i < req->header_count; i++) {
@@ -106,21 +130,6 @@
         msg.host = g_string_chunk_insert_len(strings, host->value,
                                              (gssize)host->value_len);
     }
-    msg.request_id = (char *)parsed->request_id;
-    msg.caller_service = (char *)call->node->settings.service;
-    msg.idempotent = call->route.is_idempotent;
-    msg.route = (char *)call->route.name;
-    msg.body.data = req->body->data;
-    msg.body.len = req->body->len;
-    msg.priority = call->route.priority;
-    msg.key = (char *)parsed->key;
-    msg.once = call->route.requires_key;
-    if (parsed->account.name != NULL) {
-        msg.account = (char *)parsed->account.name;
-        msg.account_priority = parsed->account.priority;
-    }
-    msg.is_call = is_call_of_target(call->node, req);
-    msg.config_version = call->config->version;
     n = jd__request__get_packed_size(&msg);
     buf = g_malloc(n);
     jd__request__pack(&msg, buf);
--- a/operator/accounts.c
+++ b/operator/accounts.c
@@ -99,32 +99,18 @@
     }
 }
 
-/* Lists the accounts that nodes use most, or one of them by node. */
-CtlExit
-CtlAccounts_List(Ctl *ctl, int argc, char **args)
+/* Adds the accounts of all members that may answer to the table. */
+static void
+add_members(Ctl *ctl, json_t *table, const json_t *members)
 {
-    json_t *table = json_object();
-    JdError err = {0};
-    json_t *members, *member, *answer, *sum;
-    const char *name;
+    json_t *member;
     size_t i;
 
-    if (ctl->node_address == NULL) {
-        json_decref(table);
-        JdError_Set(&err, JD_ERR_USAGE, "", "--node is required");
-        return Ctl_Fail(ctl, &err);
-    }
-    members = CtlFleet_Query(ctl, ctl->node_address, "GET", "/members");
-    if (members == NULL) {
-        json_decref(table);
-        JdError_Set(&err, JD_ERR_UNREACHABLE, "", "no answer from %s",
-                    ctl->node_address);
-        return Ctl_Fail(ctl, &err);
-    }
-    json_array_foreach(members, i, member)
+    json_array_foreach((json_t *)members, i, member)
     {
         const char *state =
             json_string_value(json_object_get(member, "state"));
+        json_t *answer;
 
         if (strcmp(state, "lost") == 0 || strcmp(state, "left") == 0) {
             continue;
@@ -137,6 +123,28 @@
             json_decref(answer);
         }
     }
+}
+
+/* Lists the accounts that nodes use most, or one of them by node. */
+CtlExit
+CtlAccounts_List(Ctl *ctl, int argc, char **args)
+{
+    JdError err = {0};
+    json_t *members, *table, *sum;
+    const char *name;
+
+    if (ctl->node_address == NULL) {
+        JdError_Set(&err, JD_ERR_USAGE, "", "--node is required");
+        return Ctl_Fail(ctl, &err);
+    }
+    members = CtlFleet_Query(ctl, ctl->node_address, "GET", "/members");
+    if (members == NULL) {
+        JdError_Set(&err, JD_ERR_UNREACHABLE, "", "no answer from %s",
+                    ctl->node_address);
+        return Ctl_Fail(ctl, &err);
+    }
+    table = json_object();
+    add_members(ctl, table, members);
     json_decref(members);
     json_object_foreach(table, name, sum)
     {
