--- a/regress/unit/platform.c
+++ b/regress/unit/platform.c
@@ -126,6 +126,15 @@
     JdPlatformBounds_Parse("seed_lag_s=3,grace_s=4.5,retry_ratio=0.3", &b);
     CU_ASSERT_DOUBLE_EQUAL(b.grace_period_s, 4.5, 1e-9);
     CU_ASSERT_DOUBLE_EQUAL(b.retry_ratio, 0.3, 1e-9);
+    JdPlatformBounds_Parse("expose_share=0.05", &b);
+    CU_ASSERT_DOUBLE_EQUAL(b.exposed_share, 0.05, 1e-9);
+    /* A share is from 0 to 1. */
+    JdPlatformBounds_Parse("expose_share=-1", &b);
+    CU_ASSERT_EQUAL(b.exposed_share, 0);
+    JdPlatformBounds_Parse("expose_share=nan", &b);
+    CU_ASSERT_EQUAL(b.exposed_share, 0);
+    JdPlatformBounds_Parse("expose_share=10", &b);
+    CU_ASSERT_EQUAL(b.exposed_share, 1);
     JdPlatformBounds_Parse("", &b);
     CU_ASSERT_DOUBLE_EQUAL(b.grace_period_s, 6, 1e-9);
 }
