--- a/lib/tree/libtree.h
+++ b/lib/tree/libtree.h
@@ -62,6 +62,11 @@
 void _JdTree_FinishRollouts(JdTree *tr);
 void _JdTree_SendRollouts(JdTree *tr, void *peer);
 void _JdTree_OnRollouts(JdTree *tr, void *peer, const Jd__Rollouts *msg);
+
+/* rollout_reports.c */
+void _JdTree_InitReports(JdTree *tr);
+void _JdTree_FinishReports(JdTree *tr);
+void _JdTree_ScheduleReport(JdTree *tr, uint64_t delay);
 void _JdTree_ResendReports(JdTree *tr);
 void _JdTree_OnRolloutCounts(JdTree *tr, const Jd__RolloutCounts *msg);
 
