--- a/lib/account/allocator.c
+++ b/lib/account/allocator.c
@@ -28,7 +28,8 @@
 #define WAIT_MAX_S 1.0
 /* Scarce accounts that are named; if there are more, all count as scarce. */
 #define SCARCE_NAMED 64
-/* Time after which the bucket of an unused account is dropped. */
+/* Time after which the bucket of an unused account is dropped once it is
+ * full. */
 #define BUCKET_IDLE (60 * JD_US_PER_S)
 
 void
@@ -138,8 +139,8 @@
     }
 }
 
-/* Takes a node's share out of the buckets, as its part is not lent any more.
- */
+/* Takes a node's part out of the sum and its share out of the buckets, as it
+ * is not lent any more. */
 static void
 withdraw(JdQuotaAllocator *al, double part)
 {
@@ -151,6 +152,7 @@
             bk->level *= 1 - fmin(part / al->part_sum, 1);
         }
     }
+    al->part_sum -= part;
 }
 
 static void
@@ -264,10 +266,13 @@
     bk->level = fmin(bk->level, max);
 }
 
+/* Returns the bucket of an account, filled up to now.  A new one holds what
+ * the account has earned since the allocator began, as nothing was used. */
 static JdQuotaBucket *
 get_bucket(JdQuotaAllocator *al, const JdAccount *account)
 {
     JdQuotaBucket *bk = g_hash_table_lookup(al->by_account, account->name);
+
     if (bk == NULL) {
         bk = new_bucket(al, account->name);
         bk->filled_to = 0;
@@ -503,7 +508,8 @@
     }
 }
 
-/* Fills the buckets of scarce accounts, and drops those of unused ones. */
+/* Fills the buckets of scarce and of unused accounts.  Drops the full ones of
+ * unused accounts: a new bucket would be no fuller. */
 static void
 check_buckets(JdQuota *qt, JdQuotaAllocator *al, uint64_t now)
 {
@@ -511,19 +517,26 @@
     JdAccount account;
 
     for (bk = TAILQ_FIRST(&al->buckets); bk != NULL; bk = next) {
+        bool is_idle = now - bk->last_used_at > BUCKET_IDLE;
+
         next = TAILQ_NEXT(bk, link);
-        if (now - bk->last_used_at > BUCKET_IDLE ||
-            !qt->ops->get_account(qt->ctx, bk->name, &account)) {
+        if (!qt->ops->get_account(qt->ctx, bk->name, &account) ||
+            account.rate == 0) {
             free_bucket(al, bk);
+            continue;
         }
-        else if (bk->is_scarce) {
+        if (bk->is_scarce || is_idle) {
             fill_bucket(al, bk, &account);
             check_scarce(qt, al, bk, &account);
         }
+        if (is_idle && bk->level >= get_max(al, &account)) {
+            free_bucket(al, bk);
+        }
     }
 }
 
-/* To be called every few ms; `is_turn` once in an interval of reports. */
+/* To be called at each tick of the reports, 8 times a second; `is_turn` once
+ * in an interval of reports. */
 void
 _JdQuotaAllocator_Tick(JdQuota *qt, unsigned shard, bool is_turn)
 {
--- a/regress/unit/quota.c
+++ b/regress/unit/quota.c
@@ -18,6 +18,8 @@
 /* What the users allow beyond a quota in a window. */
 #define OVER 0.1
 #define SLACK 20
+/* Requests of an account that may wait at a node. */
+#define WAITS_MAX 1024
 
 typedef struct Fleet Fleet;
 
@@ -866,6 +868,130 @@
     stop_fleet(&fl);
 }
 
+/* Requests that wait while a node's part is about to be lent are limited as
+ * well: one is used ahead, and one too many is refused. */
+static void
+test_waits_limited(void)
+{
+    unsigned node;
+    Fleet fl;
+
+    start_fleet(&fl, 2, 1);
+    set_limit(&fl, 0, 1, 0);
+    node = 1 - get_allocator(&fl, 0);
+    for (unsigned i = 0; i < WAITS_MAX + 2; i++) {
+        send_request(&fl, 0, node);
+    }
+    CU_ASSERT_EQUAL(fl.usage[0].admitted->len, 1);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, WAITS_MAX);
+    CU_ASSERT_EQUAL(fl.usage[0].refused, 1);
+    advance(&fl, JD_US_PER_S);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, 0);
+    stop_fleet(&fl);
+}
+
+/* Lends a quarter of the account to the first node, as another node would. */
+static void
+lend_quarter(Fleet *fl, const char *id)
+{
+    Jd__QuotaReport msg = JD__QUOTA_REPORT__INIT;
+
+    msg.shard = JdQuota_ShardOf(fl->usage[0].name);
+    msg.id = (char *)id;
+    msg.nodes = 4;
+    msg.echo = msg.sent_at = read_clock(&fl->node[0]);
+    JdQuota_HandleReport(&fl->node[0].quota, &fl->node[0], &msg);
+}
+
+/* Asks the first node for tokens, and returns what is left in the bucket. */
+static double
+ask_level(Fleet *fl, unsigned needed)
+{
+    unsigned shard = JdQuota_ShardOf(fl->usage[0].name);
+    Jd__QuotaAsk msg = JD__QUOTA_ASK__INIT;
+
+    msg.account = fl->usage[0].name;
+    msg.needed = needed;
+    msg.sent_at = read_clock(&fl->node[0]);
+    JdQuota_HandleAsk(&fl->node[0].quota, &fl->node[0], &msg);
+    return TAILQ_FIRST(&fl->node[0].quota.allocator[shard].buckets)->level;
+}
+
+/* Two of four loans that end at the same time take half of a bucket. */
+static void
+test_loans_end_together(void)
+{
+    double level;
+    Fleet fl;
+
+    start_fleet(&fl, 1, 1);
+    JdQuota_SetActive(&fl.node[0].quota, false);
+    JdQuota_EndLoans(&fl.node[0].quota);
+    set_limit(&fl, 0, 1000, 95);
+    lend_quarter(&fl, "a");
+    lend_quarter(&fl, "b");
+    lend_quarter(&fl, "c");
+    lend_quarter(&fl, "d");
+    JdClock_Advance(&fl.clock, JD_US_PER_S);
+    level = ask_level(&fl, 50);
+    CU_ASSERT_EQUAL(level, 50);
+    fl.usage[0].account.rate = 1;
+    lend_quarter(&fl, "c");
+    lend_quarter(&fl, "d");
+    JdClock_Advance(&fl.clock, JD_US_PER_S);
+    level = ask_level(&fl, 0);
+    CU_ASSERT_DOUBLE_EQUAL(level, 25, 0.1);
+    stop_fleet(&fl);
+}
+
+/* A token that comes back while a request waits serves it, also if the
+ * allocator does not answer. */
+static void
+test_returned_to_waiting(void)
+{
+    unsigned node;
+    Fleet fl;
+
+    start_fleet(&fl, 2, 1);
+    set_limit(&fl, 0, 1, 0);
+    node = 1 - get_allocator(&fl, 0);
+    fl.node[1 - node].is_cut = true;
+    send_request(&fl, 0, node);
+    send_request(&fl, 0, node);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, 1);
+    JdQuota_Return(&fl.node[node].quota, fl.usage[0].name);
+    advance(&fl, 200 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL(fl.usage[0].waiting, 0);
+    CU_ASSERT_EQUAL(fl.usage[0].refused, 0);
+    stop_fleet(&fl);
+}
+
+/* An account that used its burst and pauses for longer than the time after
+ * which idle buckets are dropped has only what it earned meanwhile. */
+static void
+test_long_pause(void)
+{
+    uint64_t from;
+    Fleet fl;
+
+    start_fleet(&fl, 1, 1);
+    fl.usage[0].account.rate = 500;
+    fl.usage[0].account.burst = 100;
+    advance(&fl, 300 * JD_US_PER_S);
+    for (unsigned i = 0; i < 120; i++) {
+        send_request(&fl, 0, 0);
+    }
+    advance(&fl, 64 * JD_US_PER_S);
+    CU_ASSERT(fl.usage[0].admitted->len >= 100);
+    from = fl.clock.now;
+    for (unsigned i = 0; i < 120; i++) {
+        send_request(&fl, 0, 0);
+    }
+    CU_ASSERT(count_admitted_since(&fl.usage[0], from) >= 31);
+    CU_ASSERT(count_admitted_since(&fl.usage[0], from) <= 38);
+    stop_fleet(&fl);
+}
+
 /* A caller that leaves while its request waits, and nodes that go. */
 static void
 test_cancelled(void)
@@ -918,5 +1044,9 @@
     CU_add_test(suite, "all restart", test_all_restart);
     CU_add_test(suite, "lowered", test_lowered);
     CU_add_test(suite, "returned", test_returned);
+    CU_add_test(suite, "waits limited", test_waits_limited);
+    CU_add_test(suite, "loans end together", test_loans_end_together);
+    CU_add_test(suite, "returned to waiting", test_returned_to_waiting);
+    CU_add_test(suite, "long pause", test_long_pause);
     CU_add_test(suite, "cancelled", test_cancelled);
 }
