Rename what a sender knows of the capacity of targets

peer/room.c was taken for lib/link/room.c and targets/room.c, which are about room on a VM's link. It is peer/capacity.c now, with the prefix JdCapacity. Only names and the comments that name them change.

--- a/peer/room.c
+++ b/peer/capacity.c
@@ -1,7 +1,8 @@
 /*
- * What a node that sends requests knows of the room at targets: which refuse a
- * request for now, whether one can still run it, and when a caller that is
- * refused may come back.
+ * What a node that sends requests knows of the capacity of targets: which of
+ * them refuse a request for now, whether one can still run it, and when a
+ * caller that is refused may come back.  (Room on a VM's link is another
+ * thing: lib/link/room.c and targets/room.c.)
  */
 #include <string.h>
 
@@ -81,7 +82,8 @@
  * there is none, or if as many refuse as would be tried.
  */
 JdMember *
-JdRoom_PickTarget(JdCall *call, const JdVersionFilter *versions, JdTier *tier)
+JdCapacity_PickTarget(JdCall *call, const JdVersionFilter *versions,
+                      JdTier *tier)
 {
     char ids[JD_ATTEMPTS_MAX][JD_NAME_MAX];
     JdExcludedTargets avoid = {ids, call->attempt_count, call->full_count,
@@ -105,7 +107,7 @@
 /* Returns whether enough time is left for a target to run the request.  A
  * first attempt is made in any case, as the estimate may be outdated. */
 bool
-JdRoom_HasTimeFor(const JdCall *call, const JdMember *mb)
+JdCapacity_HasTimeFor(const JdCall *call, const JdMember *mb)
 {
     uint64_t now = JdClock_Now(&call->node->loop.clock);
     const JdTargetStats *ts = mb->user;
@@ -131,7 +133,8 @@
 /* Returns the part of an endpoint set's slots that callers of this node use if
  * they come to all nodes alike, and the mean run time there. */
 static double
-find_room(const JdNode *nd, const char *endpoint_set, uint64_t *run_time)
+find_share_of_slots(const JdNode *nd, const char *endpoint_set,
+                    uint64_t *run_time)
 {
     const JdMemberSet *set =
         JdMembers_FindSet(nd->balancer.members, endpoint_set);
@@ -162,11 +165,12 @@
 /* Adds the time until there is room for a caller that is refused because all
  * targets are full, behind those that were refused before it. */
 void
-JdRoom_Promise(JdCall *call)
+JdCapacity_Promise(JdCall *call)
 {
     JdNode *nd = call->node;
     uint64_t run_time, wait;
-    double slots = find_room(nd, call->route.endpoint_set, &run_time);
+    double slots =
+        find_share_of_slots(nd, call->route.endpoint_set, &run_time);
 
     if (!nd->is_shortage_asked || slots <= 0) {
         return;
@@ -177,9 +181,9 @@
     call->retry_after_ms += (unsigned)(wait / JD_US_PER_MS);
 }
 
-/* Initializes a node that has promised no room. */
+/* Initializes a node that has promised no capacity. */
 void
-JdRoom_Init(JdNode *nd)
+JdCapacity_Init(JdNode *nd)
 {
     nd->promises =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -159,7 +159,7 @@
         reason = JD_REASON_BROKEN;
     }
     if (reason == JD_REASON_QUEUE_FULL || reason == JD_REASON_TOO_LATE) {
-        JdRoom_Promise(call);
+        JdCapacity_Promise(call);
     }
     retry_after_ms = call->retry_after_ms;
     if (retry_after_ms == 0 || !JdReason_Info(reason)->is_not_executed) {
@@ -444,7 +444,7 @@
                                      call->fingerprint.fingerprint.word[0],
                                      tier);
     }
-    return JdRoom_PickTarget(call, versions, tier);
+    return JdCapacity_PickTarget(call, versions, tier);
 }
 
 /* Picks a target that has not been tried, of a version that the roll-out of
@@ -480,7 +480,7 @@
     JdRequestConn *rconn;
     JdAttempt *att;
 
-    if (mb == NULL || !JdRoom_HasTimeFor(call, mb)) {
+    if (mb == NULL || !JdCapacity_HasTimeFor(call, mb)) {
         if (call->active_count == 0) {
             refuse_call(call, call->last_reason == JD_REASON_NONE
                                   ? JD_REASON_NO_TARGET
@@ -731,7 +731,7 @@
     TAILQ_INIT(&nd->calls);
     nd->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    JdRoom_Init(nd);
+    JdCapacity_Init(nd);
     JdRequestConn_Init(nd);
     nd->balancer.members = &nd->tree.members;
     nd->balancer.clock = &nd->loop.clock;
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -115,12 +115,12 @@
 bool JdRetry_Take(JdCall *call, JdReason reason, bool was_sent);
 void JdRetry_RecordCall(JdNode *nd, const JdRoute *route);
 
-/* room.c */
-void JdRoom_Init(JdNode *nd);
-JdMember *JdRoom_PickTarget(JdCall *call, const JdVersionFilter *versions,
-                            JdTier *tier);
-bool JdRoom_HasTimeFor(const JdCall *call, const JdMember *mb);
-void JdRoom_Promise(JdCall *call);
+/* capacity.c */
+void JdCapacity_Init(JdNode *nd);
+JdMember *JdCapacity_PickTarget(JdCall *call, const JdVersionFilter *versions,
+                                JdTier *tier);
+bool JdCapacity_HasTimeFor(const JdCall *call, const JdMember *mb);
+void JdCapacity_Promise(JdCall *call);
 
 /* lost.c */
 void JdLostAttempt_Add(const JdAttempt *att);
