Give up a large response only when its deadline has passed

A response that was ready was given up as soon as an estimate said that it could not be whole by its deadline, though its caller still waited and the estimate may be wrong: rates change and other responses are cancelled. Now it goes behind all others, as the queue's order has it already, and is given up at its deadline. JdLinkQueue_Expired() decides; peer/bulk.c and the play of the unit test ask it.

So that others fare as before, what goes last counts neither in the wait that admission expects, nor among the responses begun that keep others of the same deadline from being begun. It does count as memory.

Three unit tests fail without each of these. The play counts responses that are whole after their deadline with those given up, against the same bounds.

--- a/include/jacinthdyke_link.h
+++ b/include/jacinthdyke_link.h
@@ -55,11 +55,14 @@
     double rate; /* bytes per s */
 } JdLinkMoment;
 
-bool JdLinkItem_IsHopeless(const JdLinkItem *it, const JdLinkMoment *state);
+bool JdLinkItem_IsHopeless(const JdLinkItem *it, const JdLinkMoment *moment);
 void JdLinkQueue_Init(JdLinkQueue *lq);
 void JdLinkQueue_Add(JdLinkQueue *lq, JdLinkItem *it);
 void JdLinkQueue_Remove(JdLinkQueue *lq, JdLinkItem *it);
-JdLinkItem *JdLinkQueue_Next(JdLinkQueue *lq, const JdLinkMoment *state,
+JdLinkItem *JdLinkQueue_Expired(const JdLinkQueue *lq, uint64_t now);
+size_t JdLinkQueue_BytesAhead(const JdLinkQueue *lq,
+                              const JdLinkMoment *moment);
+JdLinkItem *JdLinkQueue_Next(JdLinkQueue *lq, const JdLinkMoment *moment,
                              bool (*is_blocked)(void *ctx,
                                                 const JdLinkItem *it),
                              void *ctx);
--- a/lib/link/queue.c
+++ b/lib/link/queue.c
@@ -12,15 +12,15 @@
 /* Deadlines in the same interval of this length count as equal. */
 #define TURN_INTERVAL (20 * JD_US_PER_MS)
 
-/* Responses that are begun and not whole, from which on no other one of the
- * same deadline is begun. */
+/* Number of responses that are begun and not whole from which no other one of
+ * the same deadline is begun. */
 #define MAX_BEGUN 3
 
 /* How well a response can still be served; the lower one goes first. */
 typedef enum ServiceClass {
-    CLASS_IN_TIME, /* whole by its soft deadline, or begun */
-    CLASS_LATE,    /* whole by its deadline */
-    CLASS_HOPELESS,
+    CLASS_IN_TIME,  /* whole by its soft deadline, or begun */
+    CLASS_LATE,     /* whole by its deadline */
+    CLASS_HOPELESS, /* later, by what is expected */
 } ServiceClass;
 
 /* Initializes an empty queue. */
@@ -58,7 +58,7 @@
            (uint64_t)((double)it->left * JD_US_PER_S / (moment->rate + 1));
 }
 
-/* Returns whether a response cannot be whole by its deadline any more. */
+/* Returns whether a response is not expected to be whole by its deadline. */
 bool
 JdLinkItem_IsHopeless(const JdLinkItem *it, const JdLinkMoment *moment)
 {
@@ -112,15 +112,16 @@
     return at != bt ? at < bt : takes_turn_before(a, b, order);
 }
 
+/* Counts the responses that are begun, without those that go last. */
 static unsigned
-count_begun(const JdLinkQueue *lq)
+count_begun(const JdLinkQueue *lq, const JdLinkMoment *moment)
 {
     const JdLinkItem *it;
     unsigned n = 0;
 
     TAILQ_FOREACH(it, &lq->items, link)
     {
-        n += it->written > 0;
+        n += it->written > 0 && !JdLinkItem_IsHopeless(it, moment);
     }
     return n;
 }
@@ -132,7 +133,7 @@
                  bool (*is_blocked)(void *ctx, const JdLinkItem *it),
                  void *ctx)
 {
-    Order order = {moment, count_begun(lq)};
+    Order order = {moment, count_begun(lq, moment)};
     JdLinkItem *best = NULL;
     JdLinkItem *it;
 
@@ -148,6 +149,37 @@
     return best;
 }
 
+/* Returns a response whose deadline has passed, or NULL.  Until then its
+ * caller waits for it, even if it is not expected to be whole in time. */
+JdLinkItem *
+JdLinkQueue_Expired(const JdLinkQueue *lq, uint64_t now)
+{
+    JdLinkItem *it;
+
+    TAILQ_FOREACH(it, &lq->items, link)
+    {
+        if (it->deadline <= now) {
+            return it;
+        }
+    }
+    return NULL;
+}
+
+/* Returns the bytes that go before a new response: those of all but the
+ * hopeless ones, which go last. */
+size_t
+JdLinkQueue_BytesAhead(const JdLinkQueue *lq, const JdLinkMoment *moment)
+{
+    const JdLinkItem *it;
+    size_t sum = 0;
+
+    TAILQ_FOREACH(it, &lq->items, link)
+    {
+        sum += JdLinkItem_IsHopeless(it, moment) ? 0 : it->left;
+    }
+    return sum;
+}
+
 /* Records that bytes of a response are written. */
 void
 JdLinkQueue_Take(JdLinkQueue *lq, JdLinkItem *it, size_t bytes)
--- a/lib/link/room.c
+++ b/lib/link/room.c
@@ -59,13 +59,16 @@
                       (JdPacer_ChunkRate(lr->pacer) + 1));
 }
 
-/* Returns the time in us that the link needs for all that is queued and for
- * the responses of the work in progress. */
+/* Returns the time in us that the link needs for what is queued before a new
+ * response and for the responses of the work in progress. */
 uint64_t
 JdLinkRoom_Wait(const JdLinkRoom *lr)
 {
-    return time_to_write(lr, lr->queue->bytes + lr->expected) +
-           JdPacer_Wait(lr->pacer);
+    JdLinkMoment moment = {JdClock_Now(lr->pacer->clock),
+                           JdPacer_ChunkRate(lr->pacer)};
+    size_t ahead = JdLinkQueue_BytesAhead(lr->queue, &moment);
+
+    return time_to_write(lr, ahead + lr->expected) + JdPacer_Wait(lr->pacer);
 }
 
 /* Returns the time in us after which the response of a new request would be
--- a/peer/bulk.c
+++ b/peer/bulk.c
@@ -76,7 +76,7 @@
     }
 }
 
-/* Tells the node that waits for a response that it does not come in time. */
+/* Tells the node that asked for a response that it does not come. */
 static void
 give_up(JdNode *nd, BulkResponse *br)
 {
@@ -98,16 +98,15 @@
     free_response(nd, br);
 }
 
+/* Gives up the responses whose callers have stopped waiting. */
 static void
-give_up_hopeless(JdNode *nd, const JdLinkMoment *state)
+give_up_expired(JdNode *nd)
 {
-    JdLinkItem *it, *next;
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+    JdLinkItem *it;
 
-    for (it = TAILQ_FIRST(&nd->link_queue.items); it != NULL; it = next) {
-        next = TAILQ_NEXT(it, link);
-        if (JdLinkItem_IsHopeless(it, state)) {
-            give_up(nd, response_of(it));
-        }
+    while ((it = JdLinkQueue_Expired(&nd->link_queue, now)) != NULL) {
+        give_up(nd, response_of(it));
     }
 }
 
@@ -119,16 +118,16 @@
     uint64_t wait = 0;
 
     while (nd->link_queue.count > 0) {
-        JdLinkMoment state = {JdClock_Now(&nd->loop.clock),
-                              JdPacer_ChunkRate(&nd->pacer)};
+        JdLinkMoment moment = {JdClock_Now(&nd->loop.clock),
+                               JdPacer_ChunkRate(&nd->pacer)};
         JdLinkItem *it;
 
-        give_up_hopeless(nd, &state);
+        give_up_expired(nd);
         wait = JdPacer_Wait(&nd->pacer);
         if (wait > 0) {
             break;
         }
-        it = JdLinkQueue_Next(&nd->link_queue, &state, is_blocked, nd);
+        it = JdLinkQueue_Next(&nd->link_queue, &moment, is_blocked, nd);
         if (it == NULL) {
             wait = BLOCKED_INTERVAL;
             break;
--- a/regress/unit/link.c
+++ b/regress/unit/link.c
@@ -51,7 +51,8 @@
     unsigned small;
     Large large[LARGE_MAX];
     unsigned count, first;
-    unsigned refused, whole, in_goal, given_up;
+    unsigned refused, whole, in_goal;
+    unsigned given_up; /* or whole after its deadline */
 } Play;
 
 static Play play;
@@ -133,17 +134,15 @@
 }
 
 static void
-give_up_hopeless(Play *p, const JdLinkMoment *moment)
+give_up_expired(Play *p)
 {
-    for (unsigned i = p->first; i < p->count; i++) {
-        Large *lg = &p->large[i];
+    uint64_t now = JdClock_Now(&p->clock);
+    JdLinkItem *it;
 
-        if (lg->is_queued && !lg->is_over &&
-            JdLinkItem_IsHopeless(&lg->item, moment)) {
-            JdLinkQueue_Remove(&p->queue, &lg->item);
-            lg->is_over = true;
-            p->given_up++;
-        }
+    while ((it = JdLinkQueue_Expired(&p->queue, now)) != NULL) {
+        JdLinkQueue_Remove(&p->queue, it);
+        ((Large *)it)->is_over = true;
+        p->given_up++;
     }
 }
 
@@ -154,7 +153,7 @@
                            JdPacer_ChunkRate(&p->pacer)};
     JdLinkItem *it;
 
-    give_up_hopeless(p, &moment);
+    give_up_expired(p);
     while (JdPacer_Wait(&p->pacer) == 0 &&
            (it = JdLinkQueue_Next(&p->queue, &moment, NULL, NULL)) != NULL) {
         Large *lg = (Large *)it;
@@ -169,6 +168,7 @@
             JdLinkQueue_Remove(&p->queue, it);
             lg->is_over = true;
             p->whole += sent_at <= lg->arrived_at + DEADLINE;
+            p->given_up += sent_at > lg->arrived_at + DEADLINE;
             p->in_goal += sent_at <= lg->arrived_at + GOAL;
         }
     }
@@ -352,6 +352,79 @@
                         &urgent);
 }
 
+/* A response that is not expected to be whole by its deadline goes behind all
+ * others, is written when nothing else is, and is given up only when its
+ * deadline has passed: its caller waits for it until then. */
+static void
+test_expected_late(void)
+{
+    Load load = {17000, 0, 0};
+    JdLinkMoment moment = {0, 2000000};
+    JdLinkItem hopeless, other;
+
+    start_play(&load);
+    add_item(&hopeless, 10000000, GOAL);
+    add_item(&other, 50000, GOAL);
+    hopeless.priority = 0;
+    other.priority = 2;
+    CU_ASSERT_TRUE(JdLinkItem_IsHopeless(&hopeless, &moment));
+    CU_ASSERT_PTR_NULL(JdLinkQueue_Expired(&play.queue, moment.now));
+    CU_ASSERT_PTR_EQUAL(JdLinkQueue_Next(&play.queue, &moment, NULL, NULL),
+                        &other);
+    JdLinkQueue_Remove(&play.queue, &other);
+    CU_ASSERT_PTR_EQUAL(JdLinkQueue_Next(&play.queue, &moment, NULL, NULL),
+                        &hopeless);
+    moment.now = hopeless.deadline - 1;
+    CU_ASSERT_PTR_NULL(JdLinkQueue_Expired(&play.queue, moment.now));
+    moment.now = hopeless.deadline;
+    CU_ASSERT_PTR_EQUAL(JdLinkQueue_Expired(&play.queue, moment.now),
+                        &hopeless);
+    JdLinkQueue_Remove(&play.queue, &hopeless);
+    CU_ASSERT_PTR_NULL(JdLinkQueue_Expired(&play.queue, moment.now));
+}
+
+/* Begun responses that are not expected in time do not keep others from being
+ * begun. */
+static void
+test_begun_late(void)
+{
+    Load load = {17000, 0, 0};
+    JdLinkMoment moment = {0, 2000000};
+    JdLinkItem hopeless[3], a, b;
+
+    start_play(&load);
+    for (int i = 0; i < 3; i++) {
+        add_item(&hopeless[i], 10000000, GOAL);
+        JdLinkQueue_Take(&play.queue, &hopeless[i], 10000);
+    }
+    add_item(&a, 50000, GOAL);
+    JdLinkQueue_Take(&play.queue, &a, 10000);
+    add_item(&b, 50000, GOAL);
+    CU_ASSERT_PTR_EQUAL(JdLinkQueue_Next(&play.queue, &moment, NULL, NULL),
+                        &b);
+}
+
+/* A response that goes behind all others takes no room from new requests, but
+ * it takes memory. */
+static void
+test_room_before_late(void)
+{
+    Load load = {17000, 0, 0};
+    JdLinkNeed need = {50000, WORK_TIME, DEADLINE, GOAL};
+    JdLinkItem hopeless, other;
+    uint64_t idle;
+
+    start_play(&load);
+    idle = JdLinkRoom_Wait(&play.room);
+    add_item(&hopeless, 32U << 20, GOAL);
+    CU_ASSERT_EQUAL(JdLinkRoom_Wait(&play.room), idle);
+    CU_ASSERT_FALSE(JdLinkRoom_Fits(&play.room, &need));
+    add_item(&other, 50000, GOAL);
+    CU_ASSERT_TRUE(JdLinkRoom_Wait(&play.room) > idle);
+    JdLinkQueue_Remove(&play.queue, &hopeless);
+    CU_ASSERT_TRUE(JdLinkRoom_Fits(&play.room, &need));
+}
+
 /* A response whose caller leaves midway makes room at once. */
 static void
 test_cancelled(void)
@@ -485,6 +558,9 @@
     CU_add_test(suite, "region link", test_region_link);
     CU_add_test(suite, "frozen", test_frozen);
     CU_add_test(suite, "turns", test_turns);
+    CU_add_test(suite, "expected late", test_expected_late);
+    CU_add_test(suite, "begun late", test_begun_late);
+    CU_add_test(suite, "room before late", test_room_before_late);
     CU_add_test(suite, "cancelled", test_cancelled);
     CU_add_test(suite, "blocked", test_blocked_and_unknown);
     CU_add_test(suite, "memory", test_memory);
