Picking the target of an attempt in a file of its own

peer/forward.c had grown to 750 lines. What picks a target, sets the delay of its hedge and sets up the balancer moves to peer/pick.c. The condition for a hedge stays with the timer; the delay alone is computed in the new file. The comment on bulk routes says now that their hedge goes out as late as is allowed, not never.

--- a/peer/forward.c
+++ b/peer/forward.c
@@ -1,20 +1,14 @@
 /*
- * Forwards the requests of callers: picks targets, starts attempts, retries
- * them and gives the final answer.  A call is routed by the configuration
- * version in force when it began.  Attempts follow one another, except that an
- * idempotent request is hedged: when its target takes far longer than usual,
- * it is sent to a second target as well, and the first answer is used.
+ * Forwards the requests of callers: starts attempts, retries them and gives
+ * the final answer.  A call is routed by the configuration version in force
+ * when it began.  Attempts follow one another, except that an idempotent
+ * request is hedged: when its target takes far longer than usual, it is sent
+ * to a second target as well, and the first answer is used.
  */
 #include <string.h>
 
 #include "forward.h"
 
-/* Delay of the hedge, as a multiple of the target's average latency. */
-#define HEDGE_LATENCY_FACTOR 4
-/* Shortest delay of the hedge. */
-#define HEDGE_DELAY_MIN (50 * JD_US_PER_MS)
-/* Delay of the hedge while the target's latency is not known. */
-#define HEDGE_DELAY_DEFAULT (500 * JD_US_PER_MS)
 /* Pause before a retry after a connection broke.  What resets one connection
  * often resets others within a few milliseconds, and a retry that is sent on
  * one of them is lost as well. */
@@ -278,13 +272,6 @@
     try_next_target(ctx);
 }
 
-/* Returns whether the answer is large and comes in chunks. */
-static bool
-expects_chunks(const JdCall *call)
-{
-    return call->route.is_bulk && JdPacer_IsOn(&call->node->pacer);
-}
-
 /* Updates the message of a call for an attempt that is sent now. */
 static void
 fill_message(JdAttempt *att)
@@ -297,7 +284,7 @@
     att->is_sent = true;
     msg->retry = att->is_retry;
     msg->id = att->id;
-    msg->takes_chunks = expects_chunks(call);
+    msg->takes_chunks = JdPick_ExpectsChunks(call);
     msg->left_ms = call->deadline > now
                        ? (uint32_t)((call->deadline - now) / JD_US_PER_MS)
                        : 0;
@@ -360,49 +347,14 @@
     }
 }
 
-/* Returns the time in us that a request at a target takes as a rule, 0:
- * unknown.  A service that is balanced by work knows it for each route. */
-static uint64_t
-usual_time(const JdCall *call, JdMember *mb)
-{
-    const JdTargetStats *ts = mb->user;
-    uint64_t expected = 0;
-
-    if (call->route.is_by_work) {
-        expected = JdBalancer_ExpectedTime(&call->node->balancer, mb,
-                                           call->route.name);
-    }
-    if (expected == 0 && ts != NULL) {
-        expected = ts->mean_latency;
-    }
-    return expected;
-}
-
 /* Schedules the hedge of an idempotent request that is sent to `mb`. */
 static void
 arm_hedge_timer(JdCall *call, JdMember *mb)
 {
-    uint64_t usual = usual_time(call, mb);
-    uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
-    uint64_t delay = HEDGE_DELAY_DEFAULT;
-
-    if (!JdRetry_IsIdempotent(call) || !JdRetry_HasAttemptsLeft(call)) {
-        return;
+    if (JdRetry_IsIdempotent(call) && JdRetry_HasAttemptsLeft(call)) {
+        JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer,
+                    JdPick_HedgeDelay(call, mb));
     }
-    if (usual > 0) {
-        delay = usual * HEDGE_LATENCY_FACTOR;
-    }
-    if (delay < HEDGE_DELAY_MIN) {
-        delay = HEDGE_DELAY_MIN;
-    }
-    if (expects_chunks(call)) {
-        /* The answer waits for the link of its target's machine, and a second
-         * one would fill another link. */
-        delay = left;
-    }
-    /* Leave the second attempt at least half of the remaining time. */
-    JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer,
-                delay < left / 2 ? delay : left / 2);
 }
 
 /* Adds an attempt at a member. */
@@ -429,45 +381,6 @@
     return att;
 }
 
-/* Picks a target of the versions that `versions` allows, or NULL.  All copies
- * of a request under which a target has crashed get the same one. */
-static JdMember *
-pick_among(JdCall *call, const JdVersionFilter *versions, JdTier *tier)
-{
-    JdBalancer *lb = &call->node->balancer;
-    JdExcludedTargets avoid = {call->target_ids, call->attempt_count,
-                               call->full_count, versions};
-
-    lb->counts_link = expects_chunks(call);
-    if (JdRetry_MayCrashTargets(call)) {
-        return JdBalancer_PickPinned(lb, call->route.endpoint_set, &avoid,
-                                     call->fingerprint.fingerprint.word[0],
-                                     tier);
-    }
-    return JdCapacity_PickTarget(call, versions, tier);
-}
-
-/* Picks a target that has not been tried, of a version that the roll-out of
- * the service allows; NULL if there is none. */
-static JdMember *
-pick_target(JdCall *call, JdTier *tier)
-{
-    JdNode *nd = call->node;
-    const JdMemberSet *set =
-        JdMembers_FindSet(&nd->tree.members, call->route.endpoint_set);
-    JdVersionFilter vf;
-    JdMember *mb;
-
-    JdVersionFilter_Init(&vf, &nd->tree.rollouts, call->route.service, set,
-                         &call->version, JdRolloutNode_MayTest(nd));
-    do {
-        mb = pick_among(call, &vf, tier);
-    } while (mb == NULL && JdVersionFilter_Widen(&vf, set));
-    nd->counters.value[JD_C_ROLLOUT_CANARY] +=
-        mb != NULL && vf.choice == JD_CHOICE_CANARY;
-    return mb;
-}
-
 /* Sends the request to a target that has not been tried, or refuses the call
  * when there is none and no attempt is under way. */
 static void
@@ -476,7 +389,7 @@
     JdAttemptFailure down = {.reason = JD_REASON_TARGET_DOWN};
     JdNode *nd = call->node;
     JdTier tier;
-    JdMember *mb = pick_target(call, &tier);
+    JdMember *mb = JdPick_Target(call, &tier);
     JdRequestConn *rconn;
     JdAttempt *att;
 
@@ -702,28 +615,6 @@
     JdRequestConn_CheckAll(nd);
 }
 
-static json_int_t
-percent(double part)
-{
-    return (json_int_t)(part * 100 + 0.5);
-}
-
-/* Requests begin or cease to leave the failure domain. */
-static void
-on_share_changed(void *ctx, const char *endpoint_set, JdTier tier,
-                 const JdSpread *sp)
-{
-    (void)ctx;
-    JD_LOG(JD_EVENT_SPREAD, JD_TEXT("endpoint_set", endpoint_set),
-           JD_TEXT("tier", JdTier_Name(tier)),
-           JD_TEXT("state", sp->is_leaving[tier] ? "leaving" : "returned"),
-           JD_NUMBER("share", percent(sp->share[tier])),
-           JD_NUMBER("load_home", percent(sp->load[JD_TIER_DOMAIN])),
-           JD_NUMBER("load_there", percent(sp->load[tier])),
-           JD_NUMBER("wait_home_us", (json_int_t)sp->wait[JD_TIER_DOMAIN]),
-           JD_NUMBER("wait_there_us", (json_int_t)sp->wait[tier]));
-}
-
 /* Initializes the forwarding of requests. */
 void
 JdForward_Init(JdNode *nd)
@@ -732,17 +623,8 @@
     nd->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     JdCapacity_Init(nd);
+    JdPick_Init(nd);
     JdRequestConn_Init(nd);
-    nd->balancer.members = &nd->tree.members;
-    nd->balancer.clock = &nd->loop.clock;
-    nd->balancer.random = &nd->tree.random;
-    nd->balancer.counters = &nd->counters;
-    nd->balancer.region = nd->settings.region;
-    nd->balancer.domain = nd->settings.failure_domain;
-    JdPlacing_Init(&nd->placing);
-    nd->placing.share_changed = on_share_changed;
-    nd->placing.ctx = nd;
-    nd->balancer.placing = &nd->placing;
     JdTimer_Init(&nd->conn_check_timer, on_conn_check, nd);
     JdTimer_Arm(&nd->loop.clock, &nd->conn_check_timer, CONN_CHECK_PERIOD);
 }
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -115,6 +115,12 @@
 bool JdRetry_Take(JdCall *call, JdReason reason, bool was_sent);
 void JdRetry_RecordCall(JdNode *nd, const JdRoute *route);
 
+/* pick.c */
+void JdPick_Init(JdNode *nd);
+bool JdPick_ExpectsChunks(const JdCall *call);
+JdMember *JdPick_Target(JdCall *call, JdTier *tier);
+uint64_t JdPick_HedgeDelay(const JdCall *call, JdMember *mb);
+
 /* capacity.c */
 void JdCapacity_Init(JdNode *nd);
 JdMember *JdCapacity_PickTarget(JdCall *call, const JdVersionFilter *versions,
--- /dev/null
+++ b/peer/pick.c
@@ -0,0 +1,140 @@
+/*
+ * Picks the target of an attempt by the balancer, the roll-outs of the service
+ * and the capacity of targets, and the time after which a second one is asked.
+ */
+#include <string.h>
+
+#include "forward.h"
+
+/* Delay of the hedge, as a multiple of the target's average latency. */
+#define HEDGE_LATENCY_FACTOR 4
+/* Shortest delay of the hedge. */
+#define HEDGE_DELAY_MIN (50 * JD_US_PER_MS)
+/* Delay of the hedge while the target's latency is not known. */
+#define HEDGE_DELAY_DEFAULT (500 * JD_US_PER_MS)
+
+/* Returns whether the answer is large and comes in chunks. */
+bool
+JdPick_ExpectsChunks(const JdCall *call)
+{
+    return call->route.is_bulk && JdPacer_IsOn(&call->node->pacer);
+}
+
+/* Picks a target of the versions that `versions` allows, or NULL.  All copies
+ * of a request under which a target has crashed get the same one. */
+static JdMember *
+pick_among(JdCall *call, const JdVersionFilter *versions, JdTier *tier)
+{
+    JdBalancer *lb = &call->node->balancer;
+    JdExcludedTargets avoid = {call->target_ids, call->attempt_count,
+                               call->full_count, versions};
+
+    lb->counts_link = JdPick_ExpectsChunks(call);
+    if (JdRetry_MayCrashTargets(call)) {
+        return JdBalancer_PickPinned(lb, call->route.endpoint_set, &avoid,
+                                     call->fingerprint.fingerprint.word[0],
+                                     tier);
+    }
+    return JdCapacity_PickTarget(call, versions, tier);
+}
+
+/* Picks a target that has not been tried, of a version that the roll-out of
+ * the service allows; NULL if there is none. */
+JdMember *
+JdPick_Target(JdCall *call, JdTier *tier)
+{
+    JdNode *nd = call->node;
+    const JdMemberSet *set =
+        JdMembers_FindSet(&nd->tree.members, call->route.endpoint_set);
+    JdVersionFilter vf;
+    JdMember *mb;
+
+    JdVersionFilter_Init(&vf, &nd->tree.rollouts, call->route.service, set,
+                         &call->version, JdRolloutNode_MayTest(nd));
+    do {
+        mb = pick_among(call, &vf, tier);
+    } while (mb == NULL && JdVersionFilter_Widen(&vf, set));
+    nd->counters.value[JD_C_ROLLOUT_CANARY] +=
+        mb != NULL && vf.choice == JD_CHOICE_CANARY;
+    return mb;
+}
+
+/* Returns the time in us that a request at a target takes as a rule, 0:
+ * unknown.  A service that is balanced by work knows it for each route. */
+static uint64_t
+usual_time(const JdCall *call, JdMember *mb)
+{
+    const JdTargetStats *ts = mb->user;
+    uint64_t expected = 0;
+
+    if (call->route.is_by_work) {
+        expected = JdBalancer_ExpectedTime(&call->node->balancer, mb,
+                                           call->route.name);
+    }
+    if (expected == 0 && ts != NULL) {
+        expected = ts->mean_latency;
+    }
+    return expected;
+}
+
+/* Returns the time in us after which a request that is sent to `mb` is sent to
+ * a second target as well. */
+uint64_t
+JdPick_HedgeDelay(const JdCall *call, JdMember *mb)
+{
+    uint64_t usual = usual_time(call, mb);
+    uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
+    uint64_t delay = HEDGE_DELAY_DEFAULT;
+
+    if (usual > 0) {
+        delay = usual * HEDGE_LATENCY_FACTOR;
+    }
+    if (delay < HEDGE_DELAY_MIN) {
+        delay = HEDGE_DELAY_MIN;
+    }
+    if (JdPick_ExpectsChunks(call)) {
+        /* As late as is allowed: the answer waits for the link of its target's
+         * VM, and a second one would fill another link. */
+        delay = left;
+    }
+    /* Leave the second attempt at least half of the remaining time. */
+    return delay < left / 2 ? delay : left / 2;
+}
+
+static json_int_t
+percent(double part)
+{
+    return (json_int_t)(part * 100 + 0.5);
+}
+
+/* Requests begin or cease to leave the failure domain. */
+static void
+on_share_changed(void *ctx, const char *endpoint_set, JdTier tier,
+                 const JdSpread *sp)
+{
+    (void)ctx;
+    JD_LOG(JD_EVENT_SPREAD, JD_TEXT("endpoint_set", endpoint_set),
+           JD_TEXT("tier", JdTier_Name(tier)),
+           JD_TEXT("state", sp->is_leaving[tier] ? "leaving" : "returned"),
+           JD_NUMBER("share", percent(sp->share[tier])),
+           JD_NUMBER("load_home", percent(sp->load[JD_TIER_DOMAIN])),
+           JD_NUMBER("load_there", percent(sp->load[tier])),
+           JD_NUMBER("wait_home_us", (json_int_t)sp->wait[JD_TIER_DOMAIN]),
+           JD_NUMBER("wait_there_us", (json_int_t)sp->wait[tier]));
+}
+
+/* Initializes the balancer of a node. */
+void
+JdPick_Init(JdNode *nd)
+{
+    nd->balancer.members = &nd->tree.members;
+    nd->balancer.clock = &nd->loop.clock;
+    nd->balancer.random = &nd->tree.random;
+    nd->balancer.counters = &nd->counters;
+    nd->balancer.region = nd->settings.region;
+    nd->balancer.domain = nd->settings.failure_domain;
+    JdPlacing_Init(&nd->placing);
+    nd->placing.share_changed = on_share_changed;
+    nd->placing.ctx = nd;
+    nd->balancer.placing = &nd->placing;
+}
