Handling of answers in a file of its own

It ends a call by JdForward_AttemptAnswered(). Nothing else changes but the names JdAnswer_OnResponse and JdAnswer_OnChunk, and two comments of node/node.h that say VM now.

--- a/node/node.h
+++ b/node/node.h
@@ -56,7 +56,7 @@
     uint64_t checkpoint_versions;
     uint64_t checkpoint_interval_s;
     uint64_t max_body_bytes;
-    uint64_t link_kbps; /* bandwidth of the machine's link, 0: unknown */
+    uint64_t link_kbps; /* bandwidth of the VM's link, 0: unknown */
     uint64_t baseline_poll_ms; /* each node polls the log, 0: use the tree */
     uint64_t claim_hold_s;     /* time for which a key stays claimed */
     uint64_t log_retention_s;  /* 0: unknown */
@@ -279,7 +279,7 @@
     unsigned next_lost_attempt;
     JdTimer conn_check_timer; /* checks request connections */
 
-    /* Large responses on the link of this machine: peer/bulk.c */
+    /* Large responses on the link of this VM: peer/bulk.c */
     JdPacer pacer;
     JdLinkQueue link_queue;
     JdLinkRoom link_room;
@@ -322,11 +322,13 @@
 bool JdWaitingRequest_CallerDisconnected(JdNode *nd,
                                          const JdServerRequest *req);
 
-/* peer/forward.c: requests to the nodes of targets, and their responses */
+/* peer/forward.c: requests to the nodes of targets */
 void JdForward_Init(JdNode *nd);
-void JdForward_OnResponse(JdNode *nd, const Jd__Response *msg);
 unsigned JdForward_CountOldRunning(const JdNode *nd, const JdRollout *ro);
 
+/* peer/answer.c: answers to the attempts of this node */
+void JdAnswer_OnResponse(JdNode *nd, const Jd__Response *msg);
+
 /* peer/response.c: responses of the local target, on their way out */
 void JdResponse_Init(JdNode *nd);
 
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -193,6 +193,14 @@
     }
 }
 
+/* Ends the call of an attempt with the answer that the attempt got. */
+void
+JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg)
+{
+    end_attempt(att);
+    answer_call(att->call, msg);
+}
+
 /* ---- attempts ---------------------------------------------------------- */
 
 static void
@@ -431,112 +439,7 @@
     }
 }
 
-/* ---- answers ----------------------------------------------------------- */
-
-/* Finds the attempt under way that an answer belongs to, or NULL. */
-static JdAttempt *
-find_attempt(JdNode *nd, uint64_t id)
-{
-    JdCall *call;
-
-    TAILQ_FOREACH_REVERSE(call, &nd->calls, JdCallHead, link)
-    {
-        for (unsigned i = 0; i < call->attempt_count; i++) {
-            if (call->attempts[i].id == id && call->attempts[i].is_active) {
-                return &call->attempts[i];
-            }
-        }
-    }
-    return NULL;
-}
-
-/* Records that the process of a target crashed under a request; 0: none. */
-static void
-learn_crash(JdCall *call, uint64_t process)
-{
-    if (process != 0) {
-        JdCrashTable_Record(
-            &call->node->tree.crashes,
-            JdLazyFingerprint_Get(&call->fingerprint, call->msg), process);
-    }
-}
-
-/* Handles an answer or a refusal by a target's node. */
-void
-JdForward_OnResponse(JdNode *nd, const Jd__Response *msg)
-{
-    JdLoadReport report = {.load = msg->load,
-                           .service_time = msg->service_us,
-                           .has_notices = true,
-                           .process = msg->target_started,
-                           .rate_limit = msg->rate_limit,
-                           .limit_wait = msg->limit_wait_ms * JD_US_PER_MS,
-                           .is_leaving = msg->target_leaving,
-                           .link_wait = msg->link_wait_ms * JD_US_PER_MS,
-                           .cutoff_rank = msg->cutoff_rank,
-                           .cutoff_wait = msg->cutoff_ms * JD_US_PER_MS};
-    JdAttempt *att = find_attempt(nd, msg->id);
-
-    if (att == NULL) {
-        nd->counters.value[JD_C_LATE_ANSWERS]++;
-        return;
-    }
-    if (att->call->route.is_by_work) {
-        report.work = (JdWorkReport){.route = att->call->route.name,
-                                     .route_time = msg->route_us,
-                                     .load = msg->work,
-                                     .held = msg->held_us,
-                                     .body_len = msg->body.len,
-                                     .domain_load = msg->domain_load};
-    }
-    learn_crash(att->call, msg->crashed_process);
-    nd->counters.value[JD_C_REQUEST_BYTES] += msg->body.len;
-    if (att->tier == JD_TIER_FAR) {
-        nd->counters.value[JD_C_REQUEST_REGION_BYTES] += msg->body.len;
-    }
-    if (msg->reason != JD_REASON_NONE || msg->status == 0) {
-        JdAttemptFailure failure = {.reason = JD_REASON_BROKEN,
-                                    .was_sent = msg->sent,
-                                    .report = report,
-                                    .retry_after_ms = msg->retry_after_ms};
-
-        if (msg->reason != JD_REASON_NONE && msg->reason < JD_REASON_MAX) {
-            failure.reason = (JdReason)msg->reason;
-        }
-        JdForward_AttemptFailed(att, &failure);
-        return;
-    }
-    JdBalancer_RecordAnswer(&nd->balancer, JdForward_TargetId(att),
-                            JdClock_Now(&nd->loop.clock) - att->sent_at,
-                            &report);
-    end_attempt(att);
-    answer_call(att->call, msg);
-}
-
-/* Handles a part of a large answer. */
-void
-JdForward_OnChunk(JdNode *nd, Jd__Chunk *chunk)
-{
-    JdAttemptFailure broken = {.reason = JD_REASON_BROKEN, .was_sent = true};
-    JdAttempt *att = find_attempt(nd, chunk->id);
-    Jd__Response *msg;
-
-    if (att == NULL) {
-        nd->counters.value[JD_C_LATE_ANSWERS] += !chunk->more;
-        return;
-    }
-    if (!JdPartial_Add(&att->partial, chunk)) {
-        JdForward_AttemptFailed(att, &broken);
-        return;
-    }
-    JdTimer_Cancel(&nd->loop.clock, &att->call->hedge_timer);
-    JdBalancer_RecordProgress(&nd->balancer, JdForward_TargetId(att));
-    if (JdPartial_IsWhole(&att->partial)) {
-        msg = JdPartial_Take(&att->partial);
-        JdForward_OnResponse(nd, msg);
-        jd__response__free_unpacked(msg, NULL);
-    }
-}
+/* ---- beginning and end ------------------------------------------------ */
 
 /* Returns whether a request is under way to a target or at one. */
 static bool
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -97,10 +97,13 @@
 void JdForward_Begin(JdCall *call);
 const char *JdForward_TargetId(const JdAttempt *att);
 void JdForward_SendAttempt(JdAttempt *att);
+void JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
-void JdForward_OnChunk(JdNode *nd, Jd__Chunk *chunk);
 void JdForward_CallerDisconnected(JdCall *call);
 
+/* answer.c */
+void JdAnswer_OnChunk(JdNode *nd, Jd__Chunk *chunk);
+
 /* partial.c */
 bool JdPartial_Add(JdPartial *pt, Jd__Chunk *chunk);
 bool JdPartial_IsWhole(const JdPartial *pt);
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -124,10 +124,10 @@
 on_frame(void *ctx, JdConn *conn, Jd__Frame *frame)
 {
     if (frame->body_case == JD__FRAME__BODY_RESPONSE) {
-        JdForward_OnResponse(ctx, frame->response);
+        JdAnswer_OnResponse(ctx, frame->response);
     }
     else if (frame->body_case == JD__FRAME__BODY_CHUNK) {
-        JdForward_OnChunk(ctx, frame->chunk);
+        JdAnswer_OnChunk(ctx, frame->chunk);
     }
     else {
         JdAccounts_OnFrame(ctx, conn, frame);
--- a/peer/response.c
+++ b/peer/response.c
@@ -8,7 +8,7 @@
     JdNode *nd = ctx;
 
     if (origin == NULL) {
-        JdForward_OnResponse(nd, msg);
+        JdAnswer_OnResponse(nd, msg);
         return;
     }
     frame.version = nd->store.config->version;
