--- a/include/jacinthdyke_link.h
+++ b/include/jacinthdyke_link.h
@@ -1,4 +1,4 @@
-/* Room on the link of this node's machine: pacing, order and admission of
+/* Room on the link of this node's VM: pacing, order and admission of
  * large responses.  Do not include this file directly; include jacinthdyke.h.
  */
 #ifndef JACINTHDYKE_LINK_H
--- a/lib/link/pacer.c
+++ b/lib/link/pacer.c
@@ -1,5 +1,5 @@
 /*
- * Token bucket of the bandwidth of a machine's link.  It answers the load of
+ * Token bucket of the bandwidth of a VM's link.  It answers the load of
  * large responses beside small ones on a slow link: what is handed to the
  * kernel goes out in order, so a small frame waits for all that was handed
  * over before it.  The bucket holds little, so that little is.
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -93,7 +93,7 @@
                                                 : (double)ts->service_time;
 }
 
-/* Returns the time in us for which the link of a target's machine delays a
+/* Returns the time in us for which the link of a target's VM delays a
  * large response: as it was reported, less with its age, and for what this
  * node has asked for since. */
 static double
--- a/peer/bulk.c
+++ b/peer/bulk.c
@@ -1,6 +1,6 @@
 /*
  * Large responses of the local target, on their way to other nodes: cut into
- * chunks, which are written while the link of this machine has room.  Small
+ * chunks, which are written while the link of this VM has room.  Small
  * frames go out at once and wait for one chunk at most.
  */
 #include <string.h>
@@ -194,7 +194,7 @@
     }
 }
 
-/* Initializes the link of this machine; `link_kbps` in the settings may be 0,
+/* Initializes the link of this VM; `link_kbps` in the settings may be 0,
  * unknown. */
 void
 JdBulk_Init(JdNode *nd)
--- a/targets/room.c
+++ b/targets/room.c
@@ -1,4 +1,4 @@
-/* Room on this machine's link for the responses of the local target. */
+/* Room on this VM's link for the responses of the local target. */
 #include "work_item.h"
 
 /* Returns the average size of a route's responses; a new one is unknown. */
