Allow for drift of clocks in the delay of requests

The target's node takes off the time left what a request was delayed beyond the fastest one of its connection. Now the smallest difference is raised by 1 ms every 10 s (100 ppm).

--- a/include/jacinthdyke_shortage.h
+++ b/include/jacinthdyke_shortage.h
@@ -72,6 +72,7 @@
 typedef struct JdTransit {
     bool is_known;
     uint32_t least_offset_ms; /* between the clocks, with the usual delay */
+    uint64_t raised_at;       /* time up to which drift is allowed for */
 } JdTransit;
 
 uint32_t JdTransit_Stamp(uint64_t now);
--- a/lib/admission/transit.c
+++ b/lib/admission/transit.c
@@ -8,6 +8,10 @@
  */
 #include "libjd.h"
 
+/* Time after which the smallest difference is raised by 1 ms, as clocks may
+ * drift apart by this much (100 ppm). */
+#define DRIFT_TIME (10 * JD_US_PER_S)
+
 /* Returns the stamp of a message that is sent at `now`.  It is never 0. */
 uint32_t
 JdTransit_Stamp(uint64_t now)
@@ -17,6 +21,16 @@
     return ms == 0 ? 1 : ms;
 }
 
+/* Raises the smallest difference by what the clocks may have drifted apart. */
+static void
+allow_for_drift(JdTransit *tr, uint64_t now)
+{
+    uint64_t ms = (now - tr->raised_at) / DRIFT_TIME;
+
+    tr->least_offset_ms += (uint32_t)ms;
+    tr->raised_at += ms * DRIFT_TIME;
+}
+
 /* Records the stamp of a message that arrived at `now`, 0: it has none.
  * Returns the time in us that it was delayed on the way. */
 uint64_t
@@ -27,11 +41,13 @@
     if (stamp == 0) {
         return 0;
     }
+    allow_for_drift(tr, now);
     /* The difference of two offsets is small, though each may be any number.
      */
     if (!tr->is_known || (int32_t)(offset - tr->least_offset_ms) < 0) {
         tr->is_known = true;
         tr->least_offset_ms = offset;
+        tr->raised_at = now;
     }
     return (offset - tr->least_offset_ms) * JD_US_PER_MS;
 }
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -35,6 +35,28 @@
     }
 }
 
+/* Clocks drift apart on a connection that stays open for a day: no request
+ * counts as delayed for it, and one that is delayed still does. */
+static void
+test_transit_drift(void)
+{
+    const uint64_t day = 24 * 3600 * JD_US_PER_S;
+    uint64_t most = 0, delay;
+    JdTransit tr;
+
+    memset(&tr, 0, sizeof(tr));
+    for (uint64_t now = JD_US_PER_S; now < day; now += JD_US_PER_S) {
+        uint64_t sent = now - now / 20000; /* 50 ppm slower */
+
+        delay = JdTransit_Record(&tr, JdTransit_Stamp(sent), now);
+        most = delay > most ? delay : most;
+    }
+    CU_ASSERT_TRUE(most <= 2 * JD_US_PER_MS);
+    delay = JdTransit_Record(&tr, JdTransit_Stamp(day - day / 20000),
+                             day + 400 * JD_US_PER_MS);
+    CU_ASSERT_TRUE(delay >= 399 * JD_US_PER_MS && delay <= 402 * JD_US_PER_MS);
+}
+
 typedef struct Refusal {
     JdClock *clock;
     uint64_t at;
@@ -491,6 +513,7 @@
     CU_pSuite s = CU_add_suite("shortage", NULL, NULL);
 
     CU_add_test(s, "transit", test_transit);
+    CU_add_test(s, "transit drift", test_transit_drift);
     CU_add_test(s, "refused before deadline", test_refused_before_deadline);
     CU_add_test(s, "hot account", test_hot_account);
     CU_add_test(s, "shares by rate", test_shares_by_rate);
