--- a/include/jacinthdyke_balance.h
+++ b/include/jacinthdyke_balance.h
@@ -66,8 +66,8 @@
 typedef struct JdTierWait {
     double capacity; /* slots times speed of its targets, 0: it has none */
     double load;     /* mean of its targets */
-    double wait;     /* us, without the way there */
-    double way;      /* us there and back */
+    double wait;     /* us, without the round trip there */
+    double rtt;      /* round-trip time in us */
 } JdTierWait;
 
 typedef struct JdSpread {
@@ -105,7 +105,7 @@
                           const JdSpread *sp);
     void *ctx;
     void *sets;              /* GHashTable: endpoint set to JdPlacingSet */
-    double way[JD_TIER_MAX]; /* us there and back, 0: unknown */
+    double rtt[JD_TIER_MAX]; /* round-trip time in us, 0: unknown */
 } JdPlacing;
 
 void JdPlacing_Init(JdPlacing *pl);
--- a/lib/balance/pick.c
+++ b/lib/balance/pick.c
@@ -25,8 +25,8 @@
 /* Time constant with which what is known of another tier fades. */
 #define LOAD_FADE_TIME (2 * JD_US_PER_S)
 
-/* Ways there and back that are assumed until an answer came, in us. */
-static const double default_way[JD_TIER_MAX] = {
+/* Round-trip times that are assumed until an answer came, in us. */
+static const double default_rtt[JD_TIER_MAX] = {
     [JD_TIER_DOMAIN] = 500,
     [JD_TIER_REGION] = 5000,
     [JD_TIER_FAR] = 40000,
@@ -192,8 +192,8 @@
         wait[t].wait =
             ps->run_time.mean * slowness *
             JdWork_Wait(wait[t].load, POOLED_TARGETS * mean_slots(tv));
-        wait[t].way =
-            lb->placing->way[t] > 0 ? lb->placing->way[t] : default_way[t];
+        wait[t].rtt =
+            lb->placing->rtt[t] > 0 ? lb->placing->rtt[t] : default_rtt[t];
     }
     memcpy(was_leaving, ps->spread.is_leaving, sizeof(was_leaving));
     if (!JdSpread_Update(&ps->spread, wait, ps->run_time.mean, now) ||
@@ -275,7 +275,7 @@
     return (uint64_t)(_JdPlacingSet_RouteTime(ps, route) *
                           JdTargetView_Slowness(tv) +
                       run * JdWork_Wait(load, slots) +
-                      lb->placing->way[_JdBalancer_TierOf(lb, mb)]);
+                      lb->placing->rtt[_JdBalancer_TierOf(lb, mb)]);
 }
 
 /*
--- a/lib/balance/placing.c
+++ b/lib/balance/placing.c
@@ -1,13 +1,13 @@
 /* What a node knows of the targets that it sends to: usual run times by route,
- * the sizes of answers, and the way to each locality tier. */
+ * the sizes of answers, and the round-trip time to each locality tier. */
 #include <string.h>
 
 #include <glib.h>
 
 #include "libjd.h"
 
-/* Window of the way to a tier, in answers. */
-#define WAY_WINDOW 16
+/* Window of the round-trip time to a tier, in answers. */
+#define RTT_WINDOW 16
 /* Window of the size of a route's answers, in answers. */
 #define BODY_WINDOW 16
 /* Routes of an endpoint set that are kept. */
@@ -135,14 +135,14 @@
 }
 
 static void
-record_way(JdPlacing *pl, JdTier tier, double way)
+record_rtt(JdPlacing *pl, JdTier tier, double rtt)
 {
-    if (pl->way[tier] == 0) {
-        pl->way[tier] = way;
+    if (pl->rtt[tier] == 0) {
+        pl->rtt[tier] = rtt;
     }
-    /* Queues on the way are not the way: a longer time counts less. */
-    pl->way[tier] += (way - pl->way[tier]) /
-                     (way > pl->way[tier] ? WAY_WINDOW * 4 : WAY_WINDOW);
+    /* Queues are not a part of the round trip: a longer time counts less. */
+    pl->rtt[tier] += (rtt - pl->rtt[tier]) /
+                     (rtt > pl->rtt[tier] ? RTT_WINDOW * 4 : RTT_WINDOW);
 }
 
 static void
@@ -170,7 +170,7 @@
             ((double)rep->body_len - info->body_len) / BODY_WINDOW;
     }
     if (took > rep->held) {
-        record_way(pl, tier, (double)(took - rep->held));
+        record_rtt(pl, tier, (double)(took - rep->held));
     }
     _JdTargetView_Add(tv, rep, info->time.mean, now);
     if (tier != JD_TIER_DOMAIN) {
--- a/lib/balance/spread.c
+++ b/lib/balance/spread.c
@@ -1,10 +1,10 @@
 /*
  * Share of the requests that leave a failure domain.  Answers a load that
  * rises and falls at different times in different domains: the share grows
- * while requests wait longer at home than elsewhere, with the way there, and
- * shrinks when they no longer do.  It moves by a part of the difference of the
- * loads a second, so that many nodes with old views do not move all at once,
- * and rests between the two bounds.
+ * while requests wait longer at home than elsewhere, with the round trip
+ * there, and shrinks when they no longer do.  It moves by a part of the
+ * difference of the loads a second, so that many nodes with old views do not
+ * move all at once, and rests between the two bounds.
  */
 #include <string.h>
 
@@ -22,15 +22,16 @@
  */
 #define SHRINK_RATE 1.0
 /* Wait at home beyond that of another tier from which its share grows, and up
- * to which it shrinks, as multiples of the way. */
+ * to which it shrinks, as multiples of the round-trip time. */
 #define GROW_FACTOR 1.3
 #define SHRINK_FACTOR 0.6
-/* The way counts as at least this part of a run time: less is chance. */
-#define MIN_WAY_RUNS 0.1
-/* The way to another region counts this many times, and this part of a run
- * time more: its bytes are the dearest. */
-#define FAR_WAY_FACTOR 1.5
-#define FAR_WAY_RUNS 0.3
+/* The round-trip time counts as at least this part of a run time: less is
+ * chance. */
+#define MIN_RTT_RUNS 0.1
+/* The round-trip time to another region counts this many times, and this part
+ * of a run time more: its bytes are the dearest. */
+#define FAR_RTT_FACTOR 1.5
+#define FAR_RTT_RUNS 0.3
 /* Load of another tier up to which its share grows, and from which it shrinks:
  * where no slots are free, work moved there only waits elsewhere. */
 #define ROOM_LOAD 0.9
@@ -38,7 +39,8 @@
 /* Shares of all tiers but the own one, together. */
 #define MAX_SHARE 0.9
 /* Shares that keep the knowledge of a tier fresh: always in the own region,
- * and in another one while the wait at home is longer than the way there. */
+ * and in another one while the wait at home is longer than the round trip
+ * there. */
 #define PROBE_SHARE_REGION 0.01
 #define PROBE_SHARE_FAR 0.01
 
@@ -65,23 +67,23 @@
     }
 }
 
-/* Returns what the way to a tier costs a request more than the one at home, in
- * us. */
+/* Returns by how much the round trip to a tier is longer than the one at home,
+ * in us. */
 static double
-way_to(const JdTierWait tier[JD_TIER_MAX], JdTier t, double run_time)
+extra_rtt(const JdTierWait tier[JD_TIER_MAX], JdTier t, double run_time)
 {
-    double way = tier[t].way - tier[JD_TIER_DOMAIN].way;
+    double rtt = tier[t].rtt - tier[JD_TIER_DOMAIN].rtt;
 
     if (t == JD_TIER_FAR) {
-        way = way * FAR_WAY_FACTOR + run_time * FAR_WAY_RUNS;
+        rtt = rtt * FAR_RTT_FACTOR + run_time * FAR_RTT_RUNS;
     }
-    return way > run_time * MIN_WAY_RUNS ? way : run_time * MIN_WAY_RUNS;
+    return rtt > run_time * MIN_RTT_RUNS ? rtt : run_time * MIN_RTT_RUNS;
 }
 
 /* Returns the change of a tier's share in a second. */
 static double
 change_of(const JdSpread *sp, const JdTierWait tier[JD_TIER_MAX], JdTier t,
-          double way)
+          double rtt)
 {
     double gain = sp->wait[JD_TIER_DOMAIN] - sp->wait[t];
     double capacity = tier[t].capacity + tier[JD_TIER_DOMAIN].capacity;
@@ -90,10 +92,10 @@
                                              : (load - sp->load[t]) / load *
                                                    tier[t].capacity / capacity;
 
-    if (gain > way * GROW_FACTOR && sp->load[t] < ROOM_LOAD) {
+    if (gain > rtt * GROW_FACTOR && sp->load[t] < ROOM_LOAD) {
         return part > 0 ? part * RATE : 0;
     }
-    if (gain < way * SHRINK_FACTOR || sp->load[t] > FULL_LOAD) {
+    if (gain < rtt * SHRINK_FACTOR || sp->load[t] > FULL_LOAD) {
         return (part < 0 ? part * RATE : 0) - sp->share[t] * SHRINK_RATE;
     }
     return 0;
@@ -101,12 +103,12 @@
 
 /* Returns the least share of a tier. */
 static double
-probe_share(const JdSpread *sp, JdTier t, double way)
+probe_share(const JdSpread *sp, JdTier t, double rtt)
 {
     if (t == JD_TIER_REGION) {
         return PROBE_SHARE_REGION;
     }
-    return sp->wait[JD_TIER_DOMAIN] > way ? PROBE_SHARE_FAR : 0;
+    return sp->wait[JD_TIER_DOMAIN] > rtt ? PROBE_SHARE_FAR : 0;
 }
 
 /* Bounds the sum of the shares; the own domain gets the rest. */
@@ -150,10 +152,10 @@
     passed = passed > MAX_STEP_TIME ? MAX_STEP_TIME : passed;
     average(sp, tier, (double)passed);
     for (int t = JD_TIER_REGION; t < JD_TIER_MAX; t++) {
-        double way = way_to(tier, (JdTier)t, run_time);
-        double least = probe_share(sp, (JdTier)t, way);
+        double rtt = extra_rtt(tier, (JdTier)t, run_time);
+        double least = probe_share(sp, (JdTier)t, rtt);
 
-        sp->share[t] += change_of(sp, tier, (JdTier)t, way) * (double)passed /
+        sp->share[t] += change_of(sp, tier, (JdTier)t, rtt) * (double)passed /
                         (double)JD_US_PER_S;
         if (sp->share[t] < least) {
             sp->share[t] = least;
--- a/operator/placing.c
+++ b/operator/placing.c
@@ -9,7 +9,8 @@
     return (json_int_t)(part * 100 + 0.5);
 }
 
-/* Makes the shares, loads and ways of an endpoint set by locality tier. */
+/* Makes the shares, loads and round-trip times of an endpoint set by locality
+ * tier. */
 static json_t *
 make_tiers(const JdNode *nd, const JdPlacingSet *ps)
 {
@@ -21,7 +22,7 @@
                                       percent(ps->spread.share[t]), "load",
                                       percent(ps->spread.load[t]), "wait_us",
                                       (json_int_t)ps->spread.wait[t], "way_us",
-                                      (json_int_t)nd->placing.way[t]));
+                                      (json_int_t)nd->placing.rtt[t]));
     }
     return js;
 }
--- a/peer/answer.c
+++ b/peer/answer.c
@@ -30,9 +30,9 @@
     }
 }
 
-/* Handles an answer or a refusal by a target's node. */
-void
-JdAnswer_OnResponse(JdNode *nd, const Jd__Response *msg)
+/* Returns what a response reports of the target and its link. */
+static JdLoadReport
+report_of(const JdCall *call, const Jd__Response *msg)
 {
     JdLoadReport report = {.load = msg->load,
                            .service_time = msg->service_us,
@@ -44,20 +44,30 @@
                            .link_wait = msg->link_wait_ms * JD_US_PER_MS,
                            .cutoff_rank = msg->cutoff_rank,
                            .cutoff_wait = msg->cutoff_ms * JD_US_PER_MS};
-    JdAttempt *att = find_attempt(nd, msg->id);
 
-    if (att == NULL) {
-        nd->counters.value[JD_C_LATE_ANSWERS]++;
-        return;
-    }
-    if (att->call->route.is_by_work) {
-        report.work = (JdWorkReport){.route = att->call->route.name,
+    if (call->route.is_by_work) {
+        report.work = (JdWorkReport){.route = call->route.name,
                                      .route_time = msg->route_us,
                                      .load = msg->work,
                                      .held = msg->held_us,
                                      .body_len = msg->body.len,
                                      .domain_load = msg->domain_load};
     }
+    return report;
+}
+
+/* Handles an answer or a refusal by a target's node. */
+void
+JdAnswer_OnResponse(JdNode *nd, const Jd__Response *msg)
+{
+    JdAttempt *att = find_attempt(nd, msg->id);
+    JdLoadReport report;
+
+    if (att == NULL) {
+        nd->counters.value[JD_C_LATE_ANSWERS]++;
+        return;
+    }
+    report = report_of(att->call, msg);
     learn_crash(att->call, msg->crashed_process);
     nd->counters.value[JD_C_REQUEST_BYTES] += msg->body.len;
     if (att->tier == JD_TIER_FAR) {
--- a/regress/unit/placing.c
+++ b/regress/unit/placing.c
@@ -42,7 +42,7 @@
     double use;      /* of the speeds' sum */
     double swing;    /* of the load in a domain, in counter-phase */
     uint64_t period; /* of the swing */
-    uint64_t way;    /* us between domains, there and back */
+    uint64_t rtt;    /* us between domains, round trip */
     bool has_slow_turns;
     bool is_pinned_home; /* nothing leaves its domain */
 } Load;
@@ -148,9 +148,9 @@
 }
 
 static uint64_t
-way_of(const Job *job)
+rtt_of(const Job *job)
 {
-    return job->tier == JD_TIER_DOMAIN ? 500 : sim.load.way;
+    return job->tier == JD_TIER_DOMAIN ? 500 : sim.load.rtt;
 }
 
 static void
@@ -192,7 +192,7 @@
     JdRunTime_Add(&tg->run_time, took);
     job->held = now - job->submitted;
     JdTimer_Init(&job->timer, on_answer, job);
-    JdTimer_Arm(&sim.clock, &job->timer, way_of(job) / 2);
+    JdTimer_Arm(&sim.clock, &job->timer, rtt_of(job) / 2);
     job = TAILQ_FIRST(&tg->queue);
     if (job != NULL) {
         TAILQ_REMOVE(&tg->queue, job, link);
@@ -250,7 +250,7 @@
     sim.left += job->tier != JD_TIER_DOMAIN;
     JdBalancer_RecordSend(&nd->balancer, mb);
     JdTimer_Init(&job->timer, on_submit, job);
-    JdTimer_Arm(&sim.clock, &job->timer, way_of(job) / 2);
+    JdTimer_Arm(&sim.clock, &job->timer, rtt_of(job) / 2);
     JdTimer_Arm(&sim.clock, &nd->next,
                 (uint64_t)(-log(uniform()) / rate_of(nd)));
 }
@@ -450,7 +450,7 @@
                  .use = 0.75,
                  .swing = 0.55,
                  .period = 13 * JD_US_PER_S,
-                 .way = 7800};
+                 .rtt = 7800};
     Result got, home;
 
     play(&load, &got);
@@ -526,8 +526,8 @@
 }
 
 /* Work leaves for another region only when the wait at home is much longer
- * than the way there, and not while no slots are free there; a domain that has
- * lost its targets sends all elsewhere. */
+ * than the round trip there, and not while no slots are free there; a domain
+ * that has lost its targets sends all elsewhere. */
 static void
 test_spread_bounds(void)
 {
@@ -540,9 +540,9 @@
         {300000, 1.5, 1.2, false},
     };
     JdTierWait wait[JD_TIER_MAX] = {
-        {.capacity = 60, .way = 500},
-        {.capacity = 0, .way = 5000},
-        {.capacity = 60, .way = 40000},
+        {.capacity = 60, .rtt = 500},
+        {.capacity = 0, .rtt = 5000},
+        {.capacity = 60, .rtt = 40000},
     };
     JdSpread sp;
 
