Admission walks its queue anew after each refusal

Refusing queued work answers its caller, and the HTTP server then reads the next requests that the caller has pipelined, which are offered at once. They may evict the last work of the queue, which on_deadline() and refuse_infeasible() had kept as the next one: it was refused twice, after it had been freed. Both look for the next work anew now. The unit test, in which a refusal brings two requests of a higher priority, fails without it.

--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -284,19 +284,39 @@
     JdTimer_Arm(ad->clock, &ad->deadline_timer, first > now ? first - now : 0);
 }
 
+/* Refuses queued work.  The caller that is told may have sent others behind
+ * it, which are offered at once: the queue may be another one afterwards. */
 static void
-on_deadline(void *ctx)
+refuse_queued(JdAdmission *ad, JdWork *work, JdReason reason)
 {
-    JdAdmission *ad = ctx;
-    JdWork *w, *next;
+    dequeue_unserved(ad, work);
+    ad->ops->refuse(ad->ctx, work, reason);
+}
 
-    for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
-        next = TAILQ_NEXT(w, link);
+/* Returns queued work whose time to start has passed, or NULL. */
+static JdWork *
+find_expired(const JdAdmission *ad)
+{
+    JdWork *w;
+
+    TAILQ_FOREACH(w, &ad->queue, link)
+    {
         if (latest_start(ad, w) <= JdClock_Now(ad->clock)) {
-            dequeue_unserved(ad, w);
-            ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
+            return w;
         }
     }
+    return NULL;
+}
+
+static void
+on_deadline(void *ctx)
+{
+    JdAdmission *ad = ctx;
+    JdWork *w;
+
+    while ((w = find_expired(ad)) != NULL) {
+        refuse_queued(ad, w, JD_REASON_TOO_LATE);
+    }
     arm_deadline_timer(ad);
 }
 
@@ -320,22 +340,31 @@
     }
 }
 
-/* Refuses queued work that can no longer finish by its deadline. */
-static void
-refuse_infeasible(JdAdmission *ad)
+/* Returns queued work that can no longer finish by its deadline, or NULL. */
+static JdWork *
+find_infeasible(JdAdmission *ad)
 {
     uint64_t ahead = 0;
-    JdWork *w, *next;
+    JdWork *w;
 
-    for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
-        next = TAILQ_NEXT(w, link);
-        if (finishes_by(ad, w, estimate_wait(ad, ahead, w->rank),
-                        w->deadline)) {
-            ahead += expected_time_of(ad, w);
-            continue;
+    TAILQ_FOREACH(w, &ad->queue, link)
+    {
+        if (!finishes_by(ad, w, estimate_wait(ad, ahead, w->rank),
+                         w->deadline)) {
+            return w;
         }
-        dequeue_unserved(ad, w);
-        ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
+        ahead += expected_time_of(ad, w);
+    }
+    return NULL;
+}
+
+static void
+refuse_infeasible(JdAdmission *ad)
+{
+    JdWork *w;
+
+    while ((w = find_infeasible(ad)) != NULL) {
+        refuse_queued(ad, w, JD_REASON_TOO_LATE);
     }
 }
 
@@ -373,8 +402,7 @@
         !precedes(work, last)) {
         return false;
     }
-    dequeue_unserved(ad, last);
-    ad->ops->refuse(ad->ctx, last, JD_REASON_QUEUE_FULL);
+    refuse_queued(ad, last, JD_REASON_QUEUE_FULL);
     return true;
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -56,7 +56,7 @@
     uint64_t checkpoint_versions;
     uint64_t checkpoint_interval_s;
     uint64_t max_body_bytes;
-    uint64_t link_kbps; /* bandwidth of the VM's link, 0: unknown */
+    uint64_t link_kbps;        /* bandwidth of the VM's link, 0: unknown */
     uint64_t baseline_poll_ms; /* each node polls the log, 0: use the tree */
     uint64_t claim_hold_s;     /* time for which a key stays claimed */
     uint64_t log_retention_s;  /* 0: unknown */
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -40,7 +40,7 @@
 static void
 test_transit_drift(void)
 {
-    const uint64_t day = 24 * 3600 * JD_US_PER_S;
+    const uint64_t day = UINT64_C(86400) * JD_US_PER_S;
     uint64_t most = 0, delay;
     JdTransit tr;
 
@@ -105,6 +105,58 @@
     JdAdmission_Finish(&ad);
 }
 
+/* Work of which the first one's refusal makes a caller send others, as a
+ * caller that pipelines its requests does. */
+typedef struct Pipeline {
+    JdAdmission admission;
+    JdWork expired[2];
+    JdWork following[2];
+    unsigned refusals[2]; /* of `expired` */
+} Pipeline;
+
+static void
+offer_following(void *ctx, JdWork *work, JdReason reason)
+{
+    Pipeline *pl = ctx;
+
+    (void)reason;
+    if (work == &pl->expired[1]) {
+        pl->refusals[1]++;
+        return;
+    }
+    if (work == &pl->expired[0] && pl->refusals[0]++ == 0) {
+        JdAdmission_Offer(&pl->admission, &pl->following[0]);
+        JdAdmission_Offer(&pl->admission, &pl->following[1]);
+    }
+}
+
+/* The queue may change while work is refused: each work is refused once. */
+static void
+test_offered_while_refusing(void)
+{
+    static const JdAdmissionOps ops = {ignore_start, offer_following};
+    JdWork running = {.deadline = 9 * JD_US_PER_S};
+    Pipeline pl;
+    JdClock clk;
+
+    memset(&pl, 0, sizeof(pl));
+    JdClock_Init(&clk, NULL, NULL);
+    JdAdmission_Init(&pl.admission, 1, 2, &clk, &ops, &pl);
+    CU_ASSERT(JdAdmission_Offer(&pl.admission, &running) == JD_REASON_NONE);
+    for (int i = 0; i < 2; i++) {
+        pl.expired[i].deadline = JD_US_PER_S;
+        pl.expired[i].priority = 3;
+        pl.following[i].deadline = 5 * JD_US_PER_S;
+        CU_ASSERT(JdAdmission_Offer(&pl.admission, &pl.expired[i]) ==
+                  JD_REASON_NONE);
+    }
+    JdClock_Advance(&clk, 2 * JD_US_PER_S);
+    CU_ASSERT_EQUAL(pl.refusals[0], 1);
+    CU_ASSERT_EQUAL(pl.refusals[1], 1);
+    CU_ASSERT_EQUAL(pl.admission.queued, 2);
+    JdAdmission_Finish(&pl.admission);
+}
+
 /* ---- loads played against targets -------------------------------------- */
 
 #define SLOTS 6
@@ -515,6 +567,7 @@
     CU_add_test(s, "transit", test_transit);
     CU_add_test(s, "transit drift", test_transit_drift);
     CU_add_test(s, "refused before deadline", test_refused_before_deadline);
+    CU_add_test(s, "offered while refusing", test_offered_while_refusing);
     CU_add_test(s, "hot account", test_hot_account);
     CU_add_test(s, "shares by rate", test_shares_by_rate);
     CU_add_test(s, "burst of low rank", test_burst_of_low_rank);
