Work refused when a slot gets free does not count for its account

start_queued() took work out of the queue without giving back its account's share, also where the work was then refused as too late or by the rate limit: the account was put behind others for work that never ran. The unit test fails without it.

--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -375,14 +375,14 @@
 
     demote_late(ad);
     while (ad->running < ad->slots && (w = TAILQ_FIRST(&ad->queue)) != NULL) {
-        dequeue(ad, w);
         if (!finishes_by(ad, w, 0, w->deadline)) {
-            ad->ops->refuse(ad->ctx, w, JD_REASON_TOO_LATE);
+            refuse_queued(ad, w, JD_REASON_TOO_LATE);
         }
         else if (JdAdmission_IsRateLimited(ad, w->priority)) {
-            ad->ops->refuse(ad->ctx, w, JD_REASON_RATE_LIMITED);
+            refuse_queued(ad, w, JD_REASON_RATE_LIMITED);
         }
         else {
+            dequeue(ad, w);
             start_work(ad, w);
         }
     }
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -157,6 +157,41 @@
     JdAdmission_Finish(&pl.admission);
 }
 
+/* Work that is refused when a slot gets free has cost its account nothing. */
+static void
+test_refused_is_not_charged(void)
+{
+    static const JdAdmissionOps ops = {ignore_start, note_refusal};
+    JdWork running = {.deadline = 9 * JD_US_PER_S};
+    const JdShareClaim claim = {
+        .account = "a", .rate = 1000, .cost = 100 * JD_US_PER_MS};
+    JdWork queued[6];
+    Refusal rf = {.at = 0};
+    JdAdmission ad;
+    JdClock clk;
+
+    JdClock_Init(&clk, NULL, NULL);
+    rf.clock = &clk;
+    JdAdmission_Init(&ad, 1, 8, &clk, &ops, &rf);
+    ad.has_ranks = true;
+    CU_ASSERT(JdAdmission_Offer(&ad, &running) == JD_REASON_NONE);
+    memset(queued, 0, sizeof(queued));
+    for (size_t i = 0; i < G_N_ELEMENTS(queued); i++) {
+        queued[i].account = claim.account;
+        queued[i].rate = claim.rate;
+        queued[i].expected_time = claim.cost;
+        queued[i].deadline = 8 * JD_US_PER_S;
+        CU_ASSERT(JdAdmission_Offer(&ad, &queued[i]) == JD_REASON_NONE);
+    }
+    CU_ASSERT(JdShares_Tag(&ad.shares, &claim) > 0);
+    JdAdmission_SetRateLimit(&ad, 1);
+    JdAdmission_FreeSlot(&ad, &running, false);
+    CU_ASSERT(rf.reason == JD_REASON_RATE_LIMITED);
+    CU_ASSERT_EQUAL(ad.queued, 0);
+    CU_ASSERT(JdShares_Tag(&ad.shares, &claim) <= 0);
+    JdAdmission_Finish(&ad);
+}
+
 /* ---- loads played against targets -------------------------------------- */
 
 #define SLOTS 6
@@ -568,6 +603,7 @@
     CU_add_test(s, "transit drift", test_transit_drift);
     CU_add_test(s, "refused before deadline", test_refused_before_deadline);
     CU_add_test(s, "offered while refusing", test_offered_while_refusing);
+    CU_add_test(s, "refused is not charged", test_refused_is_not_charged);
     CU_add_test(s, "hot account", test_hot_account);
     CU_add_test(s, "shares by rate", test_shares_by_rate);
     CU_add_test(s, "burst of low rank", test_burst_of_low_rank);
