--- a/peer/forward.h
+++ b/peer/forward.h
@@ -97,10 +97,13 @@
 void JdForward_Begin(JdCall *call);
 const char *JdForward_TargetId(const JdAttempt *att);
 void JdForward_SendAttempt(JdAttempt *att);
+void JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
-void JdForward_OnChunk(JdNode *nd, Jd__Chunk *chunk);
 void JdForward_CallerDisconnected(JdCall *call);
 
+/* answer.c */
+void JdAnswer_OnChunk(JdNode *nd, Jd__Chunk *chunk);
+
 /* partial.c */
 bool JdPartial_Add(JdPartial *pt, Jd__Chunk *chunk);
 bool JdPartial_IsWhole(const JdPartial *pt);
@@ -115,12 +118,18 @@
 bool JdRetry_Take(JdCall *call, JdReason reason, bool was_sent);
 void JdRetry_RecordCall(JdNode *nd, const JdRoute *route);
 
-/* room.c */
-void JdRoom_Init(JdNode *nd);
-JdMember *JdRoom_PickTarget(JdCall *call, const JdVersionFilter *versions,
-                            JdTier *tier);
-bool JdRoom_HasTimeFor(const JdCall *call, const JdMember *mb);
-void JdRoom_Promise(JdCall *call);
+/* pick.c */
+void JdPick_Init(JdNode *nd);
+bool JdPick_ExpectsChunks(const JdCall *call);
+JdMember *JdPick_Target(JdCall *call, JdTier *tier);
+uint64_t JdPick_HedgeDelay(const JdCall *call, JdMember *mb);
+
+/* capacity.c */
+void JdCapacity_Init(JdNode *nd);
+JdMember *JdCapacity_PickTarget(JdCall *call, const JdVersionFilter *versions,
+                                JdTier *tier);
+bool JdCapacity_HasTimeFor(const JdCall *call, const JdMember *mb);
+void JdCapacity_Promise(JdCall *call);
 
 /* lost.c */
 void JdLostAttempt_Add(const JdAttempt *att);
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -35,6 +35,28 @@
     }
 }
 
+/* Clocks drift apart on a connection that stays open for a day: no request
+ * counts as delayed for it, and one that is delayed still does. */
+static void
+test_transit_drift(void)
+{
+    const uint64_t day = UINT64_C(86400) * JD_US_PER_S;
+    uint64_t most = 0, delay;
+    JdTransit tr;
+
+    memset(&tr, 0, sizeof(tr));
+    for (uint64_t now = JD_US_PER_S; now < day; now += JD_US_PER_S) {
+        uint64_t sent = now - now / 20000; /* 50 ppm slower */
+
+        delay = JdTransit_Record(&tr, JdTransit_Stamp(sent), now);
+        most = delay > most ? delay : most;
+    }
+    CU_ASSERT_TRUE(most <= 2 * JD_US_PER_MS);
+    delay = JdTransit_Record(&tr, JdTransit_Stamp(day - day / 20000),
+                             day + 400 * JD_US_PER_MS);
+    CU_ASSERT_TRUE(delay >= 399 * JD_US_PER_MS && delay <= 402 * JD_US_PER_MS);
+}
+
 typedef struct Refusal {
     JdClock *clock;
     uint64_t at;
@@ -83,6 +105,93 @@
     JdAdmission_Finish(&ad);
 }
 
+/* Work of which the first one's refusal makes a caller send others, as a
+ * caller that pipelines its requests does. */
+typedef struct Pipeline {
+    JdAdmission admission;
+    JdWork expired[2];
+    JdWork following[2];
+    unsigned refusals[2]; /* of `expired` */
+} Pipeline;
+
+static void
+offer_following(void *ctx, JdWork *work, JdReason reason)
+{
+    Pipeline *pl = ctx;
+
+    (void)reason;
+    if (work == &pl->expired[1]) {
+        pl->refusals[1]++;
+        return;
+    }
+    if (work == &pl->expired[0] && pl->refusals[0]++ == 0) {
+        JdAdmission_Offer(&pl->admission, &pl->following[0]);
+        JdAdmission_Offer(&pl->admission, &pl->following[1]);
+    }
+}
+
+/* The queue may change while work is refused: each work is refused once. */
+static void
+test_offered_while_refusing(void)
+{
+    static const JdAdmissionOps ops = {ignore_start, offer_following};
+    JdWork running = {.deadline = 9 * JD_US_PER_S};
+    Pipeline pl;
+    JdClock clk;
+
+    memset(&pl, 0, sizeof(pl));
+    JdClock_Init(&clk, NULL, NULL);
+    JdAdmission_Init(&pl.admission, 1, 2, &clk, &ops, &pl);
+    CU_ASSERT(JdAdmission_Offer(&pl.admission, &running) == JD_REASON_NONE);
+    for (int i = 0; i < 2; i++) {
+        pl.expired[i].deadline = JD_US_PER_S;
+        pl.expired[i].priority = 3;
+        pl.following[i].deadline = 5 * JD_US_PER_S;
+        CU_ASSERT(JdAdmission_Offer(&pl.admission, &pl.expired[i]) ==
+                  JD_REASON_NONE);
+    }
+    JdClock_Advance(&clk, 2 * JD_US_PER_S);
+    CU_ASSERT_EQUAL(pl.refusals[0], 1);
+    CU_ASSERT_EQUAL(pl.refusals[1], 1);
+    CU_ASSERT_EQUAL(pl.admission.queued, 2);
+    JdAdmission_Finish(&pl.admission);
+}
+
+/* Work that is refused when a slot gets free has cost its account nothing. */
+static void
+test_refused_is_not_charged(void)
+{
+    static const JdAdmissionOps ops = {ignore_start, note_refusal};
+    JdWork running = {.deadline = 9 * JD_US_PER_S};
+    const JdShareClaim claim = {
+        .account = "a", .rate = 1000, .cost = 100 * JD_US_PER_MS};
+    JdWork queued[6];
+    Refusal rf = {.at = 0};
+    JdAdmission ad;
+    JdClock clk;
+
+    JdClock_Init(&clk, NULL, NULL);
+    rf.clock = &clk;
+    JdAdmission_Init(&ad, 1, 8, &clk, &ops, &rf);
+    ad.has_ranks = true;
+    CU_ASSERT(JdAdmission_Offer(&ad, &running) == JD_REASON_NONE);
+    memset(queued, 0, sizeof(queued));
+    for (size_t i = 0; i < G_N_ELEMENTS(queued); i++) {
+        queued[i].account = claim.account;
+        queued[i].rate = claim.rate;
+        queued[i].expected_time = claim.cost;
+        queued[i].deadline = 8 * JD_US_PER_S;
+        CU_ASSERT(JdAdmission_Offer(&ad, &queued[i]) == JD_REASON_NONE);
+    }
+    CU_ASSERT(JdShares_Tag(&ad.shares, &claim) > 0);
+    JdAdmission_SetRateLimit(&ad, 1);
+    JdAdmission_FreeSlot(&ad, &running, false);
+    CU_ASSERT(rf.reason == JD_REASON_RATE_LIMITED);
+    CU_ASSERT_EQUAL(ad.queued, 0);
+    CU_ASSERT(JdShares_Tag(&ad.shares, &claim) <= 0);
+    JdAdmission_Finish(&ad);
+}
+
 /* ---- loads played against targets -------------------------------------- */
 
 #define SLOTS 6
@@ -491,7 +600,10 @@
     CU_pSuite s = CU_add_suite("shortage", NULL, NULL);
 
     CU_add_test(s, "transit", test_transit);
+    CU_add_test(s, "transit drift", test_transit_drift);
     CU_add_test(s, "refused before deadline", test_refused_before_deadline);
+    CU_add_test(s, "offered while refusing", test_offered_while_refusing);
+    CU_add_test(s, "refused is not charged", test_refused_is_not_charged);
     CU_add_test(s, "hot account", test_hot_account);
     CU_add_test(s, "shares by rate", test_shares_by_rate);
     CU_add_test(s, "burst of low rank", test_burst_of_low_rank);
