--- a/lib/link/pacer.c
+++ b/lib/link/pacer.c
@@ -18,6 +18,7 @@
 #define DEBT_TIME (500 * JD_US_PER_MS)
 /* Time of the link that one chunk takes: a small frame may wait for it. */
 #define CHUNK_TIME (3 * JD_US_PER_MS)
+/* Bounds on a chunk in bytes. */
 #define CHUNK_MIN 2048U
 #define CHUNK_MAX 65536U
 /* Interval in which the bytes of small frames are summed up, and the weight
