Large responses of the local target leave by JdResponseOps, too

targets/room.c called peer/bulk.c directly, past the callbacks that part the two folders, so that targets/ could not be used without peer/. They have one more operation; nothing in targets/ names peer/ now.

--- a/node/node.h
+++ b/node/node.h
@@ -133,13 +133,6 @@
     unsigned (*retry_percent)(void *ctx);
 } JdLocalTargetOps;
 
-/* Where the responses of the local target go. */
-typedef struct JdResponseOps {
-    /* Responds to a request that `origin` submitted; the message is valid
-     * until this returns. */
-    void (*respond)(void *ctx, JdConn *origin, Jd__Response *msg);
-} JdResponseOps;
-
 /* Until when a large response is of use, and its rank. */
 typedef struct JdBulkTimes {
     uint64_t deadline;
@@ -147,6 +140,17 @@
     unsigned priority;
 } JdBulkTimes;
 
+/* Where the responses of the local target go. */
+typedef struct JdResponseOps {
+    /* Responds to a request that `origin` submitted; the message is valid
+     * until this returns. */
+    void (*respond)(void *ctx, JdConn *origin, Jd__Response *msg);
+    /* The same for a large response to another node: it is copied, and leaves
+     * in chunks as the link has room. */
+    void (*respond_large)(void *ctx, JdConn *origin, const Jd__Response *msg,
+                          const JdBulkTimes *times);
+} JdResponseOps;
+
 typedef struct JdWaitingRequest JdWaitingRequest;
 typedef struct JdQuotaRequest JdQuotaRequest;
 
--- a/peer/response.c
+++ b/peer/response.c
@@ -17,7 +17,14 @@
     JdConn_Send(origin, &frame);
 }
 
-static const JdResponseOps response_ops = {on_response};
+static void
+on_large_response(void *ctx, JdConn *origin, const Jd__Response *msg,
+                  const JdBulkTimes *times)
+{
+    JdBulk_Respond(ctx, origin, msg, times);
+}
+
+static const JdResponseOps response_ops = {on_response, on_large_response};
 
 /* Makes the local target's responses go to calls and to other nodes. */
 void
--- a/targets/room.c
+++ b/targets/room.c
@@ -116,6 +116,6 @@
     if (it->origin == NULL || msg->body.len <= JdPacer_ChunkSize(&nd->pacer)) {
         return false;
     }
-    JdBulk_Respond(nd, it->origin, msg, &times);
+    nd->response_ops->respond_large(nd->response_ctx, it->origin, msg, &times);
     return true;
 }
