--- a/regress/e2e/choked.sh
+++ b/regress/e2e/choked.sh
@@ -9,15 +9,7 @@
 	    "http://127.$FLEET_NET.1.1:8000/kiln" >"$FLEET_DIR/$1.result"
 }
 
-fleet_start_log || die "the log did not start"
-fleet_settings 1 1
-fleet_start_node 1 1
-fleet_settings 3 1 archive-kiln kiln 64 130
-fleet_start_target 3 1 0
-fleet_start_node 3 1
-E2E_TOTAL=2
-E2E_ADMIN=127.$FLEET_NET.1.1:8100
-fleet_until 400 e2e_is_joined || die "the nodes did not join one tree"
+e2e_start_pair
 e2e_submit <<'EOF' || die "the document is refused"
 {"services": {"archive-kiln": {}},
  "policies": {"plain": {"deadline_ms": 5000}},
--- a/regress/e2e/lib.sh
+++ b/regress/e2e/lib.sh
@@ -40,6 +40,20 @@
 E2E_LOG_OPTIONS=
 E2E_TARGET= # SERVICE SET SLOTS CONNECTIONS of the targets, empty: no targets
 
+# Starts the log, node 1-1 without a target and node 3-1 with one of archive-kiln,
+# in another region, and waits until both list each other.
+e2e_start_pair() {
+	fleet_start_log || die "the log did not start"
+	fleet_settings 1 1
+	fleet_start_node 1 1
+	fleet_settings 3 1 archive-kiln kiln 64 130
+	fleet_start_target 3 1 0
+	fleet_start_node 3 1
+	E2E_TOTAL=2
+	E2E_ADMIN=127.$FLEET_NET.1.1:8100
+	fleet_until 400 e2e_is_joined || die "the nodes did not join one tree"
+}
+
 e2e_is_joined() {
 	fleet_ctl --json --node $E2E_ADMIN status |
 	    grep -q "\"count\":$E2E_TOTAL,"
--- a/regress/e2e/links.sh
+++ b/regress/e2e/links.sh
@@ -29,15 +29,7 @@
 	[ "$(e2e_counter "$1" "$2")" -ge "$3" ]
 }
 
-fleet_start_log || die "the log did not start"
-fleet_settings 1 1
-fleet_start_node 1 1
-fleet_settings 3 1 archive-kiln kiln 64 130
-fleet_start_target 3 1 0
-fleet_start_node 3 1
-E2E_TOTAL=2
-E2E_ADMIN=127.$FLEET_NET.1.1:8100
-fleet_until 400 e2e_is_joined || die "the nodes did not join one tree"
+e2e_start_pair
 # Bulk policies need version 2 of the validation rules.
 curl -s -o /dev/null -d '{"type": "rules", "number": 2}' \
     "http://$FLEET_LOG/streams/config/records"
