Senders record only the crashes that the target's node blames on a request

Seen: work that is answered all the time was refused for good after it had run beside requests that crash targets (e2e/crashing-request, 1 run in 8 beside load).

Cause: the target's node does not blame a crash on a request whose copies it has answered within the last second, but told the crash to the senders of all requests that broke off, and those recorded it. Three crashes at once, before a copy was answered and cleared them, refused the lookup on all nodes.

Evidence: the new e2e/crashing-request-copies crashes three targets at once while copies of an answered lookup run there. On it is red in 4 of 4 runs (503), with this change it passes in 4 of 4.

Change: a response names the crash only if the record of the target's node has it against this request.

--- a/include/jacinthdyke_crash.h
+++ b/include/jacinthdyke_crash.h
@@ -100,6 +100,8 @@
                                  const JdFingerprint *fp);
 void JdCrashTable_Add(JdCrashTable *ct, const JdFingerprint *fp,
                       const JdCrash *crash, uint64_t source_link);
+bool JdCrashTable_Blames(const JdCrashTable *ct, const JdFingerprint *fp,
+                         uint64_t process);
 void JdCrashTable_Record(JdCrashTable *ct, const JdFingerprint *fp,
                          uint64_t process);
 void JdCrashTable_Clear(JdCrashTable *ct, const JdFingerprint *fp);
--- a/lib/request/crash.c
+++ b/lib/request/crash.c
@@ -316,6 +316,19 @@
     }
 }
 
+/* Returns whether the crash of a target's process counts against a request of
+ * a caller: it is recorded and not cleared. */
+bool
+JdCrashTable_Blames(const JdCrashTable *ct, const JdFingerprint *fp,
+                    uint64_t process)
+{
+    JdCrashRecord *rec = JdCrashTable_Find(ct, fp);
+    const JdCrash *crash =
+        rec == NULL ? NULL : find_crash(rec, process, fp->caller);
+
+    return crash != NULL && !crash->is_cleared;
+}
+
 /* Records that a target's process crashed under a request. */
 void
 JdCrashTable_Record(JdCrashTable *ct, const JdFingerprint *fp,
--- a/targets/suspect.c
+++ b/targets/suspect.c
@@ -106,15 +106,32 @@
     return NULL;
 }
 
+/* Returns the crash that the sender of a request is to record: 0 if the request
+ * only ran beside the cause.  If senders recorded all that a crash interrupted,
+ * work whose copies are answered would be refused after three crashes. */
+static uint64_t
+crash_to_tell(JdWorkItem *it, uint64_t process)
+{
+    const JdFingerprint *fp =
+        JdLazyFingerprint_Get(&it->fingerprint, it->msg);
+
+    return process != 0 &&
+                   JdCrashTable_Blames(&it->node->tree.crashes, fp, process)
+               ? process
+               : 0;
+}
+
 /* It is known whether the target has crashed: 0, or the process that has.
  * Sends the responses that waited for it. */
 void
 JdWorker_OnTargetChecked(JdNode *nd, uint64_t crashed_process)
 {
-    JdTargetRefusal refusal = {JD_REASON_BROKEN, true, crashed_process};
     JdWorkItem *it;
 
     while ((it = find_checking(nd)) != NULL) {
+        JdTargetRefusal refusal = {JD_REASON_BROKEN, true,
+                                   crash_to_tell(it, crashed_process)};
+
         it->is_checking = false;
         JdTargetResponse_Refuse(nd, it->msg, it->origin, &refusal);
         JdWorkItem_Free(it);
