--- a/targets/suspect.c
+++ b/targets/suspect.c
@@ -106,14 +106,14 @@
     return NULL;
 }
 
-/* Returns the crash that the sender of a request is to record: 0 if the request
- * only ran beside the cause.  If senders recorded all that a crash interrupted,
- * work whose copies are answered would be refused after three crashes. */
+/* Returns the crash that the sender of a request is to record: 0 if the
+ * request only ran beside the cause.  If senders recorded all that a crash
+ * interrupted, work whose copies are answered would be refused after three
+ * crashes. */
 static uint64_t
 crash_to_tell(JdWorkItem *it, uint64_t process)
 {
-    const JdFingerprint *fp =
-        JdLazyFingerprint_Get(&it->fingerprint, it->msg);
+    const JdFingerprint *fp = JdLazyFingerprint_Get(&it->fingerprint, it->msg);
 
     return process != 0 &&
                    JdCrashTable_Blames(&it->node->tree.crashes, fp, process)
