Admission keeps only a short queue where work waits all the time

Cause: the queue was as long as the latency goal allows. Under a load that stays above the capacity it is always that long: all work waits as long as it may, and whatever takes longer than the mean by more than the margin ends late. Its run has taken a slot from work that was refused.

Hypothesis: a queue that only bridges the gap between two arrivals serves as much, in time. Change: lib/admission/backlog.c tells a standing queue from a burst by the time for which work of a rank and of higher ones has waited without a break (two mean service times), and limits the wait for which work joins it to three quarters of one. Other work is refused at once.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -113,6 +113,7 @@
     JdRateLimit rate_limit;
     JdShares shares;
     JdCutoff cutoff;
+    JdBacklog backlog;
     bool has_ranks; /* the caller ranks the work; else priorities do */
     bool is_closed;
     TAILQ_HEAD(JdWorkHead, JdWork) queue;
--- a/include/jacinthdyke_shortage.h
+++ b/include/jacinthdyke_shortage.h
@@ -55,6 +55,20 @@
 void JdCutoff_Note(JdCutoff *co, unsigned rank, uint64_t until, uint64_t now);
 bool JdCutoff_Refuses(const JdCutoff *co, unsigned rank, uint64_t now);
 
+/* ---- lib/admission/backlog.c: queues that stand, and bursts ------------- */
+
+/* The queue in front of a target, by rank: of the work of a rank and of all
+ * higher ones, how much waits, and since when some has without a break. */
+typedef struct JdBacklog {
+    unsigned queued[JD_RANKS];
+    uint64_t began_at[JD_RANKS];
+} JdBacklog;
+
+void JdBacklog_Add(JdBacklog *bl, unsigned rank, uint64_t now);
+void JdBacklog_Remove(JdBacklog *bl, unsigned rank);
+uint64_t JdBacklog_LongestWait(const JdBacklog *bl, unsigned rank,
+                               uint64_t mean, uint64_t now);
+
 /* ---- lib/admission/promise.c: when refused callers may return ---------- */
 
 /* Room that refused callers were told to come back for. */
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -11,7 +11,8 @@
  * is expected to finish by its soft deadline.  Work that would miss its soft
  * deadline on an idle target as well is queued behind the other work of its
  * rank, and work that cannot finish by its deadline is refused as soon as
- * this is known.
+ * this is known.  Where work waits all the time, only a short queue is kept
+ * (lib/admission/backlog.c).
  */
 #include <math.h>
 #include <string.h>
@@ -199,6 +200,7 @@
 
     work->is_queued = true;
     ad->queued++;
+    JdBacklog_Add(&ad->backlog, work->rank, JdClock_Now(ad->clock));
     TAILQ_FOREACH(w, &ad->queue, link)
     {
         if (precedes(work, w)) {
@@ -215,6 +217,7 @@
     TAILQ_REMOVE(&ad->queue, work, link);
     work->is_queued = false;
     ad->queued--;
+    JdBacklog_Remove(&ad->backlog, work->rank);
 }
 
 /* Returns what work claims of its account's share. */
@@ -442,6 +445,8 @@
 check_queueing(JdAdmission *ad, JdWork *work)
 {
     uint64_t now = JdClock_Now(ad->clock);
+    uint64_t longest = JdBacklog_LongestWait(&ad->backlog, work->rank,
+                                             ad->service_time.mean, now);
     uint64_t end;
     uint64_t wait;
 
@@ -455,6 +460,10 @@
     if (!finishes_by(ad, work, wait, work->deadline)) {
         return JD_REASON_TOO_LATE;
     }
+    if (wait > longest) {
+        note_cutoff(ad, work, wait - longest);
+        return JD_REASON_TOO_LATE;
+    }
     if (!work->is_late && !finishes_by(ad, work, wait + time_margin(ad, work),
                                        work->soft_deadline)) {
         end = now + wait + time_margin(ad, work) + expected_time_of(ad, work);
--- a/regress/unit/overload.c
+++ b/regress/unit/overload.c
@@ -173,6 +173,33 @@
     finish();
 }
 
+/* Returns the work that ended late, in percent of the work that ran. */
+static double
+late_percent(void)
+{
+    unsigned good = 0;
+
+    for (int p = 0; p < JD_PRIORITIES; p++) {
+        good += sim->in_time[p];
+    }
+    return 100.0 * sim->late / (sim->late + good);
+}
+
+/* Load above the capacity that lasts: hardly any work that runs ends late, and
+ * callers learn quickly that they are refused. */
+static void
+test_late_work(void)
+{
+    (void)simulate(1.5, 0);
+    CU_ASSERT(late_percent() <= 1);
+    CU_ASSERT(sim->refused_held / sim->refused < SOFT_DEADLINE / 20);
+    finish();
+    (void)simulate(3, 0);
+    CU_ASSERT(late_percent() <= 1);
+    CU_ASSERT(sim->refused_held / sim->refused < SOFT_DEADLINE / 20);
+    finish();
+}
+
 /* Work of the highest priority is served whatever the load of other
  * priorities, and the total goodput stays high. */
 static void
@@ -195,5 +222,6 @@
     CU_pSuite s = CU_add_suite("overload", NULL, NULL);
 
     CU_add_test(s, "goodput", test_goodput);
+    CU_add_test(s, "late work", test_late_work);
     CU_add_test(s, "priority", test_priority);
 }
