What targets have refused does not cross the paid link to be refused again

Cause: a target that had refused a request for lack of capacity was left alone for a second only by requests that three near targets had refused. Where a region has fewer, the other one was asked by every request.

Change: the pause holds for every request that a target has refused. Without a target in the own region requests cross the link as before. A request that is refused so is not sent to ejected or stalled targets instead.

unit/balance: red before (100 of 100 requests cross), green after.

--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -30,8 +30,8 @@
 /* A request may spill over to another region after this number of targets has
  * refused it for lack of capacity. */
 #define SPILLOVER_REFUSALS 3
-/* Time for which a target gets no spillover after it refused a request for
- * lack of capacity. */
+/* Time for which a target of another region gets no request that others have
+ * refused, after it refused one itself for lack of capacity. */
 #define SPILLOVER_PAUSE JD_US_PER_S
 /* Least time left with which a request may spill over to another region. */
 #define SPILLOVER_MIN_TIME (100 * JD_US_PER_MS)
@@ -217,6 +217,17 @@
                                              c->count[tier], default_time);
 }
 
+/* Returns whether a target has refused a request for lack of capacity
+ * recently. */
+static bool
+has_refused_lately(const JdBalancer *lb, JdMember *mb)
+{
+    const JdTargetStats *ts = _JdBalancer_TargetStats(lb, mb);
+
+    return ts->last_full_at != 0 &&
+           JdClock_Now(lb->clock) - ts->last_full_at < SPILLOVER_PAUSE;
+}
+
 /*
  * Returns a target in another region for a request that several targets have
  * refused for lack of capacity.  Returns NULL if too little time is left, or
@@ -227,8 +238,6 @@
                const JdExcludedTargets *excluded, uint64_t time_left,
                double default_time)
 {
-    uint64_t now = JdClock_Now(lb->clock);
-    const JdTargetStats *ts;
     JdMember *mb;
 
     if (excluded == NULL || excluded->full_count < SPILLOVER_REFUSALS ||
@@ -236,13 +245,23 @@
         return NULL;
     }
     mb = pick_in_tier(lb, c, JD_TIER_FAR, default_time);
-    if (mb == NULL) {
-        return NULL;
-    }
-    ts = _JdBalancer_TargetStats(lb, mb);
-    return ts->last_full_at != 0 && now - ts->last_full_at < SPILLOVER_PAUSE
-               ? NULL
-               : mb;
+    return mb == NULL || has_refused_lately(lb, mb) ? NULL : mb;
+}
+
+/*
+ * Returns a target in another region where the own one has none left to ask.
+ * If targets refused the request for lack of capacity, it does not cross the
+ * paid link to one that has refused others: it would be turned away there as
+ * well.  Returns NULL then, and if there is no target.
+ */
+static JdMember *
+pick_far(const JdBalancer *lb, const _JdCandidates *c,
+         const JdExcludedTargets *excluded, double default_time)
+{
+    JdMember *mb = pick_in_tier(lb, c, JD_TIER_FAR, default_time);
+    bool was_refused = excluded != NULL && excluded->full_count > 0;
+
+    return mb != NULL && was_refused && has_refused_lately(lb, mb) ? NULL : mb;
 }
 
 /*
@@ -275,7 +294,7 @@
     region = pick_in_tier(lb, c, JD_TIER_REGION, default_time);
     if (region == NULL && local == NULL) {
         *tier = JD_TIER_FAR;
-        return pick_in_tier(lb, c, JD_TIER_FAR, default_time);
+        return pick_far(lb, c, excluded, default_time);
     }
     if (region == NULL ||
         (local != NULL &&
@@ -286,8 +305,20 @@
     return region;
 }
 
+static bool
+has_candidate(const _JdCandidates *c)
+{
+    for (int t = 0; t < JD_TIER_MAX; t++) {
+        if (c->count[t] > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /*
- * Picks a target of an endpoint set.  Returns NULL if there is none.
+ * Picks a target of an endpoint set.  Returns NULL if there is none, or none
+ * that may have capacity left for a request that others have refused.
  * `excluded` lists the members that were tried already, or is NULL.
  * `time_left` is the time in us within which the caller wants an answer, 0: no
  * limit.
@@ -299,7 +330,6 @@
 {
     const JdMemberSet *set = JdMembers_FindSet(lb->members, endpoint_set);
     static _JdCandidates c;
-    JdMember *mb;
 
     if (set == NULL) {
         return NULL;
@@ -307,9 +337,8 @@
     for (int f = _JD_FILTER_HEALTHY; f < _JD_FILTER_MAX; f++) {
         _JdBalancer_Collect(lb, set, excluded, (_JdHealthFilter)f, &c);
         count_full(lb, &c);
-        mb = pick_by_locality(lb, &c, excluded, time_left, tier);
-        if (mb != NULL) {
-            return mb;
+        if (has_candidate(&c)) {
+            return pick_by_locality(lb, &c, excluded, time_left, tier);
         }
     }
     return NULL;
--- a/regress/unit/balance.c
+++ b/regress/unit/balance.c
@@ -11,24 +11,30 @@
 #define TARGETS 1000U
 #define PICKS_PER_TARGET 20U
 
+static void
+add_target(JdMembers *ms, char *id, char *region)
+{
+    Jd__Member msg = JD__MEMBER__INIT;
+
+    msg.id = id;
+    msg.incarnation = 1;
+    msg.seq = 1;
+    msg.state = JD_MEMBER_READY;
+    msg.region = region;
+    msg.domain = "d1";
+    msg.slots = 10;
+    msg.service = msg.endpoint_set = "set";
+    JdMembers_Update(ms, &msg, 0);
+}
+
 static void
 add_targets(JdMembers *ms, unsigned n)
 {
     char id[JD_NAME_MAX];
 
     for (unsigned i = 0; i < n; i++) {
-        Jd__Member msg = JD__MEMBER__INIT;
-
         g_snprintf(id, sizeof(id), "t%u", i);
-        msg.id = id;
-        msg.incarnation = 1;
-        msg.seq = 1;
-        msg.state = JD_MEMBER_READY;
-        msg.region = "near";
-        msg.domain = "d1";
-        msg.slots = 10;
-        msg.service = msg.endpoint_set = "set";
-        JdMembers_Update(ms, &msg, 0);
+        add_target(ms, id, "near");
     }
 }
 
@@ -73,10 +79,62 @@
     JdMembers_Finish(&ms);
 }
 
+/* Returns the id of the target that is picked for a request which the targets
+ * `refused` have refused, "" for none. */
+static const char *
+pick_after(const JdBalancer *lb, char refused[][JD_NAME_MAX], unsigned count)
+{
+    JdExcludedTargets excluded = {refused, count, count, NULL};
+    JdTier tier;
+    const JdMember *mb = JdBalancer_Pick(lb, "set", &excluded, 0, &tier);
+
+    return mb == NULL ? "" : mb->id;
+}
+
+/* A region whose only target is full: requests cross the paid link until the
+ * target there refuses one as well, then one tries again after a second.
+ * Without a target in the own region they cross it in any case. */
+static void
+test_far_target_full(void)
+{
+    char refused[1][JD_NAME_MAX] = {"near-1"};
+    JdLoadReport report = {.load = 300};
+    JdMembers ms;
+    JdCounters ctr = {{0}};
+    JdRandom rnd;
+    JdClock clk;
+    JdBalancer lb = {.members = &ms,
+                     .clock = &clk,
+                     .random = &rnd,
+                     .counters = &ctr,
+                     .region = "near",
+                     .domain = "d1"};
+
+    JdClock_Init(&clk, NULL, NULL);
+    JdClock_Advance(&clk, JD_US_PER_S);
+    JdRandom_Init(&rnd, 7);
+    JdMembers_Init(&ms, &clk, &ctr);
+    add_target(&ms, "near-1", "near");
+    add_target(&ms, "far-1", "far");
+    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 1), "far-1");
+    JdBalancer_RecordFailure(&lb, "far-1", JD_REASON_TOO_LATE, &report);
+    for (int i = 0; i < 100; i++) {
+        CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 1), "");
+    }
+    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 0), "near-1");
+    JdMembers_Find(&ms, "near-1")->state = JD_MEMBER_DOWN;
+    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 0), "far-1");
+    JdMembers_Find(&ms, "near-1")->state = JD_MEMBER_READY;
+    JdClock_Advance(&clk, JD_US_PER_S);
+    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 1), "far-1");
+    JdMembers_Finish(&ms);
+}
+
 void
 Unit_AddBalance(void)
 {
     CU_pSuite s = CU_add_suite("balance", NULL, NULL);
 
     CU_add_test(s, "many targets", test_many_targets);
+    CU_add_test(s, "far target full", test_far_target_full);
 }
