A hedge is sent when half of the time has passed and its target is silent

Cause: a request was sent to a second target after four times the average time of the first. Under load that is where it waits in a queue or is one of the long ones; its second run takes a slot from a request that is refused, and a unit of the retry budget from one that failed.

Hypothesis: what hedges are for is an answer that is lost or a target that hangs. Then the target answers nothing else either, and half of the time left is soon enough.

Change: the hedge goes out after half of the time left, if four times the usual time of the target was left and the target has answered nothing since. Refusals by the target's node do not count as its answers.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -318,6 +318,7 @@
     uint64_t slow_start_at;
     uint64_t ejected_until;
     uint64_t progress_at;  /* last answer, or last send to the idle target */
+    uint64_t answered_at;  /* last answer of the target itself */
     uint64_t mean_latency; /* us, moving average */
     unsigned outstanding;
     unsigned consecutive_failures;
@@ -402,6 +403,8 @@
 /* outcome.c: statistics of the load balancer */
 void JdBalancer_RecordSend(const JdBalancer *lb, JdMember *mb);
 void JdBalancer_RecordProgress(const JdBalancer *lb, const char *id);
+bool JdBalancer_HasAnsweredSince(const JdBalancer *lb, const char *id,
+                                 uint64_t since);
 void JdBalancer_RecordAnswer(const JdBalancer *lb, const char *id,
                              uint64_t took, const JdLoadReport *rep);
 void JdBalancer_RecordFailure(const JdBalancer *lb, const char *id,
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -120,6 +120,18 @@
     ts->limited_until = JdClock_Now(lb->clock) + rep->limit_wait;
 }
 
+/* Returns whether the target of a member has answered a request after the time
+ * `since`.  One that has is at work: a request that it has not answered yet
+ * waits there, or runs for long. */
+bool
+JdBalancer_HasAnsweredSince(const JdBalancer *lb, const char *id,
+                            uint64_t since)
+{
+    JdMember *mb = JdMembers_Find(lb->members, id);
+
+    return mb != NULL && _JdBalancer_TargetStats(lb, mb)->answered_at > since;
+}
+
 /* Records an answer that took `took` us. */
 void
 JdBalancer_RecordAnswer(const JdBalancer *lb, const char *id, uint64_t took,
@@ -132,6 +144,7 @@
         return;
     }
     ts->progress_at = JdClock_Now(lb->clock);
+    ts->answered_at = ts->progress_at;
     ts->consecutive_failures = 0;
     ts->consecutive_ejections = 0;
     ts->mean_latency =
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -2,8 +2,9 @@
  * Forwards the requests of callers: starts attempts, retries them and gives
  * the final answer.  A call is routed by the configuration version in force
  * when it began.  Attempts follow one another, except that an idempotent
- * request is hedged: when its target takes far longer than usual, it is sent
- * to a second target as well, and the first answer is used.
+ * request is hedged: when half of its time has passed and its target answers
+ * nothing else either, it is sent to a second target as well, and the first
+ * answer is used.
  */
 #include <string.h>
 
@@ -343,13 +344,25 @@
     }
 }
 
-/* Starts another attempt beside the slow one, if a retry is allowed. */
+/* Returns whether the target of the last attempt has answered other requests
+ * since: a hedge would only add to its load, and to that of another one. */
+static bool
+is_target_at_work(const JdCall *call)
+{
+    const JdAttempt *att = &call->attempts[call->attempt_count - 1];
+
+    return JdBalancer_HasAnsweredSince(&call->node->balancer,
+                                       JdForward_TargetId(att), att->sent_at);
+}
+
+/* Starts another attempt beside the slow one, if its target gives no answers
+ * and a retry is allowed. */
 static void
 on_hedge_timer(void *ctx)
 {
     JdCall *call = ctx;
 
-    if (!JdRetry_MayCrashTargets(call) &&
+    if (!is_target_at_work(call) && !JdRetry_MayCrashTargets(call) &&
         JdRetry_Take(call, JD_REASON_BROKEN, true)) {
         try_next_target(call);
     }
@@ -359,9 +372,11 @@
 static void
 arm_hedge_timer(JdCall *call, JdMember *mb)
 {
-    if (JdRetry_IsIdempotent(call) && JdRetry_HasAttemptsLeft(call)) {
-        JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer,
-                    JdPick_HedgeDelay(call, mb));
+    uint64_t delay = JdPick_HedgeDelay(call, mb);
+
+    if (delay != 0 && JdRetry_IsIdempotent(call) &&
+        JdRetry_HasAttemptsLeft(call)) {
+        JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer, delay);
     }
 }
 
--- a/peer/pick.c
+++ b/peer/pick.c
@@ -6,12 +6,11 @@
 
 #include "forward.h"
 
-/* Delay of the hedge, as a multiple of the target's average latency. */
+/* A request is hedged if this multiple of the time that its target usually
+ * takes is left. */
 #define HEDGE_LATENCY_FACTOR 4
-/* Shortest delay of the hedge. */
-#define HEDGE_DELAY_MIN (50 * JD_US_PER_MS)
-/* Delay of the hedge while the target's latency is not known. */
-#define HEDGE_DELAY_DEFAULT (500 * JD_US_PER_MS)
+/* Delay of the hedge in percent of the time left. */
+#define HEDGE_DELAY_PERCENT 50
 
 /* Returns whether the answer is large and comes in chunks. */
 bool
@@ -77,28 +76,22 @@
     return expected;
 }
 
-/* Returns the time in us after which a request that is sent to `mb` is sent to
- * a second target as well. */
+/*
+ * Returns the time in us after which a request that is sent to `mb` is sent to
+ * a second target as well, 0: it is not.  The second attempt has the same time
+ * as the first one.  It is made for what is lost on the way or at its target,
+ * not for what takes longer than usual: under load a second run of that takes
+ * a slot from another request.
+ */
 uint64_t
 JdPick_HedgeDelay(const JdCall *call, JdMember *mb)
 {
-    uint64_t usual = usual_time(call, mb);
     uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
-    uint64_t delay = HEDGE_DELAY_DEFAULT;
 
-    if (usual > 0) {
-        delay = usual * HEDGE_LATENCY_FACTOR;
-    }
-    if (delay < HEDGE_DELAY_MIN) {
-        delay = HEDGE_DELAY_MIN;
-    }
-    if (JdPick_ExpectsChunks(call)) {
-        /* As late as is allowed: the answer waits for the link of its target's
-         * VM, and a second one would fill another link. */
-        delay = left;
+    if (usual_time(call, mb) * HEDGE_LATENCY_FACTOR > left) {
+        return 0;
     }
-    /* Leave the second attempt at least half of the remaining time. */
-    return delay < left / 2 ? delay : left / 2;
+    return left * HEDGE_DELAY_PERCENT / 100;
 }
 
 static json_int_t
--- a/regress/unit/balance.c
+++ b/regress/unit/balance.c
@@ -130,6 +130,41 @@
     JdMembers_Finish(&ms);
 }
 
+/* A target is at work if it has answered something since a request was sent to
+ * it; refusals by its node do not show that. */
+static void
+test_answered_since(void)
+{
+    JdLoadReport report = {.load = 100};
+    JdMembers ms;
+    JdCounters ctr = {{0}};
+    JdRandom rnd;
+    JdClock clk;
+    JdBalancer lb = {.members = &ms,
+                     .clock = &clk,
+                     .random = &rnd,
+                     .counters = &ctr,
+                     .region = "near",
+                     .domain = "d1"};
+    uint64_t sent_at = 2 * JD_US_PER_S;
+
+    JdClock_Init(&clk, NULL, NULL);
+    JdClock_Advance(&clk, JD_US_PER_S);
+    JdRandom_Init(&rnd, 7);
+    JdMembers_Init(&ms, &clk, &ctr);
+    add_target(&ms, "t0", "near");
+    JdBalancer_RecordAnswer(&lb, "t0", 1000, &report);
+    JdClock_Advance(&clk, JD_US_PER_S);
+    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&lb, "t0", sent_at));
+    JdClock_Advance(&clk, JD_US_PER_S);
+    JdBalancer_RecordFailure(&lb, "t0", JD_REASON_TOO_LATE, &report);
+    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&lb, "t0", sent_at));
+    JdBalancer_RecordAnswer(&lb, "t0", 1000, &report);
+    CU_ASSERT_TRUE(JdBalancer_HasAnsweredSince(&lb, "t0", sent_at));
+    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&lb, "unknown", sent_at));
+    JdMembers_Finish(&ms);
+}
+
 void
 Unit_AddBalance(void)
 {
@@ -137,4 +172,5 @@
 
     CU_add_test(s, "many targets", test_many_targets);
     CU_add_test(s, "far target full", test_far_target_full);
+    CU_add_test(s, "answered since", test_answered_since);
 }
