--- a/targets/suspect.c
+++ b/targets/suspect.c
@@ -115,10 +115,9 @@
 {
     const JdFingerprint *fp = JdLazyFingerprint_Get(&it->fingerprint, it->msg);
 
-    return process != 0 &&
-                   JdCrashTable_Blames(&it->node->tree.crashes, fp, process)
-               ? process
-               : 0;
+    bool is_blamed = JdCrashTable_Blames(&it->node->tree.crashes, fp, process);
+
+    return is_blamed ? process : 0;
 }
 
 /* It is known whether the target has crashed: 0, or the process that has.
