Admission in three files: its decisions, the times it expects, its queue

Functions move and get the prefix of the module; what a start adds to the recent load is a function of its own. unit and parts pass; behaviour is unchanged.

--- a/lib/libjd.h
+++ b/lib/libjd.h
@@ -25,6 +25,24 @@
 /* crash.c */
 bool _JdCrashTable_ClearAll(JdCrashTable *ct, const JdFingerprint *fp);
 
+/* admit_time.c */
+uint64_t _JdAdmission_ExpectedTime(const JdAdmission *ad, const JdWork *work);
+void _JdAdmission_RecordStart(JdAdmission *ad, const JdWork *work);
+uint64_t _JdAdmission_EstimateWait(JdAdmission *ad, uint64_t ahead,
+                                   unsigned rank);
+uint64_t _JdAdmission_TimeMargin(const JdAdmission *ad, const JdWork *work);
+bool _JdAdmission_FinishesBy(const JdAdmission *ad, const JdWork *work,
+                             uint64_t wait, uint64_t by);
+
+/* admit_queue.c */
+bool _JdAdmission_Precedes(const JdWork *a, const JdWork *b);
+uint64_t _JdAdmission_QueuedBefore(const JdAdmission *ad, const JdWork *work);
+void _JdAdmission_Enqueue(JdAdmission *ad, JdWork *work);
+void _JdAdmission_Dequeue(JdAdmission *ad, JdWork *work);
+void _JdAdmission_DemoteLate(JdAdmission *ad);
+JdWork *_JdAdmission_FindInfeasible(JdAdmission *ad);
+bool _JdAdmission_IsTypicalOfRank(const JdAdmission *ad, const JdWork *work);
+
 /* Maximum number of targets of a tier that are considered for one request; of
  * more, a random sample is. */
 #define _JD_CANDIDATES_MAX 256
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -14,20 +14,10 @@
  * this is known.  Where work waits all the time, only a short queue is kept
  * (lib/admission/backlog.c).
  */
-#include <math.h>
 #include <string.h>
 
 #include "libjd.h"
 
-/* Window of the moving average of service times, in samples. */
-#define AVERAGE_WINDOW 8
-/* Margin for the variance of service times, in percent of the mean. */
-#define MARGIN_PERCENT 70
-/* Time constant with which the recent load decays, in us. */
-#define LOAD_DECAY_US 1e6
-/* Upper bound on the share of the slots that is reserved for higher
- * priorities when a wait is estimated. */
-#define MAX_HIGHER_SHARE 0.9
 /* Bounds on the retry-after time of refused work. */
 #define RETRY_AFTER_MIN (50 * JD_US_PER_MS)
 #define RETRY_AFTER_MAX (2000 * JD_US_PER_MS)
@@ -58,168 +48,6 @@
     JdShares_Finish(&ad->shares);
 }
 
-/* Adds a measured service time to the moving average. */
-void
-JdServiceTime_Add(JdServiceTime *st, uint64_t took)
-{
-    if (st->mean == 0) {
-        st->mean = took;
-    }
-    else {
-        st->mean += took / AVERAGE_WINDOW - st->mean / AVERAGE_WINDOW;
-    }
-}
-
-/* Adds the run time of aborted work.  It is a lower bound of the service time,
- * so it counts only if it raises the average. */
-void
-JdServiceTime_AddLowerBound(JdServiceTime *st, uint64_t took)
-{
-    if (took > st->mean) {
-        JdServiceTime_Add(st, took);
-    }
-}
-
-/* Lowers the average.  It is called when the average alone made admission
- * refuse work while a slot was free; without it no work would run and the
- * average would never be measured again. */
-void
-JdServiceTime_Decay(JdServiceTime *st)
-{
-    st->mean -= st->mean / AVERAGE_WINDOW;
-}
-
-static uint64_t
-expected_time_of(const JdAdmission *ad, const JdWork *work)
-{
-    return work->expected_time != 0 ? work->expected_time
-                                    : ad->service_time.mean;
-}
-
-/* Returns whether `a` is served before `b`. */
-static bool
-precedes(const JdWork *a, const JdWork *b)
-{
-    if (a->rank != b->rank) {
-        return a->rank < b->rank;
-    }
-    if (a->is_late != b->is_late) {
-        return b->is_late;
-    }
-    if (a->tag < b->tag || a->tag > b->tag) {
-        return a->tag < b->tag;
-    }
-    if (!a->is_late && a->soft_deadline != b->soft_deadline) {
-        return a->soft_deadline < b->soft_deadline;
-    }
-    return a->deadline < b->deadline;
-}
-
-/* Decays the recent load by the time that has passed since the last decay. */
-static void
-decay_recent_load(JdAdmission *ad)
-{
-    uint64_t now = JdClock_Now(ad->clock);
-    double factor = exp(-(double)(now - ad->recent_load_at) / LOAD_DECAY_US);
-
-    for (int r = 0; r < JD_RANKS; r++) {
-        ad->recent_load[r] *= factor;
-    }
-    ad->recent_load_at = now;
-}
-
-/* Returns the share of the slots that work of higher ranks has occupied
- * recently, at most MAX_HIGHER_SHARE. */
-static double
-higher_rank_share(JdAdmission *ad, unsigned rank)
-{
-    double sum = 0;
-
-    decay_recent_load(ad);
-    for (unsigned r = 0; r < rank && r < JD_RANKS; r++) {
-        sum += ad->recent_load[r];
-    }
-    sum /= LOAD_DECAY_US * ad->slots;
-    return sum < MAX_HIGHER_SHARE ? sum : MAX_HIGHER_SHARE;
-}
-
-/*
- * Returns the estimated time in us until a slot is free for work that has
- * `ahead` us of queued work before it.  Work of higher ranks that arrives
- * meanwhile is served first, so only the remaining share of the slots counts.
- */
-static uint64_t
-estimate_wait(JdAdmission *ad, uint64_t ahead, unsigned rank)
-{
-    double available = ad->slots * (1 - higher_rank_share(ad, rank));
-
-    return (uint64_t)((double)(ahead + ad->service_time.mean) / available);
-}
-
-/* Returns the total expected time, in us, of queued work that is served before
- * `work`. */
-static uint64_t
-queued_time_before(const JdAdmission *ad, const JdWork *work)
-{
-    const JdWork *w;
-    uint64_t sum = 0;
-
-    TAILQ_FOREACH(w, &ad->queue, link)
-    {
-        if (w == work || precedes(work, w)) {
-            break;
-        }
-        sum += expected_time_of(ad, w);
-    }
-    return sum;
-}
-
-/* Returns the safety margin on top of the expected service time.  Without it,
- * the large part of the work that takes longer than the mean would be late. */
-static uint64_t
-time_margin(const JdAdmission *ad, const JdWork *work)
-{
-    return expected_time_of(ad, work) * MARGIN_PERCENT / 100;
-}
-
-/* Returns whether work that starts after `wait` us is expected to finish by
- * the time `by`. */
-static bool
-finishes_by(const JdAdmission *ad, const JdWork *work, uint64_t wait,
-            uint64_t by)
-{
-    uint64_t now = JdClock_Now(ad->clock);
-
-    return by > now && now + wait + expected_time_of(ad, work) <= by;
-}
-
-static void
-enqueue(JdAdmission *ad, JdWork *work)
-{
-    JdWork *w;
-
-    work->is_queued = true;
-    ad->queued++;
-    JdBacklog_Add(&ad->backlog, work->rank, JdClock_Now(ad->clock));
-    TAILQ_FOREACH(w, &ad->queue, link)
-    {
-        if (precedes(work, w)) {
-            TAILQ_INSERT_BEFORE(w, work, link);
-            return;
-        }
-    }
-    TAILQ_INSERT_TAIL(&ad->queue, work, link);
-}
-
-static void
-dequeue(JdAdmission *ad, JdWork *work)
-{
-    TAILQ_REMOVE(&ad->queue, work, link);
-    work->is_queued = false;
-    ad->queued--;
-    JdBacklog_Remove(&ad->backlog, work->rank);
-}
-
 /* Returns what work claims of its account's share. */
 static JdShareClaim
 share_claim(const JdAdmission *ad, const JdWork *work)
@@ -227,7 +55,7 @@
     JdShareClaim cl = {.account = work->account,
                        .rank = work->rank,
                        .rate = work->rate,
-                       .cost = expected_time_of(ad, work)};
+                       .cost = _JdAdmission_ExpectedTime(ad, work)};
 
     return cl;
 }
@@ -239,7 +67,7 @@
     JdShareClaim cl = share_claim(ad, work);
 
     JdShares_Refund(&ad->shares, &cl);
-    dequeue(ad, work);
+    _JdAdmission_Dequeue(ad, work);
 }
 
 static void
@@ -247,8 +75,7 @@
 {
     work->is_running = true;
     work->started_at = JdClock_Now(ad->clock);
-    decay_recent_load(ad);
-    ad->recent_load[work->rank] += (double)expected_time_of(ad, work);
+    _JdAdmission_RecordStart(ad, work);
     ad->running++;
     JdShares_Start(&ad->shares, work->rank, work->tag);
     JdRateLimit_Take(&ad->rate_limit, work->started_at);
@@ -261,7 +88,8 @@
 static uint64_t
 latest_start(const JdAdmission *ad, const JdWork *work)
 {
-    uint64_t expected = ad->has_ranks ? expected_time_of(ad, work) : 0;
+    uint64_t expected =
+        ad->has_ranks ? _JdAdmission_ExpectedTime(ad, work) : 0;
 
     return work->deadline > expected ? work->deadline - expected : 0;
 }
@@ -323,50 +151,12 @@
     arm_deadline_timer(ad);
 }
 
-/*
- * Moves queued work that can no longer finish by its soft deadline behind the
- * work that still can.  If it were served first, the other work would be late
- * as well.
- */
-static void
-demote_late(JdAdmission *ad)
-{
-    JdWork *w, *next;
-
-    for (w = TAILQ_FIRST(&ad->queue); w != NULL; w = next) {
-        next = TAILQ_NEXT(w, link);
-        if (!w->is_late && !finishes_by(ad, w, 0, w->soft_deadline)) {
-            dequeue(ad, w);
-            w->is_late = true;
-            enqueue(ad, w);
-        }
-    }
-}
-
-/* Returns queued work that can no longer finish by its deadline, or NULL. */
-static JdWork *
-find_infeasible(JdAdmission *ad)
-{
-    uint64_t ahead = 0;
-    JdWork *w;
-
-    TAILQ_FOREACH(w, &ad->queue, link)
-    {
-        if (!finishes_by(ad, w, estimate_wait(ad, ahead, w->rank),
-                         w->deadline)) {
-            return w;
-        }
-        ahead += expected_time_of(ad, w);
-    }
-    return NULL;
-}
-
 static void
 refuse_infeasible(JdAdmission *ad)
 {
     JdWork *w;
 
-    while ((w = find_infeasible(ad)) != NULL) {
+    while ((w = _JdAdmission_FindInfeasible(ad)) != NULL) {
         refuse_queued(ad, w, JD_REASON_TOO_LATE);
     }
 }
@@ -376,16 +166,16 @@
 {
     JdWork *w;
 
-    demote_late(ad);
+    _JdAdmission_DemoteLate(ad);
     while (ad->running < ad->slots && (w = TAILQ_FIRST(&ad->queue)) != NULL) {
-        if (!finishes_by(ad, w, 0, w->deadline)) {
+        if (!_JdAdmission_FinishesBy(ad, w, 0, w->deadline)) {
             refuse_queued(ad, w, JD_REASON_TOO_LATE);
         }
         else if (JdAdmission_IsRateLimited(ad, w->priority)) {
             refuse_queued(ad, w, JD_REASON_RATE_LIMITED);
         }
         else {
-            dequeue(ad, w);
+            _JdAdmission_Dequeue(ad, w);
             start_work(ad, w);
         }
     }
@@ -402,31 +192,13 @@
     JdWork *last = TAILQ_LAST(&ad->queue, JdWorkHead);
 
     if (last == NULL || (!ad->has_ranks && last->rank <= work->rank) ||
-        !precedes(work, last)) {
+        !_JdAdmission_Precedes(work, last)) {
         return false;
     }
     refuse_queued(ad, last, JD_REASON_QUEUE_FULL);
     return true;
 }
 
-/* Returns whether at most half of the queued work of a rank precedes new work
- * of that rank: others of its rank would not do better. */
-static bool
-is_typical_of_rank(const JdAdmission *ad, const JdWork *work)
-{
-    unsigned before = 0, count = 0;
-    const JdWork *w;
-
-    TAILQ_FOREACH(w, &ad->queue, link)
-    {
-        if (w->rank == work->rank) {
-            count++;
-            before += !precedes(work, w);
-        }
-    }
-    return before * 2 <= count;
-}
-
 /* Notes for the nodes that send that work of this rank is refused for `time`
  * us.  Work of an account ahead of its share tells nothing of others. */
 static void
@@ -435,7 +207,7 @@
     uint64_t now = JdClock_Now(ad->clock);
 
     if (ad->has_ranks && (work->account == NULL || work->account[0] == '\0' ||
-                          is_typical_of_rank(ad, work))) {
+                          _JdAdmission_IsTypicalOfRank(ad, work))) {
         JdCutoff_Note(&ad->cutoff, work->rank, now + time, now);
     }
 }
@@ -454,19 +226,23 @@
         work->soft_deadline = work->deadline;
     }
     /* Such work would be late on an idle target as well. */
-    work->is_late =
-        !finishes_by(ad, work, time_margin(ad, work), work->soft_deadline);
-    wait = estimate_wait(ad, queued_time_before(ad, work), work->rank);
-    if (!finishes_by(ad, work, wait, work->deadline)) {
+    work->is_late = !_JdAdmission_FinishesBy(
+        ad, work, _JdAdmission_TimeMargin(ad, work), work->soft_deadline);
+    wait = _JdAdmission_EstimateWait(ad, _JdAdmission_QueuedBefore(ad, work),
+                                     work->rank);
+    if (!_JdAdmission_FinishesBy(ad, work, wait, work->deadline)) {
         return JD_REASON_TOO_LATE;
     }
     if (wait > longest) {
         note_cutoff(ad, work, wait - longest);
         return JD_REASON_TOO_LATE;
     }
-    if (!work->is_late && !finishes_by(ad, work, wait + time_margin(ad, work),
-                                       work->soft_deadline)) {
-        end = now + wait + time_margin(ad, work) + expected_time_of(ad, work);
+    if (!work->is_late &&
+        !_JdAdmission_FinishesBy(ad, work,
+                                 wait + _JdAdmission_TimeMargin(ad, work),
+                                 work->soft_deadline)) {
+        end = now + wait + _JdAdmission_TimeMargin(ad, work) +
+              _JdAdmission_ExpectedTime(ad, work);
         note_cutoff(ad, work, end - work->soft_deadline);
         return JD_REASON_TOO_LATE;
     }
@@ -483,7 +259,7 @@
 {
     bool is_idle = ad->running == 0 && work->deadline > JdClock_Now(ad->clock);
 
-    if (!is_idle && !finishes_by(ad, work, 0, work->deadline)) {
+    if (!is_idle && !_JdAdmission_FinishesBy(ad, work, 0, work->deadline)) {
         return JD_REASON_TOO_LATE;
     }
     start_work(ad, work);
@@ -531,7 +307,7 @@
         return JD_REASON_QUEUE_FULL;
     }
     JdShares_Charge(&ad->shares, &cl, work->tag);
-    enqueue(ad, work);
+    _JdAdmission_Enqueue(ad, work);
     arm_deadline_timer(ad);
     return JD_REASON_NONE;
 }
