--- a/regress/unit/balance.c
+++ b/regress/unit/balance.c
@@ -1,4 +1,5 @@
-/* Load balancing in a tier with more targets than one choice considers. */
+/* Load balancing: many targets in a tier, targets across the paid link, and what
+ * shows that a target is at work. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +12,30 @@
 #define TARGETS 1000U
 #define PICKS_PER_TARGET 20U
 
+/* A node that picks targets, in the region "near". */
+typedef struct Sender {
+    JdMembers members;
+    JdCounters counters;
+    JdRandom random;
+    JdClock clock;
+    JdBalancer balancer;
+} Sender;
+
+static void
+init_sender(Sender *sd)
+{
+    memset(sd, 0, sizeof(*sd));
+    JdClock_Init(&sd->clock, NULL, NULL);
+    JdRandom_Init(&sd->random, 7);
+    JdMembers_Init(&sd->members, &sd->clock, &sd->counters);
+    sd->balancer.members = &sd->members;
+    sd->balancer.clock = &sd->clock;
+    sd->balancer.random = &sd->random;
+    sd->balancer.counters = &sd->counters;
+    sd->balancer.region = "near";
+    sd->balancer.domain = "d1";
+}
+
 static void
 add_target(JdMembers *ms, char *id, char *region)
 {
@@ -43,26 +68,16 @@
 test_many_targets(void)
 {
     static unsigned count[TARGETS];
-    JdMembers ms;
-    JdCounters ctr = {{0}};
-    JdRandom rnd;
-    JdClock clk;
-    JdBalancer lb = {.members = &ms,
-                     .clock = &clk,
-                     .random = &rnd,
-                     .counters = &ctr,
-                     .region = "near",
-                     .domain = "d1"};
+    Sender sd;
     JdTier tier;
     unsigned unused = 0, most = 0, picks = TARGETS * PICKS_PER_TARGET;
 
     memset(count, 0, sizeof(count));
-    JdClock_Init(&clk, NULL, NULL);
-    JdRandom_Init(&rnd, 7);
-    JdMembers_Init(&ms, &clk, &ctr);
-    add_targets(&ms, TARGETS);
+    init_sender(&sd);
+    add_targets(&sd.members, TARGETS);
     for (unsigned i = 0; i < picks; i++) {
-        const JdMember *mb = JdBalancer_Pick(&lb, "set", NULL, 0, &tier);
+        const JdMember *mb =
+            JdBalancer_Pick(&sd.balancer, "set", NULL, 0, &tier);
 
         CU_ASSERT_PTR_NOT_NULL(mb);
         if (mb != NULL) {
@@ -75,8 +90,8 @@
     }
     CU_ASSERT_EQUAL(unused, 0);
     CU_ASSERT_TRUE(most <= 3 * PICKS_PER_TARGET);
-    CU_ASSERT_EQUAL(ctr.value[JD_C_CANDIDATES_SAMPLED], picks);
-    JdMembers_Finish(&ms);
+    CU_ASSERT_EQUAL(sd.counters.value[JD_C_CANDIDATES_SAMPLED], picks);
+    JdMembers_Finish(&sd.members);
 }
 
 /* Returns the id of the target that is picked for a request which the targets
@@ -99,35 +114,25 @@
 {
     char refused[1][JD_NAME_MAX] = {"near-1"};
     JdLoadReport report = {.load = 300};
-    JdMembers ms;
-    JdCounters ctr = {{0}};
-    JdRandom rnd;
-    JdClock clk;
-    JdBalancer lb = {.members = &ms,
-                     .clock = &clk,
-                     .random = &rnd,
-                     .counters = &ctr,
-                     .region = "near",
-                     .domain = "d1"};
-
-    JdClock_Init(&clk, NULL, NULL);
-    JdClock_Advance(&clk, JD_US_PER_S);
-    JdRandom_Init(&rnd, 7);
-    JdMembers_Init(&ms, &clk, &ctr);
-    add_target(&ms, "near-1", "near");
-    add_target(&ms, "far-1", "far");
-    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 1), "far-1");
-    JdBalancer_RecordFailure(&lb, "far-1", JD_REASON_TOO_LATE, &report);
+    Sender sd;
+
+    init_sender(&sd);
+    JdClock_Advance(&sd.clock, JD_US_PER_S);
+    add_target(&sd.members, "near-1", "near");
+    add_target(&sd.members, "far-1", "far");
+    CU_ASSERT_STRING_EQUAL(pick_after(&sd.balancer, refused, 1), "far-1");
+    JdBalancer_RecordFailure(&sd.balancer, "far-1", JD_REASON_TOO_LATE,
+                             &report);
     for (int i = 0; i < 100; i++) {
-        CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 1), "");
+        CU_ASSERT_STRING_EQUAL(pick_after(&sd.balancer, refused, 1), "");
     }
-    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 0), "near-1");
-    JdMembers_Find(&ms, "near-1")->state = JD_MEMBER_DOWN;
-    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 0), "far-1");
-    JdMembers_Find(&ms, "near-1")->state = JD_MEMBER_READY;
-    JdClock_Advance(&clk, JD_US_PER_S);
-    CU_ASSERT_STRING_EQUAL(pick_after(&lb, refused, 1), "far-1");
-    JdMembers_Finish(&ms);
+    CU_ASSERT_STRING_EQUAL(pick_after(&sd.balancer, refused, 0), "near-1");
+    JdMembers_Find(&sd.members, "near-1")->state = JD_MEMBER_DOWN;
+    CU_ASSERT_STRING_EQUAL(pick_after(&sd.balancer, refused, 0), "far-1");
+    JdMembers_Find(&sd.members, "near-1")->state = JD_MEMBER_READY;
+    JdClock_Advance(&sd.clock, JD_US_PER_S);
+    CU_ASSERT_STRING_EQUAL(pick_after(&sd.balancer, refused, 1), "far-1");
+    JdMembers_Finish(&sd.members);
 }
 
 /* A target is at work if it has answered something since a request was sent to
@@ -136,33 +141,23 @@
 test_answered_since(void)
 {
     JdLoadReport report = {.load = 100};
-    JdMembers ms;
-    JdCounters ctr = {{0}};
-    JdRandom rnd;
-    JdClock clk;
-    JdBalancer lb = {.members = &ms,
-                     .clock = &clk,
-                     .random = &rnd,
-                     .counters = &ctr,
-                     .region = "near",
-                     .domain = "d1"};
+    Sender sd;
     uint64_t sent_at = 2 * JD_US_PER_S;
 
-    JdClock_Init(&clk, NULL, NULL);
-    JdClock_Advance(&clk, JD_US_PER_S);
-    JdRandom_Init(&rnd, 7);
-    JdMembers_Init(&ms, &clk, &ctr);
-    add_target(&ms, "t0", "near");
-    JdBalancer_RecordAnswer(&lb, "t0", 1000, &report);
-    JdClock_Advance(&clk, JD_US_PER_S);
-    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&lb, "t0", sent_at));
-    JdClock_Advance(&clk, JD_US_PER_S);
-    JdBalancer_RecordFailure(&lb, "t0", JD_REASON_TOO_LATE, &report);
-    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&lb, "t0", sent_at));
-    JdBalancer_RecordAnswer(&lb, "t0", 1000, &report);
-    CU_ASSERT_TRUE(JdBalancer_HasAnsweredSince(&lb, "t0", sent_at));
-    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&lb, "unknown", sent_at));
-    JdMembers_Finish(&ms);
+    init_sender(&sd);
+    JdClock_Advance(&sd.clock, JD_US_PER_S);
+    add_target(&sd.members, "t0", "near");
+    JdBalancer_RecordAnswer(&sd.balancer, "t0", 1000, &report);
+    JdClock_Advance(&sd.clock, JD_US_PER_S);
+    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&sd.balancer, "t0", sent_at));
+    JdClock_Advance(&sd.clock, JD_US_PER_S);
+    JdBalancer_RecordFailure(&sd.balancer, "t0", JD_REASON_TOO_LATE, &report);
+    CU_ASSERT_FALSE(JdBalancer_HasAnsweredSince(&sd.balancer, "t0", sent_at));
+    JdBalancer_RecordAnswer(&sd.balancer, "t0", 1000, &report);
+    CU_ASSERT_TRUE(JdBalancer_HasAnsweredSince(&sd.balancer, "t0", sent_at));
+    CU_ASSERT_FALSE(
+        JdBalancer_HasAnsweredSince(&sd.balancer, "unknown", sent_at));
+    JdMembers_Finish(&sd.members);
 }
 
 void
