--- a/regress/unit/balance.c
+++ b/regress/unit/balance.c
@@ -1,5 +1,5 @@
-/* Load balancing: many targets in a tier, targets across the paid link, and what
- * shows that a target is at work. */
+/* Load balancing: many targets in a tier, targets across the paid link, and
+ * what shows that a target is at work. */
 #include <stdlib.h>
 #include <string.h>
 
