--- a/targets/suspect.c
+++ b/targets/suspect.c
@@ -114,7 +114,6 @@
 crash_to_tell(JdWorkItem *it, uint64_t process)
 {
     const JdFingerprint *fp = JdLazyFingerprint_Get(&it->fingerprint, it->msg);
-
     bool is_blamed = JdCrashTable_Blames(&it->node->tree.crashes, fp, process);
 
     return is_blamed ? process : 0;
