A hedge is sent to the second target whatever the usual time of the first

Cause: hedges were left out where four times the usual time of the target was more than the time left, which slow answers before had raised. A lost answer then cost its caller the whole deadline.

Change: the condition is gone; half of the time left and a silent target decide. JdBalancer_ExpectedTime() is left to embedders.

--- a/peer/forward.c
+++ b/peer/forward.c
@@ -368,15 +368,13 @@
     }
 }
 
-/* Schedules the hedge of an idempotent request that is sent to `mb`. */
+/* Schedules the hedge of an idempotent request that is sent now. */
 static void
-arm_hedge_timer(JdCall *call, JdMember *mb)
+arm_hedge_timer(JdCall *call)
 {
-    uint64_t delay = JdPick_HedgeDelay(call, mb);
-
-    if (delay != 0 && JdRetry_IsIdempotent(call) &&
-        JdRetry_HasAttemptsLeft(call)) {
-        JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer, delay);
+    if (JdRetry_IsIdempotent(call) && JdRetry_HasAttemptsLeft(call)) {
+        JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer,
+                    JdPick_HedgeDelay(call));
     }
 }
 
@@ -425,7 +423,7 @@
         return;
     }
     att = begin_attempt(call, mb, tier);
-    arm_hedge_timer(call, mb);
+    arm_hedge_timer(call);
     if (strcmp(mb->id, nd->settings.node) == 0) {
         submit_to_local_target(att);
         return;
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -122,7 +122,7 @@
 void JdPick_Init(JdNode *nd);
 bool JdPick_ExpectsChunks(const JdCall *call);
 JdMember *JdPick_Target(JdCall *call, JdTier *tier);
-uint64_t JdPick_HedgeDelay(const JdCall *call, JdMember *mb);
+uint64_t JdPick_HedgeDelay(const JdCall *call);
 
 /* capacity.c */
 void JdCapacity_Init(JdNode *nd);
--- a/peer/pick.c
+++ b/peer/pick.c
@@ -6,9 +6,6 @@
 
 #include "forward.h"
 
-/* A request is hedged if this multiple of the time that its target usually
- * takes is left. */
-#define HEDGE_LATENCY_FACTOR 4
 /* Delay of the hedge in percent of the time left. */
 #define HEDGE_DELAY_PERCENT 50
 
@@ -58,39 +55,18 @@
     return mb;
 }
 
-/* Returns the time in us that a request at a target takes as a rule, 0:
- * unknown.  A service that is balanced by work knows it for each route. */
-static uint64_t
-usual_time(const JdCall *call, JdMember *mb)
-{
-    const JdTargetStats *ts = mb->user;
-    uint64_t expected = 0;
-
-    if (call->route.is_by_work) {
-        expected = JdBalancer_ExpectedTime(&call->node->balancer, mb,
-                                           call->route.name);
-    }
-    if (expected == 0 && ts != NULL) {
-        expected = ts->mean_latency;
-    }
-    return expected;
-}
-
 /*
- * Returns the time in us after which a request that is sent to `mb` is sent to
- * a second target as well, 0: it is not.  The second attempt has the same time
- * as the first one.  It is made for what is lost on the way or at its target,
- * not for what takes longer than usual: under load a second run of that takes
- * a slot from another request.
+ * Returns the time in us after which a request that is sent now is sent to a
+ * second target as well.  The second attempt has the same time as the first
+ * one.  It is made for what is lost on the way or at its target, not for what
+ * takes longer than usual: under load a second run of that takes a slot from
+ * another request.
  */
 uint64_t
-JdPick_HedgeDelay(const JdCall *call, JdMember *mb)
+JdPick_HedgeDelay(const JdCall *call)
 {
     uint64_t left = call->deadline - JdClock_Now(&call->node->loop.clock);
 
-    if (usual_time(call, mb) * HEDGE_LATENCY_FACTOR > left) {
-        return 0;
-    }
     return left * HEDGE_DELAY_PERCENT / 100;
 }
 
--- a/regress/e2e/requests.sh
+++ b/regress/e2e/requests.sh
@@ -108,6 +108,17 @@
 for i in 1 2 3 4 5 6; do e2e_request 1-1 /short; done | sort | uniq -c |
     tr -s ' '
 e2e_control_target 1-2 mode=up
+# The same where requests usually take more than a quarter of their deadline.
+for i in 1 2 3 4 5 6 7 8; do
+	curl -s -o /dev/null -H 'x-work-us: 190000' \
+	    "http://127.$FLEET_NET.3.2:8000/short" &
+done
+wait
+e2e_control_target 3-1 mode=stall
+for i in 1 2 3 4 5 6; do
+	e2e_request 3-2 /short -H 'x-work-us: 190000'
+done | sort | uniq -c | tr -s ' '
+e2e_control_target 3-1 mode=up
 
 # A target sheds load and reports that nothing ran: a POST is retried on another.
 e2e_control_target 1-1 mode=shed
