Steady senders of tests end with the test

Seen: loops of tests that had failed went on for 18 minutes and used a core. Cause: they waited for a file in a folder that the test's end removes. Change: they end when the folder is gone.

--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -140,10 +140,11 @@
 	fleet_sum "$2" "$1"
 }
 
-# Sends requests to a node, one each 20 ms, until the file "stop" exists, and
+# Sends requests to a node, one each 20 ms, until the file "stop" exists or the
+# test has ended, and
 # appends their statuses to FILE.  Their ids begin with D-I and a dot.
 platform_send_steadily() { # D-I PATH FILE
-	while [ ! -e "$FLEET_DIR/stop" ]; do
+	while [ -d "$FLEET_DIR" ] && [ ! -e "$FLEET_DIR/stop" ]; do
 		curl -s -m 5 -o /dev/null -w '%{http_code}\n' \
 		    -H 'Host: shop.example' \
 		    -H "Jacinthdyke-Request-Id: $1.$BASHPID-$RANDOM" \
