--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -141,8 +141,8 @@
 }
 
 # Sends requests to a node, one each 20 ms, until the file "stop" exists or the
-# test has ended, and
-# appends their statuses to FILE.  Their ids begin with D-I and a dot.
+# test has ended, and appends their statuses to FILE.  Their ids begin with D-I
+# and a dot.
 platform_send_steadily() { # D-I PATH FILE
 	while [ -d "$FLEET_DIR" ] && [ ! -e "$FLEET_DIR/stop" ]; do
 		curl -s -m 5 -o /dev/null -w '%{http_code}\n' \
