A request of a route that may not be repeated runs once, whatever its method

Cause: JdRetry_IsIdempotent took GET, HEAD and OPTIONS for idempotent although the route's policy said "idempotent": false. Retries, hedges and the choice of the connection went by it, and keys of "once" routes by the method as well.

Change: the policy says all, none or nothing; only then the method decides. It is decided once, at intake, and travels with the message.

--- a/caller/intake.c
+++ b/caller/intake.c
@@ -78,13 +78,13 @@
     msg->method = (char *)req->method;
     msg->request_id = (char *)parsed->request_id;
     msg->caller_service = (char *)call->node->settings.service;
-    msg->idempotent = call->route.is_idempotent;
+    msg->idempotent = JdRoute_IsIdempotent(&call->route, req->method);
     msg->route = (char *)call->route.name;
     msg->body.data = req->body->data;
     msg->body.len = req->body->len;
     msg->priority = call->route.priority;
     msg->key = (char *)parsed->key;
-    msg->once = call->route.requires_key;
+    msg->once = JdRoute_NeedsKey(&call->route, req->method);
     if (parsed->account.name != NULL) {
         msg->account = (char *)parsed->account.name;
         msg->account_priority = parsed->account.priority;
@@ -197,12 +197,12 @@
 }
 
 /* Returns whether the request lacks the idempotency key that its route
- * requires, for all methods but GET and HEAD. */
+ * requires. */
 static bool
 is_key_missing(const JdServerRequest *req, const ParsedRequest *parsed)
 {
-    return parsed->route.requires_key && parsed->key[0] == '\0' &&
-           strcmp(req->method, "GET") != 0 && strcmp(req->method, "HEAD") != 0;
+    return parsed->key[0] == '\0' &&
+           JdRoute_NeedsKey(&parsed->route, req->method);
 }
 
 /*
--- a/include/jacinthdyke.h
+++ b/include/jacinthdyke.h
@@ -207,6 +207,14 @@
 bool JdDigest_FromHex(JdDigest *dig, const char *hex);
 bool JdDigest_Equal(const JdDigest *a, const JdDigest *b);
 
+/* Which requests of a route may run more than once. */
+typedef enum JdRepeat {
+    JD_REPEAT_BY_METHOD, /* its policy does not say: GET, HEAD and OPTIONS */
+    JD_REPEAT_NONE,
+    JD_REPEAT_ALL,
+    JD_REPEAT_MAX
+} JdRepeat;
+
 /* The route that a request matched, with the policy that applies to it. */
 typedef struct JdRoute {
     const char *name; /* host, if any, and path prefix */
@@ -217,7 +225,7 @@
     uint64_t latency_goal;  /* us */
     unsigned attempts;      /* maximum number of targets tried per request */
     unsigned retry_percent; /* retries allowed per 100 first attempts */
-    bool is_idempotent;     /* requests of any method may be retried */
+    JdRepeat repeat;        /* requests that may run more than once */
     bool requires_key;      /* requests require an idempotency key */
     bool is_public;         /* requests need not name a client account */
     bool is_bulk;           /* responses are large */
@@ -237,6 +245,8 @@
  * split. */
 bool JdConfig_FindRoute(const JdConfig *cfg, const JdRouteKey *key,
                         uint64_t draw, JdRoute *out);
+bool JdRoute_IsIdempotent(const JdRoute *rt, const char *method);
+bool JdRoute_NeedsKey(const JdRoute *rt, const char *method);
 
 /* ---- store.c: current version and history ------------------------------ */
 
--- a/lib/request/route.c
+++ b/lib/request/route.c
@@ -35,6 +35,18 @@
     return text_of(svc, "balance") != NULL;
 }
 
+/* Returns which requests may run more than once by a policy, or NULL. */
+static JdRepeat
+repeat_of(const json_t *policy)
+{
+    const json_t *v = json_object_get(policy, "idempotent");
+
+    if (v == NULL) {
+        return JD_REPEAT_BY_METHOD;
+    }
+    return json_is_true(v) ? JD_REPEAT_ALL : JD_REPEAT_NONE;
+}
+
 static void
 fill_route(const JdConfig *cfg, const json_t *route, JdRoute *out)
 {
@@ -60,7 +72,7 @@
     out->attempts = (unsigned)integer_of(pol, "attempts", DEFAULT_ATTEMPTS);
     out->retry_percent =
         (unsigned)integer_of(pol, "retry_percent", DEFAULT_RETRY_PERCENT);
-    out->is_idempotent = json_is_true(json_object_get(pol, "idempotent"));
+    out->repeat = repeat_of(pol);
     out->requires_key = json_is_true(json_object_get(pol, "once"));
     out->is_bulk = json_is_true(json_object_get(pol, "bulk"));
     out->is_public = json_is_true(json_object_get(route, "public"));
@@ -183,3 +195,26 @@
     out->is_by_work = JdConfig_IsByWork(cfg, out->service);
     return true;
 }
+
+/* Returns whether a request may run more than once.  What the route's policy
+ * says holds for every method; the method decides only where it says nothing.
+ */
+bool
+JdRoute_IsIdempotent(const JdRoute *rt, const char *method)
+{
+    if (rt->repeat != JD_REPEAT_BY_METHOD) {
+        return rt->repeat == JD_REPEAT_ALL;
+    }
+    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0 ||
+           strcmp(method, "OPTIONS") == 0;
+}
+
+/* Returns whether a request requires an idempotency key.  GET and HEAD do not,
+ * unless the route's policy says that they may not run more than once. */
+bool
+JdRoute_NeedsKey(const JdRoute *rt, const char *method)
+{
+    bool is_read = strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+
+    return rt->requires_key && (rt->repeat == JD_REPEAT_NONE || !is_read);
+}
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -372,7 +372,7 @@
 static void
 arm_hedge_timer(JdCall *call)
 {
-    if (JdRetry_IsIdempotent(call) && JdRetry_HasAttemptsLeft(call)) {
+    if (call->msg->idempotent && JdRetry_HasAttemptsLeft(call)) {
         JdTimer_Arm(&call->node->loop.clock, &call->hedge_timer,
                     JdPick_HedgeDelay(call));
     }
@@ -431,7 +431,7 @@
     if (tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUESTS_CROSS_REGION]++;
     }
-    rconn = JdRequestConn_Get(nd, mb, !JdRetry_IsIdempotent(call));
+    rconn = JdRequestConn_Get(nd, mb, !call->msg->idempotent);
     if (rconn == NULL) {
         JdForward_AttemptFailed(att, &down);
         return;
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -111,7 +111,6 @@
 void JdPartial_Clear(JdPartial *pt);
 
 /* retry.c */
-bool JdRetry_IsIdempotent(const JdCall *call);
 bool JdRetry_HasAttemptsLeft(const JdCall *call);
 bool JdRetry_CrashesTargets(JdCall *call);
 bool JdRetry_MayCrashTargets(JdCall *call);
--- a/peer/retry.c
+++ b/peer/retry.c
@@ -18,17 +18,6 @@
     return bg;
 }
 
-/* Returns whether the request may run more than once: its route says so, or
- * its method is safe. */
-bool
-JdRetry_IsIdempotent(const JdCall *call)
-{
-    const char *m = call->msg->method;
-
-    return call->route.is_idempotent || strcmp(m, "GET") == 0 ||
-           strcmp(m, "HEAD") == 0 || strcmp(m, "OPTIONS") == 0;
-}
-
 /* Returns whether the route allows one more attempt.  Attempts that failed
  * before they reached a target do not count towards its limit. */
 bool
@@ -69,7 +58,7 @@
         call->req == NULL || JdClock_Now(&nd->loop.clock) >= call->deadline) {
         return false;
     }
-    if (!info->is_not_executed && !JdRetry_IsIdempotent(call)) {
+    if (!info->is_not_executed && !call->msg->idempotent) {
         return false;
     }
     if (JdRetry_CrashesTargets(call)) {
--- a/regress/script_store.c
+++ b/regress/script_store.c
@@ -92,7 +92,7 @@
            "retry %u%%%s%s\n",
            path, r.name, r.service, r.endpoint_set, r.priority,
            (unsigned long long)r.timeout, r.retry_percent,
-           r.is_idempotent ? " idempotent" : "",
+           r.repeat == JD_REPEAT_ALL ? " idempotent" : "",
            r.requires_key ? " once" : "");
 }
 
--- a/regress/soak/observe.c
+++ b/regress/soak/observe.c
@@ -128,6 +128,9 @@
 static void
 send_request(void)
 {
+    /* Whether a request may run more than once does not follow from these. */
+    static const char *const methods[] = {"GET", "POST", "OPTIONS", "PUT",
+                                          "DELETE"};
     JdHttpc *hc =
         &observer.nodes[JdRandom_Below(&observer.random, observer.node_count)];
     PendingRequest *pending = g_new0(PendingRequest, 1);
@@ -151,7 +154,7 @@
                "jacinthdyke-credential: %s\r\n",
                pending->id, REQUEST_DEADLINE_MS,
                is_limited ? "key-of-limited" : "key-of-free");
-    rq.method = pending->is_safe ? "GET" : "POST";
+    rq.method = methods[observer.sent % G_N_ELEMENTS(methods)];
     observer.in_flight++;
     JdHttpc_Send(hc, &rq, on_response, pending);
 }
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -5,6 +5,7 @@
  *   /-/control?NAME=VALUE  changes the behaviour:
  *       mode=ok|shed|stall  answer, refuse without executing, or never answer
  *       mode=error          answer 500, with no word of limit and leaving
+ *       mode=lose           run, and close the connection without an answer
  *       id=ID               act as another process at the same address
  *       say=ready|draining|nothing|noise
  *                           send heartbeats with this state, no heartbeats, or
@@ -22,6 +23,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "../../base/base.h"
@@ -270,6 +272,15 @@
     _exit(1);
 }
 
+/* Ends the sending side of a connection, so that an answer is lost. */
+static void
+lose_answer(h2o_req_t *req)
+{
+    h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+    shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+}
+
 static void
 on_work_done(void *ctx)
 {
@@ -278,6 +289,9 @@
     if (run->req != NULL && run->crashes) {
         crash(run);
     }
+    if (run->req != NULL && strcmp(worker.mode, "lose") == 0) {
+        lose_answer(run->req);
+    }
     if (run->req != NULL && strcmp(worker.mode, "error") == 0) {
         echo_request_id(run->req);
         JdHttpd_Reply(run->req, 500, "text/plain", "failed\n", 7);
--- a/regress/unit/account.c
+++ b/regress/unit/account.c
@@ -73,7 +73,7 @@
     CU_ASSERT_TRUE(JdConfig_FindRoute(cfg, &private, 0, &rt));
     CU_ASSERT_FALSE(rt.is_public);
     CU_ASSERT_TRUE(JdConfig_FindRoute(cfg, &public, 0, &rt));
-    CU_ASSERT_TRUE(rt.is_public && rt.is_bulk && rt.is_idempotent);
+    CU_ASSERT_TRUE(rt.is_public && rt.is_bulk && rt.repeat == JD_REPEAT_ALL);
     JdConfig_Unref(cfg);
 }
 
--- a/regress/unit/platform.c
+++ b/regress/unit/platform.c
@@ -46,7 +46,7 @@
     CU_ASSERT_EQUAL(rt.latency_goal, 400 * JD_US_PER_MS);
     CU_ASSERT_EQUAL(rt.attempts, 2);
     CU_ASSERT_EQUAL(rt.priority, 1);
-    CU_ASSERT_TRUE(rt.is_idempotent);
+    CU_ASSERT_TRUE(JdRoute_IsIdempotent(&rt, "POST"));
     JdConfig_Unref(cfg);
     json_decref(doc);
 }
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -322,12 +322,12 @@
                                       .denied = on_claim_denied,
                                       .released = on_claim_released};
 
-/* GET and HEAD are safe and never need a claim. */
+/* The caller's node has checked that there is a key; an older one sends a GET
+ * or HEAD without. */
 static bool
 needs_claim(const Jd__Request *msg)
 {
-    return msg->once && strcmp(msg->method, "GET") != 0 &&
-           strcmp(msg->method, "HEAD") != 0;
+    return msg->once && msg->key[0] != '\0';
 }
 
 /* Claims the idempotency key of a request before its admission. */
