What waits for a target that leaves is refused and goes to another one

Cause: whether the target leaves was asked when a request arrived at its node, and not when it left the queue of admission or of the connections.

Change: admission can be halted: it refuses what is queued, takes nothing and starts nothing. The target's node halts it where it learns that the target leaves: heartbeat, answer, deregistration, probe, another node, other settings. Calls that have a slot and wait for a connection are taken back.

--- a/base/base.h
+++ b/base/base.h
@@ -163,6 +163,14 @@
 
 typedef struct JdHttpCall JdHttpCall;
 
+/* How far a call in progress has come. */
+typedef enum JdHttpCallState {
+    JD_HTTP_CALL_WAITING,    /* for a connection that others use */
+    JD_HTTP_CALL_CONNECTING, /* nothing was sent */
+    JD_HTTP_CALL_SENT,
+    JD_HTTP_CALL_STATE_MAX
+} JdHttpCallState;
+
 /* Result of JdHttpc_Check: whether the server accepted a connection. */
 typedef enum JdHttpCheck {
     JD_HTTP_ACCEPTED,
@@ -203,6 +211,7 @@
                         JdHttpCallback callback, void *ctx);
 const JdHttpHeader *JdHttpResponse_FindHeader(const JdHttpResponse *resp,
                                               const char *name);
+JdHttpCallState JdHttpc_CallState(const JdHttpCall *call);
 void JdHttpc_Cancel(JdHttpCall *call);
 void JdHttpc_Check(JdHttpc *hc, uint64_t timeout, JdHttpCheckCallback callback,
                    void *ctx);
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -200,15 +200,29 @@
     }
 }
 
-/* Ends a call without its callback.  The server may still process it. */
+/* Returns how far a call in progress has come. */
+JdHttpCallState
+JdHttpc_CallState(const JdHttpCall *call)
+{
+    if (call->is_sent) {
+        return JD_HTTP_CALL_SENT;
+    }
+    return call->is_waiting ? JD_HTTP_CALL_WAITING : JD_HTTP_CALL_CONNECTING;
+}
+
+/* Ends a call without its callback.  Unless it was not sent, the server may
+ * still process it. */
 void
 JdHttpc_Cancel(JdHttpCall *call)
 {
     JdHttpc *hc = call->httpc;
+    bool frees_connection = call->conn != NULL;
 
     close_call_conn(call);
     free_call(call);
-    start_waiting_calls(hc);
+    if (frees_connection) {
+        start_waiting_calls(hc);
+    }
 }
 
 static void
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -115,7 +115,8 @@
     JdCutoff cutoff;
     JdBacklog backlog;
     bool has_ranks; /* the caller ranks the work; else priorities do */
-    bool is_closed;
+    bool is_closed; /* takes no new work */
+    bool is_halted; /* starts no work: the target leaves */
     TAILQ_HEAD(JdWorkHead, JdWork) queue;
     JdClock *clock;
     JdTimer deadline_timer;
@@ -136,6 +137,9 @@
 uint64_t JdAdmission_RateLimitWait(JdAdmission *ad, unsigned priority);
 uint64_t JdAdmission_RetryAfter(const JdAdmission *ad);
 void JdAdmission_Close(JdAdmission *ad);
+void JdAdmission_Halt(JdAdmission *ad);
+void JdAdmission_Resume(JdAdmission *ad);
+bool JdAdmission_TakesWork(const JdAdmission *ad);
 unsigned JdAdmission_Load(const JdAdmission *ad);
 bool JdAdmission_IsFull(const JdAdmission *ad);
 bool JdAdmission_HasFreeSlot(const JdAdmission *ad);
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -285,7 +285,7 @@
     work->tag = JdShares_Tag(&ad->shares, &cl);
     work->is_queued = false;
     work->is_running = false;
-    if (ad->is_closed) {
+    if (!JdAdmission_TakesWork(ad)) {
         return JD_REASON_DRAINING;
     }
     if (JdAdmission_IsRateLimited(ad, work->priority)) {
@@ -414,6 +414,34 @@
     ad->is_closed = true;
 }
 
+/* The target leaves: no work is started any more.  Queued work is refused, so
+ * that it can run at another target; running work continues. */
+void
+JdAdmission_Halt(JdAdmission *ad)
+{
+    JdWork *w;
+
+    ad->is_halted = true;
+    while ((w = TAILQ_FIRST(&ad->queue)) != NULL) {
+        refuse_queued(ad, w, JD_REASON_DRAINING);
+    }
+    arm_deadline_timer(ad);
+}
+
+/* Another target has taken the place of the one that left. */
+void
+JdAdmission_Resume(JdAdmission *ad)
+{
+    ad->is_halted = false;
+}
+
+/* Returns whether new work may be started or queued. */
+bool
+JdAdmission_TakesWork(const JdAdmission *ad)
+{
+    return !ad->is_closed && !ad->is_halted;
+}
+
 /* Returns the number of running and queued work items in percent of the slots.
  */
 unsigned
--- a/lib/request/target.c
+++ b/lib/request/target.c
@@ -110,6 +110,7 @@
     }
     if (is_current_process) {
         tg->is_alive = false;
+        tg->is_draining = true;
     }
     return is_current_process;
 }
--- a/lib/tree/update.c
+++ b/lib/tree/update.c
@@ -143,6 +143,9 @@
     if (msg->target_left > tr->self.target_left) {
         tr->self.target_left = msg->target_left;
         _JdTree_AnnounceSelf(tr);
+        if (tr->ops->target_left_learned != NULL) {
+            tr->ops->target_left_learned(tr->ctx);
+        }
     }
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -349,6 +349,7 @@
 
 /* targets/worker.c: execution of requests on the local target */
 JdStatus JdWorker_Init(JdNode *nd, JdError *err);
+void JdWorker_StopSending(JdNode *nd);
 void JdWorker_RecordUnanswered(JdNode *nd);
 void JdWorker_OnTargetChecked(JdNode *nd, uint64_t crashed_process);
 
@@ -410,6 +411,7 @@
 void JdTargetHealth_OnHeartbeat(JdNode *nd, const JdHeartbeat *hb);
 bool JdTargetHealth_IsLeaving(const JdNode *nd);
 void JdTargetHealth_OnLeaving(JdNode *nd);
+void JdTargetHealth_OnLeftLearned(JdNode *nd);
 void JdTargetHealth_OnDeregister(JdNode *nd, const char *id, uint64_t started);
 
 /* targets/claims.c: claims of idempotency keys on the service's log stream */
--- a/peer/link.c
+++ b/peer/link.c
@@ -216,6 +216,12 @@
     JdLostAttempt_OnTargetReplaced(ctx, mb, started);
 }
 
+static void
+on_target_left_learned(void *ctx)
+{
+    JdTargetHealth_OnLeftLearned(ctx);
+}
+
 static void
 read_directory(void *ctx)
 {
@@ -280,6 +286,7 @@
     .parent_changed = on_parent_changed,
     .member_changed = on_member_changed,
     .target_replaced = on_target_replaced,
+    .target_left_learned = on_target_left_learned,
     .crashes_changed = on_crashes_changed,
     .rollout_changed = on_rollout_changed,
     .count_old_running = count_old_running,
--- a/regress/script_request.c
+++ b/regress/script_request.c
@@ -95,6 +95,12 @@
     else if (strcmp(cmd, "close") == 0) {
         JdAdmission_Close(&admission);
     }
+    else if (strcmp(cmd, "halt") == 0) {
+        JdAdmission_Halt(&admission);
+    }
+    else if (strcmp(cmd, "resume") == 0) {
+        JdAdmission_Resume(&admission);
+    }
     else {
         printf("running %u queued %u load %u%%\n", admission.running,
                admission.queued, JdAdmission_Load(&admission));
--- a/targets/health.c
+++ b/targets/health.c
@@ -7,6 +7,9 @@
 
 #include "../node/node.h"
 
+/* Gone: the answer of a target that leaves to a probe. */
+#define STATUS_GONE 410
+
 /* Returns whether the target has said that it leaves, to this node or to the
  * one that ran here before a restart, of which other nodes tell. */
 bool
@@ -30,10 +33,23 @@
                : JD_MEMBER_READY;
 }
 
+/* Sends to the target unless it leaves, by what is known now. */
+static void
+update_sending(JdNode *nd)
+{
+    if (JdTargetHealth_IsLeaving(nd)) {
+        JdWorker_StopSending(nd);
+    }
+    else {
+        JdAdmission_Resume(&nd->admit);
+    }
+}
+
 /* Announces the target's state by its heartbeats, and its slots. */
 static void
 announce_target(JdNode *nd)
 {
+    update_sending(nd);
     if (nd->target_process.is_draining) {
         JdTree_SetTargetLeft(&nd->tree, nd->target_process.started);
     }
@@ -67,9 +83,6 @@
         return;
     }
     nd->target_warm_at = JdClock_Now(&nd->loop.clock) + hb->warmup_left;
-    JdTree_SetVersion(&nd->tree, hb->version);
-    JdAdmission_SetSlots(&nd->admit, hb->slots);
-    JdAdmission_SetRateLimit(&nd->admit, nd->target_process.rate_limit);
     if (result == JD_HEARTBEAT_CHANGED) {
         JD_LOG(JD_EVENT_TARGET,
                JD_TEXT("outcome", hb->is_draining ? "draining" : "ready"),
@@ -77,7 +90,11 @@
                JD_NUMBER("started", hb->started), JD_NUMBER("seq", hb->seq),
                JD_NUMBER("slots", hb->slots));
     }
+    JdTree_SetVersion(&nd->tree, hb->version);
     announce_target(nd);
+    /* Later, as more slots let queued work start. */
+    JdAdmission_SetSlots(&nd->admit, hb->slots);
+    JdAdmission_SetRateLimit(&nd->admit, nd->target_process.rate_limit);
 }
 
 /* The target has said in an answer that it leaves: it gets no new requests. */
@@ -86,12 +103,24 @@
 {
     if (nd->target_sends_heartbeats) {
         announce_target(nd);
+        return;
     }
-    else if (nd->tree.is_ready) {
+    update_sending(nd);
+    if (nd->tree.is_ready) {
         JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
     }
 }
 
+/* Another node tells that the process of the target had said that it leaves,
+ * before this node restarted. */
+void
+JdTargetHealth_OnLeftLearned(JdNode *nd)
+{
+    if (nd->target_sends_heartbeats) {
+        announce_target(nd);
+    }
+}
+
 /* A process of the target deregisters: it gets no new requests. */
 void
 JdTargetHealth_OnDeregister(JdNode *nd, const char *id, uint64_t started)
@@ -119,13 +148,14 @@
 
     nd->is_probe_pending = false;
     if (ans->result == JD_HTTP_COMPLETED) {
-        nd->target_process.is_draining = JdTargetNotice_SaysLeaving(nd, ans);
+        nd->target_process.is_draining =
+            ans->status == STATUS_GONE || JdTargetNotice_SaysLeaving(nd, ans);
+        update_sending(nd);
     }
     if (!nd->tree.is_ready || nd->is_drain_announced) {
         return;
     }
-    if (nd->target_process.is_draining ||
-        (ans->result == JD_HTTP_COMPLETED && ans->status == 410)) {
+    if (nd->target_process.is_draining) {
         JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
         return;
     }
@@ -149,14 +179,15 @@
 
 /*
  * Switches to another local target.  Requests at the old target finish on
- * their connections.  The new target is announced as down until its first
- * heartbeat or probe.
+ * their connections; those that wait for it are refused.  The new target is
+ * announced as down until its first heartbeat or probe.
  */
 void
 JdTargetHealth_SetTarget(JdNode *nd, const JdSettings *s)
 {
     JdError err = {0};
 
+    JdWorker_StopSending(nd);
     g_strlcpy(nd->settings.service, s->service, sizeof(nd->settings.service));
     g_strlcpy(nd->settings.endpoint_set, s->endpoint_set,
               sizeof(nd->settings.endpoint_set));
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -336,9 +336,12 @@
 {
     JdNode *nd = it->node;
 
-    if (nd->admit.is_closed || JdAdmission_IsFull(&nd->admit)) {
-        finish_refused(it, nd->admit.is_closed ? JD_REASON_DRAINING
-                                               : JD_REASON_QUEUE_FULL);
+    if (!JdAdmission_TakesWork(&nd->admit)) {
+        finish_refused(it, JD_REASON_DRAINING);
+        return;
+    }
+    if (JdAdmission_IsFull(&nd->admit)) {
+        finish_refused(it, JD_REASON_QUEUE_FULL);
         return;
     }
     if (JdAdmission_IsRateLimited(&nd->admit, it->work.priority)) {
@@ -569,6 +572,49 @@
     }
 }
 
+/* Returns a request that has a slot but whose call has come no further than
+ * `state`, or NULL. */
+static JdWorkItem *
+find_call(const JdNode *nd, JdHttpCallState state)
+{
+    JdWorkItem *it;
+
+    TAILQ_FOREACH(it, &nd->work_items, link)
+    {
+        if (it->call != NULL && JdHttpc_CallState(it->call) == state) {
+            return it;
+        }
+    }
+    return NULL;
+}
+
+/* Refuses the requests that wait for a connection, or for one to open. */
+static void
+refuse_unsent(JdNode *nd, JdHttpCallState state)
+{
+    JdWorkItem *it;
+
+    while ((it = find_call(nd, state)) != NULL) {
+        JdHttpc_Cancel(it->call);
+        it->call = NULL;
+        JdAdmission_FreeSlot(&nd->admit, &it->work, false);
+        refuse_not_run(it, JD_REASON_DRAINING);
+    }
+}
+
+/*
+ * The target leaves: sends nothing to it any more.  What waits in admission or
+ * for a connection is refused as not run.  Calls that wait go first, as a
+ * connection that is given up would be opened again for one of them.
+ */
+void
+JdWorker_StopSending(JdNode *nd)
+{
+    JdAdmission_Halt(&nd->admit);
+    refuse_unsent(nd, JD_HTTP_CALL_WAITING);
+    refuse_unsent(nd, JD_HTTP_CALL_CONNECTING);
+}
+
 /*
  * Returns the percentage of retries among the requests that run at the target.
  * A retried run repeats its calls to other services, so the same share of the
