A stop waits until callers and other nodes have received their answers

Cause: a stop counted calls, and a call ends when its answer is handed to the server of callers. What that and the kernel still had to send was not counted.

Change: the exit waits, until the drain deadline, for bytes of answers that callers or other nodes have not acknowledged. A connection from which a caller is still receiving does not time out as idle. What owes nothing holds nothing up.

--- a/base/base.h
+++ b/base/base.h
@@ -42,6 +42,8 @@
 JdStatus JdAddress_Parse(const char *text, struct sockaddr_in *out,
                          JdError *err);
 JdStatus JdListen(const char *address, int *fd, JdError *err);
+size_t JdSocket_Unacked(h2o_socket_t *sock);
+uint64_t JdSocket_Acked(h2o_socket_t *sock);
 
 /* ---- httpd.c: HTTP server based on h2o --------------------------------- */
 
@@ -253,6 +255,7 @@
     TAILQ_HEAD(JdServerConns, JdServerConn) conns;
 } JdServer;
 
+bool JdServer_OwesBytes(const JdServer *sv);
 bool JdServer_IsFrom(const JdServerRequest *rq,
                      const struct sockaddr_in *address);
 JdStatus JdServer_Init(JdServer *sv, JdLoop *lp, const char *address,
--- a/base/loop.c
+++ b/base/loop.c
@@ -2,9 +2,12 @@
 #include <errno.h>
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
+#include <linux/tcp.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/signalfd.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -181,6 +184,30 @@
     return JD_OK;
 }
 
+/* Returns the number of bytes that were written to a socket and that the other
+ * side has not received. */
+size_t
+JdSocket_Unacked(h2o_socket_t *sock)
+{
+    int n = 0;
+
+    return ioctl(h2o_socket_get_fd(sock), SIOCOUTQ, &n) == 0 && n > 0
+               ? (size_t)n
+               : 0;
+}
+
+/* Returns the number of bytes of a connection that the other side has received
+ * so far. */
+uint64_t
+JdSocket_Acked(h2o_socket_t *sock)
+{
+    struct tcp_info info = {0};
+    socklen_t len = sizeof(info);
+
+    getsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_INFO, &info, &len);
+    return info.tcpi_bytes_acked;
+}
+
 /* Opens a listening socket.  Fails with JD_ERR_RANGE or JD_ERR_SYSTEM. */
 JdStatus
 JdListen(const char *address, int *fd, JdError *err)
--- a/base/server.c
+++ b/base/server.c
@@ -44,6 +44,8 @@
     h2o_buffer_t *queued;  /* to be written after `sending` */
     h2o_buffer_t *sending; /* write in progress */
     bool is_writing;
+    bool owes_tail;  /* lingers, and the caller had not received all then */
+    uint64_t taken;  /* bytes that it had received at the last timeout */
     bool is_parsing; /* parse_input is running; guards against recursion */
     JdTimer timer;   /* idle timeout, linger timeout, or free_conn */
 };
@@ -121,13 +123,43 @@
     JdTimer_Arm(&sv->loop->clock, &cn->timer, 0);
 }
 
+/* Returns whether bytes of responses are still on their way to the caller. */
+static bool
+owes_bytes(const JdServerConn *cn)
+{
+    switch (cn->state) {
+    case CONN_CLOSED:
+        return false;
+    case CONN_LINGER:
+        return cn->owes_tail && JdSocket_Unacked(cn->sock) > 0;
+    default:
+        return cn->pending_count > 0 || cn->queued->size > 0 ||
+               cn->is_writing || JdSocket_Unacked(cn->sock) > 0;
+    }
+}
+
+/* Returns whether the caller has received bytes since this was asked last. */
+static bool
+has_taken_bytes(JdServerConn *cn)
+{
+    uint64_t taken = JdSocket_Acked(cn->sock);
+    bool has_taken = taken != cn->taken;
+
+    cn->taken = taken;
+    return has_taken;
+}
+
+/* Closes the connection, unless a request waits for its response or the caller
+ * is still receiving one. */
 static void
 on_timeout(void *ctx)
 {
     JdServerConn *cn = ctx;
+    uint64_t timeout =
+        cn->state == CONN_LINGER ? LINGER_TIMEOUT : IDLE_TIMEOUT;
 
-    if (cn->state == CONN_OPEN && cn->pending_count > 0) {
-        JdTimer_Arm(&cn->server->loop->clock, &cn->timer, IDLE_TIMEOUT);
+    if (cn->pending_count > 0 || (owes_bytes(cn) && has_taken_bytes(cn))) {
+        JdTimer_Arm(&cn->server->loop->clock, &cn->timer, timeout);
         return;
     }
     close_conn(cn);
@@ -143,6 +175,7 @@
 static void
 start_linger(JdServerConn *cn)
 {
+    cn->owes_tail = JdSocket_Unacked(cn->sock) > 0;
     cn->state = CONN_LINGER;
     shutdown(h2o_socket_get_fd(cn->sock), SHUT_WR);
     JdTimer_Arm(&cn->server->loop->clock, &cn->timer, LINGER_TIMEOUT);
@@ -606,3 +639,19 @@
         send_responses(cn);
     }
 }
+
+/* Returns whether a caller has not received all of its responses.  Without
+ * this process they might be cut. */
+bool
+JdServer_OwesBytes(const JdServer *sv)
+{
+    const JdServerConn *cn;
+
+    TAILQ_FOREACH(cn, &sv->conns, link)
+    {
+        if (owes_bytes(cn)) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/node/drain.c
+++ b/node/drain.c
@@ -5,7 +5,8 @@
  * shortly before the end of that time.  Then the target gets no new work. Once
  * it has finished, the node stops accepting requests, since the target may
  * call other services for the work that it has left.  The node finishes the
- * calls in progress and exits.
+ * calls in progress, waits until callers and other nodes have received its
+ * answers, and exits.
  */
 #include <signal.h>
 
@@ -49,6 +50,14 @@
     JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
 }
 
+/* Returns whether answers are on their way to callers, or to other nodes. */
+static bool
+owes_answers(JdNode *nd)
+{
+    return JdServer_OwesBytes(&nd->caller_server) ||
+           JdConnSet_OwesResponses(&nd->conns);
+}
+
 static void
 check_drain(void *ctx)
 {
@@ -75,7 +84,7 @@
         announce_leave(nd);
         return;
     }
-    if (is_idle && now >= nd->linger_until) {
+    if (is_idle && now >= nd->linger_until && !owes_answers(nd)) {
         announce_leave(nd);
         return;
     }
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -341,6 +341,33 @@
     return conn->queued->size + conn->sending->size;
 }
 
+/* Returns whether a response has not been received by the node that it was
+ * sent to. */
+static bool
+owes_response(JdConn *conn)
+{
+    if (conn->is_closing || !conn->is_open ||
+        (JdConn_Backlog(conn) == 0 && JdSocket_Unacked(conn->sock) == 0)) {
+        conn->has_responses = false;
+    }
+    return conn->has_responses;
+}
+
+/* Returns whether responses are on their way on any of the connections. */
+bool
+JdConnSet_OwesResponses(JdConnSet *cs)
+{
+    JdConn *conn;
+
+    TAILQ_FOREACH(conn, &cs->conns, link)
+    {
+        if (owes_response(conn)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Charges a frame to the bandwidth of the link. */
 static void
 charge_link(JdPacer *pc, const Jd__Frame *frame, size_t bytes)
@@ -376,6 +403,9 @@
     dest.base[3] = (char)n;
     jd__frame__pack(frame, (uint8_t *)dest.base + LENGTH_SIZE);
     conn->queued->size += LENGTH_SIZE + n;
+    conn->has_responses = conn->has_responses ||
+                          frame->body_case == JD__FRAME__BODY_RESPONSE ||
+                          frame->body_case == JD__FRAME__BODY_CHUNK;
     charge_link(conn->set->pacer, frame, LENGTH_SIZE + n);
     if (is_control_frame(frame)) {
         conn->counters->value[JD_C_CONTROL_SENT] += LENGTH_SIZE + n;
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -37,6 +37,7 @@
     bool is_writing;
     bool is_closing;       /* freed in the next iteration of the event loop */
     bool carries_requests; /* opened to send requests: see JdRequestConn */
+    bool has_responses;    /* may not have been received yet */
     bool is_cross_region;  /* the other node is in another region */
     uint64_t last_read_at; /* last input, or opening; 0: never opened */
     JdTransit transit;     /* of requests that come in */
@@ -66,5 +67,6 @@
 void JdConn_Abort(JdConn *conn);
 bool JdConn_IsPeerOpen(const JdConn *conn);
 size_t JdConn_Backlog(const JdConn *conn);
+bool JdConnSet_OwesResponses(JdConnSet *cs);
 
 #endif
