--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
            peer/conn.c peer/link.c peer/forward.c peer/lost.c peer/retry.c \
            peer/request_conn.c peer/response.c peer/bulk.c peer/partial.c \
            peer/capacity.c peer/pick.c peer/answer.c \
-           targets/worker.c targets/health.c targets/claims.c \
+           targets/worker.c targets/health.c targets/departure.c targets/claims.c \
            targets/crash.c targets/suspect.c targets/headers.c targets/notice.c targets/response.c \
            targets/estimate.c targets/room.c operator/admin.c operator/admin_accounts.c \
            operator/placing.c
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -55,6 +55,7 @@
     if (s != JD_OK) {
         return s;
     }
+    JdDeparture_Init(nd);
     if (nd->settings.baseline_poll_ms == 0) {
         JdTree_Start(&nd->tree);
     }
--- a/node/node.h
+++ b/node/node.h
@@ -154,6 +154,16 @@
 typedef struct JdWaitingRequest JdWaitingRequest;
 typedef struct JdQuotaRequest JdQuotaRequest;
 
+/* What the source of configuration holds of the departures of the target. */
+typedef struct JdDeparture {
+    bool is_read;
+    bool is_known;    /* the same, or given up: the target may be used */
+    bool is_busy;     /* a read or a write is under way */
+    uint64_t stored;  /* last process that left, by what the source holds */
+    uint64_t written; /* process that is being written */
+    JdTimer timer;    /* pause after a failure */
+} JdDeparture;
+
 /* What the source of configuration holds of the requests that crash targets.
  */
 typedef struct JdCrashStore {
@@ -235,6 +245,7 @@
     /* The target reports its state in heartbeats and is not probed. */
     bool target_sends_heartbeats;
     JdTarget target_process; /* process that sent the last heartbeat */
+    JdDeparture departure;   /* targets/departure.c */
     JdHttpc target_client;
     JdTargetCrashes target_crashes; /* targets/crash.c */
     JdCrashStore crash_store;       /* crashes.c */
@@ -405,6 +416,14 @@
 uint32_t JdTargetRoom_Wait(const JdNode *nd);
 
 /* targets/health.c: health of the local target */
+void JdDeparture_Init(JdNode *nd);
+bool JdDeparture_IsKnown(const JdNode *nd);
+bool JdDeparture_IsKept(const JdNode *nd);
+void JdDeparture_OnChanged(JdNode *nd);
+void JdDeparture_OnEpochChanged(JdNode *nd);
+void JdDeparture_OnRead(JdNode *nd, JdStatus status, uint64_t started);
+void JdDeparture_OnPut(JdNode *nd, JdStatus status);
+bool JdTargetHealth_IsUp(const JdNode *nd);
 void JdTargetHealth_Init(JdNode *nd);
 void JdTargetHealth_SetTarget(JdNode *nd, const JdSettings *s);
 void JdTargetHealth_OnNodeReady(JdNode *nd);
--- a/node/source.h
+++ b/node/source.h
@@ -36,6 +36,11 @@
     void (*follow_rollouts)(struct JdNode *nd);
     void (*put_rollout)(struct JdNode *nd, const JdRollout *ro,
                         JdRolloutStep step);
+    /* Read and write which process of this node's target has left, by its
+     * start time.  Answered by JdDeparture_On...; NULL if the source cannot
+     * keep it. */
+    void (*read_departure)(struct JdNode *nd);
+    void (*put_departure)(struct JdNode *nd, uint64_t started);
     /* A version was applied or readiness changed; may be NULL. */
     void (*status_changed)(struct JdNode *nd);
     /* The settings file was reloaded; may be NULL. */
--- /dev/null
+++ b/targets/departure.c
@@ -0,0 +1,135 @@
+/*
+ * Keeps at the source of configuration which process of the local target has
+ * said that it leaves, so that it is not used again after all nodes were
+ * killed.  The departure is acknowledged to the target once it is kept there,
+ * and a node that starts does not use its target before it has read it.
+ */
+#include "../node/node.h"
+
+/* Pause after a call to the source that failed. */
+#define RETRY_INTERVAL (200 * JD_US_PER_MS)
+/* Time from the start after which the target is used although the source
+ * could not be asked. */
+#define READ_TIMEOUT (2 * JD_US_PER_S)
+
+static bool
+is_supported(const JdNode *nd)
+{
+    return nd->has_target && nd->config_source->read_departure != NULL;
+}
+
+/* Makes the next call to the source, if one is due. */
+static void
+continue_keeping(JdNode *nd)
+{
+    JdDeparture *dep = &nd->departure;
+
+    if (!is_supported(nd) || dep->is_busy || dep->timer.is_armed) {
+        return;
+    }
+    if (!dep->is_read) {
+        dep->is_busy = true;
+        nd->config_source->read_departure(nd);
+    }
+    else if (nd->tree.self.target_left > dep->stored) {
+        dep->is_busy = true;
+        dep->written = nd->tree.self.target_left;
+        nd->config_source->put_departure(nd, dep->written);
+    }
+}
+
+static void
+on_retry(void *ctx)
+{
+    continue_keeping(ctx);
+}
+
+static void
+log_call(const JdNode *nd, const char *outcome, JdStatus status)
+{
+    JD_LOG(JD_EVENT_TARGET, JD_TEXT("outcome", outcome),
+           JD_TEXT("status", JdStatus_Name(status)),
+           JD_NUMBER("left", nd->tree.self.target_left),
+           JD_NUMBER("stored", nd->departure.stored));
+}
+
+/* A call has ended: makes the next one, after a pause if it failed. */
+static void
+finish_call(JdNode *nd, bool is_ok)
+{
+    nd->departure.is_busy = false;
+    if (!is_ok) {
+        JdTimer_Arm(&nd->loop.clock, &nd->departure.timer, RETRY_INTERVAL);
+    }
+    continue_keeping(nd);
+}
+
+/* Returns whether it is known, as far as it can be, which process of the
+ * target had left before this node started. */
+bool
+JdDeparture_IsKnown(const JdNode *nd)
+{
+    return !is_supported(nd) || nd->departure.is_known;
+}
+
+/* Returns whether the source holds the last departure of the target. */
+bool
+JdDeparture_IsKept(const JdNode *nd)
+{
+    return !is_supported(nd) ||
+           nd->departure.stored >= nd->tree.self.target_left;
+}
+
+/* A process of the target has left, or the source holds nothing any more. */
+void
+JdDeparture_OnChanged(JdNode *nd)
+{
+    continue_keeping(nd);
+}
+
+/* The source was restored from an older copy, which may lack the record. */
+void
+JdDeparture_OnEpochChanged(JdNode *nd)
+{
+    nd->departure.stored = 0;
+    continue_keeping(nd);
+}
+
+/* The read has ended; `started` is 0 where the source holds no departure. */
+void
+JdDeparture_OnRead(JdNode *nd, JdStatus status, uint64_t started)
+{
+    JdDeparture *dep = &nd->departure;
+    uint64_t age = JdClock_Now(&nd->loop.clock) - nd->started_at;
+
+    if (status == JD_OK) {
+        dep->is_read = true;
+        dep->stored = started;
+        JdTree_SetTargetLeft(&nd->tree, started);
+    }
+    if (!dep->is_known && (status == JD_OK || age > READ_TIMEOUT)) {
+        dep->is_known = true;
+        log_call(nd, "departure-read", status);
+        JdTargetHealth_OnLeftLearned(nd);
+    }
+    finish_call(nd, status == JD_OK);
+}
+
+/* A write has ended. */
+void
+JdDeparture_OnPut(JdNode *nd, JdStatus status)
+{
+    if (status == JD_OK) {
+        nd->departure.stored = nd->departure.written;
+    }
+    log_call(nd, "departure-stored", status);
+    finish_call(nd, status == JD_OK);
+}
+
+/* Starts to read what the source holds. */
+void
+JdDeparture_Init(JdNode *nd)
+{
+    JdTimer_Init(&nd->departure.timer, on_retry, nd);
+    continue_keeping(nd);
+}
--- a/targets/health.c
+++ b/targets/health.c
@@ -21,11 +21,18 @@
            (tg->started != 0 && nd->tree.self.target_left == tg->started);
 }
 
-/* Returns the target's state by its heartbeats: down before the first one. */
+/* Returns whether the target may be used by its heartbeats: not before the
+ * first one, nor before it is known which process had left. */
+bool
+JdTargetHealth_IsUp(const JdNode *nd)
+{
+    return nd->target_process.is_alive && JdDeparture_IsKnown(nd);
+}
+
 static JdMemberState
 target_state(const JdNode *nd)
 {
-    if (!nd->target_process.is_alive) {
+    if (!JdTargetHealth_IsUp(nd)) {
         return JD_MEMBER_DOWN;
     }
     return JdTargetHealth_IsLeaving(nd) || nd->is_drain_announced
@@ -53,6 +60,7 @@
     if (nd->target_process.is_draining) {
         JdTree_SetTargetLeft(&nd->tree, nd->target_process.started);
     }
+    JdDeparture_OnChanged(nd);
     if (nd->tree.is_ready) {
         JdTree_SetTarget(&nd->tree, nd->target_process.started,
                          nd->target_process.slots, target_state(nd));
@@ -127,6 +135,11 @@
 {
     JD_LOG(JD_EVENT_TARGET, JD_TEXT("outcome", "left"), JD_TEXT("target", id),
            JD_NUMBER("started", started));
+    if (nd->target_process.id[0] == '\0') {
+        /* This node has just started and has not heard of it yet. */
+        JdTree_SetTargetLeft(&nd->tree, started);
+        JdDeparture_OnChanged(nd);
+    }
     if (JdTarget_Deregister(&nd->target_process, id, started,
                             JdLoop_WallClock() / JD_US_PER_MS)) {
         JdTree_SetTargetLeft(&nd->tree, nd->target_process.started);
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -370,7 +370,7 @@
     if (!nd->has_target || strcmp(msg->service, nd->settings.service) != 0) {
         return JD_REASON_NO_TARGET;
     }
-    if (nd->target_sends_heartbeats && !nd->target_process.is_alive) {
+    if (nd->target_sends_heartbeats && !JdTargetHealth_IsUp(nd)) {
         return JD_REASON_TARGET_DOWN;
     }
     if (JdTargetHealth_IsLeaving(nd)) {
