--- a/regress/e2e/departed-after-power-loss.sh
+++ b/regress/e2e/departed-after-power-loss.sh
@@ -45,3 +45,18 @@
 platform_control_store down=0
 fleet_until 100 is_acknowledged 3 || die "not acknowledged"
 say "acknowledged when it is back"
+
+# Nor does that hold up the acknowledgements of the next process.
+platform_control_store down=1
+platform_control_worker 1-1 leave=1
+sleep 1
+platform_control_worker 1-1 say=ready
+platform_control_worker 1-1 id=last
+fleet_until 30 platform_served_by 3-1 /kiln/1 last || die "last is not used"
+acked=$(fleet_get "http://127.$FLEET_NET.1.1:9000/-/stats" |
+    sed 's/.*"acknowledged":\([0-9]*\).*/\1/')
+sleep 1.5
+say "the next process is acknowledged meanwhile:" \
+    "$([ "$(fleet_get "http://127.$FLEET_NET.1.1:9000/-/stats" |
+	sed 's/.*"acknowledged":\([0-9]*\).*/\1/')" -gt "$acked" ] && echo yes || echo no)"
+platform_control_store down=0
--- a/targets/departure.c
+++ b/targets/departure.c
@@ -7,7 +7,7 @@
 #include "../node/node.h"
 
 /* Pause after a call to the source that failed. */
-#define RETRY_INTERVAL (200 * JD_US_PER_MS)
+#define RETRY_INTERVAL (500 * JD_US_PER_MS)
 /* Time from the start after which the target is used although the source
  * could not be asked. */
 #define READ_TIMEOUT (2 * JD_US_PER_S)
@@ -80,7 +80,7 @@
            nd->departure.stored >= nd->tree.self.target_left;
 }
 
-/* A process of the target has left, or the source holds nothing any more. */
+/* A process of the target may have left. */
 void
 JdDeparture_OnChanged(JdNode *nd)
 {
--- a/targets/health.c
+++ b/targets/health.c
@@ -133,15 +133,16 @@
 void
 JdTargetHealth_OnDeregister(JdNode *nd, const char *id, uint64_t started)
 {
+    uint64_t wall_ms = JdLoop_WallClock() / JD_US_PER_MS;
+
     JD_LOG(JD_EVENT_TARGET, JD_TEXT("outcome", "left"), JD_TEXT("target", id),
            JD_NUMBER("started", started));
-    if (nd->target_process.id[0] == '\0') {
+    if (nd->target_process.id[0] == '\0' && started <= wall_ms) {
         /* This node has just started and has not heard of it yet. */
         JdTree_SetTargetLeft(&nd->tree, started);
         JdDeparture_OnChanged(nd);
     }
-    if (JdTarget_Deregister(&nd->target_process, id, started,
-                            JdLoop_WallClock() / JD_US_PER_MS)) {
+    if (JdTarget_Deregister(&nd->target_process, id, started, wall_ms)) {
         JdTree_SetTargetLeft(&nd->tree, nd->target_process.started);
         announce_target(nd);
     }
