A restarted node uses its target as soon as others tell of it

Change: the node need not wait for the store where another node tells what it knew of it before the start, or sends a request that names the target's process: it would have been told of its departure.

--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -191,8 +191,8 @@
     /* Another process has taken the place of a member's target that started at
        `started` and did not say that it leaves; may be NULL. */
     void (*target_replaced)(void *ctx, const JdMember *mb, uint64_t started);
-    /* Another node told which process of this node's target has left; may be
-       NULL. */
+    /* Another node told which process of this node's target has left, or that
+       it knows of none from before the start of this node; may be NULL. */
     void (*target_left_learned)(void *ctx);
     /* Records of crashes changed; may be NULL. */
     void (*crashes_changed)(void *ctx);
--- a/lib/tree/update.c
+++ b/lib/tree/update.c
@@ -140,12 +140,15 @@
 static void
 learn_target_left(JdTree *tr, const Jd__Member *msg)
 {
-    if (msg->target_left > tr->self.target_left) {
+    bool is_news = msg->target_left > tr->self.target_left;
+    bool is_before_start = msg->incarnation != tr->self.incarnation;
+
+    if (is_news) {
         tr->self.target_left = msg->target_left;
         _JdTree_AnnounceSelf(tr);
-        if (tr->ops->target_left_learned != NULL) {
-            tr->ops->target_left_learned(tr->ctx);
-        }
+    }
+    if ((is_news || is_before_start) && tr->ops->target_left_learned != NULL) {
+        tr->ops->target_left_learned(tr->ctx);
     }
 }
 
--- a/node/node.h
+++ b/node/node.h
@@ -421,6 +421,7 @@
 bool JdDeparture_IsKept(const JdNode *nd);
 void JdDeparture_OnChanged(JdNode *nd);
 void JdDeparture_OnEpochChanged(JdNode *nd);
+void JdDeparture_OnTold(JdNode *nd);
 void JdDeparture_OnRead(JdNode *nd, JdStatus status, uint64_t started);
 void JdDeparture_OnPut(JdNode *nd, JdStatus status);
 bool JdTargetHealth_IsUp(const JdNode *nd);
--- a/peer/link.c
+++ b/peer/link.c
@@ -219,7 +219,7 @@
 static void
 on_target_left_learned(void *ctx)
 {
-    JdTargetHealth_OnLeftLearned(ctx);
+    JdDeparture_OnTold(ctx);
 }
 
 static void
--- a/targets/departure.c
+++ b/targets/departure.c
@@ -95,6 +95,15 @@
     continue_keeping(nd);
 }
 
+/* Another node has told what it knew of the target before this node started.
+ */
+void
+JdDeparture_OnTold(JdNode *nd)
+{
+    nd->departure.is_known = true;
+    JdTargetHealth_OnLeftLearned(nd);
+}
+
 /* The read has ended; `started` is 0 where the source holds no departure. */
 void
 JdDeparture_OnRead(JdNode *nd, JdStatus status, uint64_t started)
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -363,6 +363,18 @@
                nd->drain_deadline;
 }
 
+/* A node that names the process it sends to has known it for as long as it was
+ * announced, and would have been told of its departure. */
+static void
+learn_from_sender(JdNode *nd, const Jd__Request *msg)
+{
+    if (msg->target_started != 0 &&
+        msg->target_started == nd->target_process.started &&
+        !JdDeparture_IsKnown(nd)) {
+        JdDeparture_OnTold(nd);
+    }
+}
+
 /* Checks that the local target serves the request's service and is up. */
 static JdReason
 check_target(JdNode *nd, const Jd__Request *msg)
@@ -425,9 +437,13 @@
 submit(void *ctx, Jd__Request *msg, JdConn *origin)
 {
     JdNode *nd = ctx;
-    JdTargetRefusal refusal = {check_target(nd, msg), false, 0};
+    JdTargetRefusal refusal = {JD_REASON_NONE, false, 0};
     JdWorkItem *it;
 
+    if (origin != NULL) {
+        learn_from_sender(nd, msg);
+    }
+    refusal.reason = check_target(nd, msg);
     JdTargetNotice_OnRequest(nd, msg);
     if (refusal.reason != JD_REASON_NONE) {
         JdTargetResponse_Refuse(nd, msg, origin, &refusal);
