The record of a departure is removed once the target has been replaced

Found by working out the size: the record of each target that ever left stayed at the store, and every node that starts reads all of them: 27,000 at the size that decides the design. It goes when the next process announces itself; a late heartbeat of the one before names a process that is not at the address any more, and is answered with 421.

e2e/departed-after-power-loss has a step for it, and passes.

--- a/node/node.h
+++ b/node/node.h
@@ -159,8 +159,8 @@
     bool is_read;
     bool is_known;    /* the same, or given up: the target may be used */
     bool is_busy;     /* a read or a write is under way */
-    uint64_t stored;  /* last process that left, by what the source holds */
-    uint64_t written; /* process that is being written */
+    uint64_t stored;  /* process that left, by what the source holds, or 0 */
+    uint64_t written; /* process that is being written, 0: none is left */
     JdTimer timer;    /* pause after a failure */
 } JdDeparture;
 
--- a/node/source.h
+++ b/node/source.h
@@ -37,8 +37,8 @@
     void (*put_rollout)(struct JdNode *nd, const JdRollout *ro,
                         JdRolloutStep step);
     /* Read and write which process of this node's target has left, by its
-     * start time.  Answered by JdDeparture_On...; NULL if the source cannot
-     * keep it. */
+     * start time, 0 for none.  Answered by JdDeparture_On...; NULL if the
+     * source cannot keep it. */
     void (*read_departure)(struct JdNode *nd);
     void (*put_departure)(struct JdNode *nd, uint64_t started);
     /* A version was applied or readiness changed; may be NULL. */
--- a/regress/e2e/departed-after-power-loss.sh
+++ b/regress/e2e/departed-after-power-loss.sh
@@ -60,3 +60,12 @@
     "$([ "$(fleet_get "http://127.$FLEET_NET.1.1:9000/-/stats" |
 	sed 's/.*"acknowledged":\([0-9]*\).*/\1/')" -gt "$acked" ] && echo yes || echo no)"
 platform_control_store down=0
+platform_departures() {
+	fleet_get "http://$FLEET_LOG/log-newest?topic=keyed.departures&part=0" |
+	    grep -c "\"key\":\"${FLEET_DOMAINS[1]}-1\""
+}
+has_no_departure() {
+	[ "$(platform_departures)" = 0 ]
+}
+fleet_until 100 has_no_departure || die "the record of a departure stays"
+say "nothing is kept of a process that has been replaced"
--- a/targets/departure.c
+++ b/targets/departure.c
@@ -2,7 +2,8 @@
  * Keeps at the source of configuration which process of the local target has
  * said that it leaves, so that it is not used again after all nodes were
  * killed.  The departure is acknowledged to the target once it is kept there,
- * and a node that starts does not use its target before it has read it.
+ * and a node that starts does not use its target before it has read it.  It is
+ * removed once the next process has taken the place of the one that left.
  */
 #include "../node/node.h"
 
@@ -18,6 +19,15 @@
     return nd->has_target && nd->config_source->read_departure != NULL;
 }
 
+/* Returns the process whose departure the source has to hold, 0 for none. */
+static uint64_t
+get_wanted(const JdNode *nd)
+{
+    uint64_t left = nd->tree.self.target_left;
+
+    return nd->target_process.started > left ? 0 : left;
+}
+
 /* Makes the next call to the source, if one is due. */
 static void
 continue_keeping(JdNode *nd)
@@ -31,9 +41,9 @@
         dep->is_busy = true;
         nd->config_source->read_departure(nd);
     }
-    else if (nd->tree.self.target_left > dep->stored) {
+    else if (dep->stored != get_wanted(nd)) {
         dep->is_busy = true;
-        dep->written = nd->tree.self.target_left;
+        dep->written = get_wanted(nd);
         nd->config_source->put_departure(nd, dep->written);
     }
 }
@@ -76,8 +86,7 @@
 bool
 JdDeparture_IsKept(const JdNode *nd)
 {
-    return !is_supported(nd) ||
-           nd->departure.stored >= nd->tree.self.target_left;
+    return !is_supported(nd) || nd->departure.stored >= get_wanted(nd);
 }
 
 /* A process of the target may have left. */
