A caller that is still taking its last answer is not reset

What callers see: a caller that reads slowly and sends on while its connection ends gets a reset 1 s after the last answer was written, and loses the rest of it.

Cause: the linger time began when the kernel had taken the bytes, and ended after 1 s whether or not the caller had received them.

--- a/base/server.c
+++ b/base/server.c
@@ -22,6 +22,9 @@
 #define IDLE_TIMEOUT (75 * JD_US_PER_S)
 /* Time that a caller has to close after the last response was sent. */
 #define LINGER_TIMEOUT JD_US_PER_S
+/* Time in which a caller has to take bytes of a response that it has not
+ * received. */
+#define STALL_TIMEOUT (5 * JD_US_PER_S)
 
 typedef enum ConnState {
     CONN_OPEN,
@@ -156,7 +159,7 @@
 {
     JdServerConn *cn = ctx;
     uint64_t timeout =
-        cn->state == CONN_LINGER ? LINGER_TIMEOUT : IDLE_TIMEOUT;
+        cn->state == CONN_LINGER ? STALL_TIMEOUT : IDLE_TIMEOUT;
 
     if (cn->pending_count > 0 || (owes_bytes(cn) && has_taken_bytes(cn))) {
         JdTimer_Arm(&cn->server->loop->clock, &cn->timer, timeout);
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -26,6 +26,11 @@
 #define SLOW_TIMEOUT (600 * JD_US_PER_MS)
 #define PARTS 8
 #define LARGE_BODY (8U << 20)
+/* A caller that reads for longer than a connection lingers, and sends on. */
+#define SLOW_CALLER_BODY (400U << 10)
+#define SLOW_CALLER_READ (16U << 10)
+#define SLOW_CALLER_ROOM (64U << 10)
+#define SLOW_CALLER_PAUSE (60 * JD_US_PER_MS)
 /* Limit of a response in the tests of endless ones. */
 #define ENDLESS_LIMIT (1U << 20)
 #define ENDLESS_MOST (16U << 20)
@@ -706,6 +711,49 @@
     run_rounds();
 }
 
+/* Reads all that the server sends, a little at a time, and sends a byte each
+ * time; returns the number of bytes. */
+static size_t
+receive_slowly(int fd)
+{
+    char buf[SLOW_CALLER_READ];
+    size_t total = 0;
+    ssize_t n = 1;
+
+    while (n > 0 || (n < 0 && errno == EAGAIN)) {
+        uint64_t end = JdClock_Now(&loop.clock) + SLOW_CALLER_PAUSE;
+
+        while (JdClock_Now(&loop.clock) < end) {
+            JdLoop_RunOnce(&loop, JD_US_PER_MS);
+        }
+        send(fd, "x", 1, MSG_NOSIGNAL);
+        n = read(fd, buf, sizeof(buf));
+        total += n > 0 ? (size_t)n : 0;
+    }
+    return total;
+}
+
+/* A response is not cut where its caller takes it slowly, though the server
+ * has written all of it and would close. */
+static void
+test_slow_caller(void)
+{
+    int fd = start_server();
+    int room = SLOW_CALLER_ROOM;
+    char *body = g_malloc0(SLOW_CALLER_BODY);
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &room, sizeof(room));
+    send_text(fd, GET("/1"));
+    run_until(&received_count, 1);
+    JdServer_CloseAfterResponse(&server);
+    JdServer_Reply(received[0], 200, NULL, body, SLOW_CALLER_BODY);
+    CU_ASSERT_TRUE(JdServer_OwesBytes(&server));
+    CU_ASSERT_TRUE(receive_slowly(fd) > SLOW_CALLER_BODY);
+    CU_ASSERT_FALSE(JdServer_OwesBytes(&server));
+    g_free(body);
+    stop_server(fd);
+}
+
 static int
 init(void)
 {
@@ -735,4 +783,5 @@
     CU_add_test(s, "malformed request", test_malformed_request);
     CU_add_test(s, "close after response", test_close_after_response);
     CU_add_test(s, "stop accepting", test_stop_accepting);
+    CU_add_test(s, "slow caller", test_slow_caller);
 }
