--- a/base/server.c
+++ b/base/server.c
@@ -158,8 +158,7 @@
 on_timeout(void *ctx)
 {
     JdServerConn *cn = ctx;
-    uint64_t timeout =
-        cn->state == CONN_LINGER ? STALL_TIMEOUT : IDLE_TIMEOUT;
+    uint64_t timeout = cn->state == CONN_LINGER ? STALL_TIMEOUT : IDLE_TIMEOUT;
 
     if (cn->pending_count > 0 || (owes_bytes(cn) && has_taken_bytes(cn))) {
         JdTimer_Arm(&cn->server->loop->clock, &cn->timer, timeout);
