Tests of a call that waits for a connection, and of a first word

What mended by reading is played now: a request with a slot that waits for a connection when its target leaves (e2e/leaving-target-queue), and a departure that is the first thing a node hears after its start (e2e/departed-after-power-loss).

--- a/regress/e2e/departed-after-power-loss.sh
+++ b/regress/e2e/departed-after-power-loss.sh
@@ -36,14 +36,20 @@
 leave_and_lose_power leave=1 1
 leave_and_lose_power say=draining 2
 
+# The departure is the first thing that the node hears of the process.
+platform_control_worker 1-1 say=nothing
+platform_restart_all
+fleet_until 200 platform_all_ready || die "not ready again"
+leave_and_lose_power leave=1 3
+
 # The store is away: the departure is not acknowledged before it is kept.
 platform_control_store down=1
 platform_control_worker 1-1 say=draining
 sleep 1.5
-is_acknowledged 3 && say "acknowledged while the store is away" ||
+is_acknowledged 4 && say "acknowledged while the store is away" ||
     say "not acknowledged while the store is away"
 platform_control_store down=0
-fleet_until 100 is_acknowledged 3 || die "not acknowledged"
+fleet_until 100 is_acknowledged 4 || die "not acknowledged"
 say "acknowledged when it is back"
 
 # Nor does that hold up the acknowledgements of the next process.
--- a/regress/e2e/leaving-target-queue.sh
+++ b/regress/e2e/leaving-target-queue.sh
@@ -60,3 +60,12 @@
 leave_while_requests_wait notice leaving=1
 replace third
 leave_while_requests_wait left leave=1
+replace fourth
+
+# Its node may open one connection for two slots: a request waits for it.
+sed -i 's|"target": {|&"slots": 1, "connections": 1, |' "$FLEET_DIR/1-1.json"
+fleet_kill 1-1
+fleet_start_node 1 1
+fleet_until 200 platform_is_ready 1-1 || die "1-1 is not ready again"
+fleet_until 200 platform_served_by 3-1 /batch/1 fourth || die "fourth is not used"
+leave_while_requests_wait connection say=draining
