A stop waits until other nodes have closed the connections of its answers

Found by e2e/stop-slow-link, which failed once in a run under the sanitizers (4 of 12 answers) and then in about one run of three. Traced to two causes:

- the node took an answer for received when the kernel had its acknowledgement; what a proxy or a process still holds then is lost by the reset that an exit causes where the other side sends on.
The sending side is ended now, and the exit waits until the other node closes, up to 3 s after the last answer.
- the link emulator of the tests took megabytes in one read and delivered them at the time of the last byte, so that links looked silent for over a second.
It delivers 16 KB at a time now and lets the sender wait.

--- a/fault/faultd.c
+++ b/fault/faultd.c
@@ -24,6 +24,11 @@
 #define MAX_PORTS 4
 /* Bytes queued in one direction at which reading from the sender pauses. */
 #define MAX_QUEUED_BYTES (1U << 20)
+/* Bytes that are delivered at a time: a link does not hold back megabytes
+ * until the last of them has arrived. */
+#define MAX_CHUNK_BYTES 16384U
+/* Bytes that the kernel takes of a sender. */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
 /* Added to the number of the source domain, this makes the second byte of the
  * destination address. */
 #define SOURCE_BYTE_BASE 10
@@ -236,6 +241,19 @@
     }
 }
 
+/* Queues data in chunks. */
+static void
+queue_data(Pipe *p, const char *data, size_t len)
+{
+    while (len > 0) {
+        size_t n = len < MAX_CHUNK_BYTES ? len : MAX_CHUNK_BYTES;
+
+        queue_chunk(p, data, n, false);
+        data += n;
+        len -= n;
+    }
+}
+
 /*
  * Queues data for the receiver, subject to the fault that is set.  Truncation
  * and duplication apply to one read and clear the fault.
@@ -255,17 +273,21 @@
         queue_chunk(p, NULL, 0, true);
         return;
     }
-    queue_chunk(p, data, len, false);
+    queue_data(p, data, len);
     if (l->fault == FAULT_DUPLICATE) {
         l->fault = FAULT_NONE;
-        queue_chunk(p, data, len, false);
+        queue_data(p, data, len);
     }
 }
 
 static void
 start_reading(Pipe *p)
 {
+    int size = RECEIVE_BUFFER_BYTES;
+
     if (!h2o_socket_is_reading(p->in)) {
+        setsockopt(h2o_socket_get_fd(p->in), SOL_SOCKET, SO_RCVBUF, &size,
+                   sizeof(size));
         h2o_socket_read_start(p->in, on_readable);
     }
 }
--- a/node/drain.c
+++ b/node/drain.c
@@ -50,12 +50,13 @@
     JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
 }
 
-/* Returns whether answers are on their way to callers, or to other nodes. */
+/* Returns whether callers and other nodes have received all answers. */
 static bool
-owes_answers(JdNode *nd)
+finish_answers(JdNode *nd)
 {
-    return JdServer_OwesBytes(&nd->caller_server) ||
-           JdConnSet_OwesResponses(&nd->conns);
+    bool are_nodes_served = JdConnSet_FinishResponses(&nd->conns);
+
+    return are_nodes_served && !JdServer_OwesBytes(&nd->caller_server);
 }
 
 static void
@@ -84,7 +85,7 @@
         announce_leave(nd);
         return;
     }
-    if (is_idle && now >= nd->linger_until && !owes_answers(nd)) {
+    if (is_idle && now >= nd->linger_until && finish_answers(nd)) {
         announce_leave(nd);
         return;
     }
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -13,6 +13,9 @@
 
 /* Size in bytes of the length in front of a frame, which is big-endian. */
 #define LENGTH_SIZE 4
+/* Time after its last response in which the other node closes a connection
+ * that was ended, if it lives. */
+#define RECEIPT_TIMEOUT (3 * JD_US_PER_S)
 
 static void on_written(h2o_socket_t *sock, const char *err);
 
@@ -341,31 +344,49 @@
     return conn->queued->size + conn->sending->size;
 }
 
-/* Returns whether a response has not been received by the node that it was
- * sent to. */
+/* Ends the sending side of a connection once all is written: the node at the
+ * other end closes it when it has received everything, wherever the bytes are
+ * held on the way. */
+static void
+end_sending(JdConn *conn)
+{
+    if (!conn->is_ended && JdConn_Backlog(conn) == 0) {
+        conn->is_ended = true;
+        shutdown(h2o_socket_get_fd(conn->sock), SHUT_WR);
+    }
+}
+
+/* Returns whether a response may not have been received by the node that it
+ * was sent to. */
 static bool
-owes_response(JdConn *conn)
+owes_response(const JdConn *conn)
 {
-    if (conn->is_closing || !conn->is_open ||
-        (JdConn_Backlog(conn) == 0 && JdSocket_Unacked(conn->sock) == 0)) {
-        conn->has_responses = false;
+    uint64_t now = JdClock_Now(&conn->set->loop->clock);
+
+    if (conn->is_closing || conn->responded_at == 0) {
+        return false;
     }
-    return conn->has_responses;
+    return JdConn_Backlog(conn) > 0 || JdSocket_Unacked(conn->sock) > 0 ||
+           now - conn->responded_at < RECEIPT_TIMEOUT;
 }
 
-/* Returns whether responses are on their way on any of the connections. */
+/* Ends the connections on which responses were sent, and sends no more on
+ * them.  Returns whether all responses have been received; to be called again
+ * until then. */
 bool
-JdConnSet_OwesResponses(JdConnSet *cs)
+JdConnSet_FinishResponses(JdConnSet *cs)
 {
+    bool is_finished = true;
     JdConn *conn;
 
     TAILQ_FOREACH(conn, &cs->conns, link)
     {
         if (owes_response(conn)) {
-            return true;
+            end_sending(conn);
+            is_finished = false;
         }
     }
-    return false;
+    return is_finished;
 }
 
 /* Charges a frame to the bandwidth of the link. */
@@ -393,7 +414,7 @@
     size_t n = jd__frame__get_packed_size(frame);
     h2o_iovec_t dest;
 
-    if (conn->is_closing) {
+    if (conn->is_closing || conn->is_ended) {
         return 0;
     }
     dest = h2o_buffer_reserve(&conn->queued, LENGTH_SIZE + n);
@@ -403,9 +424,10 @@
     dest.base[3] = (char)n;
     jd__frame__pack(frame, (uint8_t *)dest.base + LENGTH_SIZE);
     conn->queued->size += LENGTH_SIZE + n;
-    conn->has_responses = conn->has_responses ||
-                          frame->body_case == JD__FRAME__BODY_RESPONSE ||
-                          frame->body_case == JD__FRAME__BODY_CHUNK;
+    if (frame->body_case == JD__FRAME__BODY_RESPONSE ||
+        frame->body_case == JD__FRAME__BODY_CHUNK) {
+        conn->responded_at = JdClock_Now(&conn->set->loop->clock);
+    }
     charge_link(conn->set->pacer, frame, LENGTH_SIZE + n);
     if (is_control_frame(frame)) {
         conn->counters->value[JD_C_CONTROL_SENT] += LENGTH_SIZE + n;
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -37,8 +37,9 @@
     bool is_writing;
     bool is_closing;       /* freed in the next iteration of the event loop */
     bool carries_requests; /* opened to send requests: see JdRequestConn */
-    bool has_responses;    /* may not have been received yet */
+    bool is_ended;         /* nothing is sent any more */
     bool is_cross_region;  /* the other node is in another region */
+    uint64_t responded_at; /* last response that was sent on it, or 0 */
     uint64_t last_read_at; /* last input, or opening; 0: never opened */
     JdTransit transit;     /* of requests that come in */
     JdTimer free_timer;
@@ -67,6 +68,6 @@
 void JdConn_Abort(JdConn *conn);
 bool JdConn_IsPeerOpen(const JdConn *conn);
 size_t JdConn_Backlog(const JdConn *conn);
-bool JdConnSet_OwesResponses(JdConnSet *cs);
+bool JdConnSet_FinishResponses(JdConnSet *cs);
 
 #endif
