Logs tell why a node stops, how a connection ended, and pauses

draining names the linger time and the deadline, stopped its reason and how long the drain took, lane how the connection ended and how long nothing had been heard. A round of the loop that takes 250 ms longer than its wait is logged as paused and counted.

--- a/base/base.h
+++ b/base/base.h
@@ -28,6 +28,8 @@
     bool is_busy_polling; /* never sleeps, for timers finer than 1 ms */
     void (*on_signal)(void *ctx, int signal);
     void *signal_ctx;
+    void (*on_pause)(void *ctx, uint64_t length);
+    void *pause_ctx;
 } JdLoop;
 
 void JdLoop_Init(JdLoop *lp);
@@ -37,6 +39,9 @@
 void JdLoop_Stop(JdLoop *lp);
 void JdLoop_CatchSignals(JdLoop *lp, void (*handler)(void *ctx, int signal),
                          void *ctx);
+void JdLoop_ReportPauses(JdLoop *lp,
+                         void (*handler)(void *ctx, uint64_t length),
+                         void *ctx);
 uint64_t JdLoop_WallClock(void);
 uint64_t JdLoop_BootClock(void);
 JdStatus JdAddress_Parse(const char *text, struct sockaddr_in *out,
@@ -329,6 +334,7 @@
     JD_EVENT_WORK,    /* work refused or failed at the node of its target */
     JD_EVENT_DRAINING,
     JD_EVENT_STOPPED,
+    JD_EVENT_PAUSED,  /* this process did not run for a while */
     JD_EVENT_QUOTA,   /* of a shard of client accounts, or of one of them */
     JD_EVENT_ROLLOUT, /* a step of a roll-out was decided or learned */
     JD_EVENT_SPREAD,  /* requests begin or cease to leave the failure domain */
--- a/base/loop.c
+++ b/base/loop.c
@@ -17,6 +17,8 @@
 
 /* Longest wait for socket events in one round. */
 #define MAX_WAIT JD_US_PER_S
+/* Shortest pause of the loop that is reported. */
+#define MIN_PAUSE (250 * JD_US_PER_MS)
 
 static uint64_t
 read_monotonic(void *ctx)
@@ -79,6 +81,18 @@
     h2o_evloop_destroy(lp->evloop);
 }
 
+/* Reports a round that took much longer than its wait: the process did not
+ * run, or had much to do. */
+static void
+report_pause(JdLoop *lp, uint64_t began_at, uint64_t wait)
+{
+    uint64_t took = JdClock_Now(&lp->clock) - began_at;
+
+    if (took > wait + MIN_PAUSE) {
+        lp->on_pause(lp->pause_ctx, took - wait);
+    }
+}
+
 /*
  * Runs one round: waits up to `max_wait` us for socket events, handles them
  * and runs the timers that are due.
@@ -91,6 +105,7 @@
 void
 JdLoop_RunOnce(JdLoop *lp, uint64_t max_wait)
 {
+    uint64_t began_at = lp->on_pause == NULL ? 0 : JdClock_Now(&lp->clock);
     uint64_t wait = JdClock_UntilNext(&lp->clock, max_wait);
 
     if (wait == 0 && lp->clock.timers.tqh_first != NULL) {
@@ -102,6 +117,9 @@
     /* Rounded up, since h2o waits in whole milliseconds. */
     h2o_evloop_run(lp->evloop,
                    (int32_t)((wait + JD_US_PER_MS - 1) / JD_US_PER_MS));
+    if (lp->on_pause != NULL) {
+        report_pause(lp, began_at, wait);
+    }
 }
 
 /* Runs until JdLoop_Stop is called. */
@@ -122,6 +140,15 @@
     lp->is_stopping = true;
 }
 
+/* Passes the length in us of each long pause of the loop to `handler`. */
+void
+JdLoop_ReportPauses(JdLoop *lp, void (*handler)(void *ctx, uint64_t length),
+                    void *ctx)
+{
+    lp->on_pause = handler;
+    lp->pause_ctx = ctx;
+}
+
 static void
 on_signal(h2o_socket_t *sock, const char *err)
 {
--- a/node/drain.c
+++ b/node/drain.c
@@ -27,16 +27,20 @@
 stop(void *ctx)
 {
     JdNode *nd = ctx;
+    uint64_t now = JdClock_Now(&nd->loop.clock);
 
-    JD_LOG(JD_EVENT_STOPPED, JD_NUMBER("calls", nd->call_count),
+    JD_LOG(JD_EVENT_STOPPED, JD_TEXT("outcome", nd->drain_outcome),
+           JD_NUMBER("took_ms", (now - nd->drain_began_at) / JD_US_PER_MS),
+           JD_NUMBER("calls", nd->call_count),
            JD_NUMBER("running", nd->admit.running));
     JdLoop_Stop(&nd->loop);
 }
 
 /* Announces that this node leaves the tree, and stops it a moment later. */
 static void
-announce_leave(JdNode *nd)
+announce_leave(JdNode *nd, const char *outcome)
 {
+    nd->drain_outcome = outcome;
     JdQuota_EndLoans(&nd->quota);
     JdTree_Leave(&nd->tree);
     nd->drain_timer.fire = stop;
@@ -82,11 +86,11 @@
         if (!is_idle) {
             nd->counters.value[JD_C_DRAIN_FORCED]++;
         }
-        announce_leave(nd);
+        announce_leave(nd, "deadline");
         return;
     }
     if (is_idle && now >= nd->linger_until && finish_answers(nd)) {
-        announce_leave(nd);
+        announce_leave(nd, "finished");
         return;
     }
     JdTimer_Arm(&nd->loop.clock, &nd->drain_timer, CHECK_INTERVAL);
@@ -110,12 +114,16 @@
     if (nd->is_draining) {
         if (signal != 0) {
             nd->counters.value[JD_C_DRAIN_FORCED]++;
+            nd->drain_outcome = "signal";
             stop(nd);
         }
         return;
     }
     nd->is_draining = true;
+    nd->drain_began_at = now;
     JD_LOG(JD_EVENT_DRAINING, JD_NUMBER("signal", signal),
+           JD_NUMBER("linger_ms", nd->settings.linger_ms),
+           JD_NUMBER("deadline_ms", nd->settings.drain_deadline_ms),
            JD_NUMBER("calls", nd->call_count),
            JD_NUMBER("running", nd->admit.running));
     JdServer_CloseAfterResponse(&nd->caller_server);
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -65,6 +65,15 @@
     return JD_OK;
 }
 
+static void
+on_pause(void *ctx, uint64_t length)
+{
+    JdNode *nd = ctx;
+
+    nd->counters.value[JD_C_PAUSES]++;
+    JD_LOG(JD_EVENT_PAUSED, JD_NUMBER("ms", length / JD_US_PER_MS));
+}
+
 static int
 run(const char *file)
 {
@@ -73,6 +82,7 @@
     JdLoop_Init(&node.loop);
     JdLogging_Init(node.settings.node, &node.loop);
     JdLoop_CatchSignals(&node.loop, JdDrain_OnSignal, &node);
+    JdLoop_ReportPauses(&node.loop, on_pause, &node);
     if (start(&node, &err) != JD_OK) {
         JD_LOG(JD_EVENT_FAILED, JD_TEXT("settings", file),
                JD_TEXT("status", JdStatus_Name(err.status)),
--- a/node/node.h
+++ b/node/node.h
@@ -306,10 +306,12 @@
     /* Graceful shutdown: node/drain.c */
     bool is_draining;
     bool is_drain_announced; /* other nodes are told of the drain */
-    JdTimer drain_timer;     /* next check of the drain, then the exit */
-    uint64_t drain_deadline; /* the node exits even with requests left */
-    uint64_t announce_at;    /* time at which other nodes are told */
-    uint64_t linger_until;   /* new requests are refused from here on */
+    uint64_t drain_began_at;
+    const char *drain_outcome; /* why the node stops: for the log */
+    JdTimer drain_timer;       /* next check of the drain, then the exit */
+    uint64_t drain_deadline;   /* the node exits even with requests left */
+    uint64_t announce_at;      /* time at which other nodes are told */
+    uint64_t linger_until;     /* new requests are refused from here on */
 } JdNode;
 
 /* log/follow.c: configuration from the log of patches */
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -19,6 +19,20 @@
 
 static void on_written(h2o_socket_t *sock, const char *err);
 
+static const char *const end_names[JD_CONN_END_MAX] = {
+    [JD_CONN_OPEN] = "open",           [JD_CONN_NOT_OPENED] = "not opened",
+    [JD_CONN_PEER_ENDED] = "ended",    [JD_CONN_RESET] = "reset",
+    [JD_CONN_BAD_FRAME] = "bad frame", [JD_CONN_SILENT] = "silent",
+    [JD_CONN_CLOSED] = "closed",
+};
+
+/* Returns the name of the way in which a connection ended. */
+const char *
+JdConnEnd_Name(JdConnEnd end)
+{
+    return end_names[end];
+}
+
 /* Initializes an empty set of connections. */
 void
 JdConnSet_Init(JdConnSet *cs, JdLoop *lp, JdCounters *ctr)
@@ -52,6 +66,9 @@
     }
     conn->is_closing = true;
     conn->is_open = false;
+    if (conn->end == JD_CONN_OPEN) {
+        conn->end = JD_CONN_CLOSED;
+    }
     if (conn->sock != NULL) {
         h2o_socket_close(conn->sock);
         conn->sock = NULL;
@@ -67,6 +84,7 @@
 {
     struct linger now = {.l_onoff = 1, .l_linger = 0};
 
+    conn->end = JD_CONN_SILENT;
     if (conn->sock != NULL) {
         setsockopt(h2o_socket_get_fd(conn->sock), SOL_SOCKET, SO_LINGER, &now,
                    sizeof(now));
@@ -93,11 +111,12 @@
 
 /* Closes a connection that has failed and calls `closed`. */
 static void
-fail_conn(JdConn *conn)
+fail_conn(JdConn *conn, JdConnEnd end)
 {
     if (conn->is_closing) {
         return;
     }
+    conn->end = end;
     JdConn_Close(conn);
     conn->ops->closed(conn->ctx, conn);
 }
@@ -145,7 +164,7 @@
     n = decode_length(in->bytes);
     if (n > JD_FRAME_MAX) {
         conn->set->counters->value[JD_C_BAD_FRAME]++;
-        fail_conn(conn);
+        fail_conn(conn, JD_CONN_BAD_FRAME);
         return false;
     }
     if (in->size < LENGTH_SIZE + n) {
@@ -155,7 +174,7 @@
     h2o_buffer_consume(&conn->sock->input, LENGTH_SIZE + n);
     if (frame == NULL) {
         conn->set->counters->value[JD_C_BAD_FRAME]++;
-        fail_conn(conn);
+        fail_conn(conn, JD_CONN_BAD_FRAME);
         return false;
     }
     if (is_control_frame(frame)) {
@@ -172,7 +191,8 @@
     JdConn *conn = sock->data;
 
     if (err != NULL) {
-        fail_conn(conn);
+        fail_conn(conn, err == h2o_socket_error_closed ? JD_CONN_PEER_ENDED
+                                                       : JD_CONN_RESET);
         return;
     }
     conn->last_read_at = JdClock_Now(&conn->set->loop->clock);
@@ -205,7 +225,7 @@
     conn->is_writing = false;
     h2o_buffer_consume(&conn->sending, conn->sending->size);
     if (err != NULL) {
-        fail_conn(conn);
+        fail_conn(conn, JD_CONN_RESET);
         return;
     }
     start_write(conn);
@@ -233,7 +253,7 @@
     JdConn *conn = sock->data;
 
     if (err != NULL) {
-        fail_conn(conn);
+        fail_conn(conn, JD_CONN_NOT_OPENED);
         return;
     }
     mark_open(conn);
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -9,6 +9,18 @@
 
 typedef struct JdConn JdConn;
 
+/* How a connection ended. */
+typedef enum JdConnEnd {
+    JD_CONN_OPEN,       /* it has not */
+    JD_CONN_NOT_OPENED, /* refused, or no answer in time */
+    JD_CONN_PEER_ENDED, /* the other side has sent all it had to send */
+    JD_CONN_RESET,      /* an error of the kernel, mostly a reset */
+    JD_CONN_BAD_FRAME,  /* the other side does not speak the protocol */
+    JD_CONN_SILENT,     /* the other side does not answer */
+    JD_CONN_CLOSED,     /* by this node, for another reason */
+    JD_CONN_END_MAX
+} JdConnEnd;
+
 /* Callbacks to the user of a connection; it may close the connection in any
  * of them. */
 typedef struct JdConnOps {
@@ -39,6 +51,7 @@
     bool carries_requests; /* opened to send requests: see JdRequestConn */
     bool is_ended;         /* nothing is sent any more */
     bool is_cross_region;  /* the other node is in another region */
+    JdConnEnd end;
     uint64_t responded_at; /* last response that was sent on it, or 0 */
     uint64_t last_read_at; /* last input, or opening; 0: never opened */
     JdTransit transit;     /* of requests that come in */
@@ -68,6 +81,7 @@
 void JdConn_Abort(JdConn *conn);
 bool JdConn_IsPeerOpen(const JdConn *conn);
 size_t JdConn_Backlog(const JdConn *conn);
+const char *JdConnEnd_Name(JdConnEnd end);
 bool JdConnSet_FinishResponses(JdConnSet *cs);
 
 #endif
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -46,6 +46,21 @@
     g_free(rconn);
 }
 
+/* Logs the end of a connection that has failed. */
+static void
+log_end(JdNode *nd, const JdRequestConn *rconn, bool was_open)
+{
+    uint64_t heard_at =
+        was_open ? rconn->conn->last_read_at : rconn->opened_at;
+
+    JD_LOG(JD_EVENT_LANE, JD_TEXT("address", rconn->address),
+           JD_TEXT("outcome", was_open ? "broken" : "not opened"),
+           JD_TEXT("end", JdConnEnd_Name(rconn->conn->end)),
+           JD_NUMBER("silent_ms",
+                     (JdClock_Now(&nd->loop.clock) - heard_at) / JD_US_PER_MS),
+           JD_NUMBER("tries", rconn->outstanding));
+}
+
 /*
  * Frees a connection that has failed, and fails its attempts.  If it was never
  * open, the requests were not sent and cannot have run.
@@ -60,9 +75,7 @@
     if (current == rconn) {
         g_hash_table_remove(nd->request_conns, rconn->address);
     }
-    JD_LOG(JD_EVENT_LANE, JD_TEXT("address", rconn->address),
-           JD_TEXT("outcome", was_open ? "broken" : "not opened"),
-           JD_NUMBER("tries", rconn->outstanding));
+    log_end(nd, rconn, was_open);
     while ((att = TAILQ_FIRST(&rconn->attempts)) != NULL) {
         bool was_sent = was_open && att->is_sent;
         JdAttemptFailure failure = {.reason = was_sent ? JD_REASON_BROKEN
