--- /dev/null
+++ b/regress/e2e/stop-before-grace.sh
@@ -0,0 +1,35 @@
+# A node that was stopped ended seconds before its grace time was over, with the
+# requests that it had taken and that its targets ran to their end.
+. regress/e2e/lib.sh
+. regress/stand/platform.sh
+COUNT=64
+
+PLATFORM_WORKER_OPTIONS="--slots 64 --work-ms 2800"
+platform_start_store || die "the store does not start"
+for n in 1-1:kiln 1-2:kiln 3-1:ops; do
+	d=${n%%-*} i=${n#*-} i=${i%:*}
+	platform_fill_settings $d $i ${n#*:} seed_lag_s=3 reuse_after_s=2 \
+	    drain_s=4 grace_s=10 lost_s=0.2 config_s=4 retry_ratio=0.2
+	platform_start_worker $d $i ${n#*:} w$d-$i
+	fleet_start_node $d $i
+done
+platform_document 5 kiln ', "r-c": {"hostname": "shop.example",
+ "path_prefix": "/mould/", "type": "unsafe", "timeout_s": 4,
+ "target_latency_s": 3, "priority": 0, "service": "kiln", "attempts": 1}' |
+    platform_put_document
+for n in 1-1 1-2 3-1; do
+	fleet_until 200 platform_is_ready $n || die "$n is not ready"
+done
+fleet_until 200 platform_served_by 3-1 /mould/1 w || die "not served"
+
+fleet_kill 3-1 TERM
+platform_send_copies stop $COUNT 3-1 /mould/2 -X POST
+ran=$(platform_copies_since stop 0)
+whole=$(grep -c '^200$' "$FLEET_DIR/stop.answers")
+say "requests that ran without a whole answer: $((ran - whole))"
+[ "$ran" -ge $((COUNT / 2)) ] || say "only $ran of $COUNT ran"
+say "refused or answered: $(grep -c '^200$\|^503$' "$FLEET_DIR/stop.answers")" \
+    "of $COUNT"
+# It ends when nothing is owed, not only at the end of the grace time.
+fleet_until 60 fleet_is_gone 3-1 || die "3-1 does not stop"
+grep -o '"event":"stopped","outcome":"[a-z]*"' "$FLEET_DIR/3-1.log"
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -22,6 +22,41 @@
 EOF
 }
 
+# Renders a section {{#NAME}}..{{/NAME}} of a template once for each entry of a
+# table, given as key=value.
+platform_render_section() { # TEXT NAME KEY=VALUE...
+	local open="{{#$2}}" close="{{/$2}}" before=${1%%"{{#$2}}"*} body out=""
+	local text=$1
+	shift 2
+	body=${text#*"$open"} body=${body%%"$close"*}
+	while [ $# -gt 0 ]; do
+		out=$out${body//"{{@}}"/${1%%=*}}
+		out=${out//"{{.}}"/${1#*=}}
+		[ $# -gt 1 ] && out=${out//"{{,}}"/,} || out=${out//"{{,}}"/}
+		shift
+	done
+	printf '%s' "$before$out${text#*"$close"}"
+}
+
+# Writes settings as the platform does: from the template of the deploy file, with
+# its bounds as a table.
+platform_fill_settings() { # D I SERVICE BOUND=VALUE...
+	local ip=127.$FLEET_NET.$1.$2 file=$FLEET_DIR/$1-$2.json text field
+	local -A value=([node]=${FLEET_DOMAINS[$1]}-$2
+	    [region]=${FLEET_REGIONS[$1]} [zone]=${FLEET_DOMAINS[$1]} [ip]=$ip
+	    [internal_ports.0]=7000 [internal_ports.1]=8100
+	    [listen.outbound]=$ip:8000 [listen.readiness]=$ip:8200
+	    [listen.control]=$ip:8300 [app]=$ip:9000 [service]=$3
+	    [provider.address]=$FLEET_LOG [limits.link_mbps]=1000.0)
+	shift 3
+	text=$(cat deploy/node.json.in)
+	text=$(platform_render_section "$text" bounds "$@")
+	for field in "${!value[@]}"; do
+		text=${text//"{{$field}}"/${value[$field]}}
+	done
+	printf '%s\n' "$text" >"$file"
+}
+
 # Further options of the workers.
 PLATFORM_WORKER_OPTIONS=
 platform_start_worker() { # D I SERVICE ID
