A node that is told to stop a second time goes on with its drain

What callers saw: connections closed without an answer, though targets worked on the requests, when a draining node got another SIGTERM, or a SIGTERM after an operator had requested the drain over the admin interface.

Cause: JdDrain_OnSignal took any further signal for a wish to end at once. What a node owes does not depend on how often it is told to stop; who wants it gone without its answers has SIGKILL.

Change: a further signal is logged.

--- a/node/drain.c
+++ b/node/drain.c
@@ -97,9 +97,26 @@
 }
 
 /*
- * Handles a signal: SIGHUP reloads the settings, any other begins a drain, and
- * a second one during a drain stops the node at once.  `signal` is 0 when an
- * operator requested the drain over the admin interface.
+ * The node is told to stop once more.  It goes on with its drain: what it owes
+ * does not change.  A signal after an operator's request begins the time after
+ * which the process is killed, so that the drain may take that long from now.
+ */
+static void
+continue_drain(JdNode *nd, int signal)
+{
+    JD_LOG(JD_EVENT_DRAINING, JD_TEXT("outcome", "repeated"),
+           JD_NUMBER("signal", signal), JD_NUMBER("calls", nd->call_count),
+           JD_NUMBER("running", nd->admit.running));
+    if (signal != 0 && !nd->has_drain_signal) {
+        nd->has_drain_signal = true;
+        nd->drain_deadline = JdClock_Now(&nd->loop.clock) +
+                             nd->settings.drain_deadline_ms * JD_US_PER_MS;
+    }
+}
+
+/*
+ * Handles a signal: SIGHUP reloads the settings, any other begins a drain.
+ * `signal` is 0 when an operator requested the drain over the admin interface.
  */
 void
 JdDrain_OnSignal(void *ctx, int signal)
@@ -112,14 +129,11 @@
         return;
     }
     if (nd->is_draining) {
-        if (signal != 0) {
-            nd->counters.value[JD_C_DRAIN_FORCED]++;
-            nd->drain_outcome = "signal";
-            stop(nd);
-        }
+        continue_drain(nd, signal);
         return;
     }
     nd->is_draining = true;
+    nd->has_drain_signal = signal != 0;
     nd->drain_began_at = now;
     JD_LOG(JD_EVENT_DRAINING, JD_NUMBER("signal", signal),
            JD_NUMBER("linger_ms", nd->settings.linger_ms),
--- a/node/node.h
+++ b/node/node.h
@@ -305,6 +305,7 @@
 
     /* Graceful shutdown: node/drain.c */
     bool is_draining;
+    bool has_drain_signal;   /* a signal began it, or came since */
     bool is_drain_announced; /* other nodes are told of the drain */
     uint64_t drain_began_at;
     const char *drain_outcome; /* why the node stops: for the log */
