A request that may be running waits for a node that does not answer

What callers saw: a 502 for a POST at which a target was at work, and which it ran to its end, where the target's node stood still for a second; around a stop of the caller's node as at any other time.

Cause: a connection without an answer to a ping for 750 ms was taken for dead, and all requests on it for lost. Whether a silent node has ended or stands still cannot be told from its silence, and a request that must not be repeated gains nothing by giving it up: nobody may try it elsewhere.

Change: silence decides only what can be done elsewhere. Requests that can be repeated, and those that were not sent, fail as before. The others stay on the connection for their answer, until it ends, their deadline comes, or the member table tells that the node has restarted or its target was replaced. The target is ejected at once, and a new connection to a node that was silent carries requests only after an answer to a ping on it: the kernel of a process that stands still accepts connections. A crash of the target that is known before its attempt fails is counted as well.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -413,5 +413,6 @@
                              uint64_t took, const JdLoadReport *rep);
 void JdBalancer_RecordFailure(const JdBalancer *lb, const char *id,
                               JdReason reason, const JdLoadReport *rep);
+void JdBalancer_RecordSilence(const JdBalancer *lb, const char *id);
 
 #endif
--- a/lib/request/outcome.c
+++ b/lib/request/outcome.c
@@ -243,3 +243,20 @@
         eject(lb, ts);
     }
 }
+
+/* Records that the node of a target does not answer, whatever it was asked:
+ * the target is ejected, while attempts there may still be outstanding. */
+void
+JdBalancer_RecordSilence(const JdBalancer *lb, const char *id)
+{
+    JdMember *mb = JdMembers_Find(lb->members, id);
+    JdTargetStats *ts;
+
+    if (mb == NULL) {
+        return;
+    }
+    ts = _JdBalancer_TargetStats(lb, mb);
+    if (!_JdBalancer_IsEjected(lb, ts) && can_eject(lb, mb)) {
+        eject(lb, ts);
+    }
+}
--- a/node/node.h
+++ b/node/node.h
@@ -285,6 +285,7 @@
     /* Address -> JdRequestConn that takes new attempts.  A connection that has
      * been replaced is only in `conns`. */
     GHashTable *request_conns;
+    GHashTable *silent_nodes; /* addresses of nodes that do not answer */
     TAILQ_HEAD(JdCallHead, JdCall) calls;
     unsigned call_count;
     uint64_t last_attempt_id;
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -22,8 +22,8 @@
 /* ---- the end of a call ------------------------------------------------- */
 
 /* Tells the target's node that the answer is no longer needed. */
-static void
-send_cancel(JdAttempt *att)
+void
+JdForward_SendCancel(JdAttempt *att)
 {
     JdNode *nd = att->call->node;
     Jd__Cancel msg = JD__CANCEL__INIT;
@@ -78,7 +78,7 @@
             if (reason == JD_REASON_DEADLINE && att->is_sent) {
                 JdLostAttempt_Add(att);
             }
-            send_cancel(att);
+            JdForward_SendCancel(att);
             JdBalancer_RecordFailure(&call->node->balancer,
                                      JdForward_TargetId(att), reason, &report);
             end_attempt(att);
@@ -392,6 +392,7 @@
     att->is_active = true;
     att->sent_at = now;
     att->target_started = mb->target_started;
+    att->incarnation = mb->incarnation;
     att->tier = tier;
     att->is_old_version = JdRollouts_IsOldVersion(&nd->tree.rollouts, mb);
     g_strlcpy(call->target_ids[call->attempt_count], mb->id, JD_NAME_MAX);
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -11,6 +11,7 @@
 /* A connection to another node that carries requests. */
 typedef struct JdRequestConn {
     char address[JD_ADDRESS_MAX]; /* as the member announces it */
+    char member[JD_NAME_MAX];
     JdConn *conn;
     TAILQ_HEAD(RequestConnAttempts, JdAttempt) attempts; /* unanswered */
     /* Of those, the last ones are not sent: the connection is not open, or
@@ -20,6 +21,12 @@
     uint64_t opened_at;    /* time of dialing */
     uint64_t last_used_at; /* time of the last request, or of dialing */
     uint64_t last_pinged_at;
+    /* The other node does not answer: the connection waits for the answers of
+     * the attempts that must not be made again, and carries nothing else. */
+    bool is_silent;
+    /* Was dialed after such a silence: carries nothing until the other node
+     * has answered a ping, as its kernel accepts connections without it. */
+    bool is_probe;
 } JdRequestConn;
 
 /* A large response of which not all parts have arrived. */
@@ -40,6 +47,7 @@
     unsigned rate_limit; /* known limit of the target, see Jd__Request */
     uint64_t sent_at;
     uint64_t target_started; /* process that it is sent to, 0: unknown */
+    uint64_t incarnation;    /* of the node that it is sent to */
     JdTier tier;
     JdPartial partial;
     bool is_old_version; /* of the target, where a roll-out is under way */
@@ -97,6 +105,7 @@
 void JdForward_Begin(JdCall *call);
 const char *JdForward_TargetId(const JdAttempt *att);
 void JdForward_SendAttempt(JdAttempt *att);
+void JdForward_SendCancel(JdAttempt *att);
 void JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
 void JdForward_CallerDisconnected(JdCall *call);
@@ -131,6 +140,7 @@
 void JdCapacity_Promise(JdCall *call);
 
 /* lost.c */
+bool JdLostAttempt_IsFinal(const JdAttempt *att);
 void JdLostAttempt_Add(const JdAttempt *att);
 
 /* ../caller/reply.c: answers to callers */
--- a/peer/lost.c
+++ b/peer/lost.c
@@ -8,16 +8,57 @@
 /* Time within which the target's next process is expected. */
 #define RETENTION (30 * JD_US_PER_S)
 
+/* Returns whether the member has a later process of the target than the one
+ * that the attempt was sent to, which did not say that it leaves. */
+static bool
+has_crashed(const JdMember *mb, const JdAttempt *att)
+{
+    return att->target_started != 0 &&
+           mb->last_target_started > att->target_started &&
+           mb->target_left != att->target_started;
+}
+
+/* Returns whether no answer to an attempt can come any more: its target has
+ * been replaced without leaving, or its node has restarted. */
+bool
+JdLostAttempt_IsFinal(const JdAttempt *att)
+{
+    const JdMember *mb = JdMembers_Find(&att->call->node->tree.members,
+                                        JdForward_TargetId(att));
+
+    return mb != NULL &&
+           (mb->incarnation > att->incarnation || has_crashed(mb, att));
+}
+
+static void
+record_crash(JdNode *nd, const JdFingerprint *request, const char *member,
+             uint64_t started)
+{
+    JdCrashTable_Record(&nd->tree.crashes, request,
+                        JdCrash_ProcessId(member, started));
+    JD_LOG(JD_EVENT_CRASH, JD_TEXT("outcome", "lost-attempt"),
+           JD_TEXT("member", member), JD_NUMBER("started", started));
+}
+
 /* An attempt ended without a word of its target's node. */
 void
 JdLostAttempt_Add(const JdAttempt *att)
 {
     JdNode *nd = att->call->node;
+    const JdMember *mb =
+        JdMembers_Find(&nd->tree.members, JdForward_TargetId(att));
     JdLostAttempt *lost;
 
     if (att->target_started == 0) {
         return;
     }
+    if (mb != NULL && has_crashed(mb, att)) {
+        JdFingerprint request;
+
+        JdFingerprint_OfRequest(&request, att->call->msg);
+        record_crash(nd, &request, mb->id, att->target_started);
+        return;
+    }
     lost = &nd->lost_attempts[nd->next_lost_attempt++ % JD_LOST_ATTEMPTS_MAX];
     lost->is_used = true;
     lost->process =
@@ -41,9 +82,7 @@
         if (lost->is_used && lost->process == process &&
             now - lost->lost_at < RETENTION) {
             lost->is_used = false;
-            JdCrashTable_Record(&nd->tree.crashes, &lost->request, process);
-            JD_LOG(JD_EVENT_CRASH, JD_TEXT("outcome", "lost-attempt"),
-                   JD_TEXT("member", mb->id), JD_NUMBER("started", started));
+            record_crash(nd, &lost->request, mb->id, started);
         }
     }
 }
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -5,7 +5,8 @@
 
 /* Time without input after which a connection is pinged. */
 #define PING_DELAY (250 * JD_US_PER_MS)
-/* Time without input after a ping, at which a connection is taken for dead. */
+/* Time without input after a ping, at which the other node is taken for
+ * silent: it gets nothing new, and what can be done elsewhere is. */
 #define PING_TIMEOUT (750 * JD_US_PER_MS)
 /* Time in which a connection has to open. */
 #define OPEN_TIMEOUT (1000 * JD_US_PER_MS)
@@ -34,8 +35,9 @@
     }
 }
 
+/* Lets new requests to the node go over another connection. */
 static void
-free_request_conn(JdNode *nd, JdRequestConn *rconn)
+retire(JdNode *nd, JdRequestConn *rconn)
 {
     JdRequestConn *current =
         g_hash_table_lookup(nd->request_conns, rconn->address);
@@ -43,6 +45,12 @@
     if (current == rconn) {
         g_hash_table_remove(nd->request_conns, rconn->address);
     }
+}
+
+static void
+free_request_conn(JdNode *nd, JdRequestConn *rconn)
+{
+    retire(nd, rconn);
     g_free(rconn);
 }
 
@@ -61,6 +69,21 @@
            JD_NUMBER("tries", rconn->outstanding));
 }
 
+/* Fails an attempt whose connection has failed. */
+static void
+fail_attempt(JdAttempt *att, bool was_open)
+{
+    bool was_sent = was_open && att->is_sent;
+    JdAttemptFailure failure = {.reason = was_sent ? JD_REASON_BROKEN
+                                                   : JD_REASON_TARGET_DOWN,
+                                .was_sent = was_sent};
+
+    if (was_sent) {
+        JdLostAttempt_Add(att);
+    }
+    JdForward_AttemptFailed(att, &failure);
+}
+
 /*
  * Frees a connection that has failed, and fails its attempts.  If it was never
  * open, the requests were not sent and cannot have run.
@@ -68,24 +91,12 @@
 static void
 fail_request_conn(JdNode *nd, JdRequestConn *rconn, bool was_open)
 {
-    JdRequestConn *current =
-        g_hash_table_lookup(nd->request_conns, rconn->address);
     JdAttempt *att;
 
-    if (current == rconn) {
-        g_hash_table_remove(nd->request_conns, rconn->address);
-    }
+    retire(nd, rconn);
     log_end(nd, rconn, was_open);
     while ((att = TAILQ_FIRST(&rconn->attempts)) != NULL) {
-        bool was_sent = was_open && att->is_sent;
-        JdAttemptFailure failure = {.reason = was_sent ? JD_REASON_BROKEN
-                                                       : JD_REASON_TARGET_DOWN,
-                                    .was_sent = was_sent};
-
-        if (was_sent) {
-            JdLostAttempt_Add(att);
-        }
-        JdForward_AttemptFailed(att, &failure);
+        fail_attempt(att, was_open);
     }
     g_free(rconn);
 }
@@ -94,7 +105,7 @@
 static bool
 is_choked(const JdRequestConn *rconn)
 {
-    return !rconn->conn->is_open ||
+    return !rconn->conn->is_open || rconn->is_probe ||
            JdConn_Backlog(rconn->conn) > REQUEST_BACKLOG_MAX;
 }
 
@@ -116,13 +127,44 @@
     }
 }
 
+static void
+send_ping(JdNode *nd, JdRequestConn *rconn)
+{
+    Jd__Ping msg = JD__PING__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    rconn->last_pinged_at = JdClock_Now(&nd->loop.clock);
+    frame.version = nd->store.config->version;
+    frame.body_case = JD__FRAME__BODY_PING;
+    frame.ping = &msg;
+    JdConn_Send(rconn->conn, &frame);
+}
+
 static void
 on_opened(void *ctx, JdConn *conn)
 {
     JdRequestConn *rconn = conn->user;
 
-    (void)ctx;
     rconn->last_used_at = conn->last_read_at;
+    if (rconn->is_probe) {
+        send_ping(ctx, rconn);
+        return;
+    }
+    send_waiting(rconn);
+}
+
+/* The other node lives: requests are sent to it again. */
+static void
+end_silence(JdNode *nd, JdRequestConn *rconn)
+{
+    g_hash_table_remove(nd->silent_nodes, rconn->address);
+    rconn->is_probe = false;
+    if (rconn->is_silent) {
+        rconn->is_silent = false;
+        JD_LOG(JD_EVENT_LANE, JD_TEXT("address", rconn->address),
+               JD_TEXT("outcome", "heard again"),
+               JD_NUMBER("tries", rconn->outstanding));
+    }
     send_waiting(rconn);
 }
 
@@ -136,6 +178,11 @@
 static void
 on_frame(void *ctx, JdConn *conn, Jd__Frame *frame)
 {
+    JdRequestConn *rconn = conn->user;
+
+    if (rconn->is_silent || rconn->is_probe) {
+        end_silence(ctx, rconn);
+    }
     if (frame->body_case == JD__FRAME__BODY_RESPONSE) {
         JdAnswer_OnResponse(ctx, frame->response);
     }
@@ -171,9 +218,11 @@
     }
     rconn = g_new0(JdRequestConn, 1);
     g_strlcpy(rconn->address, mb->peer_address, sizeof(rconn->address));
+    g_strlcpy(rconn->member, mb->id, sizeof(rconn->member));
     rconn->conn = conn;
     rconn->opened_at = JdClock_Now(&nd->loop.clock);
     rconn->last_used_at = rconn->opened_at;
+    rconn->is_probe = g_hash_table_contains(nd->silent_nodes, rconn->address);
     TAILQ_INIT(&rconn->attempts);
     conn->user = rconn;
     conn->carries_requests = true;
@@ -219,45 +268,114 @@
     return rconn != NULL ? rconn : open_request_conn(nd, mb);
 }
 
+/* Returns whether a silent node may still answer an attempt, which cannot be
+ * made elsewhere as it may have run. */
+static bool
+awaits_answer(const JdAttempt *att)
+{
+    return att->is_sent && !att->call->msg->idempotent &&
+           !JdLostAttempt_IsFinal(att);
+}
+
+/* Returns an attempt that need not wait for a silent node, or NULL. */
+static JdAttempt *
+find_hopeless(const JdRequestConn *rconn)
+{
+    JdAttempt *att;
+
+    TAILQ_FOREACH(att, &rconn->attempts, conn_link)
+    {
+        if (!awaits_answer(att)) {
+            return att;
+        }
+    }
+    return NULL;
+}
+
+/* Fails what need not wait for a silent node.  Closes the connection when
+ * nothing is left that does, and frees it. */
 static void
-send_ping(JdNode *nd, JdRequestConn *rconn)
+reduce_silent(JdNode *nd, JdRequestConn *rconn)
 {
-    Jd__Ping msg = JD__PING__INIT;
-    Jd__Frame frame = JD__FRAME__INIT;
+    JdAttempt *att;
 
-    rconn->last_pinged_at = JdClock_Now(&nd->loop.clock);
-    frame.version = nd->store.config->version;
-    frame.body_case = JD__FRAME__BODY_PING;
-    frame.ping = &msg;
-    JdConn_Send(rconn->conn, &frame);
+    while ((att = find_hopeless(rconn)) != NULL) {
+        JdForward_SendCancel(att);
+        fail_attempt(att, true);
+    }
+    if (rconn->outstanding == 0) {
+        JdConn_Abort(rconn->conn);
+        free_request_conn(nd, rconn);
+    }
+}
+
+/*
+ * The other node does not answer: it has ended, is cut off, or stands still
+ * and will go on.  It gets no new requests until it answers on some
+ * connection.
+ */
+static void
+begin_silence(JdNode *nd, JdRequestConn *rconn)
+{
+    rconn->is_silent = true;
+    rconn->conn->end = JD_CONN_SILENT;
+    g_hash_table_add(nd->silent_nodes, g_strdup(rconn->address));
+    retire(nd, rconn);
+    log_end(nd, rconn, true);
+    JdBalancer_RecordSilence(&nd->balancer, rconn->member);
+    reduce_silent(nd, rconn);
+}
+
+/* Gives up a connection that does not open, or on which the other node gives
+ * no sign of life in time. */
+static bool
+check_opening(JdNode *nd, JdRequestConn *rconn, uint64_t now)
+{
+    JdConn *conn = rconn->conn;
+
+    if ((conn->is_open && !rconn->is_probe) ||
+        now - rconn->opened_at <= OPEN_TIMEOUT) {
+        return false;
+    }
+    JdConn_Close(conn);
+    fail_request_conn(nd, rconn, false);
+    return true;
+}
+
+static bool
+is_unanswered(const JdRequestConn *rconn, uint64_t now)
+{
+    return rconn->last_pinged_at > rconn->conn->last_read_at &&
+           now - rconn->last_pinged_at > PING_TIMEOUT;
 }
 
-/* Pings a connection that is silent, and closes it when it is dead or has not
- * been used for long. */
+/* Pings a connection without recent input.  One that has not been used for
+ * long is closed, and so is one to a silent node, unless it may still bring an
+ * answer. */
 static void
 check_request_conn(JdNode *nd, JdConn *conn)
 {
     JdRequestConn *rconn = conn->user;
     uint64_t now = JdClock_Now(&nd->loop.clock);
 
+    if (rconn->is_silent) {
+        reduce_silent(nd, rconn);
+        return;
+    }
     if (rconn->outstanding == 0 && now - rconn->last_used_at > IDLE_TIMEOUT) {
         JdConn_Close(conn);
         free_request_conn(nd, rconn);
         return;
     }
-    if (rconn->last_pinged_at > conn->last_read_at &&
-        now - rconn->last_pinged_at > PING_TIMEOUT) {
-        JdConn_Abort(conn);
-        fail_request_conn(nd, rconn, conn->last_read_at != 0);
+    if (check_opening(nd, rconn, now)) {
         return;
     }
-    if (conn->is_open && now - conn->last_read_at >= PING_DELAY &&
-        rconn->last_pinged_at <= conn->last_read_at) {
-        send_ping(nd, rconn);
+    if (is_unanswered(rconn, now) && !rconn->is_probe) {
+        begin_silence(nd, rconn);
     }
-    else if (!conn->is_open && now - rconn->opened_at > OPEN_TIMEOUT) {
-        JdConn_Close(conn);
-        fail_request_conn(nd, rconn, false);
+    else if (conn->is_open && now - conn->last_read_at >= PING_DELAY &&
+             rconn->last_pinged_at <= conn->last_read_at) {
+        send_ping(nd, rconn);
     }
 }
 
@@ -296,4 +414,6 @@
 JdRequestConn_Init(JdNode *nd)
 {
     nd->request_conns = g_hash_table_new(g_str_hash, g_str_equal);
+    nd->silent_nodes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
