--- a/regress/e2e/stop-before-grace.sh
+++ b/regress/e2e/stop-before-grace.sh
@@ -18,14 +18,8 @@
 }
 
 PLATFORM_WORKER_OPTIONS="--slots 64 --work-ms 2800"
-platform_start_store || die "the store does not start"
-for n in 1-1:kiln 1-2:kiln 3-1:ops; do
-	d=${n%%-*} i=${n#*-} i=${i%:*}
-	platform_fill_settings $d $i ${n#*:} seed_lag_s=3 reuse_after_s=2 \
-	    drain_s=4 grace_s=10 lost_s=0.2 config_s=4 retry_ratio=0.2
-	platform_start_worker $d $i ${n#*:} w$d-$i
-	fleet_start_node $d $i
-done
+PLATFORM_BOUNDS="seed_lag_s=3 drain_s=4 grace_s=10 lost_s=0.2 retry_ratio=0.2"
+platform_start_fleet 1-1:kiln 1-2:kiln 3-1:ops || die "the store does not start"
 platform_document 5 kiln ', "r-c": {"hostname": "shop.example",
  "path_prefix": "/mould/", "type": "unsafe", "timeout_s": 4,
  "target_latency_s": 3, "priority": 0, "service": "kiln", "attempts": 1}' |
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -8,20 +8,6 @@
 	fleet_until 100 fleet_get http://$FLEET_LOG/-/stats
 }
 
-platform_write_settings() { # D I SERVICE
-	local ip=127.$FLEET_NET.$1.$2 translate=""
-	[ -z "$FLEET_LINKS" ] ||
-	    translate="\"translate\": \"$(fleet_translate "$1")\","
-	cat >"$FLEET_DIR/$1-$2.json" <<EOF
-{"node": "${FLEET_DOMAINS[$1]}-$2", "region": "${FLEET_REGIONS[$1]}",
- "failure_domain": "${FLEET_DOMAINS[$1]}", $translate "peer": "$ip:7000",
- "caller": "$ip:8000", "admin": "$ip:8100",
- "target": {"address": "$ip:9000", "service": "$3", "endpoint_set": "$3"},
- "platform": {"store": "$FLEET_LOG", "ready": "$ip:8200",
-  "control": "$ip:8300", "bounds": "grace_s=6,retry_ratio=0.2"}}
-EOF
-}
-
 # Renders a section {{#NAME}}..{{/NAME}} of a template once for each entry of a
 # table, given as key=value.
 platform_render_section() { # TEXT NAME KEY=VALUE...
@@ -39,9 +25,10 @@
 }
 
 # Writes settings as the platform does: from the template of the deploy file, with
-# its bounds as a table.
+# its bounds as a table; and routes connections through the link emulator.
 platform_fill_settings() { # D I SERVICE BOUND=VALUE...
 	local ip=127.$FLEET_NET.$1.$2 file=$FLEET_DIR/$1-$2.json text field
+	local translate=$(fleet_translate "$1")
 	local -A value=([node]=${FLEET_DOMAINS[$1]}-$2
 	    [region]=${FLEET_REGIONS[$1]} [zone]=${FLEET_DOMAINS[$1]} [ip]=$ip
 	    [internal_ports.0]=7000 [internal_ports.1]=8100
@@ -54,9 +41,17 @@
 	for field in "${!value[@]}"; do
 		text=${text//"{{$field}}"/${value[$field]}}
 	done
+	[ -z "$FLEET_LINKS" ] ||
+	    text=${text/'"peer":'/"\"translate\": \"$translate\", \"peer\":"}
 	printf '%s\n' "$text" >"$file"
 }
 
+# Bounds of the platform, NAME=VALUE each.
+PLATFORM_BOUNDS="seed_lag_s=3 drain_s=2.5 grace_s=6 lost_s=0.2 retry_ratio=0.2"
+platform_write_settings() { # D I SERVICE
+	platform_fill_settings "$1" "$2" "$3" $PLATFORM_BOUNDS
+}
+
 # Further options of the workers.
 PLATFORM_WORKER_OPTIONS=
 platform_start_worker() { # D I SERVICE ID
