Requests that cross the end of a connection between nodes are refused as not run

What callers saw: a 502 for requests that had not run, where they were on their way to a node that stops as it ended its connections.

Cause: a node that stops ended the sending side of the connections of its answers, so that the other nodes would close them. What it refused after that was dropped, and the other node took the end of the connection for the end of all requests on it.

Change: a frame Finish asks the other node to close the connection. That node sends nothing more on it, gives what it had not sent yet to other targets, and closes once all that it sent is answered. The node that stops sends on until then, also while it says that it leaves; 3 s after its last answer it waits no longer, as before (an older node passes over the frame).

--- a/node/drain.c
+++ b/node/drain.c
@@ -24,9 +24,8 @@
 #define ANNOUNCE_TIME (100 * JD_US_PER_MS)
 
 static void
-stop(void *ctx)
+stop(JdNode *nd)
 {
-    JdNode *nd = ctx;
     uint64_t now = JdClock_Now(&nd->loop.clock);
 
     JD_LOG(JD_EVENT_STOPPED, JD_TEXT("outcome", nd->drain_outcome),
@@ -36,6 +35,30 @@
     JdLoop_Stop(&nd->loop);
 }
 
+/* Returns whether callers and other nodes have received all answers. */
+static bool
+finish_answers(JdNode *nd)
+{
+    bool are_nodes_served = JdConnSet_FinishResponses(&nd->conns);
+
+    return are_nodes_served && !JdServer_OwesBytes(&nd->caller_server);
+}
+
+/* Stops the node once what it has refused since its last answer is received
+ * as well. */
+static void
+check_exit(void *ctx)
+{
+    JdNode *nd = ctx;
+
+    if (JdClock_Now(&nd->loop.clock) < nd->drain_deadline &&
+        !finish_answers(nd)) {
+        JdTimer_Arm(&nd->loop.clock, &nd->drain_timer, CHECK_INTERVAL);
+        return;
+    }
+    stop(nd);
+}
+
 /* Announces that this node leaves the tree, and stops it a moment later. */
 static void
 announce_leave(JdNode *nd, const char *outcome)
@@ -43,7 +66,7 @@
     nd->drain_outcome = outcome;
     JdQuota_EndLoans(&nd->quota);
     JdTree_Leave(&nd->tree);
-    nd->drain_timer.fire = stop;
+    nd->drain_timer.fire = check_exit;
     JdTimer_Arm(&nd->loop.clock, &nd->drain_timer, ANNOUNCE_TIME);
 }
 
@@ -54,15 +77,6 @@
     JdTree_SetState(&nd->tree, JD_MEMBER_DRAINING);
 }
 
-/* Returns whether callers and other nodes have received all answers. */
-static bool
-finish_answers(JdNode *nd)
-{
-    bool are_nodes_served = JdConnSet_FinishResponses(&nd->conns);
-
-    return are_nodes_served && !JdServer_OwesBytes(&nd->caller_server);
-}
-
 static void
 check_drain(void *ctx)
 {
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -13,8 +13,8 @@
 
 /* Size in bytes of the length in front of a frame, which is big-endian. */
 #define LENGTH_SIZE 4
-/* Time after its last response in which the other node closes a connection
- * that was ended, if it lives. */
+/* Time after the last response in which the other node closes a connection
+ * that it was asked to close, if it lives. */
 #define RECEIPT_TIMEOUT (3 * JD_US_PER_S)
 
 static void on_written(h2o_socket_t *sock, const char *err);
@@ -140,6 +140,7 @@
     case JD__FRAME__BODY_CANCEL:
     case JD__FRAME__BODY_PING:
     case JD__FRAME__BODY_CHUNK:
+    case JD__FRAME__BODY_FINISH:
         return false;
     default:
         return true;
@@ -364,16 +365,21 @@
     return conn->queued->size + conn->sending->size;
 }
 
-/* Ends the sending side of a connection once all is written: the node at the
- * other end closes it when it has received everything, wherever the bytes are
- * held on the way. */
+/* Asks the node at the other end to close a connection when it has received
+ * what it waits for, wherever the bytes are held on the way. */
 static void
-end_sending(JdConn *conn)
+send_finish(JdConn *conn)
 {
-    if (!conn->is_ended && JdConn_Backlog(conn) == 0) {
-        conn->is_ended = true;
-        shutdown(h2o_socket_get_fd(conn->sock), SHUT_WR);
+    Jd__Finish msg = JD__FINISH__INIT;
+    Jd__Frame frame = JD__FRAME__INIT;
+
+    if (conn->is_finishing) {
+        return;
     }
+    conn->is_finishing = true;
+    frame.body_case = JD__FRAME__BODY_FINISH;
+    frame.finish = &msg;
+    JdConn_Send(conn, &frame);
 }
 
 /* Returns whether a response may not have been received by the node that it
@@ -390,9 +396,9 @@
            now - conn->responded_at < RECEIPT_TIMEOUT;
 }
 
-/* Ends the connections on which responses were sent, and sends no more on
- * them.  Returns whether all responses have been received; to be called again
- * until then. */
+/* Has the connections on which responses were sent closed by the other nodes.
+ * Requests that are on their way meanwhile are answered.  Returns whether all
+ * responses have been received; to be called again until then. */
 bool
 JdConnSet_FinishResponses(JdConnSet *cs)
 {
@@ -402,7 +408,7 @@
     TAILQ_FOREACH(conn, &cs->conns, link)
     {
         if (owes_response(conn)) {
-            end_sending(conn);
+            send_finish(conn);
             is_finished = false;
         }
     }
@@ -434,7 +440,7 @@
     size_t n = jd__frame__get_packed_size(frame);
     h2o_iovec_t dest;
 
-    if (conn->is_closing || conn->is_ended) {
+    if (conn->is_closing) {
         return 0;
     }
     dest = h2o_buffer_reserve(&conn->queued, LENGTH_SIZE + n);
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -49,7 +49,7 @@
     bool is_writing;
     bool is_closing;       /* freed in the next iteration of the event loop */
     bool carries_requests; /* opened to send requests: see JdRequestConn */
-    bool is_ended;         /* nothing is sent any more */
+    bool is_finishing;     /* the other node was asked to close it */
     bool is_cross_region;  /* the other node is in another region */
     JdConnEnd end;
     uint64_t responded_at; /* last response that was sent on it, or 0 */
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -27,6 +27,9 @@
     /* Was dialed after such a silence: carries nothing until the other node
      * has answered a ping, as its kernel accepts connections without it. */
     bool is_probe;
+    /* The other node is about to end: the connection is closed when all that
+     * was sent on it is answered. */
+    bool is_finishing;
 } JdRequestConn;
 
 /* A large response of which not all parts have arrived. */
--- a/peer/frame.pb-c.c
+++ b/peer/frame.pb-c.c
@@ -1054,6 +1054,47 @@
     protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
 }
 void
+jd__finish__init(Jd__Finish *message)
+{
+    static const Jd__Finish init_value = JD__FINISH__INIT;
+    *message = init_value;
+}
+size_t
+jd__finish__get_packed_size(const Jd__Finish *message)
+{
+    assert(message->base.descriptor == &jd__finish__descriptor);
+    return protobuf_c_message_get_packed_size(
+        (const ProtobufCMessage *)(message));
+}
+size_t
+jd__finish__pack(const Jd__Finish *message, uint8_t *out)
+{
+    assert(message->base.descriptor == &jd__finish__descriptor);
+    return protobuf_c_message_pack((const ProtobufCMessage *)message, out);
+}
+size_t
+jd__finish__pack_to_buffer(const Jd__Finish *message, ProtobufCBuffer *buffer)
+{
+    assert(message->base.descriptor == &jd__finish__descriptor);
+    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage *)message,
+                                             buffer);
+}
+Jd__Finish *
+jd__finish__unpack(ProtobufCAllocator *allocator, size_t len,
+                   const uint8_t *data)
+{
+    return (Jd__Finish *)protobuf_c_message_unpack(&jd__finish__descriptor,
+                                                   allocator, len, data);
+}
+void
+jd__finish__free_unpacked(Jd__Finish *message, ProtobufCAllocator *allocator)
+{
+    if (!message)
+        return;
+    assert(message->base.descriptor == &jd__finish__descriptor);
+    protobuf_c_message_free_unpacked((ProtobufCMessage *)message, allocator);
+}
+void
 jd__quota_report__init(Jd__QuotaReport *message)
 {
     static const Jd__QuotaReport init_value = JD__QUOTA_REPORT__INIT;
@@ -2827,6 +2868,26 @@
     NULL,
     NULL /* reserved[123] */
 };
+#define jd__finish__field_descriptors NULL
+#define jd__finish__field_indices_by_name NULL
+#define jd__finish__number_ranges NULL
+const ProtobufCMessageDescriptor jd__finish__descriptor = {
+    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+    "jd.Finish",
+    "Finish",
+    "Jd__Finish",
+    "jd",
+    sizeof(Jd__Finish),
+    0,
+    jd__finish__field_descriptors,
+    jd__finish__field_indices_by_name,
+    0,
+    jd__finish__number_ranges,
+    (ProtobufCMessageInit)jd__finish__init,
+    NULL,
+    NULL,
+    NULL /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor jd__quota_report__field_descriptors[7] =
     {
         {
@@ -3072,7 +3133,7 @@
     NULL,
     NULL /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor jd__frame__field_descriptors[21] = {
+static const ProtobufCFieldDescriptor jd__frame__field_descriptors[22] = {
     {
         "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
         0,                                           /* quantifier_offset */
@@ -3219,6 +3280,13 @@
         0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
         0, NULL, NULL                    /* reserved1,reserved2, etc */
     },
+    {
+        "finish", 22, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
+        offsetof(Jd__Frame, body_case), offsetof(Jd__Frame, finish),
+        &jd__finish__descriptor, NULL,
+        0 | PROTOBUF_C_FIELD_FLAG_ONEOF, /* flags */
+        0, NULL, NULL                    /* reserved1,reserved2, etc */
+    },
 };
 static const unsigned jd__frame__field_indices_by_name[] = {
     2,  /* field[2] = accept */
@@ -3227,6 +3295,7 @@
     20, /* field[20] = chunk */
     14, /* field[14] = crashes */
     5,  /* field[5] = delta */
+    21, /* field[21] = finish */
     13, /* field[13] = invite */
     1,  /* field[1] = join */
     7,  /* field[7] = members */
@@ -3244,7 +3313,7 @@
     0,  /* field[0] = version */
 };
 static const ProtobufCIntRange jd__frame__number_ranges[1 + 1] = {{1, 0},
-                                                                  {0, 21}};
+                                                                  {0, 22}};
 const ProtobufCMessageDescriptor jd__frame__descriptor = {
     PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
     "jd.Frame",
@@ -3252,7 +3321,7 @@
     "Jd__Frame",
     "jd",
     sizeof(Jd__Frame),
-    21,
+    22,
     jd__frame__field_descriptors,
     jd__frame__field_indices_by_name,
     1,
--- a/peer/frame.pb-c.h
+++ b/peer/frame.pb-c.h
@@ -40,6 +40,7 @@
 typedef struct Jd__Chunk Jd__Chunk;
 typedef struct Jd__Cancel Jd__Cancel;
 typedef struct Jd__Ping Jd__Ping;
+typedef struct Jd__Finish Jd__Finish;
 typedef struct Jd__QuotaReport Jd__QuotaReport;
 typedef struct Jd__QuotaAsk Jd__QuotaAsk;
 typedef struct Jd__QuotaGrant Jd__QuotaGrant;
@@ -718,6 +719,19 @@
     , 0 }
 
 
+/*
+ * The sender is about to end: the receiver sends no more requests on this
+ * connection, and closes it when those that it has sent are answered.
+ */
+struct  Jd__Finish
+{
+  ProtobufCMessage base;
+};
+#define JD__FINISH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&jd__finish__descriptor) \
+     }
+
+
 /*
  * From a node to the allocator of a shard of accounts: lends it the sender's
  * part of their rates for a while.  See lib/account/shard.c.
@@ -853,7 +867,8 @@
   JD__FRAME__BODY_QUOTA_GRANT = 18,
   JD__FRAME__BODY_CHUNK = 21,
   JD__FRAME__BODY_ROLLOUTS = 19,
-  JD__FRAME__BODY_ROLLOUT_COUNTS = 20
+  JD__FRAME__BODY_ROLLOUT_COUNTS = 20,
+  JD__FRAME__BODY_FINISH = 22
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(JD__FRAME__BODY__CASE)
 } Jd__Frame__BodyCase;
 
@@ -886,6 +901,7 @@
     Jd__Chunk *chunk;
     Jd__Rollouts *rollouts;
     Jd__RolloutCounts *rollout_counts;
+    Jd__Finish *finish;
   };
 };
 #define JD__FRAME__INIT \
@@ -1368,6 +1384,25 @@
 void   jd__ping__free_unpacked
                      (Jd__Ping *message,
                       ProtobufCAllocator *allocator);
+/* Jd__Finish methods */
+void   jd__finish__init
+                     (Jd__Finish         *message);
+size_t jd__finish__get_packed_size
+                     (const Jd__Finish   *message);
+size_t jd__finish__pack
+                     (const Jd__Finish   *message,
+                      uint8_t             *out);
+size_t jd__finish__pack_to_buffer
+                     (const Jd__Finish   *message,
+                      ProtobufCBuffer     *buffer);
+Jd__Finish *
+       jd__finish__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   jd__finish__free_unpacked
+                     (Jd__Finish *message,
+                      ProtobufCAllocator *allocator);
 /* Jd__QuotaReport methods */
 void   jd__quota_report__init
                      (Jd__QuotaReport         *message);
@@ -1521,6 +1556,9 @@
 typedef void (*Jd__Ping_Closure)
                  (const Jd__Ping *message,
                   void *closure_data);
+typedef void (*Jd__Finish_Closure)
+                 (const Jd__Finish *message,
+                  void *closure_data);
 typedef void (*Jd__QuotaReport_Closure)
                  (const Jd__QuotaReport *message,
                   void *closure_data);
@@ -1564,6 +1602,7 @@
 extern const ProtobufCMessageDescriptor jd__chunk__descriptor;
 extern const ProtobufCMessageDescriptor jd__cancel__descriptor;
 extern const ProtobufCMessageDescriptor jd__ping__descriptor;
+extern const ProtobufCMessageDescriptor jd__finish__descriptor;
 extern const ProtobufCMessageDescriptor jd__quota_report__descriptor;
 extern const ProtobufCMessageDescriptor jd__quota_ask__descriptor;
 extern const ProtobufCMessageDescriptor jd__quota_grant__descriptor;
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -175,6 +175,33 @@
     send_waiting(conn->user);
 }
 
+/* Closes a connection to a node that is about to end, if nothing is owed. */
+static bool
+close_finished(JdNode *nd, JdRequestConn *rconn)
+{
+    if (!rconn->is_finishing || rconn->outstanding > 0) {
+        return false;
+    }
+    JdConn_Close(rconn->conn);
+    free_request_conn(nd, rconn);
+    return true;
+}
+
+/* The other node is about to end: what it was sent will be answered, the rest
+ * is sent elsewhere. */
+static void
+on_finish(JdNode *nd, JdRequestConn *rconn)
+{
+    JdAttemptFailure failure = {.reason = JD_REASON_DRAINING};
+
+    retire(nd, rconn);
+    rconn->is_finishing = true;
+    while (rconn->unsent > 0) {
+        JdForward_AttemptFailed(
+            TAILQ_LAST(&rconn->attempts, RequestConnAttempts), &failure);
+    }
+}
+
 static void
 on_frame(void *ctx, JdConn *conn, Jd__Frame *frame)
 {
@@ -189,9 +216,16 @@
     else if (frame->body_case == JD__FRAME__BODY_CHUNK) {
         JdAnswer_OnChunk(ctx, frame->chunk);
     }
+    else if (frame->body_case == JD__FRAME__BODY_FINISH) {
+        on_finish(ctx, rconn);
+    }
     else {
         JdAccounts_OnFrame(ctx, conn, frame);
     }
+    /* It may have been replaced and freed meanwhile. */
+    if (!conn->is_closing) {
+        close_finished(ctx, rconn);
+    }
 }
 
 static void
@@ -362,6 +396,9 @@
         reduce_silent(nd, rconn);
         return;
     }
+    if (close_finished(nd, rconn)) {
+        return;
+    }
     if (rconn->outstanding == 0 && now - rconn->last_used_at > IDLE_TIMEOUT) {
         JdConn_Close(conn);
         free_request_conn(nd, rconn);
