Sockets are read before timers run after a pause of the process

A node that did not run for a while, in the middle of a round of its loop, ran its timers before it had read what had arrived meanwhile, and took its own pause for the silence of others: of nodes, targets, the store.

Change: timers that are scheduled in a round that took 250 ms longer than its wait do not run; four rounds only read, at 256 sockets each, then timers run, whatever these rounds take.

A process whose every round takes that long still runs its timers.

--- a/base/base.h
+++ b/base/base.h
@@ -26,6 +26,10 @@
     JdClock clock;
     bool is_stopping;
     bool is_busy_polling; /* never sleeps, for timers finer than 1 ms */
+    uint64_t round_began_at;
+    uint64_t round_wait;      /* longest wait of this round */
+    unsigned catch_up_rounds; /* left in which only sockets are read */
+    bool has_caught_up; /* they are over, and no round has run timers since */
     void (*on_signal)(void *ctx, int signal);
     void *signal_ctx;
     void (*on_pause)(void *ctx, uint64_t length);
--- a/base/loop.c
+++ b/base/loop.c
@@ -17,8 +17,11 @@
 
 /* Longest wait for socket events in one round. */
 #define MAX_WAIT JD_US_PER_S
-/* Shortest pause of the loop that is reported. */
+/* Shortest pause of the loop that is reported, and after which sockets are
+ * read before timers run. */
 #define MIN_PAUSE (250 * JD_US_PER_MS)
+/* Rounds in which sockets are read after a pause: h2o handles 256 a round. */
+#define CATCH_UP_ROUNDS 4
 
 static uint64_t
 read_monotonic(void *ctx)
@@ -51,13 +54,27 @@
     return (uint64_t)ts.tv_sec * JD_US_PER_S + (uint64_t)ts.tv_nsec / 1000;
 }
 
-/* Callback of h2o that runs the timers that are due. */
+/* Returns the time in us for which this round has taken longer than its wait:
+ * the process did not run, or had much to do. */
+static uint64_t
+measure_pause(JdLoop *lp)
+{
+    uint64_t took = JdClock_Now(&lp->clock) - lp->round_began_at;
+
+    return took > lp->round_wait ? took - lp->round_wait : 0;
+}
+
+/* Callback of h2o that runs the timers that are due.  In a round with a pause
+ * what arrived meanwhile has not been read: a timer that waits for it would
+ * take the pause for silence. */
 static void
 run_due_timers(h2o_timeout_entry_t *entry)
 {
     JdLoop *lp = (JdLoop *)((char *)entry - offsetof(JdLoop, timer_entry));
 
-    JdClock_RunDue(&lp->clock);
+    if (lp->has_caught_up || measure_pause(lp) < MIN_PAUSE) {
+        JdClock_RunDue(&lp->clock);
+    }
 }
 
 /* Initializes a loop whose timers use the monotonic clock; ignores SIGPIPE. */
@@ -81,21 +98,40 @@
     h2o_evloop_destroy(lp->evloop);
 }
 
-/* Reports a round that took much longer than its wait: the process did not
- * run, or had much to do. */
+/* Handles the pause of a round: the next ones read sockets only. */
 static void
-report_pause(JdLoop *lp, uint64_t began_at, uint64_t wait)
+handle_pause(JdLoop *lp)
 {
-    uint64_t took = JdClock_Now(&lp->clock) - began_at;
+    uint64_t pause = measure_pause(lp);
 
-    if (took > wait + MIN_PAUSE) {
-        lp->on_pause(lp->pause_ctx, took - wait);
+    if (pause < MIN_PAUSE) {
+        return;
+    }
+    /* Otherwise timers would never run where every round takes that long. */
+    if (!lp->has_caught_up) {
+        lp->catch_up_rounds = CATCH_UP_ROUNDS;
+    }
+    if (lp->on_pause != NULL) {
+        lp->on_pause(lp->pause_ctx, pause);
+    }
+}
+
+/* Schedules the timers for this round if one is due. */
+static void
+schedule_timers(JdLoop *lp)
+{
+    if (lp->round_wait == 0 && lp->clock.timers.tqh_first != NULL) {
+        /* The entry may still be linked: h2o's timeouts use the wall clock,
+         * and if that was set back in the last round, it did not fire. */
+        h2o_timeout_unlink(&lp->timer_entry);
+        h2o_timeout_link(lp->evloop, &lp->zero_timeout, &lp->timer_entry);
     }
 }
 
 /*
  * Runs one round: waits up to `max_wait` us for socket events, handles them
- * and runs the timers that are due.
+ * and runs the timers that are due.  After a pause of the process a few rounds
+ * only read what has arrived meanwhile.
  *
  * Timers run as a callback inside h2o_evloop_run.  If a timer outside of it
  * wrote to a socket and closed it, h2o would free the socket while it is still
@@ -105,21 +141,21 @@
 void
 JdLoop_RunOnce(JdLoop *lp, uint64_t max_wait)
 {
-    uint64_t began_at = lp->on_pause == NULL ? 0 : JdClock_Now(&lp->clock);
-    uint64_t wait = JdClock_UntilNext(&lp->clock, max_wait);
-
-    if (wait == 0 && lp->clock.timers.tqh_first != NULL) {
-        /* The entry may still be linked: h2o's timeouts use the wall clock,
-         * and if that was set back in the last round, it did not fire. */
-        h2o_timeout_unlink(&lp->timer_entry);
-        h2o_timeout_link(lp->evloop, &lp->zero_timeout, &lp->timer_entry);
+    lp->round_began_at = JdClock_Now(&lp->clock);
+    lp->round_wait = JdClock_UntilNext(&lp->clock, max_wait);
+    if (lp->catch_up_rounds > 0) {
+        lp->catch_up_rounds--;
+        lp->round_wait = 0;
+        lp->has_caught_up = true;
+        h2o_evloop_run(lp->evloop, 0);
+        return;
     }
+    schedule_timers(lp);
     /* Rounded up, since h2o waits in whole milliseconds. */
-    h2o_evloop_run(lp->evloop,
-                   (int32_t)((wait + JD_US_PER_MS - 1) / JD_US_PER_MS));
-    if (lp->on_pause != NULL) {
-        report_pause(lp, began_at, wait);
-    }
+    h2o_evloop_run(lp->evloop, (int32_t)((lp->round_wait + JD_US_PER_MS - 1) /
+                                         JD_US_PER_MS));
+    handle_pause(lp);
+    lp->has_caught_up = false;
 }
 
 /* Runs until JdLoop_Stop is called. */
