A node that is being stopped takes no work that might outlast it

What callers saw: a node that was stopped answered 504 for requests at which targets were at work, as the targets' node had been stopped a moment earlier and broke them off at its own deadline.

Cause: the target's node took work that would fit before its exit at twice the expected time; of a route that nobody has used, and of runs in the tail, that says nothing.

Change: for other nodes only such work is taken that ends before the exit even if it takes all of its time; the rest goes to another target at once, as not run. Requests of callers are taken so from 2.9 s on: before, callers do not know yet that the node stops, and nearly all requests end in time.

e2e/stop-overlapping: 9, 1, 1, 1, 1 of 16 lost in 5 runs before, 16 of 16 answered in 3 runs now. e2e/leaving, requests, platform, stop-before-grace, stop-repeated pass.

--- a/caller/intake.c
+++ b/caller/intake.c
@@ -350,16 +350,15 @@
 }
 
 /*
- * Returns whether a request might not be answered before this node exits. Once
- * the linger time of a drain is over, connections are accepted for the calls
- * of the target that has work left; those end before it does.
+ * Returns whether a request might not be answered before this node exits.  In
+ * the first part of a drain all are taken, as callers do not know of it yet
+ * and nearly all end in time.  Once that is over, connections are accepted for
+ * the calls of the target that has work left.
  */
 static bool
 outlasts_drain(JdNode *nd, const ParsedRequest *parsed, uint64_t arrived_at)
 {
-    uint64_t now = JdClock_Now(&nd->loop.clock);
-
-    return nd->is_draining && now >= nd->linger_until &&
+    return nd->is_draining && arrived_at >= nd->drain_strict_at &&
            arrived_at + parsed->timeout > nd->drain_deadline;
 }
 
--- a/node/drain.c
+++ b/node/drain.c
@@ -17,6 +17,9 @@
 /* Time before the end of the linger time at which other nodes are told, so
  * that they have stopped sending when requests are refused. */
 #define ANNOUNCE_LEAD (700 * JD_US_PER_MS)
+/* Time after the begin of a drain from which only requests are taken that end
+ * before the exit even if they take all of their time. */
+#define STRICT_AFTER (2900 * JD_US_PER_MS)
 /* Time before the drain deadline at which the node stops accepting requests
  * even if its target has work left: the calls in progress need that time. */
 #define FINISH_TIME (1000 * JD_US_PER_MS)
@@ -156,6 +159,9 @@
            JD_NUMBER("running", nd->admit.running));
     JdServer_CloseAfterResponse(&nd->caller_server);
     nd->linger_until = now + nd->settings.linger_ms * JD_US_PER_MS;
+    nd->drain_strict_at = nd->linger_until < now + STRICT_AFTER
+                              ? nd->linger_until
+                              : now + STRICT_AFTER;
     nd->announce_at = nd->linger_until - now > ANNOUNCE_LEAD
                           ? nd->linger_until - ANNOUNCE_LEAD
                           : now;
--- a/node/node.h
+++ b/node/node.h
@@ -313,7 +313,9 @@
     JdTimer drain_timer;       /* next check of the drain, then the exit */
     uint64_t drain_deadline;   /* the node exits even with requests left */
     uint64_t announce_at;      /* time at which other nodes are told */
-    uint64_t linger_until;     /* new requests are refused from here on */
+    /* No request that might outlast the drain is taken from here on. */
+    uint64_t drain_strict_at;
+    uint64_t linger_until; /* new requests are refused from here on */
 } JdNode;
 
 /* log/follow.c: configuration from the log of patches */
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -11,9 +11,6 @@
  * target in trouble may send bytes without end. */
 #define MAX_RESPONSE (16U << 20)
 #define MAX_BUFFERED (32U << 20)
-/* A draining node accepts work that would finish before its exit if it took
- * this multiple of the expected time. */
-#define EXIT_MARGIN_FACTOR 2
 /* Time for the target to notice that a request was cancelled. */
 #define CANCEL_GRACE (100 * JD_US_PER_MS)
 
@@ -351,15 +348,13 @@
     JdClaims_Acquire(&nd->claims, &it->claim, it->msg->key);
 }
 
-/* Returns whether a request is likely to finish before this node exits, if it
- * is draining. */
+/* Returns whether a request ends before this node exits, if it is draining,
+ * even if it takes all of its time. */
 static bool
 fits_before_exit(JdNode *nd, const Jd__Request *msg)
 {
-    uint64_t expected = JdTargetEstimate_Get(nd, msg->route)->mean;
-
     return !nd->is_draining ||
-           JdClock_Now(&nd->loop.clock) + expected * EXIT_MARGIN_FACTOR <=
+           JdClock_Now(&nd->loop.clock) + msg->left_ms * JD_US_PER_MS <=
                nd->drain_deadline;
 }
 
