A node that is being stopped breaks off no request, whether it can be repeated or not

What callers saw: a 502 of a node that was being stopped for requests that may be repeated, but not by it (attempts used, retry budget spent), where the targets' node stood still for a second.

Around a stop a target may be at work, and its answer is owed.

Change: while a node drains, such requests wait as well, and are hedged at once where that is allowed.

--- a/peer/forward.c
+++ b/peer/forward.c
@@ -355,16 +355,24 @@
                                        JdForward_TargetId(att), att->sent_at);
 }
 
-/* Starts another attempt beside the slow one, if its target gives no answers
- * and a retry is allowed. */
+/* Starts another attempt beside the one under way, if a retry is allowed. */
+void
+JdForward_Hedge(JdCall *call)
+{
+    if (!JdRetry_MayCrashTargets(call) &&
+        JdRetry_Take(call, JD_REASON_BROKEN, true)) {
+        try_next_target(call);
+    }
+}
+
+/* Hedges a slow attempt whose target gives no answers. */
 static void
 on_hedge_timer(void *ctx)
 {
     JdCall *call = ctx;
 
-    if (!is_target_at_work(call) && !JdRetry_MayCrashTargets(call) &&
-        JdRetry_Take(call, JD_REASON_BROKEN, true)) {
-        try_next_target(call);
+    if (!is_target_at_work(call)) {
+        JdForward_Hedge(call);
     }
 }
 
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -112,6 +112,7 @@
 void JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
 void JdForward_CallerDisconnected(JdCall *call);
+void JdForward_Hedge(JdCall *call);
 
 /* answer.c */
 void JdAnswer_OnChunk(JdNode *nd, Jd__Chunk *chunk);
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -302,12 +302,14 @@
     return rconn != NULL ? rconn : open_request_conn(nd, mb);
 }
 
-/* Returns whether a silent node may still answer an attempt, which cannot be
- * made elsewhere as it may have run. */
+/* Returns whether an attempt at a silent node waits for its answer: it cannot
+ * be made elsewhere as it may have run.  A node that is being stopped breaks
+ * off nothing at which a target may be at work. */
 static bool
 awaits_answer(const JdAttempt *att)
 {
-    return att->is_sent && !att->call->msg->idempotent &&
+    return att->is_sent &&
+           (!att->call->msg->idempotent || att->call->node->is_draining) &&
            !JdLostAttempt_IsFinal(att);
 }
 
@@ -343,6 +345,21 @@
     }
 }
 
+/* Makes the attempts that wait for a silent node elsewhere as well, where that
+ * is allowed. */
+static void
+hedge_waiting(JdRequestConn *rconn)
+{
+    JdAttempt *att, *next;
+
+    for (att = TAILQ_FIRST(&rconn->attempts); att != NULL; att = next) {
+        next = TAILQ_NEXT(att, conn_link);
+        if (awaits_answer(att) && att->call->active_count == 1) {
+            JdForward_Hedge(att->call);
+        }
+    }
+}
+
 /*
  * The other node does not answer: it has ended, is cut off, or stands still
  * and will go on.  It gets no new requests until it answers on some
@@ -357,6 +374,7 @@
     retire(nd, rconn);
     log_end(nd, rconn, true);
     JdBalancer_RecordSilence(&nd->balancer, rconn->member);
+    hedge_waiting(rconn);
     reduce_silent(nd, rconn);
 }
 
