The soak plays planned stops, pauses and repeated signals, and checks for lost answers

SOAK_PLAY=stops stops nodes one at a time and up to half of them at once, by signal and over the admin interface, repeats and mixes signals, reloads, changes the configuration, and pauses nodes and workers for up to 2.3 s, in series that overlap; callers send on open connections until the process is gone. Workers record the end of each run, the load client the node and the times of each request.

--- a/Makefile
+++ b/Makefile
@@ -160,7 +160,7 @@
 	@$(MAKE) --no-print-directory -s all
 	@bash regress/matrix.sh
 
-# Fault soak: SOAK="SEED COUNT SECONDS NODES".
+# Fault soak: SOAK="SEED COUNT SECONDS NODES"; SOAK_PLAY=stops plays planned work.
 SOAK ?= 1 50 20 8
 soak: setup
 	@$(MAKE) --no-print-directory -s tests
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -2,7 +2,7 @@
 # Runs the tests named by the arguments (KIND or KIND/NAME), or all of them.
 # The kinds are: unit, unit tests; parts, scripted tests of library modules; sim,
 # randomized simulations with fixed seeds; e2e, tests of real processes; soak, a
-# short fault soak.  A test that is listed in KNOWN-RED.txt, at the start of a
+# short soak of faults and one of planned stops.  A test that is listed in KNOWN-RED.txt, at the start of a
 # line and followed by a colon, may fail: it is printed as a known failure.
 set -u
 cd "$(dirname "$0")/.." || exit 1
@@ -75,6 +75,14 @@
 		grep -v passed "$out/got" | head -n 10
 		;;
 	soak)
+		if [ "$test" = stops ]; then
+			SOAK_PLAY=stops timeout 200 bash regress/soak/soak.sh \
+			    5 2 20 8 >"$out/got" 2>&1
+			rc=$?
+			report_result "$1" $rc
+			[ $rc -eq 0 ] || head -n 20 "$out/got"
+			return
+		fi
 		# Seeds 101, 123 and 130 once made nodes hang: their timers wrote to
 		# and closed sockets outside an iteration of the event loop, see
 		# regress/unit/loop.c.  They play the events that there were then.
@@ -112,6 +120,7 @@
 	echo sim/unknown-convergence-seeds
 	echo sim/cold-convergence-seeds
 	echo soak/seeds
+	echo soak/stops
 	for f in regress/e2e/*.sh; do
 		f=${f##*/}
 		[ "$f" = lib.sh ] || echo "e2e/${f%.sh}"
--- a/regress/soak/events.sh
+++ b/regress/soak/events.sh
@@ -385,7 +385,7 @@
 	soak_check_results
 	cat "$FLEET_DIR/broken"
 	echo "$(grep -c -v ' said-leaving ' "$FLEET_DIR/seen") requests," \
-	    "$(grep -c ' 200 own$' "$FLEET_DIR/seen") answered," \
+	    "$(grep -c ' 200 own ' "$FLEET_DIR/seen") answered," \
 	    "$(grep -c event "$FLEET_DIR/events") events, $version versions"
 	[ ! -s "$FLEET_DIR/broken" ]
 }
--- a/regress/soak/observe.c
+++ b/regress/soak/observe.c
@@ -3,10 +3,11 @@
  * and prints a line for each result; the soak compares these lines with the
  * workers' records after the run.
  *
- * Each line has four fields: request id, kind (safe or unsafe), result (HTTP
- * status, not-sent, broken, timed-out or crossed), and for status 200 "own" if
- * the response is signed, complete and has the id of the request, otherwise
- * "other".  The last field is "-" for all other results.
+ * Each line has seven fields: request id, kind (safe or unsafe), result (HTTP
+ * status, not-sent, broken, timed-out or crossed); for status 200 "own" if the
+ * response is signed, complete and has the id of the request, otherwise
+ * "other", and "-" for all other results; the address of the node, and the
+ * times in us at which the request was sent and ended.
  *
  * Each request names a client account by its key.  The ids of requests of the
  * account "limited", which has a quota, end with "-q", those of the others,
@@ -26,8 +27,6 @@
 #define MAX_NODES 400
 #define CONNECTIONS_PER_NODE 32
 #define SEND_INTERVAL_US (5 * JD_US_PER_MS)
-/* Deadline sent with each request. */
-#define REQUEST_DEADLINE_MS 1500
 /* One of so many requests is of the account with a quota. */
 #define LIMITED_SHARE 3
 /* Time past the deadline after which the client gives up on a response. */
@@ -36,6 +35,8 @@
 typedef struct PendingRequest {
     char id[JD_NAME_MAX];
     bool is_safe;
+    const JdHttpc *node;
+    uint64_t sent_at; /* wall clock */
 } PendingRequest;
 
 static struct {
@@ -50,6 +51,8 @@
     uint64_t end_at; /* no request is sent from this time on */
     double requests_per_interval;
     double requests_due; /* may have a fraction that carries over */
+    int deadline_ms;     /* sent with each request */
+    int work_ms;         /* requests take up to this time; 0: not told */
 } observer;
 
 static const char *
@@ -108,14 +111,18 @@
     observer.in_flight--;
     printf("%s %s ", pending->id, pending->is_safe ? "safe" : "unsafe");
     if (resp->result != JD_HTTP_COMPLETED) {
-        printf("%s -\n", result_name(resp));
+        printf("%s - ", result_name(resp));
     }
     else {
-        printf("%d %s\n", resp->status,
+        printf("%d %s ", resp->status,
                resp->status != 200                ? "-"
                : resp->body_len == 0              ? "other"
                : is_valid_response(resp, pending) ? "own"
                                                   : "other");
+    }
+    printf("%s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT "\n",
+           pending->node->host, pending->sent_at, JdLoop_WallClock());
+    if (resp->result == JD_HTTP_COMPLETED) {
         print_notice(resp, pending);
     }
     g_free(pending);
@@ -133,28 +140,37 @@
                                           "DELETE"};
     JdHttpc *hc =
         &observer.nodes[JdRandom_Below(&observer.random, observer.node_count)];
+    char work[JD_NAME_MAX] = "";
     PendingRequest *pending = g_new0(PendingRequest, 1);
     bool is_limited = JdRandom_Below(&observer.random, LIMITED_SHARE) == 0;
     char path[JD_PATH_MAX], headers[JD_TEXT_MAX];
     JdHttpRequest rq = {.path = path,
                         .host = "shop.example",
                         .headers = headers,
-                        .timeout = REQUEST_DEADLINE_MS * JD_US_PER_MS +
-                                   TIMEOUT_MARGIN_US};
+                        .timeout =
+                            (uint64_t)observer.deadline_ms * JD_US_PER_MS +
+                            TIMEOUT_MARGIN_US};
 
     pending->is_safe = JdRandom_Below(&observer.random, 2) == 0;
     g_snprintf(pending->id, sizeof(pending->id),
                "s%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT "-%c",
                observer.seed, observer.sent++, is_limited ? 'q' : 'f');
-    g_snprintf(path, sizeof(path), "/%s/%s",
-               pending->is_safe ? "kiln" : "order", pending->id);
+    if (observer.work_ms > 0) {
+        g_snprintf(work, sizeof(work), "work-%u/",
+                   (unsigned)JdRandom_Below(&observer.random,
+                                            (uint64_t)observer.work_ms));
+    }
+    g_snprintf(path, sizeof(path), "/%s/%s%s",
+               pending->is_safe ? "kiln" : "order", work, pending->id);
     g_snprintf(headers, sizeof(headers),
                "jacinthdyke-request-id: %s\r\n"
                "jacinthdyke-deadline-ms: %d\r\n"
                "jacinthdyke-credential: %s\r\n",
-               pending->id, REQUEST_DEADLINE_MS,
+               pending->id, observer.deadline_ms,
                is_limited ? "key-of-limited" : "key-of-free");
     rq.method = methods[observer.sent % G_N_ELEMENTS(methods)];
+    pending->node = hc;
+    pending->sent_at = JdLoop_WallClock();
     observer.in_flight++;
     JdHttpc_Send(hc, &rq, on_response, pending);
 }
@@ -189,12 +205,19 @@
          "N"},
         {"seconds", 't', 0, G_OPTION_ARG_DOUBLE, &seconds,
          "time for which requests are sent", "S"},
+        {"deadline-ms", 0, 0, G_OPTION_ARG_INT, &observer.deadline_ms,
+         "deadline of requests", "MS"},
+        {"work-ms", 0, 0, G_OPTION_ARG_INT, &observer.work_ms,
+         "requests take up to this time", "MS"},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
     };
     JdError err = {0};
-    int rc = JdProgram_ParseOptions(
-        NAME, "IP:PORT... - load client of the fault soak", entries, &argc,
-        &argv);
+    int rc;
+
+    observer.deadline_ms = 1500;
+    rc = JdProgram_ParseOptions(NAME,
+                                "IP:PORT... - load client of the fault soak",
+                                entries, &argc, &argv);
 
     if (rc != 0) {
         return rc;
--- a/regress/soak/soak.sh
+++ b/regress/soak/soak.sh
@@ -1,14 +1,16 @@
 #!/usr/bin/env bash
-# Fault soak: runs real processes on the loopback network behind the link
-# emulator, with signals to nodes, link faults, store faults and replaced
-# workers, while a load client sends requests over persistent connections.  The
-# results are checked against the records of the client and of the workers, and
-# against the responses of each node.
+# Soak: runs real processes on the loopback network behind the link emulator, with
+# signals to nodes, link faults, store faults and replaced workers, while a load
+# client sends requests over persistent connections.  The results are checked
+# against the records of the client and of the workers, and against the responses
+# of each node.
 #
 # Usage: soak.sh [SEED [COUNT [SECONDS [NODES]]]]
 # Runs COUNT seeds from SEED on, with faults for SECONDS each.  NODES must be a
-# multiple of 4.  If SOAK_KEEP names a directory, the files of failed runs are
-# copied there.
+# multiple of 4.  With SOAK_PLAY=stops only planned work is played, with pauses, and
+# every request has to be answered: see stops.sh; STOPS_RATE is the number of
+# requests a second (60).  If SOAK_KEEP names a directory, the files of failed runs
+# are copied there.
 set -u
 cd "$(dirname "$0")/../.." || exit 1
 SEED=${1:-1} COUNT=${2:-1} SECONDS_EACH=${3:-20} NODES=${4:-8}
@@ -41,8 +43,12 @@
 	. load/fleet.sh
 	. regress/stand/platform.sh
 	. regress/soak/events.sh
+	. regress/soak/stops.sh
 	local rc=0
-	soak_run "$1" || rc=1
+	case ${SOAK_PLAY:-faults} in
+	stops) stops_run "$1" || rc=1 ;;
+	*) soak_run "$1" || rc=1 ;;
+	esac
 	# Processes must be ended here: "declare" in fleet.sh made FLEET_PID local
 	# to this function.
 	fleet_end
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -15,6 +15,7 @@
  *       limit=RATE          name this rate limit in the answers; none: no
  *                           limit
  *       leaving=1           say in the answers that this process leaves
+ *   /.../work-MS/...        works for MS milliseconds
  *   /.../crash...           crashes once its work is done, and starts again as
  *                           another process after --restart-ms
  *   /.../crash-for-NAME...  does so if NAME is the calling service
@@ -39,6 +40,7 @@
     /* Owned by `req`; set to NULL if this is freed first. */
     struct RunningRequest **slot;
     JdTimer timer;
+    char id[JD_NAME_MAX];
     bool crashes;
 } RunningRequest;
 
@@ -72,7 +74,8 @@
 /* ---- heartbeats -------------------------------------------------------- */
 
 /* Appends a line to the record: time in us, id of this process, event,
- * subject.  The events are "ran" with a request's id, and "leaving" once the
+ * subject.  The events are "ran" with a request's id when it begins, "ended"
+ * with the id when its answer is made, and "leaving" once the
  * node has acknowledged that no new work may be sent; "limit" with the rate
  * limit that answers name from now on; "leaked-key" with the id of a request
  * that came with the key of its client account.  After "ran" and its id comes
@@ -286,6 +289,7 @@
 {
     RunningRequest *run = ctx;
 
+    write_record("ended", run->id);
     if (run->req != NULL && run->crashes) {
         crash(run);
     }
@@ -318,6 +322,17 @@
     g_free(subject);
 }
 
+/* Returns how long a request takes, in us. */
+static uint64_t
+work_time_of(const char *path)
+{
+    const char *work = strstr(path, "/work-");
+
+    return work == NULL
+               ? worker.work_time
+               : strtoull(work + strlen("/work-"), NULL, 10) * JD_US_PER_MS;
+}
+
 static void
 start_request(h2o_req_t *req)
 {
@@ -325,13 +340,13 @@
     RunningRequest **slot = h2o_mem_alloc_shared(
         &req->pool, sizeof(RunningRequest *), on_request_freed);
     char *path = g_strndup(req->path.base, req->path.len);
-    char id[JD_NAME_MAX] = "";
 
     *slot = run;
     run->slot = slot;
     run->req = req;
-    JdHttpd_CopyHeader(req, "jacinthdyke-request-id", id, sizeof(id));
-    record_run(req, id);
+    JdHttpd_CopyHeader(req, "jacinthdyke-request-id", run->id,
+                       sizeof(run->id));
+    record_run(req, run->id);
     run->crashes = crashes_worker(req, path);
     worker.run_count++;
     g_hash_table_insert(worker.count_by_path, path,
@@ -340,7 +355,7 @@
                                          1));
     JdTimer_Init(&run->timer, on_work_done, run);
     if (strcmp(worker.mode, "stall") != 0) {
-        JdTimer_Arm(&worker.loop.clock, &run->timer, worker.work_time);
+        JdTimer_Arm(&worker.loop.clock, &run->timer, work_time_of(path));
     }
 }
 
