What may have run waits at a silent node, also if it can be repeated

Whether a stop is near, the node cannot always know: the process that had got the SIGTERM was gone, and the next one answered.

Change: at a silent node all that was sent waits, not only what must not be repeated, or at a node that is being stopped. What can be repeated is tried elsewhere at once beside it, and again where that fails, as before; without a live attempt a call ends by its deadline at the latest. A request that may not be repeated by this node was answered 502 before and waits now.

--- a/peer/forward.c
+++ b/peer/forward.c
@@ -245,10 +245,25 @@
     }
 }
 
+/* Returns whether an attempt is under way at a node that gives answers. */
+static bool
+has_live_attempt(const JdCall *call)
+{
+    for (unsigned i = 0; i < call->attempt_count; i++) {
+        const JdAttempt *att = &call->attempts[i];
+
+        if (att->is_active &&
+            (att->request_conn == NULL || !att->request_conn->is_silent)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /*
  * Handles the failure of an attempt.  While another attempt is under way, the
  * call waits for it; otherwise the call is retried at another target, or
- * refused.
+ * refused unless a silent node may still answer it.
  */
 void
 JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure)
@@ -260,12 +275,14 @@
     end_attempt(att);
     record_failure(call, failure);
     log_failed_attempt(att, failure);
-    if (call->active_count > 0) {
+    if (has_live_attempt(call)) {
         return;
     }
     JdTimer_Cancel(&call->node->loop.clock, &call->hedge_timer);
     if (!JdRetry_Take(call, failure->reason, failure->was_sent)) {
-        refuse_call(call, failure->reason);
+        if (call->active_count == 0) {
+            refuse_call(call, failure->reason);
+        }
         return;
     }
     if (failure->reason == JD_REASON_BROKEN) {
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -21,8 +21,8 @@
     uint64_t opened_at;    /* time of dialing */
     uint64_t last_used_at; /* time of the last request, or of dialing */
     uint64_t last_pinged_at;
-    /* The other node does not answer: the connection waits for the answers of
-     * the attempts that must not be made again, and carries nothing else. */
+    /* The other node does not answer: the connection waits for the answers to
+     * what was sent, and carries nothing else. */
     bool is_silent;
     /* Was dialed after such a silence: carries nothing until the other node
      * has answered a ping, as its kernel accepts connections without it. */
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -302,15 +302,11 @@
     return rconn != NULL ? rconn : open_request_conn(nd, mb);
 }
 
-/* Returns whether an attempt at a silent node waits for its answer: it cannot
- * be made elsewhere as it may have run.  A node that is being stopped breaks
- * off nothing at which a target may be at work. */
+/* Returns whether a silent node may still answer an attempt. */
 static bool
-awaits_answer(const JdAttempt *att)
+may_be_answered(const JdAttempt *att)
 {
-    return att->is_sent &&
-           (!att->call->msg->idempotent || att->call->node->is_draining) &&
-           !JdLostAttempt_IsFinal(att);
+    return att->is_sent && !JdLostAttempt_IsFinal(att);
 }
 
 /* Returns an attempt that need not wait for a silent node, or NULL. */
@@ -321,7 +317,7 @@
 
     TAILQ_FOREACH(att, &rconn->attempts, conn_link)
     {
-        if (!awaits_answer(att)) {
+        if (!may_be_answered(att)) {
             return att;
         }
     }
@@ -354,7 +350,7 @@
 
     for (att = TAILQ_FIRST(&rconn->attempts); att != NULL; att = next) {
         next = TAILQ_NEXT(att, conn_link);
-        if (awaits_answer(att) && att->call->active_count == 1) {
+        if (may_be_answered(att) && att->call->active_count == 1) {
             JdForward_Hedge(att->call);
         }
     }
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -2,8 +2,9 @@
 # Runs the tests named by the arguments (KIND or KIND/NAME), or all of them.
 # The kinds are: unit, unit tests; parts, scripted tests of library modules; sim,
 # randomized simulations with fixed seeds; e2e, tests of real processes; soak, a
-# short soak of faults and one of planned stops.  A test that is listed in KNOWN-RED.txt, at the start of a
-# line and followed by a colon, may fail: it is printed as a known failure.
+# short soak of faults and one of planned stops.  A test that is listed in
+# KNOWN-RED.txt, at the start of a line and followed by a colon, may fail: it is
+# printed as a known failure.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 BUILD=${BUILD:-build}
--- a/regress/soak/stops.sh
+++ b/regress/soak/stops.sh
@@ -5,7 +5,8 @@
 # sources this file after events.sh.
 #
 # Files in FLEET_DIR, beside those of events.sh: "terms" has a line for each begin
-# of a stop, time in us and address of the node.
+# of a stop, time in us and address of the node; "pauses" one for each pause, the
+# times in us of its begin and its end, and the name of the process.
 
 # Times in ms: route timeout and deadline of requests, longest work, and the time
 # within which a result counts as given at the deadline.
@@ -55,6 +56,8 @@
 
 # Pauses a process; stops_continue lets it go on.
 stops_pause() { # NAME MS
+	local now=$(platform_now)
+	echo "$now $((now + $2 * 1000)) $1" >>"$FLEET_DIR/pauses"
 	stops_resume[$1]=$(($(stops_now) + $2))
 	[ -z "${stops_since[$1]:-}" ] ||
 	    stops_paused[$1]=$((${stops_paused[$1]} + $2))
@@ -123,9 +126,9 @@
 # as violations:
 # - a request that a worker ran to its end, which the caller was not answered whole
 #   by: its connection ended, or the node gave an answer of its own.  Not counted
-#   is one whose time was up; one that may run again at a node that is not being
-#   stopped; and one that was sent within 3 s of the SIGTERM and at which its worker
-#   was at work in the last sixth of the grace time,
+#   is one whose time was up, and one that was sent within 3 s of the SIGTERM and at
+#   which its worker was at work in the last sixth of the grace time, or whose
+#   answer a process held that stood still until the stopped node had to end,
 # - a request that did not run, on a connection that ended without an answer later
 #   than 300 ms after it was sent.
 stops_check_results() {
@@ -140,8 +143,22 @@
 				found = term[node, i]
 		return found
 	}
+	# Returns whether a worker or its node was paused at a time.
+	function was_paused(worker, at,    i, node) {
+		node = substr(worker, 2)
+		sub(/-[0-9]+$/, "", node)
+		if (node !~ /-/)
+			node = substr(worker, 2)
+		for (i = 1; i <= pauses; i++)
+			if ((paused[i] == node || paused[i] == "worker-" node) &&
+			    begin[i] < at && resumed[i] > at - 200000)
+				return 1
+		return 0
+	}
+	FILENAME ~ /pauses$/ { begin[++pauses] = $1; resumed[pauses] = $2
+		paused[pauses] = $3; next }
 	FILENAME ~ /terms$/ { term[$2, ++terms[$2]] = $1; next }
-	FILENAME ~ /ran$/ { if ($3 == "ran") ran[$4]++
+	FILENAME ~ /ran$/ { if ($3 == "ran") { ran[$4]++; worker[$4] = $2 }
 		if ($3 == "ended") ended[$4] = $1
 		next }
 	$2 == "said-leaving" || NF != 7 { next }
@@ -149,15 +166,17 @@
 	  is_stop = stop > 0 && $7 - stop < (grace + 1) * 1000000 }
 	($3 == "broken" || $3 == 500 || $3 == 502 || $3 == 504) &&
 	    ($1 in ended) && took < timeout - slack {
-		if ($2 == "safe" && !is_stop && $3 != "broken")
-			next
 		if (is_stop && $6 - stop <= 3000000 &&
 		    ended[$1] - stop >= grace * 1000000 * 5 / 6)
 			next
+		if (is_stop && $6 - stop <= 3000000 &&
+		    $7 - stop >= (grace - 0.5) * 1000000 &&
+		    was_paused(worker[$1], $7))
+			next
 		print "ran without a whole answer: " $0 ", stop at " stop }
 	$3 == "broken" && !ran[$1] && took > 300 {
 		print "closed without an answer: " $0 ", stop at " stop }
-	' "$FLEET_DIR/terms" "$FLEET_DIR/ran" "$FLEET_DIR/seen" >>"$FLEET_DIR/broken"
+	' "$FLEET_DIR/pauses" "$FLEET_DIR/terms" "$FLEET_DIR/ran" "$FLEET_DIR/seen" >>"$FLEET_DIR/broken"
 }
 
 # Ends the pauses and waits for the stops under way.
@@ -184,6 +203,7 @@
 	PLATFORM_WORKER_OPTIONS="--slots 24"
 	: >"$FLEET_DIR/broken"
 	: >"$FLEET_DIR/terms"
+	: >"$FLEET_DIR/pauses"
 	soak_start || {
 		echo "the fleet did not start"
 		return 1
