Tests of a stop and of resets tell how requests ended; a budget as before

The second was the test's fault: curl was started too seldom for 32 to run before the node refuses; it now sends for 3.3 s, and 8 have to run. Both print to their errors how requests ended, for a trace.

e2e/resets counts on a retry budget of nearly 20%, as its comment says; the nodes take half of the platform's ratio since it is read by name, so the test states a ratio of 0.4.

--- a/regress/e2e/resets.sh
+++ b/regress/e2e/resets.sh
@@ -5,6 +5,8 @@
 FLEET_LINKS=yes
 . regress/e2e/lib.sh
 . regress/stand/platform.sh
+# Nodes take half of the ratio for their retry budgets.
+PLATFORM_BOUNDS="drain_s=2.5 grace_s=6 retry_ratio=0.4"
 
 # Succeeds if a request gets an answer within a second.
 is_served() { # D-I
@@ -74,6 +76,7 @@
 say "# resets between nodes"
 send_with_resets 1-1 GET /kiln/1 safe- "$FLEET_DIR/safe"
 send_with_resets 1-2 POST /order/1 order- "$FLEET_DIR/orders"
+cut -d' ' -f2 "$FLEET_DIR/safe" | sort | uniq -c >&2
 say "idempotent requests answered: $(grep -c ' 200$' "$FLEET_DIR/safe") of 400"
 say "orders that ran twice: $(ran_twice order- | wc -l)"
 grep -E ' (429|503)$' "$FLEET_DIR/orders" | cut -d' ' -f1 | sort \
--- a/regress/e2e/stop-before-grace.sh
+++ b/regress/e2e/stop-before-grace.sh
@@ -2,14 +2,13 @@
 # requests that it had taken and that its targets ran to their end.
 . regress/e2e/lib.sh
 . regress/stand/platform.sh
-COUNT=64
-
-# Sends orders to 3-1, one each 50 ms, and records how they end.
+# Sends orders to 3-1, one each 50 ms for 3.3 s, and records how they end.
 send_orders() {
-	local i
-	for i in $(seq $COUNT); do
+	local end=$(($(platform_now) + 3300000))
+	while [ "$(platform_now)" -lt $end ]; do
+		sent=$((sent + 1))
 		curl -s -m 12 -o /dev/null -w '%{http_code} %{exitcode}\n' -X POST \
-		    -H 'Host: shop.example' -H "Jacinthdyke-Request-Id: stop.$i" \
+		    -H 'Host: shop.example' -H "Jacinthdyke-Request-Id: stop.$sent" \
 		    "http://127.$FLEET_NET.3.1:8000/mould/2" \
 		    >>"$FLEET_DIR/answers" &
 		sleep 0.05
@@ -29,15 +28,17 @@
 done
 fleet_until 200 platform_served_by 3-1 /mould/1 w || die "not served"
 
+sent=0
 fleet_kill 3-1 TERM
 send_orders
 ran=$(platform_copies_since stop 0)
 whole=$(grep -c '^200 0$' "$FLEET_DIR/answers")
+grep -v '^200 0$' "$FLEET_DIR/answers" | sort | uniq -c >&2
 say "requests that ran without a whole answer: $((ran - whole))"
-[ "$ran" -ge $((COUNT / 2)) ] || say "only $ran of $COUNT ran"
+[ "$ran" -ge 8 ] || say "only $ran of $sent ran"
 # The last ones may find that it takes no connections any more (7).
-say "answered, refused or not taken:" \
-    "$(grep -c '^200 0$\|^503 0$\|^000 7$' "$FLEET_DIR/answers") of $COUNT"
+say "not answered, refused or not taken:" \
+    "$(grep -c -v '^200 0$\|^503 0$\|^000 7$' "$FLEET_DIR/answers")"
 # It ends when nothing is owed, not only at the end of the grace time.
 fleet_until 60 fleet_is_gone 3-1 || die "3-1 does not stop"
 grep -o '"event":"stopped","outcome":"[a-z]*"' "$FLEET_DIR/3-1.log"
