--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -37,8 +37,8 @@
 [ -n "$acked" ] || cannot_run "the leaving was not acknowledged"
 sleep 0.2
 if [ "$TROUBLE" = 1 ]; then
-	control_store down=1
-	note "store down"
+	control_store silent=1
+	note "store silent"
 fi
 down_at=$(now_us)
 sleep 0.2
@@ -51,7 +51,7 @@
 	done
 	note "all nodes started"
 fi
-# The store is down for 4.5 s.
+# The store is down, without an answer, for 4.5 s.
 sleep "$(awk -v s="$down_at" -v n="$(now_us)" \
     'BEGIN { print 4.5 - (n - s) / 1e6 }')"
 # Only the node that has acknowledged the leaving is asked: it is bound also
@@ -62,7 +62,7 @@
 sleep 0.2
 if [ "$TROUBLE" = 1 ]; then
 	note "store back"
-	control_store down=0
+	control_store silent=0
 fi
 wait $clients
 write_record
