--- a/Makefile
+++ b/Makefile
@@ -97,10 +97,13 @@
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
 
 tests: all $(BUILD)/unit $(BUILD)/script $(BUILD)/sim $(BUILD)/jd-stored \
-       $(BUILD)/jd-workerd $(BUILD)/jd-observe
+       $(BUILD)/jd-workerd $(BUILD)/jd-observe $(BUILD)/jd-crowd
 
 TEST_PROGRAM_SRC = regress/stand/stored.c regress/stand/workerd.c \
-                   regress/soak/observe.c
+                   regress/stand/crowd.c regress/soak/observe.c
+$(BUILD)/jd-crowd: $(call obj,regress/stand/crowd.c) $(BASE) $(LIB)
+	@echo "  LD $@"
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 $(BUILD)/jd-observe: $(call obj,regress/soak/observe.c) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
--- a/regress/stand/platform.sh
+++ b/regress/stand/platform.sh
@@ -35,8 +35,13 @@
 	    [listen.outbound]=$ip:8000 [listen.readiness]=$ip:8200
 	    [listen.control]=$ip:8300 [app]=$ip:9000 [service]=$3
 	    [provider.address]=$FLEET_LOG [limits.link_mbps]=1000.0)
+	for field in $PLATFORM_LIMITS; do
+		value[limits.${field%%=*}]=${field#*=}
+	done
 	shift 3
 	text=$(cat deploy/node.json.in)
+	[ -z "$PLATFORM_BODY_BYTES" ] ||
+	    text=${text/'"body_bytes": 67108864'/"\"body_bytes\": $PLATFORM_BODY_BYTES"}
 	text=$(platform_render_section "$text" bounds "$@")
 	for field in "${!value[@]}"; do
 		text=${text//"{{$field}}"/${value[$field]}}
@@ -46,6 +51,10 @@
 	printf '%s\n' "$text" >"$file"
 }
 
+# Limits of a process, NAME=VALUE each; and the largest body, empty: as the
+# template has it.
+PLATFORM_LIMITS="memory_mb=260 max_fds=4100"
+PLATFORM_BODY_BYTES=
 # Bounds of the platform, NAME=VALUE each.
 PLATFORM_BOUNDS="seed_lag_s=3 drain_s=2.5 grace_s=6 lost_s=0.2 retry_ratio=0.2"
 platform_write_settings() { # D I SERVICE
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -16,6 +16,7 @@
  *                           limit
  *       leaving=1           say in the answers that this process leaves
  *   /.../work-MS/...        works for MS milliseconds
+ *   /.../answer-BYTES/...   answers with a body of that many bytes
  *   /.../crash...           crashes once its work is done, and starts again as
  *                           another process after --restart-ms
  *   /.../crash-for-NAME...  does so if NAME is the calling service
@@ -30,7 +31,7 @@
 #include "../../base/base.h"
 
 #define NAME "jd-workerd"
-#define MAX_BODY_BYTES (4U << 20)
+#define MAX_BODY_BYTES (64U << 20)
 #define RESPONSE_TIMEOUT JD_US_PER_S
 
 /* A request that is being executed. */
@@ -229,6 +230,36 @@
     json_decref(js);
 }
 
+/* Returns the number that follows a name in a path, or 0. */
+static uint64_t
+number_in_path(const char *path, const char *name)
+{
+    const char *p = strstr(path, name);
+
+    return p == NULL ? 0 : strtoull(p + strlen(name), NULL, 10);
+}
+
+/* Answers with a body of the length that the path names, if it names one. */
+static bool
+reply_large(h2o_req_t *req)
+{
+    char *path = g_strndup(req->path.base, req->path.len);
+    uint64_t n = number_in_path(path, "/answer-");
+    char *body;
+
+    g_free(path);
+    if (n == 0) {
+        return false;
+    }
+    echo_request_id(req);
+    JdHttpd_AddHeader(req, "jacinthdyke-server-signature", worker.id);
+    add_notices(req);
+    body = g_malloc0(n);
+    JdHttpd_Reply(req, 200, "application/octet-stream", body, n);
+    g_free(body);
+    return true;
+}
+
 /* Returns whether running a request crashes this process. */
 static bool
 crashes_worker(h2o_req_t *req, const char *path)
@@ -300,7 +331,7 @@
         echo_request_id(run->req);
         JdHttpd_Reply(run->req, 500, "text/plain", "failed\n", 7);
     }
-    else if (run->req != NULL) {
+    else if (run->req != NULL && !reply_large(run->req)) {
         reply(run->req);
     }
     end_request(run);
@@ -326,11 +357,9 @@
 static uint64_t
 work_time_of(const char *path)
 {
-    const char *work = strstr(path, "/work-");
-
-    return work == NULL
+    return strstr(path, "/work-") == NULL
                ? worker.work_time
-               : strtoull(work + strlen("/work-"), NULL, 10) * JD_US_PER_MS;
+               : number_in_path(path, "/work-") * JD_US_PER_MS;
 }
 
 static void
