--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 NODE_SRC = $(wildcard node/*.c caller/*.c platform/*.c) log/follow.c log/log.c \
            peer/conn.c peer/link.c peer/forward.c peer/lost.c peer/retry.c \
            peer/request_conn.c peer/response.c peer/bulk.c peer/partial.c \
-           peer/capacity.c peer/pick.c peer/answer.c \
+           peer/capacity.c peer/pick.c peer/answer.c peer/frame_body.c \
+           peer/request.c \
            targets/worker.c targets/health.c targets/departure.c targets/claims.c \
            targets/crash.c targets/suspect.c targets/headers.c targets/notice.c targets/response.c \
            targets/estimate.c targets/room.c operator/admin.c operator/admin_accounts.c \
@@ -91,7 +92,8 @@
 	@bash load/demo.sh
 
 UNIT_SRC = $(wildcard regress/unit/*.c) load/histogram.c node/settings.c \
-           platform/document.c platform/heartbeat.c platform/bounds.c
+           platform/document.c platform/heartbeat.c platform/bounds.c \
+           peer/frame_body.c
 $(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(BASE) $(LIB)
 	@echo "  LD $@"
 	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS) -lcunit
--- /dev/null
+++ b/base/acceptor.c
@@ -0,0 +1,113 @@
+/*
+ * Listeners.  The kernel may buffer little for each of many connections.
+ */
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base.h"
+
+/* Connections that are accepted in one round of the loop. */
+#define ACCEPT_BATCH 64
+/* Bytes that the kernel may buffer in each direction of a connection: a share
+ * of what all connections of a listener may, within bounds. */
+#define KERNEL_BYTES (8U << 20)
+#define MIN_KERNEL_BYTES (8U << 10)
+#define MAX_KERNEL_BYTES (256U << 10)
+
+static void
+on_closed(void *data)
+{
+    JdAcceptor *ac = data;
+
+    ac->open_count--;
+}
+
+/* Limits what the kernel buffers for a connection: the more there are, the
+ * less each gets. */
+static void
+limit_kernel_buffers(const JdAcceptor *ac, int fd)
+{
+    int n = (int)CLAMP(KERNEL_BYTES / (ac->open_count + 1), MIN_KERNEL_BYTES,
+                       MAX_KERNEL_BYTES);
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &n, sizeof(n));
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &n, sizeof(n));
+}
+
+/* Accepts a connection.  Returns false if there is none. */
+static bool
+accept_next(JdAcceptor *ac)
+{
+    h2o_socket_t *sock;
+    int fd;
+
+    fd = accept4(h2o_socket_get_fd(ac->listener), NULL, NULL,
+                 SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+        return errno == ECONNABORTED || errno == EINTR;
+    }
+    if (ac->limits_buffers) {
+        limit_kernel_buffers(ac, fd);
+    }
+    sock = h2o_evloop_socket_create(ac->loop->evloop, fd,
+                                    H2O_SOCKET_FLAG_IS_ACCEPTED_CONNECTION);
+    ac->open_count++;
+    sock->on_close.cb = on_closed;
+    sock->on_close.data = ac;
+    ac->accepted(ac->ctx, sock);
+    return true;
+}
+
+static void
+on_readable(h2o_socket_t *listener, const char *err)
+{
+    JdAcceptor *ac = listener->data;
+
+    if (err != NULL) {
+        return;
+    }
+    for (int i = 0; i < ACCEPT_BATCH; i++) {
+        if (ac->listener == NULL || !accept_next(ac)) {
+            return;
+        }
+    }
+}
+
+/*
+ * Listens on an address.  `accepted` gets each new connection.
+ */
+JdStatus
+JdAcceptor_Init(JdAcceptor *ac, JdLoop *lp, const char *address,
+                const JdAcceptorOps *ops, void *ctx, JdError *err)
+{
+    JdStatus s;
+    int fd;
+
+    memset(ac, 0, sizeof(*ac));
+    ac->loop = lp;
+    ac->accepted = ops->accepted;
+    ac->limits_buffers = ops->limits_buffers;
+    ac->ctx = ctx;
+    s = JdListen(address, &fd, err);
+    if (s != JD_OK) {
+        return s;
+    }
+    ac->listener =
+        h2o_evloop_socket_create(lp->evloop, fd, H2O_SOCKET_FLAG_DONT_READ);
+    ac->listener->data = ac;
+    h2o_socket_read_start(ac->listener, on_readable);
+    return JD_OK;
+}
+
+/* Stops listening; accepted connections stay. */
+void
+JdAcceptor_Finish(JdAcceptor *ac)
+{
+    if (ac->listener == NULL) {
+        return;
+    }
+    h2o_socket_close(ac->listener);
+    ac->listener = NULL;
+}
--- a/base/base.h
+++ b/base/base.h
@@ -51,9 +51,109 @@
 JdStatus JdAddress_Parse(const char *text, struct sockaddr_in *out,
                          JdError *err);
 JdStatus JdListen(const char *address, int *fd, JdError *err);
+void JdSocket_LimitInput(h2o_socket_t *sock, int bytes);
+void JdSocket_TrimInput(h2o_socket_t *sock);
 size_t JdSocket_Unacked(h2o_socket_t *sock);
 uint64_t JdSocket_Acked(h2o_socket_t *sock);
 
+/* Result of JdSocket_Read where nothing was read. */
+typedef enum JdReadEnd {
+    JD_READ_AGAIN = -1,  /* nothing has arrived */
+    JD_READ_CLOSED = -2, /* the other side has ended the connection */
+    JD_READ_RESET = -3,
+} JdReadEnd;
+
+ssize_t JdSocket_Read(h2o_socket_t *sock, void *buf, size_t size);
+
+/* ---- memory.c: room for what is held for others ------------------------- */
+
+/* Bytes that belong together count as large above this size. */
+#define JD_LARGE_BYTES (64U << 10)
+
+/* What room is taken for.  A class finds none once the room that is kept for
+ * the classes above it is reached. */
+typedef enum JdMemoryClass {
+    JD_MEMORY_FIRST,     /* small; nothing else of the same connection waits */
+    JD_MEMORY_FOLLOWING, /* small; behind requests that are not answered */
+    JD_MEMORY_LARGE,     /* bodies and frames above JD_LARGE_BYTES */
+    JD_MEMORY_CLASS_MAX
+} JdMemoryClass;
+
+typedef struct JdMemory {
+    size_t limit; /* bytes */
+    size_t used;
+} JdMemory;
+
+void JdMemory_ConfigureAllocator(void);
+void JdMemory_Init(JdMemory *mm, size_t process_bytes);
+void JdMemory_SetProcessBytes(JdMemory *mm, size_t process_bytes);
+size_t JdMemory_Room(const JdMemory *mm, JdMemoryClass cls);
+size_t JdMemory_ClassLimit(const JdMemory *mm, JdMemoryClass cls);
+JdMemoryClass JdMemory_ClassOf(size_t n);
+bool JdMemory_Take(JdMemory *mm, JdMemoryClass cls, size_t n);
+void JdMemory_TakeAnyway(JdMemory *mm, size_t n);
+void JdMemory_Give(JdMemory *mm, size_t n);
+
+/* ---- body.c: shared bodies of requests and answers ---------------------- */
+
+typedef struct JdBody {
+    unsigned refs;
+    uint8_t *data;
+    size_t len;
+    size_t capacity; /* of the allocation */
+    size_t charged;  /* bytes of room that it has */
+    JdMemory *memory;
+} JdBody;
+
+JdBody *JdBody_New(JdMemory *mm);
+JdBody *JdBody_Own(JdMemory *mm, void *data, size_t len);
+JdBody *JdBody_Ref(JdBody *b);
+void JdBody_Unref(JdBody *b);
+bool JdBody_Reserve(JdBody *b, JdMemoryClass cls, size_t n);
+bool JdBody_Append(JdBody *b, const void *data, size_t n);
+void JdBody_Clear(JdBody *b);
+
+/* ---- output.c: bytes to be written to a socket -------------------------- */
+
+typedef struct JdOutputPiece JdOutputPiece;
+
+typedef struct JdOutput {
+    TAILQ_HEAD(JdOutputPieces, JdOutputPiece) pieces;
+    size_t writing; /* number of pieces in the write under way, 0: none */
+    size_t size;    /* bytes of all pieces */
+    JdMemory *memory;
+} JdOutput;
+
+void JdOutput_Init(JdOutput *out, JdMemory *mm);
+void JdOutput_Finish(JdOutput *out);
+void JdOutput_Append(JdOutput *out, const void *data, size_t n);
+void JdOutput_AppendBody(JdOutput *out, JdBody *b);
+bool JdOutput_Write(JdOutput *out, h2o_socket_t *sock,
+                    h2o_socket_cb on_written);
+void JdOutput_Written(JdOutput *out);
+
+/* ---- acceptor.c: listeners ---------------------------------------------- */
+
+typedef struct JdAcceptorOps {
+    /* Takes ownership of a new connection. */
+    void (*accepted)(void *ctx, h2o_socket_t *sock);
+    /* The kernel buffers little for each of many connections. */
+    bool limits_buffers;
+} JdAcceptorOps;
+
+typedef struct JdAcceptor {
+    JdLoop *loop;
+    h2o_socket_t *listener; /* NULL: stopped */
+    void (*accepted)(void *ctx, h2o_socket_t *sock);
+    bool limits_buffers;
+    void *ctx;
+    size_t open_count;
+} JdAcceptor;
+
+JdStatus JdAcceptor_Init(JdAcceptor *ac, JdLoop *lp, const char *address,
+                         const JdAcceptorOps *ops, void *ctx, JdError *err);
+void JdAcceptor_Finish(JdAcceptor *ac);
+
 /* ---- httpd.c: HTTP server based on h2o --------------------------------- */
 
 /* Handles a request; it may call JdHttpd_Reply before or after it returns. */
@@ -64,7 +164,7 @@
     h2o_globalconf_t config;
     h2o_context_t context;
     h2o_accept_ctx_t accept;
-    h2o_socket_t *listener;
+    JdAcceptor acceptor;
     JdHttpHandler handler;
     void *ctx;
     JdLoop *loop;
@@ -150,11 +250,13 @@
     size_t header_count;
     const char *body;
     size_t body_len;
+    JdBody *content; /* the same; NULL where there is none */
 } JdHttpResponse;
 
 typedef void (*JdHttpCallback)(void *ctx, const JdHttpResponse *resp);
 
-/* A request to send.  JdHttpc_Send copies all of it except `echo_header`. */
+/* A request to send.  JdHttpc_Send copies all of it except `echo_header` and
+ * `content`. */
 typedef struct JdHttpRequest {
     const char *method;
     const char *path;
@@ -162,6 +264,7 @@
     const char *headers; /* complete lines that end in CRLF, or NULL */
     const void *body;
     size_t body_len;
+    JdBody *content;  /* is sent in place of `body`; gets a reference */
     uint64_t timeout; /* us */
     /* Longest time between two reads once the response has begun, in us.
      * 0: the complete response must arrive within `timeout`. */
@@ -201,6 +304,7 @@
     size_t open_count;
     size_t max_response; /* bytes that may arrive for one call */
     size_t max_buffered; /* bytes of all bodies that arrive at a time */
+    JdMemory *memory;    /* room for bodies; NULL: no limit */
     size_t buffered;
     uint64_t max_idle_time; /* us for which an idle connection is kept */
     TAILQ_HEAD(JdHttpIdle, Conn) idle;             /* most recent first */
@@ -242,26 +346,57 @@
     size_t path_len;
     JdHttpHeader header[JD_HTTP_HEADERS_MAX];
     size_t header_count;
-    GByteArray *body;
+    JdBody *body;
     void *user_data; /* for the handler */
 } JdServerRequest;
 
+/* Why a request is not taken. */
+typedef enum JdServerRejection {
+    JD_SERVER_NOT_REJECTED,
+    JD_SERVER_MALFORMED,
+    JD_SERVER_TOO_LARGE,
+    JD_SERVER_NO_ROOM,  /* the process holds too much already */
+    JD_SERVER_TOO_SLOW, /* it has not arrived in time */
+    JD_SERVER_REJECTION_MAX
+} JdServerRejection;
+
+/* What is given up where there is no room. */
+typedef enum JdServerShed {
+    JD_SERVER_SHED_UNFINISHED, /* a request that made no progress */
+    JD_SERVER_SHED_STALLED,    /* responses that their caller does not take */
+    JD_SERVER_SHED_FOLLOWING,  /* requests behind others, not read */
+    JD_SERVER_SHED_MAX
+} JdServerShed;
+
 typedef struct JdServerOps {
     /* Handles a request, with JdServer_Reply before or after it returns. */
     void (*request)(void *ctx, JdServerRequest *rq);
     /* The caller disconnected before JdServer_Reply. */
     void (*disconnected)(void *ctx, JdServerRequest *rq);
+    /* Answers a request that is not taken, before it returns.  The head may be
+     * missing.  NULL: a bare status is sent. */
+    void (*reject)(void *ctx, JdServerRequest *rq, JdServerRejection why);
+    /* Returns for how many us a request, of which only the head has arrived,
+     * is of use to its caller.  NULL: unknown. */
+    uint64_t (*time_limit)(void *ctx, const JdServerRequest *rq);
+    /* Something was given up; may be NULL. */
+    void (*shed)(void *ctx, JdServerShed what);
 } JdServerOps;
 
 typedef struct JdServer {
     JdLoop *loop;
-    h2o_socket_t *listener;
+    JdAcceptor acceptor;
     size_t max_body;
+    JdMemory *memory; /* NULL: no limit */
     /* Closes each connection once its pending requests are answered. */
     bool closes_after_response;
     const JdServerOps *ops;
     void *ctx;
+    /* All connections, the one without input for longest first. */
     TAILQ_HEAD(JdServerConns, JdServerConn) conns;
+    TAILQ_HEAD(JdServerPaused, JdServerConn) paused; /* are not read */
+    JdTimer watch_timer;
+    uint64_t searched_at; /* last search for room */
 } JdServer;
 
 bool JdServer_OwesBytes(const JdServer *sv);
@@ -276,6 +411,9 @@
                                         const char *name);
 void JdServer_Reply(JdServerRequest *rq, int status, const char *headers,
                     const void *body, size_t len);
+void JdServer_ReplyBody(JdServerRequest *rq, int status, const char *headers,
+                        JdBody *body);
+void JdServer_CountShed(JdServer *sv, JdServerShed what);
 
 /* ---- settings.c: settings file ----------------------------------------- */
 
@@ -338,10 +476,11 @@
     JD_EVENT_WORK,    /* work refused or failed at the node of its target */
     JD_EVENT_DRAINING,
     JD_EVENT_STOPPED,
-    JD_EVENT_PAUSED,  /* this process did not run for a while */
-    JD_EVENT_QUOTA,   /* of a shard of client accounts, or of one of them */
-    JD_EVENT_ROLLOUT, /* a step of a roll-out was decided or learned */
-    JD_EVENT_SPREAD,  /* requests begin or cease to leave the failure domain */
+    JD_EVENT_PAUSED,   /* this process did not run for a while */
+    JD_EVENT_QUOTA,    /* of a shard of client accounts, or of one of them */
+    JD_EVENT_ROLLOUT,  /* a step of a roll-out was decided or learned */
+    JD_EVENT_SHORTAGE, /* no room for what comes from outside */
+    JD_EVENT_SPREAD, /* requests begin or cease to leave the failure domain */
     JD_EVENT_FAILED,
     JD_EVENT_MAX
 } JdLogEvent;
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -29,6 +29,8 @@
  * time, unless the user of the client sets other limits. */
 #define MAX_RESPONSE (64U << 20)
 #define MAX_BUFFERED (64U << 20)
+/* Bytes that the kernel buffers of a connection, where room is limited. */
+#define INPUT_BYTES (256 << 10)
 
 /* A connection, which carries one call at a time. */
 typedef struct Conn {
@@ -50,17 +52,19 @@
     JdTimer timer;
     JdHttpCallback callback;
     void *ctx;
-    GByteArray *request;
+    GByteArray *request; /* its head, and a small body */
+    JdBody *content;     /* further body of the request, or NULL */
     const char *echo_header;
     char *echo_value; /* value required in the response, or NULL */
     JdHeaders headers;
     size_t received; /* bytes, of skipped responses as well */
-    GByteArray *body;
+    JdBody *body;
     JdHttpResponse response;
     bool is_waiting;
     bool is_sent;
     bool is_head_request;
     bool is_complete;
+    bool lacks_room; /* there is no room for the response */
 };
 
 static void start_waiting_calls(JdHttpc *hc);
@@ -170,7 +174,8 @@
     }
     hc->buffered -= call->body->len;
     g_byte_array_unref(call->request);
-    g_byte_array_unref(call->body);
+    JdBody_Unref(call->content);
+    JdBody_Unref(call->body);
     JdHeaders_Finish(&call->headers);
     g_free(call->echo_value);
     g_free(call);
@@ -185,6 +190,7 @@
     call->response.result = result;
     call->response.body = (const char *)call->body->data;
     call->response.body_len = call->body->len;
+    call->response.content = call->body;
     call->callback(call->ctx, &call->response);
     free_call(call);
     start_waiting_calls(hc);
@@ -240,7 +246,7 @@
 {
     const JdHttpc *hc = call->httpc;
 
-    return call->received > hc->max_response ||
+    return call->lacks_room || call->received > hc->max_response ||
            hc->buffered > hc->max_buffered;
 }
 
@@ -260,7 +266,7 @@
     memset(&call->response, 0, sizeof(call->response));
     JdHeaders_Reset(&call->headers);
     call->httpc->buffered -= call->body->len;
-    g_byte_array_set_size(call->body, 0);
+    JdBody_Clear(call->body);
     call->is_complete = false;
 }
 
@@ -299,7 +305,10 @@
 {
     JdHttpCall *call = ((Conn *)hp->data)->call;
 
-    g_byte_array_append(call->body, (const guint8 *)data, (guint)n);
+    if (!JdBody_Append(call->body, data, n)) {
+        call->lacks_room = true;
+        return 1;
+    }
     call->httpc->buffered += n;
     return 0;
 }
@@ -437,6 +446,7 @@
                                 cn->sock->input->bytes, cn->sock->input->size);
 
         h2o_buffer_consume(&cn->sock->input, n);
+        JdSocket_TrimInput(cn->sock);
         call->received += n;
         if (is_too_large(call)) {
             close_call_conn(call);
@@ -518,13 +528,18 @@
 write_request(Conn *cn)
 {
     JdHttpCall *call = cn->call;
-    h2o_iovec_t iov = h2o_iovec_init(call->request->data, call->request->len);
+    h2o_iovec_t iov[2] = {
+        h2o_iovec_init(call->request->data, call->request->len)};
+    size_t n = 1;
 
     reset_response(call);
     http_parser_init(&cn->parser, HTTP_RESPONSE);
     cn->parser.data = cn;
     call->is_sent = true;
-    h2o_socket_write(cn->sock, &iov, 1, on_written);
+    if (call->content != NULL && call->content->len > 0) {
+        iov[n++] = h2o_iovec_init(call->content->data, call->content->len);
+    }
+    h2o_socket_write(cn->sock, iov, n, on_written);
 }
 
 static void
@@ -536,6 +551,9 @@
         fail_call(cn->call);
         return;
     }
+    if (cn->httpc->memory != NULL) {
+        JdSocket_LimitInput(sock, INPUT_BYTES);
+    }
     h2o_socket_read_start(sock, on_read);
     write_request(cn);
 }
@@ -656,20 +674,21 @@
 static GByteArray *
 format_request(const JdHttpc *hc, const JdHttpRequest *rq)
 {
-    bool sends_length = rq->body_len > 0 || (strcmp(rq->method, "GET") != 0 &&
-                                             strcmp(rq->method, "HEAD") != 0);
+    size_t len = rq->content != NULL ? rq->content->len : rq->body_len;
+    bool sends_length = len > 0 || (strcmp(rq->method, "GET") != 0 &&
+                                    strcmp(rq->method, "HEAD") != 0);
     GString *head = g_string_new(NULL);
     GByteArray *out = g_byte_array_new();
 
     g_string_printf(head, "%s %s HTTP/1.1\r\nhost: %s\r\n", rq->method,
                     rq->path, rq->host == NULL ? hc->host : rq->host);
     if (sends_length) {
-        g_string_append_printf(head, "content-length: %zu\r\n", rq->body_len);
+        g_string_append_printf(head, "content-length: %zu\r\n", len);
     }
     g_string_append(head, rq->headers == NULL ? "" : rq->headers);
     g_string_append(head, "\r\n");
     g_byte_array_append(out, (guint8 *)head->str, (guint)head->len);
-    if (rq->body_len > 0) {
+    if (rq->content == NULL && rq->body_len > 0) {
         g_byte_array_append(out, rq->body, (guint)rq->body_len);
     }
     g_string_free(head, TRUE);
@@ -691,8 +710,9 @@
     call->ctx = ctx;
     call->is_head_request = strcmp(rq->method, "HEAD") == 0;
     call->request = format_request(hc, rq);
+    call->content = rq->content == NULL ? NULL : JdBody_Ref(rq->content);
     JdHeaders_Init(&call->headers);
-    call->body = g_byte_array_new();
+    call->body = JdBody_New(hc->memory);
     if (rq->echo_value != NULL) {
         call->echo_header = rq->echo_header;
         call->echo_value = g_strdup(rq->echo_value);
--- a/base/httpd.c
+++ b/base/httpd.c
@@ -26,19 +26,15 @@
 }
 
 static void
-on_accept(h2o_socket_t *listener, const char *err)
+on_accepted(void *ctx, h2o_socket_t *sock)
 {
-    JdHttpd *hd = listener->data;
-    h2o_socket_t *sock;
+    JdHttpd *hd = ctx;
 
-    if (err != NULL) {
-        return;
-    }
-    while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
-        h2o_accept(&hd->accept, sock);
-    }
+    h2o_accept(&hd->accept, sock);
 }
 
+static const JdAcceptorOps acceptor_ops = {.accepted = on_accepted};
+
 /*
  * Starts a server on an address.  h2o answers requests with a body above
  * `max_body` bytes with status 413.
@@ -51,10 +47,9 @@
     h2o_pathconf_t *path;
     Handler *h;
     JdStatus s;
-    int fd;
 
     memset(hd, 0, sizeof(*hd));
-    s = JdListen(address, &fd, err);
+    s = JdAcceptor_Init(&hd->acceptor, lp, address, &acceptor_ops, hd, err);
     if (s != JD_OK) {
         return s;
     }
@@ -74,10 +69,6 @@
     h2o_context_init(&hd->context, lp->evloop, &hd->config);
     hd->accept.ctx = &hd->context;
     hd->accept.hosts = hd->config.hosts;
-    hd->listener =
-        h2o_evloop_socket_create(lp->evloop, fd, H2O_SOCKET_FLAG_DONT_READ);
-    hd->listener->data = hd;
-    h2o_socket_read_start(hd->listener, on_accept);
     return JD_OK;
 }
 
@@ -92,9 +83,8 @@
 void
 JdHttpd_StopAccepting(JdHttpd *hd)
 {
-    if (hd->listener != NULL) {
-        h2o_socket_close(hd->listener);
-        hd->listener = NULL;
+    if (hd->acceptor.listener != NULL) {
+        JdAcceptor_Finish(&hd->acceptor);
         JdHttpd_CloseAfterResponse(hd);
     }
 }
--- a/base/loop.c
+++ b/base/loop.c
@@ -247,6 +247,45 @@
     return JD_OK;
 }
 
+/* Reads from a socket that h2o does not read from by itself.  Returns the
+ * number of bytes, at least 1, or a JdReadEnd. */
+ssize_t
+JdSocket_Read(h2o_socket_t *sock, void *buf, size_t size)
+{
+    ssize_t n;
+
+    do {
+        n = read(h2o_socket_get_fd(sock), buf, size);
+    } while (n < 0 && errno == EINTR);
+    if (n > 0) {
+        return n;
+    }
+    if (n == 0) {
+        return JD_READ_CLOSED;
+    }
+    return errno == EAGAIN ? JD_READ_AGAIN : JD_READ_RESET;
+}
+
+/* Limits what the kernel buffers of a connection that is not read, and so what
+ * h2o reads at a time. */
+void
+JdSocket_LimitInput(h2o_socket_t *sock, int bytes)
+{
+    setsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_RCVBUF, &bytes,
+               sizeof(bytes));
+}
+
+/* Frees the empty input buffer of a socket, which keeps the size that it once
+ * had. */
+void
+JdSocket_TrimInput(h2o_socket_t *sock)
+{
+    if (sock->input->size == 0 && sock->input->capacity > JD_LARGE_BYTES) {
+        h2o_buffer_dispose(&sock->input);
+        h2o_buffer_init(&sock->input, &h2o_socket_buffer_prototype);
+    }
+}
+
 /* Returns the number of bytes that were written to a socket and that the other
  * side has not received. */
 size_t
--- a/base/server.c
+++ b/base/server.c
@@ -1,8 +1,7 @@
 /*
  * HTTP/1.1 server for callers.  Pipelined requests are passed to the handler
  * as they arrive, and the responses are sent in the order of the requests.
- * The server keeps reading while requests are pending, so that it notices when
- * a caller disconnects before its requests are answered.
+ * Requests are parsed in server_parse.c; server_room.c finds room for them.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,85 +10,72 @@
 
 #include <glib.h>
 
-#include "base.h"
+#include "server_conn.h"
 
-/* Limit of unanswered requests per connection. */
-#define MAX_PENDING 64
-/* Limit of the target and headers of a request, in bytes. */
-#define MAX_HEAD_BYTES 65536
 /* Idle connections are closed after this time, which is longer than callers
  * keep theirs. */
 #define IDLE_TIMEOUT (75 * JD_US_PER_S)
 /* Time that a caller has to close after the last response was sent. */
 #define LINGER_TIMEOUT JD_US_PER_S
 /* Time in which a caller has to take bytes of a response that it has not
- * received. */
-#define STALL_TIMEOUT (5 * JD_US_PER_S)
-
-typedef enum ConnState {
-    CONN_OPEN,
-    CONN_FLUSHING, /* takes no more requests, sends pending responses */
-    CONN_LINGER,   /* all is sent; waits for the caller to close */
-    CONN_CLOSED,   /* freed in the next round of the loop */
-    CONN_STATE_MAX
-} ConnState;
-
-struct JdServerConn {
-    TAILQ_ENTRY(JdServerConn) link;
-    JdServer *server;
-    h2o_socket_t *sock;
-    http_parser parser;
-    JdServerExchange *partial; /* request being received, or NULL */
-    /* Complete requests in order of arrival. */
-    TAILQ_HEAD(PendingHead, JdServerExchange) pending;
-    unsigned pending_count;
-    ConnState state;
-    h2o_buffer_t *queued;  /* to be written after `sending` */
-    h2o_buffer_t *sending; /* write in progress */
-    bool is_writing;
-    bool owes_tail;  /* lingers, and the caller had not received all then */
-    uint64_t taken;  /* bytes that it had received at the last timeout */
-    bool is_parsing; /* parse_input is running; guards against recursion */
-    JdTimer timer;   /* idle timeout, linger timeout, or free_conn */
+ * received, once the connection lingers. */
+#define LINGER_STALL_TIMEOUT (5 * JD_US_PER_S)
+/* The same before that. */
+#define STALL_TIMEOUT (30 * JD_US_PER_S)
+/* Time for the head of a request, for a whole request, and without any of its
+ * bytes. */
+#define HEAD_TIMEOUT (15 * JD_US_PER_S)
+#define REQUEST_TIMEOUT (60 * JD_US_PER_S)
+#define INPUT_STALL_TIMEOUT (10 * JD_US_PER_S)
+
+/* Status of a rejected request where the handler does not answer it. */
+static const int rejection_status[JD_SERVER_REJECTION_MAX] = {
+    [JD_SERVER_MALFORMED] = 400,
+    [JD_SERVER_TOO_LARGE] = 413,
+    [JD_SERVER_NO_ROOM] = 503,
+    [JD_SERVER_TOO_SLOW] = 408,
 };
 
-/* A request and its response. */
-struct JdServerExchange {
-    TAILQ_ENTRY(JdServerExchange) link;
-    JdServerConn *conn;
-    JdHeaders headers; /* its buffer begins with the request target */
-    size_t url_len;
-    bool is_too_large;
-    bool is_complete;
-    bool keeps_alive;
-    GByteArray *response;    /* headers and body; NULL: not answered yet */
-    JdServerRequest request; /* what the handler sees */
-};
-
-static void send_responses(JdServerConn *cn);
-static void parse_input(JdServerConn *cn);
-
 /* ---- cleanup ----------------------------------------------------------- */
 
-static void
-free_exchange(JdServerExchange *ex)
+void
+JdServerExchange_Free(JdServerExchange *ex)
 {
+    JdMemory_Give(ex->conn->server->memory, ex->charged);
     JdHeaders_Finish(&ex->headers);
-    g_byte_array_unref(ex->request.body);
+    JdBody_Unref(ex->request.body);
+    JdBody_Unref(ex->response_body);
     if (ex->response != NULL) {
         g_byte_array_unref(ex->response);
     }
     g_free(ex);
 }
 
+static void
+drop_input(JdServerConn *cn)
+{
+    if (cn->input != NULL) {
+        JdMemory_Give(cn->server->memory, cn->input->len);
+        g_byte_array_unref(cn->input);
+        cn->input = NULL;
+    }
+}
+
+static void
+drop_partial(JdServerConn *cn)
+{
+    if (cn->partial != NULL) {
+        JdServerExchange_Free(cn->partial);
+        cn->partial = NULL;
+    }
+}
+
 static void
 free_conn(void *ctx)
 {
     JdServerConn *cn = ctx;
 
     TAILQ_REMOVE(&cn->server->conns, cn, link);
-    h2o_buffer_dispose(&cn->queued);
-    h2o_buffer_dispose(&cn->sending);
     g_free(cn);
 }
 
@@ -98,8 +84,8 @@
  * that the caller disconnected.  The memory is freed in the next round of the
  * loop, since functions up the call stack may still use it.
  */
-static void
-close_conn(JdServerConn *cn)
+void
+JdServerConn_Close(JdServerConn *cn)
 {
     JdServer *sv = cn->server;
     JdServerExchange *ex;
@@ -108,24 +94,26 @@
         return;
     }
     cn->state = CONN_CLOSED;
+    JdServerRoom_Unwatch(cn);
     h2o_socket_close(cn->sock);
     cn->sock = NULL;
-    if (cn->partial != NULL) {
-        free_exchange(cn->partial);
-        cn->partial = NULL;
-    }
+    JdOutput_Finish(&cn->output);
+    drop_partial(cn);
+    drop_input(cn);
     while ((ex = TAILQ_FIRST(&cn->pending)) != NULL) {
         TAILQ_REMOVE(&cn->pending, ex, link);
         if (ex->response == NULL) {
             sv->ops->disconnected(sv->ctx, &ex->request);
         }
-        free_exchange(ex);
+        JdServerExchange_Free(ex);
     }
     cn->pending_count = 0;
     cn->timer.fire = free_conn;
     JdTimer_Arm(&sv->loop->clock, &cn->timer, 0);
 }
 
+/* ---- time limits ------------------------------------------------------- */
+
 /* Returns whether bytes of responses are still on their way to the caller. */
 static bool
 owes_bytes(const JdServerConn *cn)
@@ -136,8 +124,8 @@
     case CONN_LINGER:
         return cn->owes_tail && JdSocket_Unacked(cn->sock) > 0;
     default:
-        return cn->pending_count > 0 || cn->queued->size > 0 ||
-               cn->is_writing || JdSocket_Unacked(cn->sock) > 0;
+        return cn->pending_count > 0 || cn->output.size > 0 ||
+               JdSocket_Unacked(cn->sock) > 0;
     }
 }
 
@@ -148,23 +136,119 @@
     uint64_t taken = JdSocket_Acked(cn->sock);
     bool has_taken = taken != cn->taken;
 
-    cn->taken = taken;
+    if (has_taken) {
+        cn->taken = taken;
+        cn->taken_at = JdClock_Now(&cn->server->loop->clock);
+    }
     return has_taken;
 }
 
-/* Closes the connection, unless a request waits for its response or the caller
- * is still receiving one. */
+/* Returns the time at which a request that is being received is given up. */
+static uint64_t
+partial_due(const JdServerConn *cn)
+{
+    uint64_t began_at = cn->partial->began_at;
+    uint64_t stalled_at = cn->read_at + INPUT_STALL_TIMEOUT;
+
+    if (!cn->partial->has_head) {
+        return began_at + HEAD_TIMEOUT;
+    }
+    return MIN(began_at + REQUEST_TIMEOUT, stalled_at);
+}
+
+/* Returns the time at which the limits of a connection are checked next. */
+static uint64_t
+next_due(const JdServerConn *cn)
+{
+    uint64_t due = cn->read_at + IDLE_TIMEOUT;
+    uint64_t now = JdClock_Now(&cn->server->loop->clock);
+
+    if (due <= now) {
+        due = now + IDLE_TIMEOUT;
+    }
+    if (cn->output.size > 0 && cn->taken_at + STALL_TIMEOUT < due) {
+        due = cn->taken_at + STALL_TIMEOUT;
+    }
+    if (cn->partial != NULL && partial_due(cn) < due) {
+        due = partial_due(cn);
+    }
+    return due;
+}
+
+/* Arms the timer if a limit comes sooner than what it is armed for. */
+void
+JdServerConn_ArmTimer(JdServerConn *cn)
+{
+    uint64_t now = JdClock_Now(&cn->server->loop->clock);
+    uint64_t due;
+
+    if (cn->state == CONN_CLOSED || cn->state == CONN_LINGER) {
+        return;
+    }
+    due = next_due(cn);
+    if (cn->due > now && cn->due <= due) {
+        return;
+    }
+    cn->due = due;
+    JdTimer_Arm(&cn->server->loop->clock, &cn->timer,
+                due > now ? due - now : 0);
+}
+
+/* The caller closes, or still receives, or is given up. */
+static void
+check_linger(JdServerConn *cn)
+{
+    if (owes_bytes(cn) && has_taken_bytes(cn)) {
+        JdTimer_Arm(&cn->server->loop->clock, &cn->timer,
+                    LINGER_STALL_TIMEOUT);
+        return;
+    }
+    JdServerConn_Close(cn);
+}
+
+/* Returns whether a connection that carries no request is to be closed. */
+static bool
+is_idle_too_long(JdServerConn *cn, uint64_t now)
+{
+    if (cn->pending_count > 0 || cn->output.size > 0 || cn->partial != NULL ||
+        now - cn->read_at < IDLE_TIMEOUT) {
+        return false;
+    }
+    return !owes_bytes(cn) || !has_taken_bytes(cn);
+}
+
+/* Returns whether the caller has not taken a byte of its responses for long.
+ */
+static bool
+is_stalled(JdServerConn *cn, uint64_t now)
+{
+    return cn->output.size > 0 && !has_taken_bytes(cn) &&
+           now - cn->taken_at >= STALL_TIMEOUT;
+}
+
 static void
 on_timeout(void *ctx)
 {
     JdServerConn *cn = ctx;
-    uint64_t timeout = cn->state == CONN_LINGER ? STALL_TIMEOUT : IDLE_TIMEOUT;
+    JdServer *sv = cn->server;
+    uint64_t now = JdClock_Now(&sv->loop->clock);
 
-    if (cn->pending_count > 0 || (owes_bytes(cn) && has_taken_bytes(cn))) {
-        JdTimer_Arm(&cn->server->loop->clock, &cn->timer, timeout);
+    cn->due = 0;
+    if (cn->state == CONN_LINGER) {
+        check_linger(cn);
         return;
     }
-    close_conn(cn);
+    if (cn->partial != NULL && now >= partial_due(cn)) {
+        JdServerConn_Reject(cn, JD_SERVER_TOO_SLOW);
+    }
+    else if (is_stalled(cn, now)) {
+        JdServer_CountShed(sv, JD_SERVER_SHED_STALLED);
+        JdServerConn_Close(cn);
+    }
+    else if (is_idle_too_long(cn, now)) {
+        JdServerConn_Close(cn);
+    }
+    JdServerConn_ArmTimer(cn);
 }
 
 /* ---- responses --------------------------------------------------------- */
@@ -181,6 +265,7 @@
     cn->state = CONN_LINGER;
     shutdown(h2o_socket_get_fd(cn->sock), SHUT_WR);
     JdTimer_Arm(&cn->server->loop->clock, &cn->timer, LINGER_TIMEOUT);
+    JdServerConn_UpdateReading(cn);
 }
 
 static void
@@ -188,61 +273,51 @@
 {
     JdServerConn *cn = sock->data;
 
-    cn->is_writing = false;
-    h2o_buffer_consume(&cn->sending, cn->sending->size);
+    JdOutput_Written(&cn->output);
     if (err != NULL) {
-        close_conn(cn);
+        JdServerConn_Close(cn);
         return;
     }
-    send_responses(cn);
+    cn->taken_at = JdClock_Now(&cn->server->loop->clock);
+    JdServerConn_SendResponses(cn);
+    JdServerConn_Resume(cn);
 }
 
+/* Moves the responses up to the first request that is not answered yet to the
+ * output. */
 static void
-start_write(JdServerConn *cn)
-{
-    h2o_buffer_t *b = cn->sending;
-    h2o_iovec_t iov;
-
-    cn->sending = cn->queued;
-    cn->queued = b;
-    iov = h2o_iovec_init(cn->sending->bytes, cn->sending->size);
-    cn->is_writing = true;
-    h2o_socket_write(cn->sock, &iov, 1, on_written);
-}
-
-static void
-queue_output(JdServerConn *cn, const void *data, size_t n)
-{
-    h2o_iovec_t room = h2o_buffer_reserve(&cn->queued, n);
-
-    memcpy(room.base, data, n);
-    cn->queued->size += n;
-}
-
-/* Sends responses up to the first request that is not answered yet. */
-static void
-send_responses(JdServerConn *cn)
+collect_responses(JdServerConn *cn)
 {
     JdServerExchange *ex;
 
-    if (cn->state == CONN_CLOSED || cn->state == CONN_LINGER) {
-        return;
-    }
     while ((ex = TAILQ_FIRST(&cn->pending)) != NULL && ex->response != NULL) {
-        queue_output(cn, ex->response->data, ex->response->len);
+        if (cn->output.size == 0) {
+            cn->taken_at = JdClock_Now(&cn->server->loop->clock);
+        }
+        JdOutput_Append(&cn->output, ex->response->data, ex->response->len);
+        if (ex->response_body != NULL) {
+            JdOutput_AppendBody(&cn->output, ex->response_body);
+        }
         TAILQ_REMOVE(&cn->pending, ex, link);
         cn->pending_count--;
-        free_exchange(ex);
+        JdServerExchange_Free(ex);
     }
-    if (cn->is_writing) {
+}
+
+/* Sends responses up to the first request that is not answered yet. */
+void
+JdServerConn_SendResponses(JdServerConn *cn)
+{
+    if (cn->state == CONN_CLOSED || cn->state == CONN_LINGER) {
         return;
     }
-    if (cn->queued->size > 0) {
-        start_write(cn);
-    }
-    else if (cn->state == CONN_FLUSHING && cn->pending_count == 0) {
+    collect_responses(cn);
+    if (!JdOutput_Write(&cn->output, cn->sock, on_written) &&
+        cn->state == CONN_FLUSHING && cn->pending_count == 0) {
         start_linger(cn);
+        return;
     }
+    JdServerConn_ArmTimer(cn);
 }
 
 static const char *
@@ -261,17 +336,15 @@
 
 /* Takes no more requests.  The connection closes once the pending ones are
  * answered. */
-static void
-stop_taking_requests(JdServerConn *cn)
+void
+JdServerConn_StopTakingRequests(JdServerConn *cn)
 {
     if (cn->state != CONN_OPEN) {
         return;
     }
     cn->state = CONN_FLUSHING;
-    if (cn->partial != NULL) {
-        free_exchange(cn->partial);
-        cn->partial = NULL;
-    }
+    drop_partial(cn);
+    drop_input(cn);
 }
 
 /* Returns whether no response follows this one on its connection. */
@@ -281,169 +354,57 @@
     return ex->conn->state == CONN_FLUSHING && TAILQ_NEXT(ex, link) == NULL;
 }
 
+static JdServerExchange *
+exchange_of(JdServerRequest *rq)
+{
+    return (JdServerExchange *)((char *)rq -
+                                offsetof(JdServerExchange, request));
+}
+
 /*
- * Answers a request.  `headers` is NULL or complete lines that end in CRLF.
- * The handler must not use the request afterwards.
+ * Answers a request.  `headers` is NULL or complete lines that end in CRLF;
+ * `body` is NULL, or gets a reference.  The handler must not use the request
+ * afterwards.
  */
 void
-JdServer_Reply(JdServerRequest *rq, int status, const char *headers,
-               const void *body, size_t len)
+JdServer_ReplyBody(JdServerRequest *rq, int status, const char *headers,
+                   JdBody *body)
 {
-    JdServerExchange *ex =
-        (JdServerExchange *)((char *)rq - offsetof(JdServerExchange, request));
+    JdServerExchange *ex = exchange_of(rq);
     JdServerConn *cn = ex->conn;
+    size_t len = body == NULL ? 0 : body->len;
     GString *head = g_string_new(NULL);
 
     if (cn->server->closes_after_response) {
-        stop_taking_requests(cn);
+        JdServerConn_StopTakingRequests(cn);
     }
     g_string_printf(head, "HTTP/1.1 %d %s\r\n%scontent-length: %zu\r\n%s\r\n",
                     status, reason_phrase(status),
                     is_last_response(ex) ? "connection: close\r\n" : "", len,
                     headers == NULL ? "" : headers);
-    ex->response = g_byte_array_sized_new((guint)(head->len + len));
+    ex->response = g_byte_array_sized_new((guint)head->len);
     g_byte_array_append(ex->response, (guint8 *)head->str, (guint)head->len);
     if (len > 0 && strcmp(rq->method, "HEAD") != 0) {
-        g_byte_array_append(ex->response, body, (guint)len);
+        ex->response_body = JdBody_Ref(body);
     }
     g_string_free(head, TRUE);
-    send_responses(cn);
-    parse_input(cn);
+    JdServerConn_SendResponses(cn);
+    JdServerConn_Resume(cn);
 }
 
-/* ---- requests ---------------------------------------------------------- */
-
-static JdServerExchange *
-partial_exchange(http_parser *hp)
-{
-    return ((JdServerConn *)hp->data)->partial;
-}
-
-static JdServerExchange *
-start_exchange(JdServerConn *cn)
-{
-    JdServerExchange *ex = g_new0(JdServerExchange, 1);
-
-    ex->conn = cn;
-    JdHeaders_Init(&ex->headers);
-    ex->request.body = g_byte_array_new();
-    cn->partial = ex;
-    return ex;
-}
-
-static int
-begin_message(http_parser *hp)
-{
-    start_exchange(hp->data);
-    return 0;
-}
-
-/* Returns whether the target and headers may grow by `n` bytes; marks the
- * request as too large if not. */
-static bool
-check_head_size(JdServerExchange *ex, size_t n)
-{
-    if (ex->headers.buffer->len + n > MAX_HEAD_BYTES) {
-        ex->is_too_large = true;
-    }
-    return !ex->is_too_large;
-}
-
-static int
-on_url(http_parser *hp, const char *data, size_t n)
-{
-    JdServerExchange *ex = partial_exchange(hp);
-
-    if (!check_head_size(ex, n)) {
-        return 1;
-    }
-    ex->url_len += n;
-    g_byte_array_append(ex->headers.buffer, (const guint8 *)data, (guint)n);
-    return 0;
-}
-
-static int
-append_header_name(http_parser *hp, const char *data, size_t n)
-{
-    JdServerExchange *ex = partial_exchange(hp);
-
-    if (!check_head_size(ex, n) ||
-        !JdHeaders_AppendName(&ex->headers, data, n)) {
-        ex->is_too_large = true;
-        return 1;
-    }
-    return 0;
-}
-
-static int
-append_header_value(http_parser *hp, const char *data, size_t n)
-{
-    JdServerExchange *ex = partial_exchange(hp);
-
-    if (!check_head_size(ex, n)) {
-        return 1;
-    }
-    JdHeaders_AppendValue(&ex->headers, data, n);
-    return 0;
-}
-
-/* Sets the pointers into the header buffer, which no longer changes. */
-static int
-finish_headers(http_parser *hp)
-{
-    JdServerExchange *ex = partial_exchange(hp);
-    const JdHttpHeader *h;
-
-    ex->request.method = http_method_str((enum http_method)hp->method);
-    ex->request.path = (const char *)ex->headers.buffer->data;
-    ex->request.path_len = ex->url_len;
-    ex->request.header_count =
-        JdHeaders_Complete(&ex->headers, ex->request.header);
-    h = JdServer_FindHeader(&ex->request, "expect");
-    if (h != NULL && ex->conn->pending_count == 0) {
-        static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
-
-        queue_output(ex->conn, text, sizeof(text) - 1);
-        send_responses(ex->conn);
-    }
-    return 0;
-}
-
-static int
-on_body(http_parser *hp, const char *data, size_t n)
-{
-    JdServerExchange *ex = partial_exchange(hp);
-
-    if (ex->request.body->len + n > ex->conn->server->max_body) {
-        ex->is_too_large = true;
-        return 1;
-    }
-    g_byte_array_append(ex->request.body, (const guint8 *)data, (guint)n);
-    return 0;
-}
-
-static int
-finish_message(http_parser *hp)
+/* Answers a request with a copy of a body, which is small. */
+void
+JdServer_Reply(JdServerRequest *rq, int status, const char *headers,
+               const void *body, size_t len)
 {
-    JdServerExchange *ex = partial_exchange(hp);
+    JdBody *b = JdBody_Own(exchange_of(rq)->conn->server->memory,
+                           g_memdup2(body, len), len);
 
-    ex->keeps_alive = http_should_keep_alive(hp) != 0;
-    ex->is_complete = true;
-    /* parse_input dispatches it, since the handler may reply at once and the
-     * parser must not be reentered. */
-    http_parser_pause(hp, 1);
-    return 0;
+    JdServer_ReplyBody(rq, status, headers, b);
+    JdBody_Unref(b);
 }
 
-static const http_parser_settings parser_settings = {
-    .on_message_begin = begin_message,
-    .on_url = on_url,
-    .on_header_field = append_header_name,
-    .on_header_value = append_header_value,
-    .on_headers_complete = finish_headers,
-    .on_body = on_body,
-    .on_message_complete = finish_message,
-};
+/* ---- requests ---------------------------------------------------------- */
 
 /* Returns the first header of that name in a request, or NULL. */
 const JdHttpHeader *
@@ -467,126 +428,66 @@
            from.sin_addr.s_addr == address->sin_addr.s_addr;
 }
 
-static void
-enqueue(JdServerConn *cn, JdServerExchange *ex)
-{
-    cn->partial = NULL;
-    TAILQ_INSERT_TAIL(&cn->pending, ex, link);
-    cn->pending_count++;
-}
-
-static void
-dispatch_request(JdServerConn *cn)
+/* Answers a request that is not taken, and ends its connection after the
+ * responses before it.  What has arrived of its body is dropped. */
+void
+JdServerConn_Reject(JdServerConn *cn, JdServerRejection why)
 {
     JdServer *sv = cn->server;
     JdServerExchange *ex = cn->partial;
 
-    enqueue(cn, ex);
-    if (!ex->keeps_alive) {
-        stop_taking_requests(cn);
-    }
-    sv->ops->request(sv->ctx, &ex->request);
-}
-
-/* Answers a malformed or too large request with 400 or 413 and ends the
- * connection after the responses before it. */
-static void
-reject_unparsable(JdServerConn *cn)
-{
-    JdServerExchange *ex = cn->partial;
-
     if (ex == NULL) {
-        ex = start_exchange(cn);
+        ex = JdServerConn_StartExchange(cn);
     }
     if (ex->request.method == NULL) {
         ex->request.method = "";
     }
-    enqueue(cn, ex);
-    stop_taking_requests(cn);
-    JdServer_Reply(&ex->request, ex->is_too_large ? 413 : 400, NULL, NULL, 0);
-}
-
-static void
-parse_input(JdServerConn *cn)
-{
-    if (cn->is_parsing) {
+    JdBody_Clear(ex->request.body);
+    cn->partial = NULL;
+    TAILQ_INSERT_TAIL(&cn->pending, ex, link);
+    cn->pending_count++;
+    JdServerConn_StopTakingRequests(cn);
+    if (sv->ops->reject != NULL) {
+        sv->ops->reject(sv->ctx, &ex->request, why);
         return;
     }
-    cn->is_parsing = true;
-    while (cn->state == CONN_OPEN && cn->sock->input->size > 0 &&
-           cn->pending_count < MAX_PENDING) {
-        size_t n =
-            http_parser_execute(&cn->parser, &parser_settings,
-                                cn->sock->input->bytes, cn->sock->input->size);
-
-        h2o_buffer_consume(&cn->sock->input, n);
-        if (cn->partial != NULL && cn->partial->is_complete) {
-            http_parser_pause(&cn->parser, 0);
-            dispatch_request(cn);
-        }
-        else if (HTTP_PARSER_ERRNO(&cn->parser) != HPE_OK) {
-            reject_unparsable(cn);
-        }
-    }
-    cn->is_parsing = false;
+    JdServer_Reply(&ex->request, rejection_status[why], NULL, NULL, 0);
 }
 
-static void
-on_read(h2o_socket_t *sock, const char *err)
-{
-    JdServerConn *cn = sock->data;
+/* ---- server ------------------------------------------------------------ */
 
-    if (err != NULL) {
-        /* A caller that closes only its sending side counts as disconnected
-         * too. */
-        close_conn(cn);
-        return;
-    }
-    if (cn->state != CONN_OPEN) {
-        /* Discarded: the connection closes after the pending responses. */
-        h2o_buffer_consume(&sock->input, sock->input->size);
-        return;
-    }
-    if (cn->pending_count == 0) {
-        JdTimer_Arm(&cn->server->loop->clock, &cn->timer, IDLE_TIMEOUT);
+/* Reports that a connection was closed, or takes no more requests. */
+void
+JdServer_CountShed(JdServer *sv, JdServerShed what)
+{
+    if (sv->ops->shed != NULL) {
+        sv->ops->shed(sv->ctx, what);
     }
-    parse_input(cn);
 }
 
-/* ---- server ------------------------------------------------------------ */
-
 static void
-add_conn(JdServer *sv, h2o_socket_t *sock)
+add_conn(void *ctx, h2o_socket_t *sock)
 {
+    JdServer *sv = ctx;
     JdServerConn *cn = g_new0(JdServerConn, 1);
 
     cn->server = sv;
     cn->sock = sock;
     sock->data = cn;
+    cn->read_at = JdClock_Now(&sv->loop->clock);
     TAILQ_INIT(&cn->pending);
-    h2o_buffer_init(&cn->queued, &h2o_socket_buffer_prototype);
-    h2o_buffer_init(&cn->sending, &h2o_socket_buffer_prototype);
-    http_parser_init(&cn->parser, HTTP_REQUEST);
-    cn->parser.data = cn;
+    JdOutput_Init(&cn->output, sv->memory);
+    JdServerConn_InitParser(cn);
     JdTimer_Init(&cn->timer, on_timeout, cn);
-    JdTimer_Arm(&sv->loop->clock, &cn->timer, IDLE_TIMEOUT);
     TAILQ_INSERT_TAIL(&sv->conns, cn, link);
-    h2o_socket_read_start(sock, on_read);
+    JdServerConn_ArmTimer(cn);
+    JdServerConn_StartReading(cn);
 }
 
-static void
-on_accept(h2o_socket_t *listener, const char *err)
-{
-    JdServer *sv = listener->data;
-    h2o_socket_t *sock;
-
-    if (err != NULL) {
-        return;
-    }
-    while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
-        add_conn(sv, sock);
-    }
-}
+static const JdAcceptorOps acceptor_ops = {
+    .accepted = add_conn,
+    .limits_buffers = true,
+};
 
 /* Starts a server on an address.  Requests with a body above `max_body` bytes
  * are answered with 413. */
@@ -594,24 +495,14 @@
 JdServer_Init(JdServer *sv, JdLoop *lp, const char *address, size_t max_body,
               const JdServerOps *ops, void *ctx, JdError *err)
 {
-    JdStatus s;
-    int fd;
-
     memset(sv, 0, sizeof(*sv));
     TAILQ_INIT(&sv->conns);
     sv->loop = lp;
     sv->max_body = max_body;
     sv->ops = ops;
     sv->ctx = ctx;
-    s = JdListen(address, &fd, err);
-    if (s != JD_OK) {
-        return s;
-    }
-    sv->listener =
-        h2o_evloop_socket_create(lp->evloop, fd, H2O_SOCKET_FLAG_DONT_READ);
-    sv->listener->data = sv;
-    h2o_socket_read_start(sv->listener, on_accept);
-    return JD_OK;
+    JdServerRoom_Init(sv);
+    return JdAcceptor_Init(&sv->acceptor, lp, address, &acceptor_ops, sv, err);
 }
 
 /* Makes each connection take no more requests from its next response on and
@@ -629,16 +520,15 @@
 {
     JdServerConn *cn, *next;
 
-    if (sv->listener == NULL) {
+    if (sv->acceptor.listener == NULL) {
         return;
     }
-    h2o_socket_close(sv->listener);
-    sv->listener = NULL;
+    JdAcceptor_Finish(&sv->acceptor);
     sv->closes_after_response = true;
     for (cn = TAILQ_FIRST(&sv->conns); cn != NULL; cn = next) {
         next = TAILQ_NEXT(cn, link);
-        stop_taking_requests(cn);
-        send_responses(cn);
+        JdServerConn_StopTakingRequests(cn);
+        JdServerConn_SendResponses(cn);
     }
 }
 
--- /dev/null
+++ b/base/server_room.c
@@ -0,0 +1,188 @@
+/*
+ * Room for the requests of callers.  Where memory is short, a request or
+ * response is given up that has made no progress for a while.  What makes
+ * progress stays, and what is new is refused.
+ */
+#include <poll.h>
+#include <string.h>
+
+#include "server_conn.h"
+
+/* Interval at which connections that are not read are checked. */
+#define WATCH_INTERVAL (50 * JD_US_PER_MS)
+/* Time without progress after which a request that is being received, or a
+ * response, is given up where there is no room. */
+#define INPUT_PATIENCE (500 * JD_US_PER_MS)
+#define OUTPUT_PATIENCE (2 * JD_US_PER_S)
+/* Shortest time between two searches for room in memory. */
+#define SEARCH_INTERVAL (20 * JD_US_PER_MS)
+
+/* ---- connections that are not read -------------------------------------- */
+
+/* Closes the connections that are not read and that their callers have
+ * closed. */
+static void
+on_watch(void *ctx)
+{
+    JdServer *sv = ctx;
+    JdServerConn *cn, *next;
+
+    for (cn = TAILQ_FIRST(&sv->paused); cn != NULL; cn = next) {
+        struct pollfd pfd = {.events = POLLRDHUP};
+
+        next = TAILQ_NEXT(cn, paused_link);
+        pfd.fd = h2o_socket_get_fd(cn->sock);
+        if (poll(&pfd, 1, 0) > 0 && JdHttpd_HasDisconnected(&pfd)) {
+            JdServerConn_Close(cn);
+            /* Its handlers may have answered others, which are read again. */
+            next = TAILQ_FIRST(&sv->paused);
+        }
+    }
+    if (!TAILQ_EMPTY(&sv->paused)) {
+        JdTimer_Arm(&sv->loop->clock, &sv->watch_timer, WATCH_INTERVAL);
+    }
+}
+
+void
+JdServerRoom_Watch(JdServerConn *cn)
+{
+    JdServer *sv = cn->server;
+
+    if (TAILQ_EMPTY(&sv->paused)) {
+        JdTimer_Arm(&sv->loop->clock, &sv->watch_timer, WATCH_INTERVAL);
+    }
+    TAILQ_INSERT_TAIL(&sv->paused, cn, paused_link);
+}
+
+/* Ends the watch of a connection, if there is one. */
+void
+JdServerRoom_Unwatch(JdServerConn *cn)
+{
+    JdServer *sv = cn->server;
+
+    if (cn->paused_link.tqe_prev == NULL) {
+        return;
+    }
+    TAILQ_REMOVE(&sv->paused, cn, paused_link);
+    memset(&cn->paused_link, 0, sizeof(cn->paused_link));
+    if (TAILQ_EMPTY(&sv->paused)) {
+        JdTimer_Cancel(&sv->loop->clock, &sv->watch_timer);
+    }
+}
+
+void
+JdServerRoom_Init(JdServer *sv)
+{
+    TAILQ_INIT(&sv->paused);
+    JdTimer_Init(&sv->watch_timer, on_watch, sv);
+}
+
+/* Returns whether a request has been received partly and nothing more comes.
+ */
+static bool
+is_input_stalled(const JdServerConn *cn, uint64_t now)
+{
+    return cn->state == CONN_OPEN && cn->partial != NULL &&
+           cn->pending_count == 0 && now - cn->read_at >= INPUT_PATIENCE;
+}
+
+/* Returns whether the caller takes nothing of its responses. */
+static bool
+is_output_stalled(JdServerConn *cn, uint64_t now)
+{
+    uint64_t taken;
+
+    if (cn->state == CONN_CLOSED || cn->output.size == 0 ||
+        now - cn->taken_at < OUTPUT_PATIENCE) {
+        return false;
+    }
+    taken = JdSocket_Acked(cn->sock);
+    if (taken != cn->taken) {
+        cn->taken = taken;
+        cn->taken_at = now;
+        return false;
+    }
+    return true;
+}
+
+/* Gives up what makes no progress, until there is room.  Returns whether there
+ * is. */
+static bool
+give_up_stalled(JdServer *sv, JdMemoryClass cls, size_t n)
+{
+    uint64_t now = JdClock_Now(&sv->loop->clock);
+    JdServerConn *cn, *next;
+
+    if (now - sv->searched_at < SEARCH_INTERVAL) {
+        return false;
+    }
+    sv->searched_at = now;
+    for (cn = TAILQ_FIRST(&sv->conns);
+         cn != NULL && JdMemory_Room(sv->memory, cls) < n; cn = next) {
+        next = TAILQ_NEXT(cn, link);
+        if (cn->is_parsing) {
+            continue;
+        }
+        if (is_input_stalled(cn, now)) {
+            JdServer_CountShed(sv, JD_SERVER_SHED_UNFINISHED);
+            JdServerConn_Reject(cn, JD_SERVER_TOO_SLOW);
+        }
+        else if (is_output_stalled(cn, now)) {
+            JdServer_CountShed(sv, JD_SERVER_SHED_STALLED);
+            JdServerConn_Close(cn);
+        }
+    }
+    return JdMemory_Room(sv->memory, cls) >= n;
+}
+
+/* Takes room for a small part of a request, or returns false. */
+bool
+JdServerRoom_Take(JdServer *sv, JdMemoryClass cls, size_t n)
+{
+    if (JdMemory_Take(sv->memory, cls, n)) {
+        return true;
+    }
+    return give_up_stalled(sv, cls, n) && JdMemory_Take(sv->memory, cls, n);
+}
+
+/* Gives up the large bodies that come too late to be of use to their callers.
+ */
+static void
+give_up_useless(JdServer *sv, const JdServerExchange *wanted)
+{
+    uint64_t now = JdClock_Now(&sv->loop->clock);
+    JdServerConn *cn, *next;
+
+    for (cn = TAILQ_FIRST(&sv->conns); cn != NULL; cn = next) {
+        next = TAILQ_NEXT(cn, link);
+        if (cn->partial != NULL && cn->partial != wanted &&
+            cn->partial->request.body->charged > JD_LARGE_BYTES &&
+            cn->partial->useful_until != 0 &&
+            now > cn->partial->useful_until) {
+            JdServer_CountShed(sv, JD_SERVER_SHED_UNFINISHED);
+            JdServerConn_Reject(cn, JD_SERVER_TOO_SLOW);
+        }
+    }
+}
+
+/* Takes room for a body of `n` bytes, or returns false. */
+bool
+JdServerRoom_ReserveBody(JdServer *sv, JdServerExchange *ex, size_t n)
+{
+    JdBody *b = ex->request.body;
+    JdMemoryClass cls = JdMemory_ClassOf(n);
+
+    if (cls == JD_MEMORY_FIRST && ex->conn->pending_count > 0) {
+        cls = JD_MEMORY_FOLLOWING;
+    }
+    if (JdBody_Reserve(b, cls, n)) {
+        return true;
+    }
+    if (cls == JD_MEMORY_LARGE) {
+        give_up_useless(sv, ex);
+    }
+    else {
+        give_up_stalled(sv, cls, n);
+    }
+    return JdBody_Reserve(b, cls, n);
+}
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -80,8 +80,6 @@
     msg->caller_service = (char *)call->node->settings.service;
     msg->idempotent = JdRoute_IsIdempotent(&call->route, req->method);
     msg->route = (char *)call->route.name;
-    msg->body.data = req->body->data;
-    msg->body.len = req->body->len;
     msg->priority = call->route.priority;
     msg->key = (char *)parsed->key;
     msg->once = JdRoute_NeedsKey(&call->route, req->method);
@@ -93,8 +91,8 @@
     msg->config_version = call->config->version;
 }
 
-/* Copies a caller's request into a message that owns all its memory, by
- * packing and unpacking one that points into the request. */
+/* Copies a caller's request into a message that owns all its memory but the
+ * body. */
 static Jd__Request *
 copy_request(const JdCall *call, const JdServerRequest *req,
              const ParsedRequest *parsed)
@@ -105,8 +103,6 @@
     Jd__Request msg = JD__REQUEST__INIT;
     GStringChunk *strings = g_string_chunk_new(1024);
     Jd__Request *copy;
-    uint8_t *buf;
-    size_t n;
 
     describe_request(call, req, parsed, &msg);
     msg.path =
@@ -130,11 +126,7 @@
         msg.host = g_string_chunk_insert_len(strings, host->value,
                                              (gssize)host->value_len);
     }
-    n = jd__request__get_packed_size(&msg);
-    buf = g_malloc(n);
-    jd__request__pack(&msg, buf);
-    copy = jd__request__unpack(NULL, n, buf);
-    g_free(buf);
+    copy = JdRequest_Copy(&msg, call->body);
     g_string_chunk_free(strings);
     return copy;
 }
@@ -344,6 +336,7 @@
     call->arrived_at = arrived_at;
     call->deadline = arrived_at + parsed->timeout;
     call->has_token = parsed->account.rate > 0;
+    call->body = JdBody_Ref(req->body);
     call->msg = copy_request(call, req, parsed);
     req->user_data = call;
     JdForward_Begin(call);
@@ -451,6 +444,37 @@
     return true;
 }
 
+/* Returns for how many us a request, of which the head has arrived, is of use
+ * to its caller. */
+uint64_t
+JdIntake_TimeLimit(JdNode *nd, const JdServerRequest *req)
+{
+    JdRoute route;
+    uint64_t timeout = ASSUMED_TIMEOUT;
+
+    if (nd->store.config != NULL && find_route(nd, req, &route)) {
+        timeout = route.timeout;
+    }
+    parse_timeout(nd->dialect, req, &timeout);
+    return timeout;
+}
+
+/* Refuses a request that has not arrived as a whole. */
+void
+JdIntake_Reject(JdNode *nd, JdServerRequest *req, JdReason reason)
+{
+    ParsedRequest parsed = {.timeout = 0};
+    const char *id_name = nd->dialect->header[JD_FIELD_REQUEST_ID];
+    const JdHttpHeader *id =
+        id_name == NULL ? NULL : JdServer_FindHeader(req, id_name);
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    if (id != NULL) {
+        copy_header_value(id, parsed.request_id, sizeof(parsed.request_id));
+    }
+    refuse(nd, req, &parsed, reason, now);
+}
+
 /* Handles a new request of a caller. */
 void
 JdIntake_OnRequest(JdNode *nd, JdServerRequest *req)
--- a/caller/reply.c
+++ b/caller/reply.c
@@ -48,11 +48,12 @@
     g_string_free(head, TRUE);
 }
 
-/* Relays a target's answer.  `version` is the configuration version by which
- * the request was routed. */
+/* Relays a target's answer; `body` is its body, or NULL where the message has
+ * a small one.  `version` is the configuration version by which the request
+ * was routed. */
 void
 JdReply_Answer(JdNode *nd, JdServerRequest *req, uint64_t version,
-               const Jd__Response *msg)
+               const Jd__Response *msg, JdBody *body)
 {
     GString *head = g_string_new(NULL);
 
@@ -68,7 +69,12 @@
                                "x-config-version: %" G_GUINT64_FORMAT "\r\n",
                                version);
     }
-    JdServer_Reply(req, (int)msg->status, head->str, msg->body.data,
-                   msg->body.len);
+    if (body != NULL) {
+        JdServer_ReplyBody(req, (int)msg->status, head->str, body);
+    }
+    else {
+        JdServer_Reply(req, (int)msg->status, head->str, msg->body.data,
+                       msg->body.len);
+    }
     g_string_free(head, TRUE);
 }
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -31,6 +31,8 @@
     JD_REASON_OVER_QUOTA,   /* its client account has used its rate */
     JD_REASON_NO_LINK_ROOM, /* the target's link cannot carry the response in
                                time */
+    JD_REASON_NO_MEMORY,    /* a node holds too much already */
+    JD_REASON_NOT_RECEIVED, /* it did not arrive in time */
     JD_REASON_MAX
 } JdReason;
 
--- a/lib/request/reason.c
+++ b/lib/request/reason.c
@@ -46,6 +46,10 @@
                               JD_C_REFUSED_OVER_QUOTA},
     [JD_REASON_NO_LINK_ROOM] = {"no-link-room", 503, true, true, 200,
                                 JD_C_REFUSED_NO_LINK_ROOM},
+    [JD_REASON_NO_MEMORY] = {"no-memory", 503, true, true, 1000,
+                             JD_C_REFUSED_NO_MEMORY},
+    [JD_REASON_NOT_RECEIVED] = {"not-received", 408, true, false, 0,
+                                JD_C_REFUSED_NOT_RECEIVED},
 };
 
 /* Returns the properties of a reason.  Unknown values count as
--- a/node/jacinthd.c
+++ b/node/jacinthd.c
@@ -35,6 +35,7 @@
     if (nd->settings.platform.store_address[0] != '\0') {
         JdPlatform_Attach(&platform, nd);
     }
+    JdLimits_Init(nd);
     JdStore_Init(&nd->store, &nd->counters);
     JdLatencies_Init(&nd->latencies);
     s = JdTreeLink_Init(nd, err);
@@ -55,6 +56,7 @@
     if (s != JD_OK) {
         return s;
     }
+    JdLimits_Apply(nd);
     JdDeparture_Init(nd);
     if (nd->settings.baseline_poll_ms == 0) {
         JdTree_Start(&nd->tree);
--- a/node/node.h
+++ b/node/node.h
@@ -56,6 +56,7 @@
     uint64_t checkpoint_versions;
     uint64_t checkpoint_interval_s;
     uint64_t max_body_bytes;
+    uint64_t memory_mb;        /* of the process, in 10^6 bytes */
     uint64_t link_kbps;        /* bandwidth of the VM's link, 0: unknown */
     uint64_t baseline_poll_ms; /* each node polls the log, 0: use the tree */
     uint64_t claim_hold_s;     /* time for which a key stays claimed */
@@ -120,9 +121,10 @@
  * this node.
  */
 typedef struct JdLocalTargetOps {
-    /* Takes ownership of a request.  JdResponseOps.respond follows, unless the
+    /* Takes ownership of a request, and of a reference to its body, which the
+     * message points to.  JdResponseOps.respond follows, unless the
      * request is cancelled. */
-    void (*submit)(void *ctx, Jd__Request *msg, JdConn *origin);
+    void (*submit)(void *ctx, Jd__Request *msg, JdBody *body, JdConn *origin);
     /* The response to the request with this id is no longer needed. */
     void (*cancel)(void *ctx, uint64_t id, const JdConn *origin);
     /* A connection closed; its requests are cancelled. */
@@ -143,12 +145,13 @@
 /* Where the responses of the local target go. */
 typedef struct JdResponseOps {
     /* Responds to a request that `origin` submitted; the message is valid
-     * until this returns. */
-    void (*respond)(void *ctx, JdConn *origin, Jd__Response *msg);
-    /* The same for a large response to another node: it is copied, and leaves
-     * in chunks as the link has room. */
+     * until this returns.  It points to `body`, if that is not NULL. */
+    void (*respond)(void *ctx, JdConn *origin, Jd__Response *msg,
+                    JdBody *body);
+    /* The same for a large response to another node: it leaves in chunks as
+     * the link has room. */
     void (*respond_large)(void *ctx, JdConn *origin, const Jd__Response *msg,
-                          const JdBulkTimes *times);
+                          JdBody *body, const JdBulkTimes *times);
 } JdResponseOps;
 
 typedef struct JdWaitingRequest JdWaitingRequest;
@@ -222,7 +225,9 @@
     JdTree tree;
     JdReader reader;
     JdLog log;
-    JdConnSet conns; /* to and from other nodes */
+    JdMemory memory;           /* room for what is held for others: limits.c */
+    uint64_t memory_logged_at; /* last log line on a lack of room */
+    JdConnSet conns;           /* to and from other nodes */
     JdServer caller_server;
     JdHttpd admin_server;
     /* Ring buffer; applied_count counts all versions since the start. */
@@ -318,6 +323,16 @@
     uint64_t linger_until; /* new requests are refused from here on */
 } JdNode;
 
+/* peer/request.c: messages with the request of a caller */
+void JdRequest_SetBody(Jd__Request *msg, const JdBody *body);
+Jd__Request *JdRequest_Copy(const Jd__Request *msg, const JdBody *body);
+void JdRequest_Free(Jd__Request *msg, JdBody *body);
+
+/* limits.c: memory and descriptors of this process */
+void JdLimits_Init(JdNode *nd);
+void JdLimits_Apply(JdNode *nd);
+void JdLimits_LogShortage(JdNode *nd, const char *outcome);
+
 /* log/follow.c: configuration from the log of patches */
 extern const JdConfigSource JdConfigSource_Log;
 
@@ -326,6 +341,8 @@
 
 /* caller/intake.c: requests from callers */
 void JdIntake_OnRequest(JdNode *nd, JdServerRequest *req);
+uint64_t JdIntake_TimeLimit(JdNode *nd, const JdServerRequest *req);
+void JdIntake_Reject(JdNode *nd, JdServerRequest *req, JdReason reason);
 bool JdIntake_Process(JdNode *nd, JdServerRequest *req, uint64_t arrived_at);
 void JdIntake_Resume(JdNode *nd, JdServerRequest *req, uint64_t arrived_at,
                      bool has_token, unsigned retry_after_ms);
@@ -348,7 +365,8 @@
 unsigned JdForward_CountOldRunning(const JdNode *nd, const JdRollout *ro);
 
 /* peer/answer.c: answers to the attempts of this node */
-void JdAnswer_OnResponse(JdNode *nd, const Jd__Response *msg);
+void JdAnswer_OnResponse(JdNode *nd, const Jd__Response *msg, JdBody *body);
+void JdAnswer_OnDropped(JdNode *nd, uint64_t id);
 
 /* peer/response.c: responses of the local target, on their way out */
 void JdResponse_Init(JdNode *nd);
@@ -356,7 +374,7 @@
 /* peer/bulk.c: large responses of the local target, on their way out */
 void JdBulk_Init(JdNode *nd);
 void JdBulk_Respond(JdNode *nd, JdConn *origin, const Jd__Response *msg,
-                    const JdBulkTimes *times);
+                    JdBody *body, const JdBulkTimes *times);
 void JdBulk_Cancel(JdNode *nd, uint64_t id, const JdConn *origin);
 void JdBulk_ConnClosed(JdNode *nd, const JdConn *origin);
 
--- a/node/reload.c
+++ b/node/reload.c
@@ -55,6 +55,9 @@
            JD_NUMBER("target_changed", is_target_changed),
            JD_NUMBER("needs_restart", needs_restart(&nd->settings, s)));
     nd->settings.max_queued = s->max_queued;
+    nd->settings.memory_mb = s->memory_mb;
+    nd->settings.max_body_bytes = s->max_body_bytes;
+    nd->caller_server.max_body = s->max_body_bytes;
     nd->settings.linger_ms = s->linger_ms;
     nd->settings.drain_deadline_ms = s->drain_deadline_ms;
     nd->settings.platform = s->platform;
@@ -64,6 +67,7 @@
     if (nd->config_source->settings_reloaded != NULL) {
         nd->config_source->settings_reloaded(nd);
     }
+    JdLimits_Apply(nd);
 }
 
 static void
--- a/node/settings.c
+++ b/node/settings.c
@@ -62,6 +62,7 @@
     NUMBER("/log/retention_s", log_retention_s, 1, 31536000),
     NUMBER("/link_kbps", link_kbps, 1, 1000000000),
     NUMBER("/body_bytes", max_body_bytes, 1, 64 << 20),
+    NUMBER("/memory_mb", memory_mb, 16, 1 << 20),
     NUMBER("/baseline_poll_ms", baseline_poll_ms, 1, 60000),
 };
 
@@ -78,6 +79,7 @@
     s->checkpoint_versions = 256;
     s->checkpoint_interval_s = 300;
     s->max_body_bytes = 1 << 20;
+    s->memory_mb = 256;
     s->claim_hold_s = 600;
     s->claim_append_interval_ms = 5;
     s->exposed_permille = 100;
--- a/operator/admin.c
+++ b/operator/admin.c
@@ -80,6 +80,19 @@
     json_object_set_new(js, "rss_kb", json_integer(ru.ru_maxrss));
 }
 
+/* Adds what this process holds for others. */
+static void
+add_held(const JdNode *nd, json_t *js)
+{
+    json_object_set_new(js, "held_bytes",
+                        json_integer((json_int_t)nd->memory.used));
+    json_object_set_new(js, "held_bytes_limit",
+                        json_integer((json_int_t)nd->memory.limit));
+    json_object_set_new(
+        js, "caller_connections",
+        json_integer((json_int_t)nd->caller_server.acceptor.open_count));
+}
+
 /* Adds the state of this VM's link, if its bandwidth is known. */
 static void
 add_link(const JdNode *nd, json_t *js)
@@ -135,6 +148,7 @@
     json_object_set_new(js, "log_expired",
                         json_boolean(nd->reader.is_expired));
     add_resource_usage(js);
+    add_held(nd, js);
     json_object_set_new(js, "running", json_integer(nd->admit.running));
     json_object_set_new(js, "queued", json_integer(nd->admit.queued));
     add_link(nd, js);
--- a/peer/answer.c
+++ b/peer/answer.c
@@ -30,9 +30,10 @@
     }
 }
 
-/* Returns what a response reports of the target and its link. */
+/* Returns what a response with a body of `body_len` bytes reports of the
+ * target and its link. */
 static JdLoadReport
-report_of(const JdCall *call, const Jd__Response *msg)
+report_of(const JdCall *call, const Jd__Response *msg, size_t body_len)
 {
     JdLoadReport report = {.load = msg->load,
                            .service_time = msg->service_us,
@@ -50,28 +51,30 @@
                                      .route_time = msg->route_us,
                                      .load = msg->work,
                                      .held = msg->held_us,
-                                     .body_len = msg->body.len,
+                                     .body_len = body_len,
                                      .domain_load = msg->domain_load};
     }
     return report;
 }
 
-/* Handles an answer or a refusal by a target's node. */
+/* Handles an answer or a refusal by a target's node.  `body` is that of the
+ * answer, or NULL where the message has a small one. */
 void
-JdAnswer_OnResponse(JdNode *nd, const Jd__Response *msg)
+JdAnswer_OnResponse(JdNode *nd, const Jd__Response *msg, JdBody *body)
 {
     JdAttempt *att = find_attempt(nd, msg->id);
+    size_t len = body != NULL ? body->len : msg->body.len;
     JdLoadReport report;
 
     if (att == NULL) {
         nd->counters.value[JD_C_LATE_ANSWERS]++;
         return;
     }
-    report = report_of(att->call, msg);
+    report = report_of(att->call, msg, len);
     learn_crash(att->call, msg->crashed_process);
-    nd->counters.value[JD_C_REQUEST_BYTES] += msg->body.len;
+    nd->counters.value[JD_C_REQUEST_BYTES] += len;
     if (att->tier == JD_TIER_FAR) {
-        nd->counters.value[JD_C_REQUEST_REGION_BYTES] += msg->body.len;
+        nd->counters.value[JD_C_REQUEST_REGION_BYTES] += len;
     }
     if (msg->reason != JD_REASON_NONE || msg->status == 0) {
         JdAttemptFailure failure = {.reason = JD_REASON_BROKEN,
@@ -88,7 +91,7 @@
     JdBalancer_RecordAnswer(&nd->balancer, JdForward_TargetId(att),
                             JdClock_Now(&nd->loop.clock) - att->sent_at,
                             &report);
-    JdForward_AttemptAnswered(att, msg);
+    JdForward_AttemptAnswered(att, msg, body);
 }
 
 /* Handles a part of a large answer. */
@@ -98,20 +101,34 @@
     JdAttemptFailure broken = {.reason = JD_REASON_BROKEN, .was_sent = true};
     JdAttempt *att = find_attempt(nd, chunk->id);
     Jd__Response *msg;
+    JdBody *body;
 
     if (att == NULL) {
         nd->counters.value[JD_C_LATE_ANSWERS] += !chunk->more;
         return;
     }
-    if (!JdPartial_Add(&att->partial, chunk)) {
+    if (!JdPartial_Add(&att->partial, &nd->memory, chunk)) {
         JdForward_AttemptFailed(att, &broken);
         return;
     }
     JdTimer_Cancel(&nd->loop.clock, &att->call->hedge_timer);
     JdBalancer_RecordProgress(&nd->balancer, JdForward_TargetId(att));
     if (JdPartial_IsWhole(&att->partial)) {
-        msg = JdPartial_Take(&att->partial);
-        JdAnswer_OnResponse(nd, msg);
+        msg = JdPartial_Take(&att->partial, &body);
+        JdAnswer_OnResponse(nd, msg, body);
         jd__response__free_unpacked(msg, NULL);
+        JdBody_Unref(body);
+    }
+}
+
+/* There was no room for an answer, or for a part of it. */
+void
+JdAnswer_OnDropped(JdNode *nd, uint64_t id)
+{
+    JdAttemptFailure broken = {.reason = JD_REASON_BROKEN, .was_sent = true};
+    JdAttempt *att = find_attempt(nd, id);
+
+    if (att != NULL) {
+        JdForward_AttemptFailed(att, &broken);
     }
 }
--- a/peer/bulk.c
+++ b/peer/bulk.c
@@ -16,7 +16,8 @@
 typedef struct BulkResponse {
     JdLinkItem item;
     JdConn *origin;
-    Jd__Response *head; /* with the whole body */
+    Jd__Response *head; /* without the body */
+    JdBody *body;
 } BulkResponse;
 
 static BulkResponse *
@@ -30,6 +31,7 @@
 {
     JdLinkQueue_Remove(&nd->link_queue, &br->item);
     jd__response__free_unpacked(br->head, NULL);
+    JdBody_Unref(br->body);
     g_free(br);
 }
 
@@ -49,26 +51,23 @@
 {
     Jd__Chunk chunk = JD__CHUNK__INIT;
     Jd__Frame frame = JD__FRAME__INIT;
-    ProtobufCBinaryData body = br->head->body;
     size_t n = JdPacer_ChunkSize(&nd->pacer);
 
     if (n > br->item.left) {
         n = br->item.left;
     }
     chunk.id = br->head->id;
-    chunk.body.data = body.data + br->item.written;
+    chunk.body.data = br->body->data + br->item.written;
     chunk.body.len = n;
     chunk.more = n < br->item.left;
     if (br->item.written == 0) {
         chunk.head = br->head;
-        chunk.total = body.len;
-        br->head->body.len = 0;
+        chunk.total = br->body->len;
     }
     frame.version = nd->store.config->version;
     frame.body_case = JD__FRAME__BODY_CHUNK;
     frame.chunk = &chunk;
     JdConn_Send(br->origin, &frame);
-    br->head->body = body;
     nd->counters.value[JD_C_LINK_CHUNKS]++;
     JdLinkQueue_Take(&nd->link_queue, &br->item, n);
     if (br->item.left == 0) {
@@ -142,17 +141,22 @@
 /* Queues a large response to the node at `origin`. */
 void
 JdBulk_Respond(JdNode *nd, JdConn *origin, const Jd__Response *msg,
-               const JdBulkTimes *times)
+               JdBody *body, const JdBulkTimes *times)
 {
-    size_t n = jd__response__get_packed_size(msg);
-    uint8_t *buf = g_malloc(n);
+    Jd__Response head = *msg;
     BulkResponse *br = g_new0(BulkResponse, 1);
+    uint8_t *buf;
+    size_t n;
 
-    jd__response__pack(msg, buf);
+    head.body.len = 0;
+    n = jd__response__get_packed_size(&head);
+    buf = g_malloc(n);
+    jd__response__pack(&head, buf);
     br->head = jd__response__unpack(NULL, n, buf);
     g_free(buf);
+    br->body = JdBody_Ref(body);
     br->origin = origin;
-    br->item.left = msg->body.len;
+    br->item.left = body->len;
     br->item.deadline = times->deadline;
     br->item.soft_deadline = times->soft_deadline;
     br->item.priority = times->priority;
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -11,8 +11,15 @@
 
 #include "conn.h"
 
-/* Size in bytes of the length in front of a frame, which is big-endian. */
-#define LENGTH_SIZE 4
+#define LENGTH_SIZE JD_FRAME_LENGTH_SIZE
+/* Bytes of one read, reads in one round of the loop, and bytes of a read of a
+ * large frame. */
+#define READ_BYTES (64U << 10)
+#define MAX_READS 8
+#define LARGE_READ_BYTES (1U << 20)
+/* Time without a byte of a large frame after which the other node is taken for
+ * dead. */
+#define FRAME_STALL_TIMEOUT (10 * JD_US_PER_S)
 /* Time after the last response in which the other node closes a connection
  * that it was asked to close, if it lives. */
 #define RECEIPT_TIMEOUT (3 * JD_US_PER_S)
@@ -33,13 +40,15 @@
     return end_names[end];
 }
 
-/* Initializes an empty set of connections. */
+/* Initializes an empty set of connections, whose frames are charged to `mm`.
+ */
 void
-JdConnSet_Init(JdConnSet *cs, JdLoop *lp, JdCounters *ctr)
+JdConnSet_Init(JdConnSet *cs, JdLoop *lp, JdMemory *mm, JdCounters *ctr)
 {
     memset(cs, 0, sizeof(*cs));
     TAILQ_INIT(&cs->conns);
     cs->loop = lp;
+    cs->memory = mm;
     cs->counters = ctr;
 }
 
@@ -49,8 +58,7 @@
     JdConn *conn = ctx;
 
     TAILQ_REMOVE(&conn->set->conns, conn, link);
-    h2o_buffer_dispose(&conn->queued);
-    h2o_buffer_dispose(&conn->sending);
+    g_byte_array_unref(conn->input);
     g_free(conn);
 }
 
@@ -73,6 +81,10 @@
         h2o_socket_close(conn->sock);
         conn->sock = NULL;
     }
+    JdOutput_Finish(&conn->output);
+    JdBody_Unref(conn->large);
+    conn->large = NULL;
+    JdTimer_Cancel(&conn->set->loop->clock, &conn->stall_timer);
     JdTimer_Arm(&conn->set->loop->clock, &conn->free_timer, 0);
 }
 
@@ -98,10 +110,7 @@
 {
     JdConn *conn;
 
-    if (cs->listener != NULL) {
-        h2o_socket_close(cs->listener);
-        cs->listener = NULL;
-    }
+    JdAcceptor_Finish(&cs->acceptor);
     while ((conn = TAILQ_FIRST(&cs->conns)) != NULL) {
         JdConn_Close(conn);
         JdTimer_Cancel(&cs->loop->clock, &conn->free_timer);
@@ -147,75 +156,234 @@
     }
 }
 
-/*
- * Removes the next frame from the input and passes it to the connection's
- * user.  Returns false when the frame is incomplete, or when the connection
- * has been closed.
- */
-static bool
-handle_next_frame(JdConn *conn)
+static void
+fail_bad_frame(JdConn *conn)
 {
-    h2o_buffer_t *in = conn->sock->input;
-    Jd__Frame *frame;
-    uint32_t n;
+    conn->set->counters->value[JD_C_BAD_FRAME]++;
+    fail_conn(conn, JD_CONN_BAD_FRAME);
+}
 
-    if (in->size < LENGTH_SIZE) {
-        return false;
-    }
-    n = decode_length(in->bytes);
-    if (n > JD_FRAME_MAX) {
-        conn->set->counters->value[JD_C_BAD_FRAME]++;
-        fail_conn(conn, JD_CONN_BAD_FRAME);
-        return false;
-    }
-    if (in->size < LENGTH_SIZE + n) {
-        return false;
-    }
-    frame = jd__frame__unpack(NULL, n, (uint8_t *)in->bytes + LENGTH_SIZE);
-    h2o_buffer_consume(&conn->sock->input, LENGTH_SIZE + n);
+/* Passes a frame of `n` bytes to the connection's user. */
+static void
+handle_frame(JdConn *conn, Jd__Frame *frame, size_t n)
+{
     if (frame == NULL) {
-        conn->set->counters->value[JD_C_BAD_FRAME]++;
-        fail_conn(conn, JD_CONN_BAD_FRAME);
-        return false;
+        fail_bad_frame(conn);
+        return;
     }
     if (is_control_frame(frame)) {
         conn->set->counters->value[JD_C_CONTROL_RECEIVED] += LENGTH_SIZE + n;
     }
     conn->ops->frame(conn->ctx, conn, frame);
     jd__frame__free_unpacked(frame, NULL);
-    return !conn->is_closing;
 }
 
+/* ---- large frames ------------------------------------------------------- */
+
+/* Returns whether the frame belongs to requests, so that others can go on
+ * without it. */
+static bool
+may_drop(const JdFrameHead *head)
+{
+    return head->kind == JD__FRAME__BODY_REQUEST ||
+           head->kind == JD__FRAME__BODY_RESPONSE ||
+           head->kind == JD__FRAME__BODY_CHUNK;
+}
+
+/* Begins to receive a large frame of `n` bytes, of which `input` has the
+ * start, or to skip it. */
 static void
-on_read(h2o_socket_t *sock, const char *err)
+begin_large(JdConn *conn, const uint8_t *start, size_t len, size_t n)
 {
-    JdConn *conn = sock->data;
+    JdMemory *mm = conn->set->memory;
+    JdBody *b = JdBody_New(mm);
+    JdFrameHead head;
+
+    JdFrameHead_Parse(start, len, &head);
+    if (JdBody_Reserve(b, may_drop(&head) ? JD_MEMORY_LARGE : JD_MEMORY_FIRST,
+                       n)) {
+        conn->large = b;
+        conn->large_len = n;
+        JdBody_Append(b, start, len);
+        JdTimer_Arm(&conn->set->loop->clock, &conn->stall_timer,
+                    FRAME_STALL_TIMEOUT);
+        return;
+    }
+    JdBody_Unref(b);
+    conn->set->counters->value[JD_C_FRAMES_DROPPED]++;
+    if (!may_drop(&head)) {
+        fail_conn(conn, JD_CONN_CLOSED);
+        return;
+    }
+    conn->skipped = n - len;
+    if (conn->ops->dropped != NULL) {
+        conn->ops->dropped(conn->ctx, conn, &head);
+    }
+}
 
-    if (err != NULL) {
-        fail_conn(conn, err == h2o_socket_error_closed ? JD_CONN_PEER_ENDED
-                                                       : JD_CONN_RESET);
+/* A large frame is complete. */
+static void
+finish_large(JdConn *conn)
+{
+    JdBody *b = conn->large;
+    Jd__Frame *frame;
+    bool has_body;
+
+    conn->large = NULL;
+    JdTimer_Cancel(&conn->set->loop->clock, &conn->stall_timer);
+    frame = JdFrameBody_Unpack(b, &has_body);
+    conn->body = has_body ? b : NULL;
+    handle_frame(conn, frame, conn->large_len);
+    conn->body = NULL;
+    JdBody_Unref(b);
+}
+
+static void
+on_frame_stalled(void *ctx)
+{
+    fail_conn(ctx, JD_CONN_SILENT);
+}
+
+/* ---- input -------------------------------------------------------------- */
+
+/* Handles the next frame in data[0..n).  Returns the number of bytes that are
+ * done with; 0: the frame is incomplete. */
+static size_t
+handle_next_frame(JdConn *conn, const uint8_t *data, size_t n)
+{
+    size_t len;
+
+    if (n < LENGTH_SIZE) {
+        return 0;
+    }
+    len = decode_length((const char *)data);
+    if (len > JD_FRAME_MAX) {
+        fail_bad_frame(conn);
+        return n;
+    }
+    data += LENGTH_SIZE;
+    n -= LENGTH_SIZE;
+    if (n >= len) {
+        handle_frame(conn, jd__frame__unpack(NULL, len, data), len);
+        return LENGTH_SIZE + len;
+    }
+    if (len > JD_LARGE_BYTES && n >= JD_FRAME_HEAD_MAX) {
+        begin_large(conn, data, n, len);
+        return LENGTH_SIZE + n;
+    }
+    return 0;
+}
+
+/* Handles the frames in data[0..n) and returns the number of bytes that are
+ * done with. */
+static size_t
+handle_frames(JdConn *conn, const uint8_t *data, size_t n)
+{
+    size_t pos = 0;
+
+    while (!conn->is_closing && pos < n) {
+        size_t done;
+
+        if (conn->skipped > 0) {
+            done = MIN(conn->skipped, n - pos);
+            conn->skipped -= done;
+        }
+        else {
+            done = handle_next_frame(conn, data + pos, n - pos);
+        }
+        if (done == 0) {
+            break;
+        }
+        pos += done;
+    }
+    return pos;
+}
+
+/* Handles bytes that were read, and keeps those of an incomplete frame. */
+static void
+take_input(JdConn *conn, const uint8_t *data, size_t n)
+{
+    size_t done;
+
+    if (conn->input->len > 0) {
+        g_byte_array_append(conn->input, data, (guint)n);
+        done = handle_frames(conn, conn->input->data, conn->input->len);
+        g_byte_array_remove_range(conn->input, 0,
+                                  (guint)MIN(done, conn->input->len));
+        if (conn->input->len == 0) {
+            g_byte_array_unref(conn->input);
+            conn->input = g_byte_array_new();
+        }
         return;
     }
+    done = handle_frames(conn, data, n);
+    if (done < n) {
+        g_byte_array_append(conn->input, data + done, (guint)(n - done));
+    }
+}
+
+/* Reads once.  Returns a negative value as JdSocket_Read does, or whether more
+ * may be there to read. */
+static ssize_t
+read_once(JdConn *conn)
+{
+    static uint8_t buf[READ_BYTES];
+    JdBody *b = conn->large;
+    size_t size = sizeof(buf);
+    uint8_t *to = buf;
+    ssize_t n;
+
+    if (b != NULL) {
+        to = b->data + b->len;
+        size = MIN(conn->large_len - b->len, LARGE_READ_BYTES);
+    }
+    n = JdSocket_Read(conn->sock, to, size);
+    if (n < 0) {
+        return n;
+    }
     conn->last_read_at = JdClock_Now(&conn->set->loop->clock);
-    while (handle_next_frame(conn)) {
+    if (b == NULL) {
+        take_input(conn, buf, (size_t)n);
+        return (size_t)n == size;
+    }
+    b->len += (size_t)n;
+    JdTimer_Arm(&conn->set->loop->clock, &conn->stall_timer,
+                FRAME_STALL_TIMEOUT);
+    if (b->len == conn->large_len) {
+        finish_large(conn);
     }
+    return 1;
 }
 
+static void
+on_read(h2o_socket_t *sock, const char *err)
+{
+    JdConn *conn = sock->data;
+
+    (void)err;
+    for (int i = 0; i < MAX_READS && !conn->is_closing; i++) {
+        ssize_t n = read_once(conn);
+
+        if (n == JD_READ_CLOSED || n == JD_READ_RESET) {
+            fail_conn(conn, n == JD_READ_CLOSED ? JD_CONN_PEER_ENDED
+                                                : JD_CONN_RESET);
+            return;
+        }
+        if (n <= 0) {
+            return;
+        }
+    }
+}
+
+/* ---- output ------------------------------------------------------------- */
+
 /* Writes all queued frames, unless a write is under way. */
 static void
 start_write(JdConn *conn)
 {
-    h2o_buffer_t *spare = conn->sending;
-    h2o_iovec_t iov;
-
-    if (conn->is_writing || !conn->is_open || conn->queued->size == 0) {
-        return;
+    if (conn->is_open) {
+        JdOutput_Write(&conn->output, conn->sock, on_written);
     }
-    conn->sending = conn->queued;
-    conn->queued = spare;
-    iov = h2o_iovec_init(conn->sending->bytes, conn->sending->size);
-    conn->is_writing = true;
-    h2o_socket_write(conn->sock, &iov, 1, on_written);
 }
 
 static void
@@ -223,14 +391,13 @@
 {
     JdConn *conn = sock->data;
 
-    conn->is_writing = false;
-    h2o_buffer_consume(&conn->sending, conn->sending->size);
+    JdOutput_Written(&conn->output);
     if (err != NULL) {
         fail_conn(conn, JD_CONN_RESET);
         return;
     }
     start_write(conn);
-    if (!conn->is_writing && conn->ops->drained != NULL) {
+    if (conn->output.size == 0 && conn->ops->drained != NULL) {
         conn->ops->drained(conn->ctx, conn);
     }
 }
@@ -245,6 +412,7 @@
                sizeof(on));
     conn->is_open = true;
     conn->last_read_at = JdClock_Now(&conn->set->loop->clock);
+    h2o_socket_dont_read(conn->sock, 1);
     h2o_socket_read_start(conn->sock, on_read);
 }
 
@@ -274,49 +442,36 @@
     conn->ops = ops;
     conn->ctx = ctx;
     conn->counters = cs->counters;
-    h2o_buffer_init(&conn->queued, &h2o_socket_buffer_prototype);
-    h2o_buffer_init(&conn->sending, &h2o_socket_buffer_prototype);
+    JdOutput_Init(&conn->output, cs->memory);
+    conn->input = g_byte_array_new();
     JdTimer_Init(&conn->free_timer, free_conn, conn);
+    JdTimer_Init(&conn->stall_timer, on_frame_stalled, conn);
     sock->data = conn;
     TAILQ_INSERT_TAIL(&cs->conns, conn, link);
     return conn;
 }
 
 static void
-on_accept(h2o_socket_t *listener, const char *err)
+on_accepted(void *ctx, h2o_socket_t *sock)
 {
-    JdConnSet *cs = listener->data;
-    h2o_socket_t *sock;
+    JdConnSet *cs = ctx;
+    JdConn *conn = new_conn(cs, sock, cs->accept_ops, cs->accept_ctx);
 
-    if (err != NULL) {
-        return;
-    }
-    while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
-        JdConn *conn = new_conn(cs, sock, cs->accept_ops, cs->accept_ctx);
-
-        mark_open(conn);
-        conn->ops->opened(conn->ctx, conn);
-    }
+    mark_open(conn);
+    conn->ops->opened(conn->ctx, conn);
 }
 
+static const JdAcceptorOps acceptor_ops = {.accepted = on_accepted};
+
 /* Accepts connections on an address. */
 JdStatus
 JdConnSet_Listen(JdConnSet *cs, const char *address, const JdConnOps *ops,
                  void *ctx, JdError *err)
 {
-    int fd;
-    JdStatus s = JdListen(address, &fd, err);
-
-    if (s != JD_OK) {
-        return s;
-    }
     cs->accept_ops = ops;
     cs->accept_ctx = ctx;
-    cs->listener = h2o_evloop_socket_create(cs->loop->evloop, fd,
-                                            H2O_SOCKET_FLAG_DONT_READ);
-    cs->listener->data = cs;
-    h2o_socket_read_start(cs->listener, on_accept);
-    return JD_OK;
+    return JdAcceptor_Init(&cs->acceptor, cs->loop, address, &acceptor_ops, cs,
+                           err);
 }
 
 /*
@@ -362,7 +517,7 @@
 size_t
 JdConn_Backlog(const JdConn *conn)
 {
-    return conn->queued->size + conn->sending->size;
+    return conn->output.size;
 }
 
 /* Asks the node at the other end to close a connection when it has received
@@ -430,6 +585,24 @@
     }
 }
 
+/* Records that a frame of `n` bytes was queued, and has it written. */
+static void
+finish_send(JdConn *conn, const Jd__Frame *frame, size_t n)
+{
+    if (frame->body_case == JD__FRAME__BODY_RESPONSE ||
+        frame->body_case == JD__FRAME__BODY_CHUNK) {
+        conn->responded_at = JdClock_Now(&conn->set->loop->clock);
+    }
+    charge_link(conn->set->pacer, frame, n);
+    if (is_control_frame(frame)) {
+        conn->counters->value[JD_C_CONTROL_SENT] += n;
+        if (conn->is_cross_region) {
+            conn->counters->value[JD_C_CONTROL_REGION_SENT] += n;
+        }
+    }
+    start_write(conn);
+}
+
 /*
  * Queues a frame, and returns its size on the wire in bytes.  On a connection
  * that is closing, the frame is dropped and 0 is returned.
@@ -438,29 +611,42 @@
 JdConn_Send(JdConn *conn, const Jd__Frame *frame)
 {
     size_t n = jd__frame__get_packed_size(frame);
-    h2o_iovec_t dest;
+    uint8_t *buf;
 
     if (conn->is_closing) {
         return 0;
     }
-    dest = h2o_buffer_reserve(&conn->queued, LENGTH_SIZE + n);
-    dest.base[0] = (char)(n >> 24);
-    dest.base[1] = (char)(n >> 16);
-    dest.base[2] = (char)(n >> 8);
-    dest.base[3] = (char)n;
-    jd__frame__pack(frame, (uint8_t *)dest.base + LENGTH_SIZE);
-    conn->queued->size += LENGTH_SIZE + n;
-    if (frame->body_case == JD__FRAME__BODY_RESPONSE ||
-        frame->body_case == JD__FRAME__BODY_CHUNK) {
-        conn->responded_at = JdClock_Now(&conn->set->loop->clock);
+    buf = g_malloc(LENGTH_SIZE + n);
+    buf[0] = (uint8_t)(n >> 24);
+    buf[1] = (uint8_t)(n >> 16);
+    buf[2] = (uint8_t)(n >> 8);
+    buf[3] = (uint8_t)n;
+    jd__frame__pack(frame, buf + LENGTH_SIZE);
+    JdOutput_Append(&conn->output, buf, LENGTH_SIZE + n);
+    g_free(buf);
+    finish_send(conn, frame, LENGTH_SIZE + n);
+    return LENGTH_SIZE + n;
+}
+
+/* The same for a frame with a request or response, whose body is `body`.  A
+ * large one is not copied, and gets a reference. */
+size_t
+JdConn_SendBody(JdConn *conn, const Jd__Frame *frame, JdBody *body)
+{
+    GByteArray *head;
+    size_t n;
+
+    if (body == NULL || body->len <= JD_LARGE_BYTES) {
+        return JdConn_Send(conn, frame);
     }
-    charge_link(conn->set->pacer, frame, LENGTH_SIZE + n);
-    if (is_control_frame(frame)) {
-        conn->counters->value[JD_C_CONTROL_SENT] += LENGTH_SIZE + n;
-        if (conn->is_cross_region) {
-            conn->counters->value[JD_C_CONTROL_REGION_SENT] += LENGTH_SIZE + n;
-        }
+    if (conn->is_closing) {
+        return 0;
     }
-    start_write(conn);
-    return LENGTH_SIZE + n;
+    head = JdFrameBody_Pack(frame, body->len);
+    n = head->len + body->len;
+    JdOutput_Append(&conn->output, head->data, head->len);
+    JdOutput_AppendBody(&conn->output, body);
+    g_byte_array_unref(head);
+    finish_send(conn, frame, n);
+    return n;
 }
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -3,6 +3,7 @@
 #define JD_PEER_CONN_H
 
 #include "../base/base.h"
+#include "frame_body.h"
 
 /* Largest frame that is accepted, in bytes, without its length. */
 #define JD_FRAME_MAX (72U << 20)
@@ -34,6 +35,8 @@
     void (*closed)(void *ctx, JdConn *conn);
     /* All that was sent has been handed to the kernel; may be NULL. */
     void (*drained)(void *ctx, JdConn *conn);
+    /* A large frame was not taken, as there is no room for it; may be NULL. */
+    void (*dropped)(void *ctx, JdConn *conn, const JdFrameHead *head);
 } JdConnOps;
 
 struct JdConn {
@@ -43,10 +46,14 @@
     void *ctx;
     void *user; /* state of the connection's user */
     struct JdConnSet *set;
-    h2o_buffer_t *queued;  /* to be written after `sending` */
-    h2o_buffer_t *sending; /* being written */
+    JdOutput output;
+    GByteArray *input; /* start of a frame that is not complete */
+    JdBody *large;     /* large frame that is being received, or NULL */
+    size_t large_len;  /* length of that frame */
+    size_t skipped;    /* bytes that are left of a frame that is not taken */
+    JdBody *body;      /* of the message of the frame that is handled, if it is
+                          large; the user may take a reference */
     bool is_open;
-    bool is_writing;
     bool is_closing;       /* freed in the next iteration of the event loop */
     bool carries_requests; /* opened to send requests: see JdRequestConn */
     bool is_finishing;     /* the other node was asked to close it */
@@ -56,6 +63,7 @@
     uint64_t last_read_at; /* last input, or opening; 0: never opened */
     JdTransit transit;     /* of requests that come in */
     JdTimer free_timer;
+    JdTimer stall_timer; /* a large frame makes no progress */
     JdCounters *counters;
 };
 
@@ -64,19 +72,21 @@
     TAILQ_HEAD(JdConnHead, JdConn) conns;
     JdLoop *loop;
     JdCounters *counters;
-    JdPacer *pacer; /* is charged for what is sent; NULL: none */
-    h2o_socket_t *listener;
+    JdPacer *pacer;   /* is charged for what is sent; NULL: none */
+    JdMemory *memory; /* room for frames; NULL: no limit */
+    JdAcceptor acceptor;
     const JdConnOps *accept_ops;
     void *accept_ctx;
 } JdConnSet;
 
-void JdConnSet_Init(JdConnSet *cs, JdLoop *lp, JdCounters *ctr);
+void JdConnSet_Init(JdConnSet *cs, JdLoop *lp, JdMemory *mm, JdCounters *ctr);
 void JdConnSet_Finish(JdConnSet *cs);
 JdStatus JdConnSet_Listen(JdConnSet *cs, const char *address,
                           const JdConnOps *ops, void *ctx, JdError *err);
 JdConn *JdConn_Dial(JdConnSet *cs, const char *address, const JdConnOps *ops,
                     void *ctx);
 size_t JdConn_Send(JdConn *conn, const Jd__Frame *frame);
+size_t JdConn_SendBody(JdConn *conn, const Jd__Frame *frame, JdBody *body);
 void JdConn_Close(JdConn *conn);
 void JdConn_Abort(JdConn *conn);
 bool JdConn_IsPeerOpen(const JdConn *conn);
--- a/peer/forward.c
+++ b/peer/forward.c
@@ -97,7 +97,7 @@
     TAILQ_REMOVE(&nd->calls, call, link);
     nd->call_count--;
     JdConfig_Unref(call->config);
-    jd__request__free_unpacked(call->msg, NULL);
+    JdRequest_Free(call->msg, call->body);
     g_free(call);
 }
 
@@ -179,7 +179,7 @@
 
 /* Ends a call with the answer of a target. */
 static void
-answer_call(JdCall *call, const Jd__Response *msg)
+answer_call(JdCall *call, const Jd__Response *msg, JdBody *body)
 {
     JdServerRequest *req = call->req;
     JdNode *nd = call->node;
@@ -190,16 +190,17 @@
     cancel_attempts(call, JD_REASON_CANCELLED);
     free_call(call);
     if (req != NULL) {
-        JdReply_Answer(nd, req, version, msg);
+        JdReply_Answer(nd, req, version, msg, body);
     }
 }
 
 /* Ends the call of an attempt with the answer that the attempt got. */
 void
-JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg)
+JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg,
+                          JdBody *body)
 {
     end_attempt(att);
-    answer_call(att->call, msg);
+    answer_call(att->call, msg, body);
 }
 
 /* ---- attempts ---------------------------------------------------------- */
@@ -326,16 +327,11 @@
 {
     JdCall *call = att->call;
     JdNode *nd = call->node;
-    uint8_t *buf;
-    size_t n;
 
     fill_message(att);
-    n = jd__request__get_packed_size(call->msg);
-    buf = g_malloc(n);
-    jd__request__pack(call->msg, buf);
-    nd->target_ops->submit(nd->target_ctx, jd__request__unpack(NULL, n, buf),
-                           NULL);
-    g_free(buf);
+    nd->target_ops->submit(nd->target_ctx,
+                           JdRequest_Copy(call->msg, call->body),
+                           JdBody_Ref(call->body), NULL);
 }
 
 /* Sends the request of an attempt on its connection, which is open. */
@@ -354,7 +350,7 @@
     frame.version = nd->store.config->version;
     frame.body_case = JD__FRAME__BODY_REQUEST;
     frame.request = att->call->msg;
-    n = JdConn_Send(att->request_conn->conn, &frame);
+    n = JdConn_SendBody(att->request_conn->conn, &frame, att->call->body);
     nd->counters.value[JD_C_REQUEST_BYTES] += n;
     if (att->tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += n;
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -35,7 +35,7 @@
 /* A large response of which not all parts have arrived. */
 typedef struct JdPartial {
     Jd__Response *head; /* NULL: nothing has arrived */
-    GByteArray *body;
+    JdBody *body;
     uint64_t total; /* length of the whole body */
 } JdPartial;
 
@@ -64,7 +64,8 @@
     JdServerRequest *req; /* NULL: the caller closed its connection */
     JdConfig *config;
     JdRoute route;
-    Jd__Request *msg; /* owned */
+    Jd__Request *msg; /* owned; points to `body` */
+    JdBody *body;     /* shared with the attempts that are being sent */
     JdLazyFingerprint fingerprint;
     uint64_t arrived_at;
     uint64_t deadline;
@@ -109,7 +110,8 @@
 const char *JdForward_TargetId(const JdAttempt *att);
 void JdForward_SendAttempt(JdAttempt *att);
 void JdForward_SendCancel(JdAttempt *att);
-void JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg);
+void JdForward_AttemptAnswered(JdAttempt *att, const Jd__Response *msg,
+                               JdBody *body);
 void JdForward_AttemptFailed(JdAttempt *att, const JdAttemptFailure *failure);
 void JdForward_CallerDisconnected(JdCall *call);
 void JdForward_Hedge(JdCall *call);
@@ -118,9 +120,9 @@
 void JdAnswer_OnChunk(JdNode *nd, Jd__Chunk *chunk);
 
 /* partial.c */
-bool JdPartial_Add(JdPartial *pt, Jd__Chunk *chunk);
+bool JdPartial_Add(JdPartial *pt, JdMemory *mm, Jd__Chunk *chunk);
 bool JdPartial_IsWhole(const JdPartial *pt);
-Jd__Response *JdPartial_Take(JdPartial *pt);
+Jd__Response *JdPartial_Take(JdPartial *pt, JdBody **body);
 void JdPartial_Clear(JdPartial *pt);
 
 /* retry.c */
@@ -151,6 +153,6 @@
 void JdReply_Refuse(JdNode *nd, JdServerRequest *req, JdReason reason,
                     unsigned retry_after_ms);
 void JdReply_Answer(JdNode *nd, JdServerRequest *req, uint64_t version,
-                    const Jd__Response *msg);
+                    const Jd__Response *msg, JdBody *body);
 
 #endif
--- a/peer/link.c
+++ b/peer/link.c
@@ -19,11 +19,31 @@
 submit_request(JdNode *nd, JdConn *conn, Jd__Frame *frame)
 {
     Jd__Request *msg = frame->request;
+    JdBody *body = conn->body;
 
     /* The target owns the message from here on. */
     frame->request = NULL;
     frame->body_case = JD__FRAME__BODY__NOT_SET;
-    nd->target_ops->submit(nd->target_ctx, msg, conn);
+    body = body != NULL
+               ? JdBody_Ref(body)
+               : JdBody_Own(&nd->memory, msg->body.data, msg->body.len);
+    JdRequest_SetBody(msg, body);
+    nd->target_ops->submit(nd->target_ctx, msg, body, conn);
+}
+
+/* Refuses a request that this node has no room for. */
+static void
+on_dropped(void *ctx, JdConn *conn, const JdFrameHead *head)
+{
+    JdNode *nd = ctx;
+    Jd__Request msg = JD__REQUEST__INIT;
+    JdTargetRefusal refusal = {JD_REASON_NO_MEMORY, false, 0};
+
+    JdLimits_LogShortage(nd, "request of a node");
+    if (head->kind == JD__FRAME__BODY_REQUEST) {
+        msg.id = head->id;
+        JdTargetResponse_Refuse(nd, &msg, conn, &refusal);
+    }
 }
 
 static void
@@ -84,8 +104,10 @@
     JdTree_Closed(&nd->tree, conn);
 }
 
-static const JdConnOps conn_ops = {
-    .opened = on_opened, .frame = on_frame, .closed = on_closed};
+static const JdConnOps conn_ops = {.opened = on_opened,
+                                   .frame = on_frame,
+                                   .closed = on_closed,
+                                   .dropped = on_dropped};
 
 /* Returns whether the node with a peer address is known to be in another
  * region, as a member or from the directory. */
@@ -324,7 +346,7 @@
     JdAccounts_Init(nd);
     JdCrashStore_Init(nd);
     JdRolloutNode_Init(nd);
-    JdConnSet_Init(&nd->conns, &nd->loop, &nd->counters);
+    JdConnSet_Init(&nd->conns, &nd->loop, &nd->memory, &nd->counters);
     return JdConnSet_Listen(&nd->conns, nd->settings.peer_address, &conn_ops,
                             nd, err);
 }
--- a/peer/request_conn.c
+++ b/peer/request_conn.c
@@ -211,7 +211,7 @@
         end_silence(ctx, rconn);
     }
     if (frame->body_case == JD__FRAME__BODY_RESPONSE) {
-        JdAnswer_OnResponse(ctx, frame->response);
+        JdAnswer_OnResponse(ctx, frame->response, conn->body);
     }
     else if (frame->body_case == JD__FRAME__BODY_CHUNK) {
         JdAnswer_OnChunk(ctx, frame->chunk);
@@ -235,7 +235,21 @@
     fail_request_conn(ctx, conn->user, conn->last_read_at != 0);
 }
 
-static const JdConnOps conn_ops = {on_opened, on_frame, on_closed, on_drained};
+/* There is no room for an answer. */
+static void
+on_dropped(void *ctx, JdConn *conn, const JdFrameHead *head)
+{
+    JdRequestConn *rconn = conn->user;
+
+    JdLimits_LogShortage(ctx, "answer");
+    if (rconn->is_silent || rconn->is_probe) {
+        end_silence(ctx, rconn);
+    }
+    JdAnswer_OnDropped(ctx, head->id);
+}
+
+static const JdConnOps conn_ops = {on_opened, on_frame, on_closed, on_drained,
+                                   on_dropped};
 
 static JdRequestConn *
 open_request_conn(JdNode *nd, const JdMember *mb)
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -526,7 +526,8 @@
     disconnected_count++;
 }
 
-static const JdServerOps server_ops = {on_request, on_disconnected};
+static const JdServerOps server_ops = {.request = on_request,
+                                       .disconnected = on_disconnected};
 
 /* Starts the server and returns a connection to it. */
 static int
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -198,6 +198,8 @@
     CU_add_test(suite, "histogram", test_histogram);
     CU_add_test(suite, "noise", test_random_input);
     Unit_AddHttp();
+    Unit_AddMemory();
+    Unit_AddCallers();
     Unit_AddTarget();
     Unit_AddPlatform();
     Unit_AddBalance();
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -3,6 +3,8 @@
 #define UNIT_H
 
 void Unit_AddHttp(void);
+void Unit_AddMemory(void);
+void Unit_AddCallers(void);
 void Unit_AddTarget(void);
 void Unit_AddPlatform(void);
 void Unit_AddBalance(void);
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -121,7 +121,8 @@
 	    [listen.outbound]=$ip:$((BASE + 1))
 	    [listen.readiness]=$ip:$((BASE + 3))
 	    [listen.control]=$ip:$((BASE + 4)) [app]=$ip:$((BASE + 5))
-	    [service]=$2 [provider.address]=$STORE [limits.link_mbps]=1000.0)
+	    [service]=$2 [provider.address]=$STORE [limits.link_mbps]=1000.0
+	    [limits.memory_mb]=260)
 	for field in "${!value[@]}"; do
 		text=${text//"{{$field}}"/${value[$field]}}
 	done
--- a/targets/response.c
+++ b/targets/response.c
@@ -102,7 +102,7 @@
     nd->counters.value[JdReason_Info(reason)->counter]++;
     log_refusal(nd, request, reason, refusal->was_sent);
     add_reports(nd, request, 0, &msg);
-    nd->response_ops->respond(nd->response_ctx, origin, &msg);
+    nd->response_ops->respond(nd->response_ctx, origin, &msg, NULL);
 }
 
 /* Relays the target's answer to a request. */
@@ -138,8 +138,9 @@
     msg.header = list;
     add_reports(nd, it->msg, JdClock_Now(&nd->loop.clock) - it->submitted_at,
                 &msg);
-    if (!JdTargetRoom_Respond(it, &msg)) {
-        nd->response_ops->respond(nd->response_ctx, it->origin, &msg);
+    if (!JdTargetRoom_Respond(it, &msg, ans->content)) {
+        nd->response_ops->respond(nd->response_ctx, it->origin, &msg,
+                                  ans->content);
     }
     for (size_t i = 0; i < msg.n_header; i++) {
         g_free(names[i]);
--- a/targets/room.c
+++ b/targets/room.c
@@ -101,7 +101,7 @@
 /* Sends the answer of the target by the link's queue, if it is large and not
  * for a caller of this node.  Returns false if it is to be sent at once. */
 bool
-JdTargetRoom_Respond(JdWorkItem *it, const Jd__Response *msg)
+JdTargetRoom_Respond(JdWorkItem *it, const Jd__Response *msg, JdBody *body)
 {
     JdNode *nd = it->node;
     JdBulkTimes times = {it->work.deadline, it->work.soft_deadline,
@@ -116,6 +116,7 @@
     if (it->origin == NULL || msg->body.len <= JdPacer_ChunkSize(&nd->pacer)) {
         return false;
     }
-    nd->response_ops->respond_large(nd->response_ctx, it->origin, msg, &times);
+    nd->response_ops->respond_large(nd->response_ctx, it->origin, msg, body,
+                                    &times);
     return true;
 }
--- a/targets/work_item.h
+++ b/targets/work_item.h
@@ -9,7 +9,8 @@
     TAILQ_ENTRY(JdWorkItem) link;
     JdWork work; /* admission's view of this request */
     JdNode *node;
-    Jd__Request *msg;
+    Jd__Request *msg; /* points to `body` */
+    JdBody *body;
     JdConn *origin; /* NULL: the caller is connected to this node */
     JdHttpCall *call;
     JdLinkClaim link_claim; /* room that is kept for its response */
@@ -32,7 +33,8 @@
 /* room.c */
 JdReason JdTargetRoom_Reserve(JdWorkItem *it);
 void JdTargetRoom_Release(JdWorkItem *it);
-bool JdTargetRoom_Respond(JdWorkItem *it, const Jd__Response *msg);
+bool JdTargetRoom_Respond(JdWorkItem *it, const Jd__Response *msg,
+                          JdBody *body);
 
 /* suspect.c */
 void JdWorkItem_RecordEnd(JdWorkItem *it, const JdHttpResponse *ans);
--- a/targets/worker.c
+++ b/targets/worker.c
@@ -32,7 +32,7 @@
 {
     JdTargetRoom_Release(it);
     TAILQ_REMOVE(&it->node->work_items, it, link);
-    jd__request__free_unpacked(it->msg, NULL);
+    JdRequest_Free(it->msg, it->body);
     g_free(it);
 }
 
@@ -193,8 +193,7 @@
     JdHttpRequest rq = {.method = msg->method,
                         .path = msg->path,
                         .headers = headers,
-                        .body = msg->body.data,
-                        .body_len = msg->body.len,
+                        .content = it->body,
                         .timeout = time_left};
 
     if (msg->host[0] != '\0') {
@@ -425,11 +424,12 @@
 }
 
 /*
- * Submits a request for the target and takes ownership of the message.
+ * Submits a request for the target and takes ownership of the message and of a
+ * reference to its body.
  * `origin` is the connection it came over, or NULL for a caller of this node.
  */
 static void
-submit(void *ctx, Jd__Request *msg, JdConn *origin)
+submit(void *ctx, Jd__Request *msg, JdBody *body, JdConn *origin)
 {
     JdNode *nd = ctx;
     JdTargetRefusal refusal = {JD_REASON_NONE, false, 0};
@@ -442,12 +442,13 @@
     JdTargetNotice_OnRequest(nd, msg);
     if (refusal.reason != JD_REASON_NONE) {
         JdTargetResponse_Refuse(nd, msg, origin, &refusal);
-        jd__request__free_unpacked(msg, NULL);
+        JdRequest_Free(msg, body);
         return;
     }
     it = g_new0(JdWorkItem, 1);
     it->node = nd;
     it->msg = msg;
+    it->body = body;
     it->origin = origin;
     it->work.priority = JdTargetResponse_Priority(msg);
     set_rank(nd, msg, &it->work);
@@ -680,6 +681,7 @@
     if (s == JD_OK) {
         nd->target_client.max_response = MAX_RESPONSE;
         nd->target_client.max_buffered = MAX_BUFFERED;
+        nd->target_client.memory = &nd->memory;
         JdTargetHealth_Init(nd);
     }
     return s;
