Listeners accept a limited number of connections

What callers saw: with as many idle connections as a node may have descriptors it answered nobody for as long as they stayed, kept a core busy meanwhile, and had no descriptor left for its target, other nodes or the store.

Cause: every listener accepted whatever came, and an accept that failed was tried again at once, as its listener stayed readable.

Change: callers get half of the sockets, and no more than one for each 64 KiB of the account; other nodes a quarter; each other listener a sixteenth. Sockets are max_fds of the platform's settings less the 200 for files, passed on by name, or what the kernel allows. At the limit an idle connection gives way to a new one, the longest idle first, then one whose request has stood for half a second; a connection with a request that makes progress, or with an answer due, never does. Where none gives way, or the kernel has no descriptor, the listener rests for 20 ms and the kernel queues what comes.

--- a/base/base.h
+++ b/base/base.h
@@ -132,11 +132,13 @@
                     h2o_socket_cb on_written);
 void JdOutput_Written(JdOutput *out);
 
-/* ---- acceptor.c: listeners ---------------------------------------------- */
+/* ---- acceptor.c: listeners with a limit --------------------------------- */
 
 typedef struct JdAcceptorOps {
     /* Takes ownership of a new connection. */
     void (*accepted)(void *ctx, h2o_socket_t *sock);
+    /* Closes a connection, or returns false; NULL: none can be closed. */
+    bool (*make_room)(void *ctx);
     /* The kernel buffers little for each of many connections. */
     bool limits_buffers;
 } JdAcceptorOps;
@@ -145,9 +147,13 @@
     JdLoop *loop;
     h2o_socket_t *listener; /* NULL: stopped */
     void (*accepted)(void *ctx, h2o_socket_t *sock);
+    bool (*make_room)(void *ctx);
     bool limits_buffers;
     void *ctx;
     size_t open_count;
+    size_t max_open;
+    uint64_t rest_count; /* times that the listener rested */
+    JdTimer rest_timer;
 } JdAcceptor;
 
 JdStatus JdAcceptor_Init(JdAcceptor *ac, JdLoop *lp, const char *address,
@@ -362,6 +368,7 @@
 
 /* What is given up where there is no room. */
 typedef enum JdServerShed {
+    JD_SERVER_SHED_IDLE,       /* a connection that carried nothing */
     JD_SERVER_SHED_UNFINISHED, /* a request that made no progress */
     JD_SERVER_SHED_STALLED,    /* responses that their caller does not take */
     JD_SERVER_SHED_FOLLOWING,  /* requests behind others, not read */
--- a/base/server.c
+++ b/base/server.c
@@ -486,6 +486,7 @@
 
 static const JdAcceptorOps acceptor_ops = {
     .accepted = add_conn,
+    .make_room = JdServerRoom_FreeDescriptor,
     .limits_buffers = true,
 };
 
--- a/base/server_conn.h
+++ b/base/server_conn.h
@@ -80,6 +80,7 @@
 void JdServerRoom_Init(JdServer *sv);
 void JdServerRoom_Watch(JdServerConn *cn);
 void JdServerRoom_Unwatch(JdServerConn *cn);
+bool JdServerRoom_FreeDescriptor(void *ctx);
 bool JdServerRoom_Take(JdServer *sv, JdMemoryClass cls, size_t n);
 bool JdServerRoom_ReserveBody(JdServer *sv, JdServerExchange *ex, size_t n);
 
--- a/base/server_room.c
+++ b/base/server_room.c
@@ -1,7 +1,8 @@
 /*
- * Room for the requests of callers.  Where memory is short, a request or
- * response is given up that has made no progress for a while.  What makes
- * progress stays, and what is new is refused.
+ * Room for the requests of callers.  Where descriptors or memory are short,
+ * connections are closed on which nothing comes: idle ones, then those whose
+ * request or response has made no progress for a while.  What makes progress
+ * stays, and what is new is refused.
  */
 #include <poll.h>
 #include <string.h>
@@ -10,6 +11,9 @@
 
 /* Interval at which connections that are not read are checked. */
 #define WATCH_INTERVAL (50 * JD_US_PER_MS)
+/* Time without input after which an idle connection is closed for a new one.
+ */
+#define IDLE_PATIENCE (100 * JD_US_PER_MS)
 /* Time without progress after which a request that is being received, or a
  * response, is given up where there is no room. */
 #define INPUT_PATIENCE (500 * JD_US_PER_MS)
@@ -77,6 +81,16 @@
     JdTimer_Init(&sv->watch_timer, on_watch, sv);
 }
 
+/* ---- descriptors -------------------------------------------------------- */
+
+static bool
+is_idle(const JdServerConn *cn, uint64_t now)
+{
+    return cn->state == CONN_OPEN && cn->partial == NULL &&
+           cn->pending_count == 0 && cn->output.size == 0 &&
+           now - cn->read_at >= IDLE_PATIENCE;
+}
+
 /* Returns whether a request has been received partly and nothing more comes.
  */
 static bool
@@ -86,6 +100,36 @@
            cn->pending_count == 0 && now - cn->read_at >= INPUT_PATIENCE;
 }
 
+/* Closes the connection on which nothing has come for longest.  Returns false
+ * if all of them carry something that makes progress. */
+bool
+JdServerRoom_FreeDescriptor(void *ctx)
+{
+    JdServer *sv = ctx;
+    uint64_t now = JdClock_Now(&sv->loop->clock);
+    JdServerConn *cn, *stalled = NULL;
+
+    TAILQ_FOREACH(cn, &sv->conns, link)
+    {
+        if (is_idle(cn, now)) {
+            JdServer_CountShed(sv, JD_SERVER_SHED_IDLE);
+            JdServerConn_Close(cn);
+            return true;
+        }
+        if (stalled == NULL && is_input_stalled(cn, now)) {
+            stalled = cn;
+        }
+    }
+    if (stalled == NULL) {
+        return false;
+    }
+    JdServer_CountShed(sv, JD_SERVER_SHED_UNFINISHED);
+    JdServerConn_Close(stalled);
+    return true;
+}
+
+/* ---- memory ------------------------------------------------------------- */
+
 /* Returns whether the caller takes nothing of its responses. */
 static bool
 is_output_stalled(JdServerConn *cn, uint64_t now)
--- a/caller/front.c
+++ b/caller/front.c
@@ -53,6 +53,7 @@
         JdCounter counter;
         const char *outcome;
     } table[JD_SERVER_SHED_MAX] = {
+        [JD_SERVER_SHED_IDLE] = {JD_C_SHED_IDLE, "idle"},
         [JD_SERVER_SHED_UNFINISHED] = {JD_C_SHED_UNFINISHED, "unfinished"},
         [JD_SERVER_SHED_STALLED] = {JD_C_SHED_STALLED, "stalled"},
         [JD_SERVER_SHED_FOLLOWING] = {JD_C_SHED_FOLLOWING, "following"},
--- a/node/node.h
+++ b/node/node.h
@@ -57,6 +57,7 @@
     uint64_t checkpoint_interval_s;
     uint64_t max_body_bytes;
     uint64_t memory_mb;        /* of the process, in 10^6 bytes */
+    uint64_t max_fds;          /* of the process, 0: what the kernel allows */
     uint64_t link_kbps;        /* bandwidth of the VM's link, 0: unknown */
     uint64_t baseline_poll_ms; /* each node polls the log, 0: use the tree */
     uint64_t claim_hold_s;     /* time for which a key stays claimed */
@@ -227,7 +228,9 @@
     JdLog log;
     JdMemory memory;           /* room for what is held for others: limits.c */
     uint64_t memory_logged_at; /* last log line on a lack of room */
-    JdConnSet conns;           /* to and from other nodes */
+    size_t max_other_connections; /* of each listener that is not for callers
+                                     or nodes */
+    JdConnSet conns;              /* to and from other nodes */
     JdServer caller_server;
     JdHttpd admin_server;
     /* Ring buffer; applied_count counts all versions since the start. */
--- a/node/reload.c
+++ b/node/reload.c
@@ -56,6 +56,7 @@
            JD_NUMBER("needs_restart", needs_restart(&nd->settings, s)));
     nd->settings.max_queued = s->max_queued;
     nd->settings.memory_mb = s->memory_mb;
+    nd->settings.max_fds = s->max_fds;
     nd->settings.max_body_bytes = s->max_body_bytes;
     nd->caller_server.max_body = s->max_body_bytes;
     nd->settings.linger_ms = s->linger_ms;
--- a/node/settings.c
+++ b/node/settings.c
@@ -63,6 +63,7 @@
     NUMBER("/link_kbps", link_kbps, 1, 1000000000),
     NUMBER("/body_bytes", max_body_bytes, 1, 64 << 20),
     NUMBER("/memory_mb", memory_mb, 16, 1 << 20),
+    NUMBER("/max_fds", max_fds, 64, 1 << 20),
     NUMBER("/baseline_poll_ms", baseline_poll_ms, 1, 60000),
 };
 
--- a/node/source.h
+++ b/node/source.h
@@ -43,6 +43,9 @@
     void (*put_departure)(struct JdNode *nd, uint64_t started);
     /* A version was applied or readiness changed; may be NULL. */
     void (*status_changed)(struct JdNode *nd);
+    /* The limits of connections were set (max_other_connections); may be NULL.
+     */
+    void (*apply_limits)(struct JdNode *nd);
     /* The settings file was reloaded; may be NULL. */
     void (*settings_reloaded)(struct JdNode *nd);
 } JdConfigSource;
--- a/regress/unit/callers.c
+++ b/regress/unit/callers.c
@@ -312,6 +312,33 @@
     stop_server();
 }
 
+/* Where there are as many connections as are allowed, one that is idle gives
+ * way to a new one, but not one with a request. */
+static void
+test_descriptors(void)
+{
+    int busy, idle, other;
+
+    start_server();
+    server.acceptor.max_open = 2;
+    busy = start_client();
+    idle = start_client();
+    send_text(busy, GET);
+    CU_ASSERT_EQUAL(received_count, 1);
+    run_for(150 * JD_US_PER_MS);
+    other = start_client();
+    run_for(50 * JD_US_PER_MS);
+    send_text(other, GET);
+    CU_ASSERT_EQUAL_FATAL(received_count, 2);
+    CU_ASSERT_STRING_EQUAL(receive(idle), "");
+    CU_ASSERT_EQUAL(shed_count[JD_SERVER_SHED_IDLE], 1);
+    JdServer_Reply(received[0], 200, NULL, NULL, 0);
+    JdServer_Reply(received[1], 200, NULL, NULL, 0);
+    CU_ASSERT_PTR_NOT_NULL(strstr(receive(busy), " 200 "));
+    CU_ASSERT_PTR_NOT_NULL(strstr(receive(other), " 200 "));
+    stop_server();
+}
+
 /* Where a request finds no room, one of which nothing comes is given up. */
 static void
 test_stalled_head(void)
@@ -352,5 +379,6 @@
     CU_add_test(s, "rest of a refused body", test_refused_rest);
     CU_add_test(s, "requests behind unanswered ones", test_pending);
     CU_add_test(s, "answers that are not read", test_unread);
+    CU_add_test(s, "no descriptor", test_descriptors);
     CU_add_test(s, "stalled head", test_stalled_head);
 }
--- a/regress/unit/platform.c
+++ b/regress/unit/platform.c
@@ -146,6 +146,15 @@
     CU_ASSERT_DOUBLE_EQUAL(b.grace_period_s, 10, 1e-9);
     CU_ASSERT_DOUBLE_EQUAL(b.link_mbps, 140, 1e-9);
     CU_ASSERT_EQUAL(b.unnamed_count, 0);
+    JdPlatformBounds_Parse("link_mbps=10,memory_mb=160,max_fds=4100,grace_s=6",
+                           &b);
+    CU_ASSERT_DOUBLE_EQUAL(b.memory_mb, 160, 1e-9);
+    CU_ASSERT_DOUBLE_EQUAL(b.max_fds, 4100, 1e-9);
+    /* As the template is filled where the settings have no such fields. */
+    JdPlatformBounds_Parse("link_mbps=,memory_mb=,max_fds=,grace_s=6", &b);
+    CU_ASSERT_DOUBLE_EQUAL(b.memory_mb, 0, 1e-9);
+    CU_ASSERT_DOUBLE_EQUAL(b.max_fds, 0, 1e-9);
+    CU_ASSERT_EQUAL(b.unnamed_count, 0);
     JdPlatformBounds_Parse("link_mbps=140.0,3,2,10", &b);
     CU_ASSERT_DOUBLE_EQUAL(b.grace_period_s, 6, 1e-9);
     CU_ASSERT_EQUAL(b.unnamed_count, 3);
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -122,7 +122,7 @@
 	    [listen.readiness]=$ip:$((BASE + 3))
 	    [listen.control]=$ip:$((BASE + 4)) [app]=$ip:$((BASE + 5))
 	    [service]=$2 [provider.address]=$STORE [limits.link_mbps]=1000.0
-	    [limits.memory_mb]=260)
+	    [limits.memory_mb]=260 [limits.max_fds]=4100)
 	for field in "${!value[@]}"; do
 		text=${text//"{{$field}}"/${value[$field]}}
 	done
