A status that is none of HTTP's is no answer

What callers saw: a worker in trouble that answered 600, 999 or, closing its connection, 099, 150 or 199 had that passed on as an answer, also for orders. With 000 to 099 on a connection that stayed open the caller waited until its deadline (504), while safe requests ran at a second worker as well.

Cause: the client took every status up to 199 for informational, whatever its digits, and waited for the next response; it took every other number for an answer, and an informational response that ended its connection as well.

Change: a status below 100 or above 599, or 101, which no request asks for, ends the call with the head, as broken: 502, or another target where the request may be repeated. An informational response that nothing can follow does the same. The caller's node checks what nodes of older releases pass on.

--- a/base/base.h
+++ b/base/base.h
@@ -220,6 +220,9 @@
 } JdHttpHeader;
 
 #define JD_HTTP_HEADERS_MAX 64
+/* Statuses of responses; lower ones from 100 on are informational. */
+#define JD_HTTP_STATUS_MIN 200
+#define JD_HTTP_STATUS_MAX 599
 
 /* Position of a header in JdHeaders.buffer. */
 typedef struct JdHeaderSpan {
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -21,7 +21,8 @@
 /* An idle connection is not reused in this last part of the server's own
  * timeout, so that no request is sent while the server closes it. */
 #define IDLE_MARGIN (500 * JD_US_PER_MS)
-#define STATUS_INFORMATIONAL_MAX 199
+#define STATUS_INFORMATIONAL_MIN 100
+#define STATUS_SWITCHING_PROTOCOLS 101
 /* Arriving bytes extend the timeout of a call by at most this many times its
  * read timeout, so that an endless response is given up. */
 #define MAX_READ_TIMEOUTS 10
@@ -287,11 +288,25 @@
     return 0;
 }
 
+/* Returns whether a response may have this status.  No request asks for
+ * another protocol. */
+static bool
+is_status(unsigned status)
+{
+    return status >= STATUS_INFORMATIONAL_MIN &&
+           status <= JD_HTTP_STATUS_MAX &&
+           status != STATUS_SWITCHING_PROTOCOLS;
+}
+
 static int
 finish_headers(http_parser *hp)
 {
     JdHttpCall *call = ((Conn *)hp->data)->call;
 
+    if (!is_status(hp->status_code)) {
+        return -1;
+    }
+
     call->response.status = (int)hp->status_code;
     call->response.header_count =
         JdHeaders_Complete(&call->headers, call->response.header);
@@ -411,8 +426,7 @@
 {
     JdHttpCall *call = cn->call;
 
-    if (call->response.status > STATUS_INFORMATIONAL_MAX &&
-        matches_request(call)) {
+    if (call->response.status >= JD_HTTP_STATUS_MIN && matches_request(call)) {
         return false;
     }
     if (!http_should_keep_alive(&cn->parser)) {
@@ -423,10 +437,15 @@
     return true;
 }
 
-/* Ends a call whose response is complete. */
+/* Ends a call whose response is complete.  An informational one is none: its
+ * connection cannot carry another. */
 static void
 handle_response(JdHttpCall *call)
 {
+    if (call->response.status < JD_HTTP_STATUS_MIN) {
+        fail_call(call);
+        return;
+    }
     if (matches_request(call)) {
         accept_response(call);
         return;
--- a/peer/answer.c
+++ b/peer/answer.c
@@ -76,7 +76,9 @@
     if (att->tier == JD_TIER_FAR) {
         nd->counters.value[JD_C_REQUEST_REGION_BYTES] += len;
     }
-    if (msg->reason != JD_REASON_NONE || msg->status == 0) {
+    /* Nodes of older releases pass on whatever status a target sends. */
+    if (msg->reason != JD_REASON_NONE || msg->status < JD_HTTP_STATUS_MIN ||
+        msg->status > JD_HTTP_STATUS_MAX) {
         JdAttemptFailure failure = {.reason = JD_REASON_BROKEN,
                                     .was_sent = msg->sent,
                                     .report = report,
--- a/regress/stand/workerd.c
+++ b/regress/stand/workerd.c
@@ -6,6 +6,9 @@
  *       mode=ok|shed|stall  answer, refuse without executing, or never answer
  *       mode=error          answer 500, with no word of limit and leaving
  *       mode=lose           run, and close the connection without an answer
+ *       mode=status         run, and answer with the status of `status`, three
+ *                           digits of any value; the connection ends after it
+ *                           if that begins with a minus sign
  *       id=ID               act as another process at the same address
  *       say=ready|draining|nothing|noise
  *                           send heartbeats with this state, no heartbeats, or
@@ -52,6 +55,7 @@
     JdTimer heartbeat_timer;
     char id[JD_NAME_MAX];
     char mode[JD_NAME_MAX];
+    char status[JD_NAME_MAX];
     char heartbeat_mode[JD_NAME_MAX];
     char rate_limit[JD_NAME_MAX]; /* empty: none is named */
     bool is_leaving;
@@ -315,6 +319,28 @@
     shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
 }
 
+/* Answers with a status line that an HTTP library would not send. */
+static void
+send_status(h2o_req_t *req)
+{
+    bool ends = worker.status[0] == '-';
+    int fd = h2o_socket_get_fd(req->conn->callbacks->get_socket(req->conn));
+    char id[JD_NAME_MAX] = "";
+    char *text;
+
+    JdHttpd_CopyHeader(req, "jacinthdyke-request-id", id, sizeof(id));
+    text = g_strdup_printf("HTTP/1.1 %s Odd\r\ncontent-length: 0\r\n"
+                           "jacinthdyke-request-id: %s\r\n"
+                           "jacinthdyke-server-signature: %s\r\n%s\r\n",
+                           worker.status + ends, id, worker.id,
+                           ends ? "connection: close\r\n" : "");
+    send(fd, text, strlen(text), MSG_NOSIGNAL);
+    g_free(text);
+    if (ends) {
+        shutdown(fd, SHUT_RDWR);
+    }
+}
+
 static void
 on_work_done(void *ctx)
 {
@@ -327,7 +353,10 @@
     if (run->req != NULL && strcmp(worker.mode, "lose") == 0) {
         lose_answer(run->req);
     }
-    if (run->req != NULL && strcmp(worker.mode, "error") == 0) {
+    if (run->req != NULL && strcmp(worker.mode, "status") == 0) {
+        send_status(run->req);
+    }
+    else if (run->req != NULL && strcmp(worker.mode, "error") == 0) {
         echo_request_id(run->req);
         JdHttpd_Reply(run->req, 500, "text/plain", "failed\n", 7);
     }
@@ -414,6 +443,8 @@
 on_control_request(h2o_req_t *req)
 {
     JdHttpd_CopyQueryParam(req, "mode", worker.mode, sizeof(worker.mode));
+    JdHttpd_CopyQueryParam(req, "status", worker.status,
+                           sizeof(worker.status));
     JdHttpd_CopyQueryParam(req, "version", worker.version,
                            sizeof(worker.version));
     JdHttpd_CopyQueryParam(req, "say", worker.heartbeat_mode,
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -292,6 +292,31 @@
                    JD_HTTP_COMPLETED);
 }
 
+/* A status that is none of HTTP's ends the call at once, whether or not the
+ * connection stays open; so does an informational one that nothing can follow.
+ */
+static void
+test_odd_statuses(void)
+{
+    static const char *const statuses[] = {"000", "007", "099", "101",
+                                           "600", "999", "0"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+        char *text = g_strdup_printf("HTTP/1.1 %s Odd\r\nx-id: a\r\n"
+                                     "content-length: 2\r\n\r\nAA" RESPONSE_A,
+                                     statuses[i]);
+
+        check_response(text, JD_HTTP_DISCONNECTED);
+        g_free(text);
+    }
+    check_response("HTTP/1.1 150 Odd\r\nx-id: a\r\nconnection: close\r\n\r\n",
+                   JD_HTTP_DISCONNECTED);
+    check_response("HTTP/1.1 199 Odd\r\nx-id: a\r\n\r\n" RESPONSE_A,
+                   JD_HTTP_COMPLETED);
+    check_response("HTTP/1.1 599 Odd\r\nx-id: a\r\ncontent-length: 0\r\n\r\n",
+                   JD_HTTP_COMPLETED);
+}
+
 /* Sends a text again and again until the call has ended or `most` bytes were
  * taken.  Returns the number of bytes. */
 static size_t
@@ -772,6 +797,7 @@
     CU_add_test(s, "extra bytes", test_extra_bytes);
     CU_add_test(s, "no length", test_no_length);
     CU_add_test(s, "complete and malformed responses", test_responses);
+    CU_add_test(s, "odd statuses", test_odd_statuses);
     CU_add_test(s, "early response", test_early_response);
     CU_add_test(s, "endless response", test_endless);
     CU_add_test(s, "endless responses together", test_endless_together);
