A head with a line that is no header is refused

Cause: the parser is built in its lenient form, and nothing checked what it took.

Change: names must be tokens and values without control characters, checked once when the head is complete. An answer that is not so ends the call as broken, so that a request that may be repeated gets another worker's; a request gets 400.

--- a/base/base.h
+++ b/base/base.h
@@ -247,6 +247,7 @@
 bool JdHeaders_AppendName(JdHeaders *hs, const char *data, size_t n);
 void JdHeaders_AppendValue(JdHeaders *hs, const char *data, size_t n);
 size_t JdHeaders_Complete(JdHeaders *hs, JdHttpHeader *out);
+bool JdHttpHeader_AreValid(const JdHttpHeader *header, size_t n);
 const JdHttpHeader *JdHttpHeader_Find(const JdHttpHeader *header, size_t n,
                                       const char *name);
 
--- a/base/header.c
+++ b/base/header.c
@@ -117,3 +117,49 @@
     }
     return NULL;
 }
+
+/* Returns whether a character may stand in the name of a header (RFC 9110:
+ * tchar). */
+static bool
+is_name_char(char c)
+{
+    return g_ascii_isalnum(c) ||
+           (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+/* Returns whether a character may stand in the value of a header. */
+static bool
+is_value_char(char c)
+{
+    return c == '\t' || !g_ascii_iscntrl(c);
+}
+
+static bool
+is_valid(const JdHttpHeader *h)
+{
+    for (size_t i = 0; i < h->name_len; i++) {
+        if (!is_name_char(h->name[i])) {
+            return false;
+        }
+    }
+    for (size_t i = 0; i < h->value_len; i++) {
+        if (!is_value_char(h->value[i])) {
+            return false;
+        }
+    }
+    return h->name_len > 0;
+}
+
+/* Returns whether headers are such as HTTP/1.1 allows.  The parser is lenient:
+ * it takes blanks and other bytes in names, and control characters in values.
+ */
+bool
+JdHttpHeader_AreValid(const JdHttpHeader *header, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (!is_valid(&header[i])) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/base/httpc.c
+++ b/base/httpc.c
@@ -310,6 +310,10 @@
     call->response.status = (int)hp->status_code;
     call->response.header_count =
         JdHeaders_Complete(&call->headers, call->response.header);
+    if (!JdHttpHeader_AreValid(call->response.header,
+                               call->response.header_count)) {
+        return -1;
+    }
     /* 1: no body follows.  A response to HEAD has none, whatever its headers
      * say. */
     return call->is_head_request ? 1 : 0;
--- a/base/server_parse.c
+++ b/base/server_parse.c
@@ -178,6 +178,9 @@
     ex->request.path_len = ex->url_len;
     ex->request.header_count =
         JdHeaders_Complete(&ex->headers, ex->request.header);
+    if (!JdHttpHeader_AreValid(ex->request.header, ex->request.header_count)) {
+        return refuse(hp, JD_SERVER_MALFORMED);
+    }
     if (sv->ops->time_limit != NULL) {
         ex->useful_until =
             ex->began_at + sv->ops->time_limit(sv->ctx, &ex->request);
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -292,6 +292,31 @@
                    JD_HTTP_COMPLETED);
 }
 
+/* A response with a line in its head that is no header is no answer. */
+static void
+test_spoiled_heads(void)
+{
+    static const char *const lines[] = {"Cache  ontrol: no-store",
+                                        " cache-control: no-store",
+                                        "cache-control : no-store",
+                                        "cache(control: no-store",
+                                        "cache-control: no\001store",
+                                        "cache-control: no\177store",
+                                        ": no-store"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+        char *text = g_strdup_printf("HTTP/1.1 200 OK\r\n%s\r\nx-id: a\r\n"
+                                     "content-length: 2\r\n\r\nAA",
+                                     lines[i]);
+
+        check_response(text, JD_HTTP_DISCONNECTED);
+        g_free(text);
+    }
+    check_response("HTTP/1.1 200 OK\r\nx-id: a\r\nx_!#$%&'*+-.^`|~9: \t\"a\", "
+                   "\303\251;\r\ncontent-length: 2\r\n\r\nAA",
+                   JD_HTTP_COMPLETED);
+}
+
 /* A status that is none of HTTP's ends the call at once, whether or not the
  * connection stays open; so does an informational one that nothing can follow.
  */
@@ -693,6 +718,11 @@
     CU_ASSERT_PTR_NOT_NULL(strstr(receive(fd), "400"));
     CU_ASSERT_EQUAL(received_count, 0);
     stop_server(fd);
+    fd = start_server();
+    send_text(fd, "GET / HTTP/1.1\r\nhost: h\r\nCache  ontrol: no\r\n\r\n");
+    CU_ASSERT_PTR_NOT_NULL(strstr(receive(fd), "400"));
+    CU_ASSERT_EQUAL(received_count, 0);
+    stop_server(fd);
 }
 
 /* After JdServer_CloseAfterResponse and the next response, the server takes no
@@ -797,6 +827,7 @@
     CU_add_test(s, "extra bytes", test_extra_bytes);
     CU_add_test(s, "no length", test_no_length);
     CU_add_test(s, "complete and malformed responses", test_responses);
+    CU_add_test(s, "spoiled heads", test_spoiled_heads);
     CU_add_test(s, "odd statuses", test_odd_statuses);
     CU_add_test(s, "early response", test_early_response);
     CU_add_test(s, "endless response", test_endless);
