--- a/regress/unit/platform.c
+++ b/regress/unit/platform.c
@@ -76,6 +76,41 @@
     }
 }
 
+/* Checks the weights that a split with two services gets, 0: it is refused. */
+static void
+check_weights(const char *first, const char *second, int a, int b)
+{
+    char *text = g_strdup_printf(
+        DOCUMENT(ROUTE ",\"weighted_clusters\":[{\"service\":\"s\","
+                       "\"weight\":%s},{\"service\":\"t\",\"weight\":%s}]"),
+        first, second);
+    json_t *doc = NULL;
+    int got_a = 0, got_b = 0;
+
+    if (decode(text, &doc) == JD_OK) {
+        json_unpack(doc, "{s:{s:{s:{s:i, s:i}}}}", "routes", "h.example/a/",
+                    "split", "s", &got_a, "t", &got_b);
+    }
+    CU_ASSERT_EQUAL(got_a, a);
+    CU_ASSERT_EQUAL(got_b, b);
+    json_decref(doc);
+    g_free(text);
+}
+
+/* Weights keep their proportions; whole ones stay as they are. */
+static void
+test_weights(void)
+{
+    check_weights("9", "1", 9, 1);
+    check_weights("9.0", "1", 9, 1);
+    check_weights("0.9", "0.1", 1000000, 111111);
+    check_weights("0.25", "0", 1000000, 0);
+    check_weights("1e-9", "1", 1, 1000000);
+    check_weights("4000000", "1000000", 1000000, 250000);
+    check_weights("-1", "2", 0, 0);
+    check_weights("\"1\"", "2", 0, 0);
+}
+
 #define HEARTBEAT(more)                                                       \
     "{\"address\":\"1.2.3.4:5\",\"born\":99,\"info\":{\"service\":\"s\","     \
     "\"version\":\"v1\",\"zone\":\"z\",\"slots\":6}," more "}"
@@ -200,6 +235,7 @@
 
     CU_add_test(s, "document", test_document);
     CU_add_test(s, "bad documents", test_bad_documents);
+    CU_add_test(s, "weights", test_weights);
     CU_add_test(s, "heartbeat", test_heartbeat);
     CU_add_test(s, "bounds", test_bounds);
     CU_add_test(s, "random corruption", test_random_corruption);
