A departure is kept again after a restore, also by a node that is no head

Cause: a departure was told again only when this node's own client of the store got an answer of the new epoch. A node that is no head makes no call; it heard of the epoch from its parent, which registered heads again and nothing else.

Change: the tree tells its node of a higher epoch, whoever named it (callback epoch_changed), and the node puts its departure, and records of crashes, again.

--- a/lib/tree/head.c
+++ b/lib/tree/head.c
@@ -124,6 +124,9 @@
     if (tr->is_root) {
         tr->ops->read_directory(tr->ctx);
     }
+    if (tr->ops->epoch_changed != NULL) {
+        tr->ops->epoch_changed(tr->ctx);
+    }
 }
 
 /* Handles the result of the directory append.  Its position gives the rank of
--- a/peer/link.c
+++ b/peer/link.c
@@ -295,6 +295,14 @@
     return JdForward_CountOldRunning(ctx, ro);
 }
 
+/* What this node keeps at the source may be gone, whoever told of it. */
+static void
+on_epoch_changed(void *ctx)
+{
+    JdCrashStore_OnChanged(ctx);
+    JdDeparture_OnEpochChanged(ctx);
+}
+
 static const JdTreeOps tree_ops = {
     .dial = dial,
     .send = send_frame,
@@ -309,6 +317,7 @@
     .member_changed = on_member_changed,
     .target_replaced = on_target_replaced,
     .target_left_learned = on_target_left_learned,
+    .epoch_changed = on_epoch_changed,
     .crashes_changed = on_crashes_changed,
     .rollout_changed = on_rollout_changed,
     .count_old_running = count_old_running,
