The source has its time to tell of a departure once there is a configuration

Cause: a node that cannot read the departure uses its target 2 s after its start. With the store down for longer that time was over before any node had a configuration, and what came first afterwards, the configuration or the departure, was chance.

Change: the 2 s count from the moment at which the node has a configuration. A call that hangs and the pause after it take 1.4 s at most.

--- a/include/jacinthdyke_tree.h
+++ b/include/jacinthdyke_tree.h
@@ -194,8 +194,8 @@
     /* Another node told which process of this node's target has left, or that
        it knows of none from before the start of this node; may be NULL. */
     void (*target_left_learned)(void *ctx);
-    /* The source was restored from an older copy: an answer or the parent named
-       a higher epoch; may be NULL. */
+    /* The source was restored from an older copy: an answer or the parent
+       named a higher epoch; may be NULL. */
     void (*epoch_changed)(void *ctx);
     /* Records of crashes changed; may be NULL. */
     void (*crashes_changed)(void *ctx);
--- a/node/node.h
+++ b/node/node.h
@@ -161,11 +161,12 @@
 /* What the source of configuration holds of the departures of the target. */
 typedef struct JdDeparture {
     bool is_read;
-    bool is_known;    /* the same, or given up: the target may be used */
-    bool is_busy;     /* a read or a write is under way */
-    uint64_t stored;  /* process that left, by what the source holds, or 0 */
-    uint64_t written; /* process that is being written, 0: none is left */
-    JdTimer timer;    /* pause after a failure */
+    bool is_known;     /* the same, or given up: the target may be used */
+    bool is_busy;      /* a read or a write is under way */
+    uint64_t stored;   /* process that left, by what the source holds, or 0 */
+    uint64_t written;  /* process that is being written, 0: none is left */
+    uint64_t ready_at; /* when this node first had a configuration, or 0 */
+    JdTimer timer;     /* pause after a failure */
 } JdDeparture;
 
 /* What the source of configuration holds of the requests that crash targets.
@@ -449,6 +450,7 @@
 void JdDeparture_OnChanged(JdNode *nd);
 void JdDeparture_OnEpochChanged(JdNode *nd);
 void JdDeparture_OnTold(JdNode *nd);
+void JdDeparture_OnNodeReady(JdNode *nd);
 void JdDeparture_OnRead(JdNode *nd, JdStatus status, uint64_t started);
 void JdDeparture_OnPut(JdNode *nd, JdStatus status);
 bool JdTargetHealth_IsUp(const JdNode *nd);
--- a/peer/link.c
+++ b/peer/link.c
@@ -206,6 +206,7 @@
     if (nd->tree.is_ready && is_starting) {
         JD_LOG(JD_EVENT_READY,
                JD_NUMBER("version", nd->store.config->version));
+        JdDeparture_OnNodeReady(nd);
         nd->target_ops->node_ready(nd->target_ctx);
     }
 }
--- a/targets/departure.c
+++ b/targets/departure.c
@@ -9,8 +9,9 @@
 
 /* Pause after a call to the source that failed. */
 #define RETRY_INTERVAL (500 * JD_US_PER_MS)
-/* Time from the start after which the target is used although the source
- * could not be asked. */
+/* Time after which the target is used although the source could not be asked,
+ * from the moment at which this node has a configuration: a source that
+ * supplied it may have answered since. */
 #define READ_TIMEOUT (2 * JD_US_PER_S)
 
 static bool
@@ -113,19 +114,35 @@
     JdTargetHealth_OnLeftLearned(nd);
 }
 
+/* This node has a configuration. */
+void
+JdDeparture_OnNodeReady(JdNode *nd)
+{
+    nd->departure.ready_at = JdClock_Now(&nd->loop.clock);
+}
+
+/* Returns whether the source has had its time to answer. */
+static bool
+has_timed_out(JdNode *nd)
+{
+    uint64_t now = JdClock_Now(&nd->loop.clock);
+
+    return nd->tree.is_ready && nd->departure.ready_at != 0 &&
+           now - nd->departure.ready_at > READ_TIMEOUT;
+}
+
 /* The read has ended; `started` is 0 where the source holds no departure. */
 void
 JdDeparture_OnRead(JdNode *nd, JdStatus status, uint64_t started)
 {
     JdDeparture *dep = &nd->departure;
-    uint64_t age = JdClock_Now(&nd->loop.clock) - nd->started_at;
 
     if (status == JD_OK) {
         dep->is_read = true;
         dep->stored = started;
         JdTree_SetTargetLeft(&nd->tree, started);
     }
-    if (!dep->is_known && (status == JD_OK || age > READ_TIMEOUT)) {
+    if (!dep->is_known && (status == JD_OK || has_timed_out(nd))) {
         dep->is_known = true;
         log_call(nd, "departure-read", status);
         JdTargetHealth_OnLeftLearned(nd);
