Small answers need room as well, and only large bodies ask for their time limit

What callers saw: nothing yet. By reading: answers of up to 64 KiB from other nodes were held without regard to the account, 64 for each connection whose caller does not read them; and every request had its route looked up a second time, for a time limit that only large bodies use.

Change: an answer that finds no room, after what stands still was given up, becomes a 502, as the request has run. The time limit is asked for where a body is in chunks or above 64 KiB.

Evidence: unit/callers asks for room where there is none, and some again.

--- a/base/base.h
+++ b/base/base.h
@@ -424,6 +424,7 @@
                     const void *body, size_t len);
 void JdServer_ReplyBody(JdServerRequest *rq, int status, const char *headers,
                         JdBody *body);
+bool JdServer_HasRoom(JdServer *sv, size_t n);
 void JdServer_CountShed(JdServer *sv, JdServerShed what);
 
 /* ---- settings.c: settings file ----------------------------------------- */
--- a/base/server_conn.h
+++ b/base/server_conn.h
@@ -55,9 +55,10 @@
     bool is_complete;
     bool keeps_alive;
     uint64_t began_at;
-    uint64_t useful_until;   /* of no use to the caller later; 0: unknown */
-    GByteArray *response;    /* status and headers; NULL: not answered yet */
-    JdBody *response_body;   /* or NULL */
+    uint64_t useful_until; /* of no use to the caller later, where its body may
+                              be large; 0: unknown */
+    GByteArray *response;  /* status and headers; NULL: not answered yet */
+    JdBody *response_body; /* or NULL */
     JdServerRequest request; /* what the handler sees */
 };
 
--- a/base/server_parse.c
+++ b/base/server_parse.c
@@ -165,6 +165,14 @@
     }
 }
 
+static bool
+may_be_large(const http_parser *hp)
+{
+    return (hp->flags & F_CHUNKED) != 0 ||
+           (hp->content_length != ULLONG_MAX &&
+            hp->content_length > JD_LARGE_BYTES);
+}
+
 /* Sets the pointers into the header buffer, which no longer changes. */
 static int
 finish_headers(http_parser *hp)
@@ -181,7 +189,7 @@
     if (!JdHttpHeader_AreValid(ex->request.header, ex->request.header_count)) {
         return refuse(hp, JD_SERVER_MALFORMED);
     }
-    if (sv->ops->time_limit != NULL) {
+    if (sv->ops->time_limit != NULL && may_be_large(hp)) {
         ex->useful_until =
             ex->began_at + sv->ops->time_limit(sv->ctx, &ex->request);
     }
--- a/base/server_room.c
+++ b/base/server_room.c
@@ -189,6 +189,18 @@
     return give_up_stalled(sv, cls, n) && JdMemory_Take(sv->memory, cls, n);
 }
 
+/* Returns whether there is room for a response of `n` bytes that is not
+ * charged yet. */
+bool
+JdServer_HasRoom(JdServer *sv, size_t n)
+{
+    if (!JdServerRoom_Take(sv, JdMemory_ClassOf(n), n)) {
+        return false;
+    }
+    JdMemory_Give(sv->memory, n);
+    return true;
+}
+
 /* Gives up the large bodies that come too late to be of use to their callers.
  */
 static void
--- a/caller/reply.c
+++ b/caller/reply.c
@@ -55,8 +55,15 @@
 JdReply_Answer(JdNode *nd, JdServerRequest *req, uint64_t version,
                const Jd__Response *msg, JdBody *body)
 {
-    GString *head = g_string_new(NULL);
+    GString *head;
 
+    if (body == NULL && !JdServer_HasRoom(&nd->caller_server, msg->body.len)) {
+        nd->counters.value[JD_C_REFUSED_NO_MEMORY]++;
+        JdLimits_LogShortage(nd, "answer");
+        JdReply_Refuse(nd, req, JD_REASON_BROKEN, 0);
+        return;
+    }
+    head = g_string_new(NULL);
     for (size_t i = 0; i < msg->n_header; i++) {
         const Jd__Header *h = msg->header[i];
 
--- a/regress/unit/callers.c
+++ b/regress/unit/callers.c
@@ -351,6 +351,7 @@
     send_text(stalled, "GET / HTTP/1.1\r\nhost: h\r\nx-long: ");
     CU_ASSERT_EQUAL(send_bytes(stalled, LONG_HEAD), LONG_HEAD);
     JdMemory_TakeAnyway(&memory, JdMemory_Room(&memory, JD_MEMORY_FIRST));
+    CU_ASSERT_FALSE(JdServer_HasRoom(&server, 1));
     run_for(600 * JD_US_PER_MS);
     send_text(other, GET);
     CU_ASSERT_EQUAL(shed_count[JD_SERVER_SHED_UNFINISHED], 1);
@@ -359,6 +360,7 @@
     JdServer_Reply(received[0], 200, NULL, NULL, 0);
     CU_ASSERT_PTR_NOT_NULL(strstr(receive(other), " 200 "));
     JdMemory_Give(&memory, memory.used);
+    CU_ASSERT_TRUE(JdServer_HasRoom(&server, 1));
     stop_server();
 }
 
