A returned token lives no longer than the last one obtained anew

Cause: the token of a refused request went back to its node's stock with a new second to live. While all were refused each node's token went round without an end, and the allocator, which was not asked, saved up its burst beside them.

Change: a returned token keeps to the end of life of the last one that the node got by a grant, of its own part or ahead of an answer.

--- a/include/jacinthdyke_account.h
+++ b/include/jacinthdyke_account.h
@@ -104,7 +104,8 @@
     char name[JD_NAME_MAX];
     unsigned shard;
     unsigned tokens;
-    uint64_t tokens_end;   /* time from which they are not used any more */
+    uint64_t tokens_end;  /* time from which they are not used any more */
+    uint64_t fresh_until; /* the same for the last one that was not returned */
     uint64_t closed_until; /* the allocator has no token before */
     uint64_t spread;       /* time in us over which refused callers return */
     uint64_t scarce_round; /* of the shard when it was scarce */
--- a/lib/account/quota.c
+++ b/lib/account/quota.c
@@ -358,6 +358,7 @@
 {
     if (may_prepay(qt, rec, now)) {
         rec->prepaid++;
+        rec->fresh_until = now + TOKEN_LIFE;
         ask(qt, rec, 0, now);
         return record_taken(rec);
     }
@@ -402,11 +403,13 @@
         return take_lent(qt, rec, wait, now, retry_after);
     }
     if (take_own(qt, rec, account, now)) {
+        rec->fresh_until = now + TOKEN_LIFE;
         return record_taken(rec);
     }
     if (is_contacting(sh, now)) {
         if (may_prepay(qt, rec, now)) {
             rec->prepaid++;
+            rec->fresh_until = now + TOKEN_LIFE;
             return record_taken(rec);
         }
         return begin_wait(qt, rec, wait, now, retry_after);
@@ -421,7 +424,10 @@
     remove_wait(qt, wait);
 }
 
-/* Returns the token of a request that was not run and never will be. */
+/* Returns the token of a request that was not run and never will be.  It lives
+ * no longer than the last one that was obtained anew: where all requests are
+ * refused, tokens that went round without an end would add up with what the
+ * allocator saves meanwhile. */
 void
 JdQuota_Return(JdQuota *qt, const char *account)
 {
@@ -432,13 +438,17 @@
         return;
     }
     drop_expired(qt, rec, now);
-    if (rec->tokens++ == 0) {
-        rec->tokens_end = now + TOKEN_LIFE;
-    }
     if (rec->used_count > 0) {
         rec->used_count--;
     }
     qt->counters->value[JD_C_QUOTA_RETURNED]++;
+    if (now >= rec->fresh_until) {
+        qt->counters->value[JD_C_QUOTA_EXPIRED]++;
+        return;
+    }
+    if (rec->tokens++ == 0) {
+        rec->tokens_end = rec->fresh_until;
+    }
 }
 
 /* ---- grants ------------------------------------------------------------ */
@@ -460,6 +470,7 @@
     }
     rec->tokens += msg->tokens;
     rec->tokens_end = end;
+    rec->fresh_until = end;
     rec->granted_count += msg->tokens;
 }
 
--- a/regress/unit/quota.c
+++ b/regress/unit/quota.c
@@ -868,6 +868,36 @@
     stop_fleet(&fl);
 }
 
+/* A token that is returned over and over lives no longer than when it is kept:
+ * the allocator saves what it could grant meanwhile. */
+static void
+test_returned_often(void)
+{
+    Usage *us;
+    uint64_t from, late;
+    Fleet fl;
+
+    start_fleet(&fl, 1, 1);
+    us = &fl.usage[0];
+    us->account.rate = 10;
+    us->account.burst = 1;
+    advance(&fl, JD_US_PER_S);
+    from = fl.clock.now;
+    while (fl.clock.now < from + 3 * JD_US_PER_S) {
+        guint before = us->admitted->len;
+
+        send_request(&fl, 0, 0);
+        if (us->admitted->len > before) {
+            JdQuota_Return(&fl.node[0].quota, us->name);
+        }
+        advance(&fl, 50 * JD_US_PER_MS);
+    }
+    late = from + 2 * JD_US_PER_S;
+    CU_ASSERT(count_admitted_since(us, from) > 10);
+    CU_ASSERT_EQUAL(count_admitted_since(us, late), 0);
+    stop_fleet(&fl);
+}
+
 /* Requests that wait while a node's part is about to be lent are limited as
  * well: one is used ahead, and one too many is refused. */
 static void
@@ -1044,6 +1074,7 @@
     CU_add_test(suite, "all restart", test_all_restart);
     CU_add_test(suite, "lowered", test_lowered);
     CU_add_test(suite, "returned", test_returned);
+    CU_add_test(suite, "returned often", test_returned_often);
     CU_add_test(suite, "waits limited", test_waits_limited);
     CU_add_test(suite, "loans end together", test_loans_end_together);
     CU_add_test(suite, "returned to waiting", test_returned_to_waiting);
