A request that trickles gives way like one that stands still

What callers saw: a crowd that sends a byte each 200 ms kept all connections that callers may have; an ordinary request got no answer beside it for up to a minute.

Cause: only half a second without any byte made a request give way.

Change: where a connection or a small request finds no room, one that has come for 2 s at less than 8 KiB a second on average gives way as well.

--- a/base/server_room.c
+++ b/base/server_room.c
@@ -17,6 +17,10 @@
 /* Time without progress after which a request that is being received, or a
  * response, is given up where there is no room. */
 #define INPUT_PATIENCE (500 * JD_US_PER_MS)
+/* Time after which a request counts as being without progress as well if it
+ * comes slower than this many bytes a second on average. */
+#define SLOW_PATIENCE (2 * JD_US_PER_S)
+#define SLOW_RATE 8192U
 #define OUTPUT_PATIENCE (2 * JD_US_PER_S)
 /* Shortest time between two searches for room in memory. */
 #define SEARCH_INTERVAL (20 * JD_US_PER_MS)
@@ -91,13 +95,24 @@
            now - cn->read_at >= IDLE_PATIENCE;
 }
 
-/* Returns whether a request has been received partly and nothing more comes.
- */
+/* Returns whether a request comes so slowly that it may never end. */
+static bool
+is_slow(const JdServerExchange *ex, uint64_t now)
+{
+    uint64_t age = now - ex->began_at;
+    uint64_t bytes = ex->headers.buffer->len + ex->request.body->len;
+
+    return age >= SLOW_PATIENCE && bytes * JD_US_PER_S < SLOW_RATE * age;
+}
+
+/* Returns whether a request has been received partly and nothing more comes,
+ * or hardly anything. */
 static bool
 is_input_stalled(const JdServerConn *cn, uint64_t now)
 {
     return cn->state == CONN_OPEN && cn->partial != NULL &&
-           cn->pending_count == 0 && now - cn->read_at >= INPUT_PATIENCE;
+           cn->pending_count == 0 &&
+           (now - cn->read_at >= INPUT_PATIENCE || is_slow(cn->partial, now));
 }
 
 /* Closes the connection on which nothing has come for longest.  Returns false
--- a/regress/stand/crowd.c
+++ b/regress/stand/crowd.c
@@ -4,6 +4,7 @@
  * answers.
  *
  *   length     a body of --body bytes with its length, in pieces of --piece
+ *   trickled   a body with its length, one byte each 200 ms
  *   chunked    the same in chunks of --piece bytes
  *   announced  a body that is announced as --announce bytes, --body of them
  * sent endless    a body in chunks of --piece bytes without end head       a
@@ -35,9 +36,12 @@
 #define WRITE_MAX (1U << 20)
 /* Wait of one round, in ms. */
 #define ROUND_MS 50
+/* Pause between the bytes of a body that trickles, in us. */
+#define TRICKLE_US 200000
 
 typedef enum Shape {
     SHAPE_LENGTH,
+    SHAPE_TRICKLED,
     SHAPE_CHUNKED,
     SHAPE_ANNOUNCED,
     SHAPE_ENDLESS,
@@ -50,8 +54,8 @@
 } Shape;
 
 static const char *const shape_names[SHAPE_MAX] = {
-    "length", "chunked",   "announced", "endless", "head",
-    "idle",   "pipelined", "behind",    "unread"};
+    "length", "trickled", "chunked",   "announced", "endless",
+    "head",   "idle",     "pipelined", "behind",    "unread"};
 
 typedef struct Client {
     int fd; /* -1: closed */
@@ -60,6 +64,7 @@
     size_t written;
     uint64_t body_sent; /* bytes of the body that were put into `output` */
     unsigned requests;  /* that were begun */
+    gint64 resumes_at;  /* sends nothing before, us */
     bool is_done;       /* sends no more */
 } Client;
 
@@ -186,6 +191,7 @@
 {
     switch (crowd.shape) {
     case SHAPE_LENGTH:
+    case SHAPE_TRICKLED:
         append_head(cl, "POST", crowd.body);
         break;
     case SHAPE_CHUNKED:
@@ -222,6 +228,10 @@
     case SHAPE_ENDLESS:
         append_chunks(cl);
         break;
+    case SHAPE_TRICKLED:
+        append_body(cl, 1);
+        cl->resumes_at = g_get_monotonic_time() + TRICKLE_US;
+        break;
     case SHAPE_PIPELINED:
         append_head(cl, "POST", crowd.body);
         g_byte_array_append(cl->output, (guint8 *)crowd.zeros,
@@ -302,7 +312,10 @@
 static bool
 has_output(const Client *cl)
 {
-    return !cl->is_done || cl->written < cl->output->len;
+    if (cl->output != NULL && cl->written < cl->output->len) {
+        return true;
+    }
+    return !cl->is_done && g_get_monotonic_time() >= cl->resumes_at;
 }
 
 /* Writes and reads where that is possible. */
--- a/regress/unit/callers.c
+++ b/regress/unit/callers.c
@@ -364,6 +364,32 @@
     stop_server();
 }
 
+/* The same for one that comes byte by byte. */
+static void
+test_trickled_head(void)
+{
+    int slow, other;
+
+    start_server();
+    slow = start_client();
+    other = start_client();
+    send_text(slow, "GET / HTTP/1.1\r\nhost: h\r\nx-long: ");
+    CU_ASSERT_EQUAL(send_bytes(slow, LONG_HEAD / 2), LONG_HEAD / 2);
+    JdMemory_TakeAnyway(&memory, JdMemory_Room(&memory, JD_MEMORY_FIRST));
+    for (int i = 0; i < 24; i++) {
+        send_text(slow, "x");
+        run_for(80 * JD_US_PER_MS);
+    }
+    send_text(slow, "x");
+    send_text(other, GET);
+    CU_ASSERT_EQUAL(shed_count[JD_SERVER_SHED_UNFINISHED], 1);
+    CU_ASSERT_EQUAL_FATAL(received_count, 1);
+    JdServer_Reply(received[0], 200, NULL, NULL, 0);
+    CU_ASSERT_PTR_NOT_NULL(strstr(receive(other), " 200 "));
+    JdMemory_Give(&memory, memory.used);
+    stop_server();
+}
+
 static int
 init(void)
 {
@@ -383,4 +409,5 @@
     CU_add_test(s, "answers that are not read", test_unread);
     CU_add_test(s, "no descriptor", test_descriptors);
     CU_add_test(s, "stalled head", test_stalled_head);
+    CU_add_test(s, "trickled head", test_trickled_head);
 }
