A connection that sends on behind refused requests gets fewer taken

Cause: up to 64 requests of each connection were offered at a time, and after a refusal the next ones at once.

Change: where a request is refused (503, 429) and others wait behind it on its connection, one at a time is taken, each after 100 ms; each answer allows twice as many again. A connection without requests behind each other is as before.

--- a/base/server.c
+++ b/base/server.c
@@ -388,6 +388,7 @@
         ex->response_body = JdBody_Ref(body);
     }
     g_string_free(head, TRUE);
+    JdServerConn_AdaptWindow(cn, status);
     JdServerConn_SendResponses(cn);
     JdServerConn_Resume(cn);
 }
--- a/base/server_conn.h
+++ b/base/server_conn.h
@@ -29,6 +29,8 @@
     /* Complete requests in order of arrival. */
     TAILQ_HEAD(PendingHead, JdServerExchange) pending;
     unsigned pending_count;
+    unsigned window;     /* unanswered requests that it may have now */
+    uint64_t held_until; /* no request is begun before */
     ConnState state;
     JdOutput output;
     GByteArray *input; /* read, but not parsed yet; or NULL */
@@ -74,6 +76,7 @@
 void JdServerConn_InitParser(JdServerConn *cn);
 JdServerExchange *JdServerConn_StartExchange(JdServerConn *cn);
 void JdServerConn_StartReading(JdServerConn *cn);
+void JdServerConn_AdaptWindow(JdServerConn *cn, int status);
 void JdServerConn_Resume(JdServerConn *cn);
 void JdServerConn_UpdateReading(JdServerConn *cn);
 
--- a/base/server_parse.c
+++ b/base/server_parse.c
@@ -1,6 +1,8 @@
 /*
  * Requests of callers: reads and parses them.  A connection is not read while
- * it has many unanswered requests, or much that its caller does not take.
+ * it has many unanswered requests, or much that its caller does not take.  One
+ * that sends on behind requests that are refused gets fewer taken, so that it
+ * does not crowd out those that wait for their answers.
  */
 #include <string.h>
 
@@ -18,6 +20,10 @@
 /* Bytes of one read, and reads of a connection in one round of the loop. */
 #define READ_BYTES (32U << 10)
 #define MAX_READS 8
+/* Pause of a connection that sends on behind a refused request. */
+#define REFUSAL_PAUSE (100 * JD_US_PER_MS)
+#define STATUS_TOO_MANY_REQUESTS 429
+#define STATUS_UNAVAILABLE 503
 /* Bytes that are read and discarded on a connection that takes no more
  * requests. */
 #define MAX_DISCARDED (1U << 20)
@@ -249,6 +255,7 @@
 {
     http_parser_init(&cn->parser, HTTP_REQUEST);
     cn->parser.data = cn;
+    cn->window = MAX_PENDING;
 }
 
 /* ---- input ------------------------------------------------------------- */
@@ -268,12 +275,34 @@
     sv->ops->request(sv->ctx, &ex->request);
 }
 
+/* Adapts the number of a connection's requests that are taken to the status of
+ * a response: one at a time, after a pause, where a request was refused and
+ * others wait behind it, and twice as many after each answer. */
+void
+JdServerConn_AdaptWindow(JdServerConn *cn, int status)
+{
+    bool is_refusal =
+        status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY_REQUESTS;
+
+    if (!is_refusal) {
+        cn->window = MIN(cn->window * 2, MAX_PENDING);
+        return;
+    }
+    if (cn->pending_count > 1 || cn->input != NULL || cn->is_paused) {
+        cn->window = 1;
+        cn->held_until = JdClock_Now(&cn->server->loop->clock) + REFUSAL_PAUSE;
+    }
+}
+
 /* Returns whether more of a connection's requests are taken now.  If not, one
  * of its responses, or that its caller takes them, changes that. */
 static bool
 takes_more(const JdServerConn *cn)
 {
-    if (cn->pending_count >= MAX_PENDING || cn->output.size >= MAX_OUTPUT) {
+    if (cn->pending_count >= cn->window || cn->output.size >= MAX_OUTPUT) {
+        return false;
+    }
+    if (cn->held_until > JdClock_Now(&cn->server->loop->clock)) {
         return false;
     }
     return cn->partial != NULL || cn->pending_count == 0 ||
--- a/base/server_room.c
+++ b/base/server_room.c
@@ -27,12 +27,13 @@
 
 /* ---- connections that are not read -------------------------------------- */
 
-/* Closes the connections that are not read and that their callers have
- * closed. */
+/* Closes the connections that are not read and that their callers have closed,
+ * and reads on where a pause is over. */
 static void
 on_watch(void *ctx)
 {
     JdServer *sv = ctx;
+    uint64_t now = JdClock_Now(&sv->loop->clock);
     JdServerConn *cn, *next;
 
     for (cn = TAILQ_FIRST(&sv->paused); cn != NULL; cn = next) {
@@ -45,6 +46,10 @@
             /* Its handlers may have answered others, which are read again. */
             next = TAILQ_FIRST(&sv->paused);
         }
+        else if (cn->held_until != 0 && cn->held_until <= now) {
+            cn->held_until = 0;
+            JdServerConn_Resume(cn);
+        }
     }
     if (!TAILQ_EMPTY(&sv->paused)) {
         JdTimer_Arm(&sv->loop->clock, &sv->watch_timer, WATCH_INTERVAL);
--- a/regress/unit/callers.c
+++ b/regress/unit/callers.c
@@ -278,6 +278,41 @@
     stop_server();
 }
 
+/* Requests behind refused ones are taken one at a time, each after a pause,
+ * and more of them again once they are answered. */
+static void
+test_refused_pipeline(void)
+{
+    int fd, answered = 0;
+
+    start_server();
+    fd = start_client();
+    for (int i = 0; i < 200; i++) {
+        CU_ASSERT_EQUAL(send(fd, GET, strlen(GET), MSG_NOSIGNAL),
+                        (ssize_t)strlen(GET));
+    }
+    run_rounds();
+    CU_ASSERT_EQUAL(received_count, 64);
+    while (answered < 64) {
+        JdServer_Reply(received[answered++], 503, NULL, NULL, 0);
+    }
+    run_rounds();
+    CU_ASSERT_EQUAL(received_count, 64);
+    run_for(200 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL_FATAL(received_count, 65);
+    JdServer_Reply(received[answered++], 503, NULL, NULL, 0);
+    run_rounds();
+    CU_ASSERT_EQUAL(received_count, 65);
+    run_for(200 * JD_US_PER_MS);
+    CU_ASSERT_EQUAL_FATAL(received_count, 66);
+    while (answered < received_count) {
+        JdServer_Reply(received[answered++], 200, NULL, NULL, 0);
+        run_rounds();
+    }
+    CU_ASSERT_EQUAL(received_count, 200);
+    stop_server();
+}
+
 /* A caller that does not take its answers gets no more requests read; what it
  * left is read once it takes them. */
 static void
@@ -406,6 +441,7 @@
     CU_add_test(s, "no room for a body", test_no_room);
     CU_add_test(s, "rest of a refused body", test_refused_rest);
     CU_add_test(s, "requests behind unanswered ones", test_pending);
+    CU_add_test(s, "requests behind refused ones", test_refused_pipeline);
     CU_add_test(s, "answers that are not read", test_unread);
     CU_add_test(s, "no descriptor", test_descriptors);
     CU_add_test(s, "stalled head", test_stalled_head);
