Four pieces that the change wrote twice are one each

Read as a whole, the change had: the check of a caller that takes none of its answers in server.c and again in server_room.c (now JdServerConn_IsStalled with the patience of its user); the id of a request copied out in two places of intake.c; the length in front of a frame written in conn.c and frame_body.c; and the error of accept4() looked at again after calls that may change errno, so that an interrupted accept was told apart by what they left (now handled once, by its value).

--- a/base/acceptor.c
+++ b/base/acceptor.c
@@ -88,6 +88,29 @@
     return false;
 }
 
+/* Handles an error of accept4().  Returns whether the next connection can be
+ * accepted. */
+static bool
+handle_accept_error(JdAcceptor *ac, int error)
+{
+    switch (error) {
+    case ECONNABORTED:
+    case EINTR:
+        return true;
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+        if (ac->make_room != NULL) {
+            ac->make_room(ac->ctx);
+        }
+        rest(ac);
+        return false;
+    default:
+        return false;
+    }
+}
+
 /* Accepts a connection.  Returns false if there is none, or no room. */
 static bool
 accept_next(JdAcceptor *ac)
@@ -101,14 +124,7 @@
     fd = accept4(h2o_socket_get_fd(ac->listener), NULL, NULL,
                  SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
-        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
-            errno == ENOMEM) {
-            if (ac->make_room != NULL) {
-                ac->make_room(ac->ctx);
-            }
-            rest(ac);
-        }
-        return errno == ECONNABORTED || errno == EINTR;
+        return handle_accept_error(ac, errno);
     }
     if (ac->limits_buffers) {
         limit_kernel_buffers(ac, fd);
--- a/base/server.c
+++ b/base/server.c
@@ -217,13 +217,15 @@
     return !owes_bytes(cn) || !has_taken_bytes(cn);
 }
 
-/* Returns whether the caller has not taken a byte of its responses for long.
- */
-static bool
-is_stalled(JdServerConn *cn, uint64_t now)
+/* Returns whether the caller has not taken a byte of its responses for
+ * `patience` us. */
+bool
+JdServerConn_IsStalled(JdServerConn *cn, uint64_t patience)
 {
-    return cn->output.size > 0 && !has_taken_bytes(cn) &&
-           now - cn->taken_at >= STALL_TIMEOUT;
+    uint64_t now = JdClock_Now(&cn->server->loop->clock);
+
+    return cn->output.size > 0 && now - cn->taken_at >= patience &&
+           !has_taken_bytes(cn);
 }
 
 static void
@@ -241,7 +243,7 @@
     if (cn->partial != NULL && now >= partial_due(cn)) {
         JdServerConn_Reject(cn, JD_SERVER_TOO_SLOW);
     }
-    else if (is_stalled(cn, now)) {
+    else if (JdServerConn_IsStalled(cn, STALL_TIMEOUT)) {
         JdServer_CountShed(sv, JD_SERVER_SHED_STALLED);
         JdServerConn_Close(cn);
     }
--- a/base/server_conn.h
+++ b/base/server_conn.h
@@ -68,6 +68,7 @@
 void JdServerConn_Close(JdServerConn *cn);
 void JdServerConn_StopTakingRequests(JdServerConn *cn);
 void JdServerConn_SendResponses(JdServerConn *cn);
+bool JdServerConn_IsStalled(JdServerConn *cn, uint64_t patience);
 void JdServerConn_ArmTimer(JdServerConn *cn);
 void JdServerConn_Reject(JdServerConn *cn, JdServerRejection why);
 void JdServerExchange_Free(JdServerExchange *ex);
--- a/base/server_room.c
+++ b/base/server_room.c
@@ -150,25 +150,6 @@
 
 /* ---- memory ------------------------------------------------------------- */
 
-/* Returns whether the caller takes nothing of its responses. */
-static bool
-is_output_stalled(JdServerConn *cn, uint64_t now)
-{
-    uint64_t taken;
-
-    if (cn->state == CONN_CLOSED || cn->output.size == 0 ||
-        now - cn->taken_at < OUTPUT_PATIENCE) {
-        return false;
-    }
-    taken = JdSocket_Acked(cn->sock);
-    if (taken != cn->taken) {
-        cn->taken = taken;
-        cn->taken_at = now;
-        return false;
-    }
-    return true;
-}
-
 /* Gives up what makes no progress, until there is room.  Returns whether there
  * is. */
 static bool
@@ -191,7 +172,7 @@
             JdServer_CountShed(sv, JD_SERVER_SHED_UNFINISHED);
             JdServerConn_Reject(cn, JD_SERVER_TOO_SLOW);
         }
-        else if (is_output_stalled(cn, now)) {
+        else if (JdServerConn_IsStalled(cn, OUTPUT_PATIENCE)) {
             JdServer_CountShed(sv, JD_SERVER_SHED_STALLED);
             JdServerConn_Close(cn);
         }
--- a/caller/intake.c
+++ b/caller/intake.c
@@ -223,21 +223,30 @@
                                                       : JD_REASON_UNKNOWN_KEY;
 }
 
+/* Copies the id that the caller gave a request, if it did and it fits. */
+static void
+copy_request_id(const JdDialect *dl, const JdServerRequest *req,
+                ParsedRequest *parsed)
+{
+    const char *name = dl->header[JD_FIELD_REQUEST_ID];
+    const JdHttpHeader *id =
+        name == NULL ? NULL : JdServer_FindHeader(req, name);
+
+    if (id != NULL) {
+        copy_header_value(id, parsed->request_id, sizeof(parsed->request_id));
+    }
+}
+
 /* Parses a request.  Returns why it is refused, or JD_REASON_NONE. */
 static JdReason
 parse_request(JdNode *nd, const JdServerRequest *req, ParsedRequest *parsed)
 {
-    const char *id_name = nd->dialect->header[JD_FIELD_REQUEST_ID];
-    const JdHttpHeader *id =
-        id_name == NULL ? NULL : JdServer_FindHeader(req, id_name);
     const JdHttpHeader *key = JdServer_FindHeader(req, "idempotency-key");
     bool is_version_missing =
         nd->config_source->needs_version && nd->store.config->version == 0;
     JdReason reason;
 
-    if (id != NULL) {
-        copy_header_value(id, parsed->request_id, sizeof(parsed->request_id));
-    }
+    copy_request_id(nd->dialect, req, parsed);
     if (!nd->tree.is_ready || is_version_missing) {
         return JD_REASON_NOT_READY;
     }
@@ -464,14 +473,9 @@
 JdIntake_Reject(JdNode *nd, JdServerRequest *req, JdReason reason)
 {
     ParsedRequest parsed = {.timeout = 0};
-    const char *id_name = nd->dialect->header[JD_FIELD_REQUEST_ID];
-    const JdHttpHeader *id =
-        id_name == NULL ? NULL : JdServer_FindHeader(req, id_name);
     uint64_t now = JdClock_Now(&nd->loop.clock);
 
-    if (id != NULL) {
-        copy_header_value(id, parsed.request_id, sizeof(parsed.request_id));
-    }
+    copy_request_id(nd->dialect, req, &parsed);
     refuse(nd, req, &parsed, reason, now);
 }
 
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -617,10 +617,7 @@
         return 0;
     }
     buf = g_malloc(LENGTH_SIZE + n);
-    buf[0] = (uint8_t)(n >> 24);
-    buf[1] = (uint8_t)(n >> 16);
-    buf[2] = (uint8_t)(n >> 8);
-    buf[3] = (uint8_t)n;
+    JdFrame_PutLength(buf, n);
     jd__frame__pack(frame, buf + LENGTH_SIZE);
     JdOutput_Append(&conn->output, buf, LENGTH_SIZE + n);
     g_free(buf);
--- a/peer/frame_body.c
+++ b/peer/frame_body.c
@@ -134,6 +134,16 @@
     }
 }
 
+/* Writes the length in front of a frame of `n` bytes. */
+void
+JdFrame_PutLength(uint8_t *to, size_t n)
+{
+    to[0] = (uint8_t)(n >> 24);
+    to[1] = (uint8_t)(n >> 16);
+    to[2] = (uint8_t)(n >> 8);
+    to[3] = (uint8_t)n;
+}
+
 static void
 append_varint(GByteArray *out, uint64_t value)
 {
@@ -222,10 +232,7 @@
     append_tag(out, field, WIRE_BYTES);
     append_varint(out, body_len);
     n = out->len - JD_FRAME_LENGTH_SIZE + body_len;
-    out->data[0] = (uint8_t)(n >> 24);
-    out->data[1] = (uint8_t)(n >> 16);
-    out->data[2] = (uint8_t)(n >> 8);
-    out->data[3] = (uint8_t)n;
+    JdFrame_PutLength(out->data, n);
     g_byte_array_unref(msg);
     return out;
 }
--- a/peer/frame_body.h
+++ b/peer/frame_body.h
@@ -17,6 +17,7 @@
 } JdFrameHead;
 
 void JdFrameHead_Parse(const uint8_t *data, size_t n, JdFrameHead *out);
+void JdFrame_PutLength(uint8_t *to, size_t n);
 GByteArray *JdFrameBody_Pack(const Jd__Frame *frame, size_t body_len);
 Jd__Frame *JdFrameBody_Unpack(JdBody *received, bool *has_body);
 
