The test of accounts waits for the worker that it expects

Cause: the test waited only until some worker answered at 1-2, and then expected the nearest one. A worker that starts late, or whose node learns late that it is healthy, is not used yet then, and the answer of the other domain is right. e2e/platform waits for the nearest worker by its name.

Change: the test waits until w1-1 answers at 1-2, and fails when it does not. The expected output is the same.

--- a/regress/e2e/quotas.sh
+++ b/regress/e2e/quotas.sh
@@ -60,8 +60,8 @@
 platform_start_fleet || die "the store does not start"
 accounts_document 5 ann | platform_put_document
 fleet_until 200 platform_all_ready || die "not ready"
-fleet_until 200 platform_served_by 1-2 /open/1 w ||
-    die "the workers are not used"
+fleet_until 200 platform_served_by 1-2 /open/1 w1-1 ||
+    die "the worker nearest to 1-2 is not used"
 
 say "# keys"
 say "an unknown key: $(with_key 1-2 /kiln/1 no-key)"
