Silent connections at the ports for others than callers give way

What was seen: as many idle connections as a port may have, at the ports for readiness, the target, operators and other nodes of one node, kept it from answering there: /ready, /metrics and the target's calls got no answer in 5 s, and a node that was started again reached no target behind it (503). At the port for nodes they stayed for as long as they liked, at the others for 75 s, and then came again.

Change: an acceptor knows its open connections. Where it is not told how to make room, those on which nothing has come for 0.5 s are shut down, or for 2 s where a request may be under way; their owner reads the end and closes them. At the port for nodes those are closed on which no frame has come and nothing for 2 s; nodes send at once. Counter other_connections_closed_total. The list of shapes in regress/stand/crowd.c can be read again, and the unit tests have one function that finds a free port.

A caller that speaks the frames of nodes and then falls silent is not covered.

--- a/base/acceptor.c
+++ b/base/acceptor.c
@@ -21,6 +21,19 @@
 #define MIN_KERNEL_BYTES (8U << 10)
 #define MAX_KERNEL_BYTES (256U << 10)
 
+/* Time without input after which a connection is shut down for a new one,
+ * unless it may carry a request, and where it may. */
+#define IDLE_PATIENCE (500 * JD_US_PER_MS)
+#define REQUEST_PATIENCE (2 * JD_US_PER_S)
+
+/* A connection that was accepted and is open. */
+struct JdAccepted {
+    TAILQ_ENTRY(JdAccepted) link;
+    JdAcceptor *acceptor;
+    h2o_socket_t *sock;
+    bool is_shut;
+};
+
 static void on_readable(h2o_socket_t *listener, const char *err);
 
 static void
@@ -44,9 +57,64 @@
 static void
 on_closed(void *data)
 {
-    JdAcceptor *ac = data;
+    JdAccepted *conn = data;
+
+    conn->acceptor->open_count--;
+    TAILQ_REMOVE(&conn->acceptor->accepted_conns, conn, link);
+    g_free(conn);
+}
+
+static void
+track(JdAcceptor *ac, h2o_socket_t *sock)
+{
+    JdAccepted *conn = g_new0(JdAccepted, 1);
+
+    conn->acceptor = ac;
+    conn->sock = sock;
+    TAILQ_INSERT_TAIL(&ac->accepted_conns, conn, link);
+    ac->open_count++;
+    sock->on_close.cb = on_closed;
+    sock->on_close.data = conn;
+}
+
+static bool
+is_quiet(const JdAccepted *conn)
+{
+    bool is_answered;
+    uint64_t quiet = JdSocket_Quiet(conn->sock, &is_answered);
+
+    return quiet >= (is_answered ? IDLE_PATIENCE : REQUEST_PATIENCE);
+}
+
+/* Shuts down the connections on which nothing comes.  Their owner reads the
+ * end of each in the next round of the loop, and closes it. */
+static void
+shut_quiet(JdAcceptor *ac)
+{
+    JdAccepted *conn;
+
+    TAILQ_FOREACH(conn, &ac->accepted_conns, link)
+    {
+        if (conn->is_shut || !is_quiet(conn)) {
+            continue;
+        }
+        conn->is_shut = true;
+        shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+        if (ac->shed != NULL) {
+            (*ac->shed)++;
+        }
+    }
+}
 
-    ac->open_count--;
+/* Returns whether a connection was closed for a new one. */
+static bool
+make_room(JdAcceptor *ac)
+{
+    if (ac->make_room != NULL) {
+        return ac->make_room(ac->ctx);
+    }
+    shut_quiet(ac);
+    return false;
 }
 
 /* Limits what the kernel buffers for a connection: the more there are, the
@@ -81,7 +149,7 @@
     if (!has_new_connection(ac)) {
         return false;
     }
-    if (ac->make_room != NULL && ac->make_room(ac->ctx)) {
+    if (make_room(ac)) {
         return true;
     }
     rest(ac);
@@ -101,9 +169,7 @@
     case ENFILE:
     case ENOBUFS:
     case ENOMEM:
-        if (ac->make_room != NULL) {
-            ac->make_room(ac->ctx);
-        }
+        make_room(ac);
         rest(ac);
         return false;
     default:
@@ -131,9 +197,7 @@
     }
     sock = h2o_evloop_socket_create(ac->loop->evloop, fd,
                                     H2O_SOCKET_FLAG_IS_ACCEPTED_CONNECTION);
-    ac->open_count++;
-    sock->on_close.cb = on_closed;
-    sock->on_close.data = ac;
+    track(ac, sock);
     ac->accepted(ac->ctx, sock);
     return true;
 }
@@ -154,8 +218,9 @@
 }
 
 /*
- * Listens on an address.  `accepted` gets each new connection; `make_room`, or
- * NULL, closes one when there are `max_open`, and returns false if it cannot.
+ * Listens on an address.  `accepted` gets each new connection; `make_room`
+ * closes one when there are `max_open`, and returns false if it cannot; where
+ * it is NULL, those on which nothing comes are shut down.
  */
 JdStatus
 JdAcceptor_Init(JdAcceptor *ac, JdLoop *lp, const char *address,
@@ -171,6 +236,7 @@
     ac->limits_buffers = ops->limits_buffers;
     ac->ctx = ctx;
     ac->max_open = SIZE_MAX;
+    TAILQ_INIT(&ac->accepted_conns);
     JdTimer_Init(&ac->rest_timer, on_rest_over, ac);
     s = JdListen(address, &fd, err);
     if (s != JD_OK) {
--- a/base/base.h
+++ b/base/base.h
@@ -55,6 +55,7 @@
 void JdSocket_TrimInput(h2o_socket_t *sock);
 size_t JdSocket_Unacked(h2o_socket_t *sock);
 uint64_t JdSocket_Acked(h2o_socket_t *sock);
+uint64_t JdSocket_Quiet(h2o_socket_t *sock, bool *is_answered);
 
 /* Result of JdSocket_Read where nothing was read. */
 typedef enum JdReadEnd {
@@ -137,15 +138,19 @@
 typedef struct JdAcceptorOps {
     /* Takes ownership of a new connection. */
     void (*accepted)(void *ctx, h2o_socket_t *sock);
-    /* Closes a connection, or returns false; NULL: none can be closed. */
+    /* Closes a connection, or returns false; NULL: those on which nothing
+     * comes are shut down. */
     bool (*make_room)(void *ctx);
     /* The kernel buffers little for each of many connections. */
     bool limits_buffers;
 } JdAcceptorOps;
 
+typedef struct JdAccepted JdAccepted;
+
 typedef struct JdAcceptor {
     JdLoop *loop;
-    h2o_socket_t *listener; /* NULL: stopped */
+    h2o_socket_t *listener;                                /* NULL: stopped */
+    TAILQ_HEAD(JdAcceptedHead, JdAccepted) accepted_conns; /* open ones */
     void (*accepted)(void *ctx, h2o_socket_t *sock);
     bool (*make_room)(void *ctx);
     bool limits_buffers;
@@ -153,6 +158,7 @@
     size_t open_count;
     size_t max_open;
     uint64_t rest_count; /* times that the listener rested */
+    uint64_t *shed;      /* counts those that were shut down; NULL: nobody */
     JdTimer rest_timer;
 } JdAcceptor;
 
--- a/base/loop.c
+++ b/base/loop.c
@@ -310,6 +310,22 @@
     return info.tcpi_bytes_acked;
 }
 
+/* Returns the time in us since bytes came on a connection, or since it was
+ * opened.  `is_answered` gets whether nothing has come since bytes were sent
+ * on it, as where it carries no request. */
+uint64_t
+JdSocket_Quiet(h2o_socket_t *sock, bool *is_answered)
+{
+    struct tcp_info info = {0};
+    socklen_t len = sizeof(info);
+
+    getsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_INFO, &info, &len);
+    *is_answered = info.tcpi_bytes_received == 0 ||
+                   (info.tcpi_bytes_sent > 0 &&
+                    info.tcpi_last_data_sent <= info.tcpi_last_data_recv);
+    return (uint64_t)info.tcpi_last_data_recv * JD_US_PER_MS;
+}
+
 /* Opens a listening socket.  Fails with JD_ERR_RANGE or JD_ERR_SYSTEM. */
 JdStatus
 JdListen(const char *address, int *fd, JdError *err)
--- a/node/limits.c
+++ b/node/limits.c
@@ -47,6 +47,14 @@
     JdMemory_Init(&nd->memory, nd->settings.memory_mb * BYTES_PER_MB);
 }
 
+/* Applies the limit to a server that is not for callers. */
+void
+JdLimits_ApplyToServer(JdNode *nd, JdHttpd *server)
+{
+    server->acceptor.max_open = nd->max_other_connections;
+    server->acceptor.shed = &nd->counters.value[JD_C_CLOSED_OTHER];
+}
+
 /* Applies the limits in the settings, at the start and when they change. */
 void
 JdLimits_Apply(JdNode *nd)
@@ -59,7 +67,7 @@
         MIN(sockets / CALLER_PART, nd->memory.limit / BYTES_PER_CALLER);
     nd->conns.acceptor.max_open = sockets / NODE_PART;
     nd->max_other_connections = sockets / OTHER_PART;
-    nd->admin_server.acceptor.max_open = nd->max_other_connections;
+    JdLimits_ApplyToServer(nd, &nd->admin_server);
     if (nd->config_source->apply_limits != NULL) {
         nd->config_source->apply_limits(nd);
     }
--- a/node/node.h
+++ b/node/node.h
@@ -335,6 +335,7 @@
 /* limits.c: memory and descriptors of this process */
 void JdLimits_Init(JdNode *nd);
 void JdLimits_Apply(JdNode *nd);
+void JdLimits_ApplyToServer(JdNode *nd, JdHttpd *server);
 void JdLimits_LogShortage(JdNode *nd, const char *outcome);
 
 /* log/follow.c: configuration from the log of patches */
--- a/peer/conn.c
+++ b/peer/conn.c
@@ -23,6 +23,9 @@
 /* Time after the last response in which the other node closes a connection
  * that it was asked to close, if it lives. */
 #define RECEIPT_TIMEOUT (3 * JD_US_PER_S)
+/* Time without input after which a connection that has never carried a frame
+ * is closed for a new one.  Nodes send at once, or ask after each other. */
+#define FIRST_FRAME_PATIENCE (2 * JD_US_PER_S)
 
 static void on_written(h2o_socket_t *sock, const char *err);
 
@@ -174,6 +177,7 @@
     if (is_control_frame(frame)) {
         conn->set->counters->value[JD_C_CONTROL_RECEIVED] += LENGTH_SIZE + n;
     }
+    conn->has_frame = true;
     conn->ops->frame(conn->ctx, conn, frame);
     jd__frame__free_unpacked(frame, NULL);
 }
@@ -457,11 +461,42 @@
     JdConnSet *cs = ctx;
     JdConn *conn = new_conn(cs, sock, cs->accept_ops, cs->accept_ctx);
 
+    conn->is_accepted = true;
     mark_open(conn);
     conn->ops->opened(conn->ctx, conn);
 }
 
-static const JdAcceptorOps acceptor_ops = {.accepted = on_accepted};
+/* Returns whether nothing shows that a node is at the other end. */
+static bool
+may_be_no_node(const JdConn *conn)
+{
+    uint64_t now = JdClock_Now(&conn->set->loop->clock);
+
+    return conn->is_open && !conn->has_frame && conn->large == NULL &&
+           now - conn->last_read_at >= FIRST_FRAME_PATIENCE;
+}
+
+/* Closes a connection that was accepted and on which no frame has come.
+ * Returns false if there is none. */
+static bool
+make_room(void *ctx)
+{
+    JdConnSet *cs = ctx;
+    JdConn *conn;
+
+    TAILQ_FOREACH(conn, &cs->conns, link)
+    {
+        if (conn->is_accepted && may_be_no_node(conn)) {
+            cs->counters->value[JD_C_CLOSED_OTHER]++;
+            fail_conn(conn, JD_CONN_SILENT);
+            return true;
+        }
+    }
+    return false;
+}
+
+static const JdAcceptorOps acceptor_ops = {.accepted = on_accepted,
+                                           .make_room = make_room};
 
 /* Accepts connections on an address. */
 JdStatus
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -54,7 +54,9 @@
     JdBody *body;      /* of the message of the frame that is handled, if it is
                           large; the user may take a reference */
     bool is_open;
+    bool is_accepted;      /* opened by the other side */
     bool is_closing;       /* freed in the next iteration of the event loop */
+    bool has_frame;        /* a whole frame was received */
     bool carries_requests; /* opened to send requests: see JdRequestConn */
     bool is_finishing;     /* the other node was asked to close it */
     bool is_cross_region;  /* the other node is in another region */
--- a/regress/stand/crowd.c
+++ b/regress/stand/crowd.c
@@ -7,14 +7,16 @@
  *   trickled   a body with its length, one byte each 200 ms
  *   chunked    the same in chunks of --piece bytes
  *   announced  a body that is announced as --announce bytes, --body of them
- * sent endless    a body in chunks of --piece bytes without end head       a
- * head of --body bytes that does not end idle       nothing pipelined requests
- * without end behind each other, each with a body of
+ *              sent
+ *   endless    a body in chunks of --piece bytes without end
+ *   head       a head of --body bytes that does not end
+ *   idle       nothing
+ *   pipelined  requests without end behind each other, each with a body of
  *              --body bytes; the answers are not read
  *   behind     a request without a body, then one as in `length`; the answers
  *              are not read
  *   unread     --requests requests without a body behind each other; the
- * answers are not read
+ *              answers are not read
  *
  * Of the bodies in `length` and `chunked` only the first --whole are sent to
  * their end; the others stop one byte short of it.
--- a/regress/stand/crowd.sh
+++ b/regress/stand/crowd.sh
@@ -66,14 +66,19 @@
 
 # Starts a crowd at a node.
 crowd_start() { # D-I SHAPE OPTION...
-	local n=$1 shape=$2
-	shift 2
+	crowd_start_at "$1" 8000 "${@:2}"
+}
+
+# The same at one of the ports of a node.
+crowd_start_at() { # D-I PORT SHAPE OPTION...
+	local n=$1 port=$2 shape=$3
+	shift 3
 	# The limit of the kernel is for nodes only.
 	ulimit -Sn "$(ulimit -Hn)"
-	"$FLEET_BIN/jd-crowd" --to "127.$FLEET_NET.${n%-*}.${n#*-}:8000" \
+	"$FLEET_BIN/jd-crowd" --to "127.$FLEET_NET.${n%-*}.${n#*-}:$port" \
 	    --shape "$shape" --host shop.example --path /mould/crowd \
 	    "$@" >>"$FLEET_DIR/crowd.log" 2>&1 &
-	fleet_track crowd-$n-$shape
+	fleet_track crowd-$n-$port-$shape
 }
 
 # Sends an ordinary request to each of the nodes beside the crowds, and one more
--- a/regress/unit/callers.c
+++ b/regress/unit/callers.c
@@ -100,20 +100,12 @@
 start_server(void)
 {
     char text[JD_ADDRESS_MAX];
-    socklen_t len = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
 
     received_count = 0;
     disconnected_count = 0;
     fd_count = 0;
     memset(shed_count, 0, sizeof(shed_count));
-    address = (struct sockaddr_in){.sin_family = AF_INET};
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CU_ASSERT_EQUAL_FATAL(
-        bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
-    getsockname(fd, (struct sockaddr *)&address, &len);
-    close(fd);
-    g_snprintf(text, sizeof(text), "127.0.0.1:%u", ntohs(address.sin_port));
+    Unit_FindAddress(&address, text);
     CU_ASSERT_EQUAL_FATAL(
         JdServer_Init(&server, &loop, text, MAX_BODY, &server_ops, NULL, NULL),
         JD_OK);
--- a/regress/unit/http.c
+++ b/regress/unit/http.c
@@ -583,27 +583,16 @@
 static int
 start_server(void)
 {
+    char address[JD_ADDRESS_MAX];
     struct sockaddr_in sin;
-    socklen_t len = sizeof(sin);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int fd;
 
     received_count = 0;
     disconnected_count = 0;
-    /* Finds a free port with a socket that is closed again. */
-    sin = (struct sockaddr_in){.sin_family = AF_INET};
-    sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
-    getsockname(fd, (struct sockaddr *)&sin, &len);
-    close(fd);
-    {
-        char address[JD_ADDRESS_MAX];
-
-        g_snprintf(address, sizeof(address), "127.0.0.1:%u",
-                   ntohs(sin.sin_port));
-        CU_ASSERT_EQUAL(JdServer_Init(&server, &loop, address, 1000,
-                                      &server_ops, NULL, NULL),
-                        JD_OK);
-    }
+    Unit_FindAddress(&sin, address);
+    CU_ASSERT_EQUAL(
+        JdServer_Init(&server, &loop, address, 1000, &server_ops, NULL, NULL),
+        JD_OK);
     fd = socket(AF_INET, SOCK_STREAM, 0);
     CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
     fcntl(fd, F_SETFL, O_NONBLOCK);
--- a/regress/unit/unit.c
+++ b/regress/unit/unit.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <CUnit/Basic.h>
 
@@ -9,6 +10,21 @@
 #include "../../node/node.h"
 #include "unit.h"
 
+/* Finds a free port of the loopback, with a socket that is closed again. */
+void
+Unit_FindAddress(struct sockaddr_in *out, char text[JD_ADDRESS_MAX])
+{
+    socklen_t len = sizeof(*out);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    *out = (struct sockaddr_in){.sin_family = AF_INET};
+    out->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CU_ASSERT_EQUAL_FATAL(bind(fd, (struct sockaddr *)out, sizeof(*out)), 0);
+    getsockname(fd, (struct sockaddr *)out, &len);
+    close(fd);
+    g_snprintf(text, JD_ADDRESS_MAX, "127.0.0.1:%u", ntohs(out->sin_port));
+}
+
 static int fired[4];
 
 static void
@@ -200,6 +216,7 @@
     Unit_AddHttp();
     Unit_AddMemory();
     Unit_AddCallers();
+    Unit_AddAcceptor();
     Unit_AddTarget();
     Unit_AddPlatform();
     Unit_AddBalance();
--- a/regress/unit/unit.h
+++ b/regress/unit/unit.h
@@ -2,6 +2,10 @@
 #ifndef UNIT_H
 #define UNIT_H
 
+#include "../../base/base.h"
+
+void Unit_FindAddress(struct sockaddr_in *out, char text[JD_ADDRESS_MAX]);
+void Unit_AddAcceptor(void);
 void Unit_AddHttp(void);
 void Unit_AddMemory(void);
 void Unit_AddCallers(void);
