Large answers that are hardly taken give way to what finds no room

What was seen: 24 callers that ask for answers of 2 MiB and read none, or 1 KiB each 200 ms, kept ordinary callers from large answers (502) and from sending large bodies (503) for as long as 30 s, the slow ones for the minutes that their answers take: 20 tries in over 10 s, none served. Small requests were answered.

Cause: what holds room was looked for only when something small found none. Bodies and answers of over 64 KiB have three quarters of the room; where answers held all of that, nothing looked for those that are not taken. A caller that takes a byte in 2 s counted as one that reads.

Memory stayed within its limits (32 MB of 64).

Change: the account tells the server of callers when something finds no room. From the next round of the loop on, and for 5 s after the last such moment, the server gives up bodies that come too late, and large answers of which less than 16 KiB are taken in 2 s, until what was refused has room.

Result: both tests pass, one run each, and with the address and undefined behaviour checks all their lines but that on memory, which those checks take themselves; a unit test that an answer that is taken stays; unit 171 of 171.

--- a/base/base.h
+++ b/base/base.h
@@ -83,6 +83,10 @@
 typedef struct JdMemory {
     size_t limit; /* bytes */
     size_t used;
+    /* Something of `n` bytes found no room; it must not give any back before
+     * it returns.  May be NULL. */
+    void (*short_of)(void *ctx, JdMemoryClass cls, size_t n);
+    void *ctx;
 } JdMemory;
 
 void JdMemory_ConfigureAllocator(void);
@@ -414,6 +418,11 @@
     TAILQ_HEAD(JdServerPaused, JdServerConn) paused; /* are not read */
     JdTimer watch_timer;
     uint64_t searched_at; /* last search for room */
+    /* Responses that are hardly taken are given up until then, in as far as
+     * there is no room for `wanted` bytes; 0: they are not. */
+    uint64_t short_until;
+    size_t wanted;
+    JdTimer shortage_timer;
 } JdServer;
 
 bool JdServer_OwesBytes(const JdServer *sv);
@@ -424,6 +433,7 @@
                        JdError *err);
 void JdServer_CloseAfterResponse(JdServer *sv);
 void JdServer_StopAccepting(JdServer *sv);
+void JdServer_SetMemory(JdServer *sv, JdMemory *mm);
 const JdHttpHeader *JdServer_FindHeader(const JdServerRequest *rq,
                                         const char *name);
 void JdServer_Reply(JdServerRequest *rq, int status, const char *headers,
--- a/base/memory.c
+++ b/base/memory.c
@@ -101,6 +101,9 @@
         return true;
     }
     if (n > JdMemory_Room(mm, cls)) {
+        if (mm->short_of != NULL) {
+            mm->short_of(mm->ctx, cls, n);
+        }
         return false;
     }
     mm->used += n;
--- a/base/server.c
+++ b/base/server.c
@@ -228,6 +228,21 @@
            !has_taken_bytes(cn);
 }
 
+/* Returns whether the caller has taken fewer than `bytes` of its responses in
+ * `time` us.  It is watched from the first call on. */
+bool
+JdServerConn_IsSlower(JdServerConn *cn, uint64_t bytes, uint64_t time)
+{
+    uint64_t now = JdClock_Now(&cn->server->loop->clock);
+    uint64_t taken = JdSocket_Acked(cn->sock);
+
+    if (cn->paced_at == 0 || taken - cn->paced >= bytes) {
+        cn->paced = taken;
+        cn->paced_at = now;
+    }
+    return now - cn->paced_at >= time;
+}
+
 static void
 on_timeout(void *ctx)
 {
@@ -295,6 +310,7 @@
     while ((ex = TAILQ_FIRST(&cn->pending)) != NULL && ex->response != NULL) {
         if (cn->output.size == 0) {
             cn->taken_at = JdClock_Now(&cn->server->loop->clock);
+            cn->paced_at = 0;
         }
         JdOutput_Append(&cn->output, ex->response->data, ex->response->len);
         if (ex->response_body != NULL) {
@@ -528,6 +544,7 @@
         return;
     }
     JdAcceptor_Finish(&sv->acceptor);
+    JdServerRoom_Stop(sv);
     sv->closes_after_response = true;
     for (cn = TAILQ_FIRST(&sv->conns); cn != NULL; cn = next) {
         next = TAILQ_NEXT(cn, link);
--- a/base/server_conn.h
+++ b/base/server_conn.h
@@ -40,9 +40,11 @@
     bool is_parsing;   /* guards against recursion */
     uint64_t taken;    /* bytes that the caller had received at `taken_at` */
     uint64_t taken_at;
-    uint64_t read_at; /* time of the last input, or of its start */
-    JdTimer timer;    /* on_timeout or free_conn */
-    uint64_t due;     /* time for which it is armed */
+    uint64_t paced;    /* bytes that the caller had received at `paced_at` */
+    uint64_t paced_at; /* 0: its pace is not watched */
+    uint64_t read_at;  /* time of the last input, or of its start */
+    JdTimer timer;     /* on_timeout or free_conn */
+    uint64_t due;      /* time for which it is armed */
 };
 
 /* A request and its response. */
@@ -69,6 +71,7 @@
 void JdServerConn_StopTakingRequests(JdServerConn *cn);
 void JdServerConn_SendResponses(JdServerConn *cn);
 bool JdServerConn_IsStalled(JdServerConn *cn, uint64_t patience);
+bool JdServerConn_IsSlower(JdServerConn *cn, uint64_t bytes, uint64_t time);
 void JdServerConn_ArmTimer(JdServerConn *cn);
 void JdServerConn_Reject(JdServerConn *cn, JdServerRejection why);
 void JdServerExchange_Free(JdServerExchange *ex);
@@ -83,6 +86,7 @@
 
 /* server_room.c */
 void JdServerRoom_Init(JdServer *sv);
+void JdServerRoom_Stop(JdServer *sv);
 void JdServerRoom_Watch(JdServerConn *cn);
 void JdServerRoom_Unwatch(JdServerConn *cn);
 bool JdServerRoom_FreeDescriptor(void *ctx);
--- a/base/server_room.c
+++ b/base/server_room.c
@@ -22,8 +22,15 @@
 #define SLOW_PATIENCE (2 * JD_US_PER_S)
 #define SLOW_RATE 8192U
 #define OUTPUT_PATIENCE (2 * JD_US_PER_S)
+/* Bytes of a large response that its caller takes in that time at least, or it
+ * is given up where there is no room. */
+#define SLOW_OUTPUT_BYTES (OUTPUT_PATIENCE / JD_US_PER_S * SLOW_RATE)
 /* Shortest time between two searches for room in memory. */
 #define SEARCH_INTERVAL (20 * JD_US_PER_MS)
+/* Time after something large has found no room for which room is searched, and
+ * interval of these searches. */
+#define SHORTAGE_TIME (5 * JD_US_PER_S)
+#define SHORTAGE_INTERVAL (500 * JD_US_PER_MS)
 
 /* ---- connections that are not read -------------------------------------- */
 
@@ -83,13 +90,6 @@
     }
 }
 
-void
-JdServerRoom_Init(JdServer *sv)
-{
-    TAILQ_INIT(&sv->paused);
-    JdTimer_Init(&sv->watch_timer, on_watch, sv);
-}
-
 /* ---- descriptors -------------------------------------------------------- */
 
 static bool
@@ -243,3 +243,80 @@
     }
     return JdBody_Reserve(b, cls, n);
 }
+
+/* ---- large responses that are hardly taken ------------------------------ */
+
+/* Gives up large responses that their callers hardly take, until there is room
+ * for what found none. */
+static void
+give_up_slow_responses(JdServer *sv)
+{
+    JdServerConn *cn, *next;
+
+    for (cn = TAILQ_FIRST(&sv->conns); cn != NULL; cn = next) {
+        next = TAILQ_NEXT(cn, link);
+        if (cn->output.size > JD_LARGE_BYTES &&
+            JdServerConn_IsSlower(cn, SLOW_OUTPUT_BYTES, OUTPUT_PATIENCE) &&
+            JdMemory_Room(sv->memory, JD_MEMORY_LARGE) < sv->wanted) {
+            JdServer_CountShed(sv, JD_SERVER_SHED_STALLED);
+            JdServerConn_Close(cn);
+        }
+    }
+}
+
+static void
+on_shortage(void *ctx)
+{
+    JdServer *sv = ctx;
+
+    if (JdClock_Now(&sv->loop->clock) >= sv->short_until) {
+        sv->short_until = 0;
+        sv->wanted = 0;
+        return;
+    }
+    give_up_useless(sv, NULL);
+    give_up_slow_responses(sv);
+    JdTimer_Arm(&sv->loop->clock, &sv->shortage_timer, SHORTAGE_INTERVAL);
+}
+
+/* Something found no room.  What holds it is looked at in the next round of
+ * the loop, as it may be in use up the stack. */
+static void
+on_short_of(void *ctx, JdMemoryClass cls, size_t n)
+{
+    JdServer *sv = ctx;
+
+    if (cls != JD_MEMORY_LARGE || sv->acceptor.listener == NULL) {
+        return;
+    }
+    if (sv->short_until == 0) {
+        JdTimer_Arm(&sv->loop->clock, &sv->shortage_timer, 0);
+    }
+    sv->short_until = JdClock_Now(&sv->loop->clock) + SHORTAGE_TIME;
+    sv->wanted = MAX(sv->wanted, n);
+}
+
+/* Charges what connections hold to an account, and makes room in it. */
+void
+JdServer_SetMemory(JdServer *sv, JdMemory *mm)
+{
+    sv->memory = mm;
+    mm->short_of = on_short_of;
+    mm->ctx = sv;
+}
+
+void
+JdServerRoom_Init(JdServer *sv)
+{
+    TAILQ_INIT(&sv->paused);
+    JdTimer_Init(&sv->watch_timer, on_watch, sv);
+    JdTimer_Init(&sv->shortage_timer, on_shortage, sv);
+}
+
+/* Ends the search for room. */
+void
+JdServerRoom_Stop(JdServer *sv)
+{
+    JdTimer_Cancel(&sv->loop->clock, &sv->shortage_timer);
+    sv->short_until = 0;
+}
--- a/caller/front.c
+++ b/caller/front.c
@@ -81,6 +81,6 @@
     s = JdServer_Init(&nd->caller_server, &nd->loop,
                       nd->settings.caller_address, nd->settings.max_body_bytes,
                       &server_ops, nd, err);
-    nd->caller_server.memory = &nd->memory;
+    JdServer_SetMemory(&nd->caller_server, &nd->memory);
     return s;
 }
--- a/regress/stand/crowd.c
+++ b/regress/stand/crowd.c
@@ -17,6 +17,7 @@
  *              are not read
  *   unread     --requests requests without a body behind each other; the
  *              answers are not read
+ *   sipped     the same, and 1 KiB of the answers is read each 200 ms
  *
  * Of the bodies in `length` and `chunked` only the first --whole are sent to
  * their end; the others stop one byte short of it.
@@ -40,6 +41,11 @@
 #define ROUND_MS 50
 /* Pause between the bytes of a body that trickles, in us. */
 #define TRICKLE_US 200000
+/* Bytes of answers that are read at a time where they are sipped, pause after
+ * that, in us, and bytes that the kernel keeps for them. */
+#define SIP_BYTES 1024U
+#define SIP_US 200000
+#define SIP_KERNEL_BYTES 16384
 
 typedef enum Shape {
     SHAPE_LENGTH,
@@ -52,12 +58,13 @@
     SHAPE_PIPELINED,
     SHAPE_BEHIND,
     SHAPE_UNREAD,
+    SHAPE_SIPPED,
     SHAPE_MAX
 } Shape;
 
 static const char *const shape_names[SHAPE_MAX] = {
-    "length", "trickled", "chunked",   "announced", "endless",
-    "head",   "idle",     "pipelined", "behind",    "unread"};
+    "length", "trickled",  "chunked", "announced", "endless", "head",
+    "idle",   "pipelined", "behind",  "unread",    "sipped"};
 
 typedef struct Client {
     int fd; /* -1: closed */
@@ -67,6 +74,7 @@
     uint64_t body_sent; /* bytes of the body that were put into `output` */
     unsigned requests;  /* that were begun */
     gint64 resumes_at;  /* sends nothing before, us */
+    gint64 sips_at;     /* reads nothing before, us */
     bool is_done;       /* sends no more */
 } Client;
 
@@ -240,6 +248,7 @@
                             (guint)crowd.body);
         break;
     case SHAPE_UNREAD:
+    case SHAPE_SIPPED:
         append_head(cl, "GET", 0);
         cl->is_done = (gint)cl->requests == crowd.requests;
         break;
@@ -260,7 +269,12 @@
 static void
 connect_client(Client *cl)
 {
+    int kept = SIP_KERNEL_BYTES;
+
     cl->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (crowd.shape == SHAPE_SIPPED) {
+        setsockopt(cl->fd, SOL_SOCKET, SO_RCVBUF, &kept, sizeof(kept));
+    }
     if (cl->fd < 0 || (connect(cl->fd, (struct sockaddr *)&crowd.address,
                                sizeof(crowd.address)) != 0 &&
                        errno != EINPROGRESS)) {
@@ -295,8 +309,10 @@
 read_some(Client *cl)
 {
     static char buf[WRITE_MAX];
-    ssize_t n = recv(cl->fd, buf, sizeof(buf), 0);
+    bool sips = crowd.shape == SHAPE_SIPPED;
+    ssize_t n = recv(cl->fd, buf, sips ? SIP_BYTES : sizeof(buf), 0);
 
+    cl->sips_at = g_get_monotonic_time() + (sips ? SIP_US : 0);
     if (n == 0 || (n < 0 && errno != EAGAIN)) {
         close_client(cl);
         return;
@@ -305,9 +321,10 @@
 }
 
 static bool
-reads_answers(void)
+reads_answers(const Client *cl)
 {
-    return crowd.shape != SHAPE_PIPELINED && crowd.shape != SHAPE_BEHIND &&
+    return g_get_monotonic_time() >= cl->sips_at &&
+           crowd.shape != SHAPE_PIPELINED && crowd.shape != SHAPE_BEHIND &&
            crowd.shape != SHAPE_UNREAD;
 }
 
@@ -326,7 +343,7 @@
 {
     for (gint i = 0; i < count; i++) {
         pfds[i].fd = clients[i].fd;
-        pfds[i].events = (reads_answers() ? POLLIN : 0) |
+        pfds[i].events = (reads_answers(&clients[i]) ? POLLIN : 0) |
                          (has_output(&clients[i]) ? POLLOUT : 0);
     }
     if (poll(pfds, (nfds_t)count, ROUND_MS) <= 0) {
--- a/regress/stand/crowd.sh
+++ b/regress/stand/crowd.sh
@@ -64,6 +64,22 @@
 	echo "not answered, last status $status"
 }
 
+# Asks for a large answer, or sends a large body, as clients do: again while a
+# node refuses it.
+crowd_large_request() { # D-I PATH CURL-OPTION...
+	local i status url="http://127.$FLEET_NET.${1%-*}.${1#*-}:8000$2"
+	shift 2
+	for i in $(seq 20); do
+		status=$(curl -s -m 5 -o /dev/null -w '%{http_code}' \
+		    -H 'Host: shop.example' -H "Jacinthdyke-Request-Id: l.$RANDOM" \
+		    "$@" "$url")
+		[ "$status" != 200 ] || { echo answered; return; }
+		echo "large: $status" >&2
+		sleep 0.5
+	done
+	echo "not answered, last status $status"
+}
+
 # Starts a crowd at a node.
 crowd_start() { # D-I SHAPE OPTION...
 	crowd_start_at "$1" 8000 "${@:2}"
@@ -117,6 +133,16 @@
 	    say "$1 lives, over its limit of$why"
 }
 
+# Checks that large answers and bodies pass beside a crowd that holds answers.
+crowd_check_large() { # D-I
+	head -c 1048576 /dev/zero >"$FLEET_DIR/large"
+	sleep $CROWD_SECONDS
+	say "a large answer to $1 beside the crowd:" \
+	    "$(crowd_large_request "$1" /kiln/answer-1048576/)"
+	say "a large body to $1 beside the crowd:" \
+	    "$(crowd_large_request "$1" /kiln/1 --data-binary "@$FLEET_DIR/large")"
+}
+
 # A whole test of one crowd: node 1-2 gets it, node 1-1 is the target's.
 crowd_test() { # SHAPE OPTION...
 	crowd_start_fleet
--- a/regress/unit/callers.c
+++ b/regress/unit/callers.c
@@ -110,7 +110,7 @@
         JdServer_Init(&server, &loop, text, MAX_BODY, &server_ops, NULL, NULL),
         JD_OK);
     JdMemory_Init(&memory, 40 * MB);
-    server.memory = &memory;
+    JdServer_SetMemory(&server, &memory);
 }
 
 /* Closes all and checks that all room has been given back. */
@@ -339,6 +339,36 @@
     stop_server();
 }
 
+/* Where something large finds no room, a large answer that its caller does not
+ * take is given up, but not one that is taken. */
+static void
+test_slow_reader(void)
+{
+    static char body[LARGE_BODY / 2];
+    int slow, quick;
+
+    memset(body, 'x', sizeof(body));
+    start_server();
+    slow = start_client();
+    quick = start_client();
+    send_text(slow, GET);
+    send_text(quick, GET);
+    CU_ASSERT_EQUAL_FATAL(received_count, 2);
+    JdServer_Reply(received[0], 200, NULL, body, sizeof(body));
+    JdServer_Reply(received[1], 200, NULL, body, sizeof(body));
+    for (int i = 0; i < 30; i++) {
+        CU_ASSERT_FALSE(
+            JdMemory_Take(&memory, JD_MEMORY_LARGE,
+                          JdMemory_Room(&memory, JD_MEMORY_LARGE) + 1));
+        receive(quick);
+        run_for(80 * JD_US_PER_MS);
+    }
+    CU_ASSERT_EQUAL(shed_count[JD_SERVER_SHED_STALLED], 1);
+    CU_ASSERT_STRING_NOT_EQUAL(receive(quick), "");
+    CU_ASSERT_TRUE(memory.used < LARGE_BODY);
+    stop_server();
+}
+
 /* Where there are as many connections as are allowed, one that is idle gives
  * way to a new one, but not one with a request. */
 static void
@@ -435,6 +465,7 @@
     CU_add_test(s, "requests behind unanswered ones", test_pending);
     CU_add_test(s, "requests behind refused ones", test_refused_pipeline);
     CU_add_test(s, "answers that are not read", test_unread);
+    CU_add_test(s, "answer that is hardly taken", test_slow_reader);
     CU_add_test(s, "no descriptor", test_descriptors);
     CU_add_test(s, "stalled head", test_stalled_head);
     CU_add_test(s, "trickled head", test_trickled_head);
