Work that waits at a target that hangs is given back in time

Cause: the fifth request at the target that hangs was queued behind four that never end, by an estimate of some ms, and was given back only when its whole time was over (log: work too-late was_sent=0 running=4, request deadline held_ms=1500).

Change: where no slot has become free in half of the time that queued work had, it is refused as not run, and its caller's node tries another target. What runs takes longer than the other half, so that it would not end in time there anyway.

The unit test "refused before deadline" had one slot in which work runs on and on, so that its waiting work is given back sooner now. It has two slots now, one of which becomes free, and the same bounds as before; the hanging target has a test of its own, which fails without the change.

--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -85,6 +85,7 @@
     /* time by which the caller wants the answer, 0: same as `deadline` */
     uint64_t soft_deadline;
     uint64_t expected_time; /* us that it will run, 0: use the mean */
+    uint64_t queued_at;
     uint64_t started_at;
     unsigned priority;   /* of its route, 0 is served first */
     unsigned rank;       /* JdRank_Make; set by admission if it has no ranks */
@@ -108,6 +109,7 @@
     unsigned queue_limit;
     unsigned running;
     unsigned queued;
+    uint64_t freed_at;          /* last time at which work gave up a slot */
     JdServiceTime service_time; /* mean over all work */
     /* expected us of started work by rank, decaying exponentially */
     double recent_load[JD_RANKS];
--- a/lib/request/admit.c
+++ b/lib/request/admit.c
@@ -82,16 +82,31 @@
     ad->ops->start(ad->ctx, work);
 }
 
+/* Returns the time at which queued work is given back if no slot becomes free
+ * before: half of its time.  What is in the slots hangs, or takes longer than
+ * the other half, while another target may still do the work. */
+static uint64_t
+stuck_at(const JdAdmission *ad, const JdWork *work)
+{
+    uint64_t since =
+        work->queued_at > ad->freed_at ? work->queued_at : ad->freed_at;
+
+    return since + (work->deadline - work->queued_at) / 2;
+}
+
 /* Returns the time at which queued work is refused.  With ranks, that is when
  * it can no longer end in time, so that its caller knows before its own
- * deadline that it has not run. */
+ * deadline that it has not run; in any case when it is stuck. */
 static uint64_t
 latest_start(const JdAdmission *ad, const JdWork *work)
 {
     uint64_t expected =
         ad->has_ranks ? _JdAdmission_ExpectedTime(ad, work) : 0;
+    uint64_t latest =
+        work->deadline > expected ? work->deadline - expected : 0;
+    uint64_t stuck = stuck_at(ad, work);
 
-    return work->deadline > expected ? work->deadline - expected : 0;
+    return stuck < latest ? stuck : latest;
 }
 
 /* Arms the timer for the earliest time at which queued work is refused. */
@@ -307,6 +322,7 @@
         return JD_REASON_QUEUE_FULL;
     }
     JdShares_Charge(&ad->shares, &cl, work->tag);
+    work->queued_at = JdClock_Now(ad->clock);
     _JdAdmission_Enqueue(ad, work);
     arm_deadline_timer(ad);
     return JD_REASON_NONE;
@@ -324,6 +340,7 @@
 
     work->is_running = false;
     ad->running--;
+    ad->freed_at = JdClock_Now(ad->clock);
     if (is_typical) {
         JdServiceTime_Add(&ad->service_time, took);
     }
--- a/regress/unit/shortage.c
+++ b/regress/unit/shortage.c
@@ -77,32 +77,80 @@
     rf->reason = reason;
 }
 
+/* A target whose slots hang, or all but one. */
+typedef struct HangingTarget {
+    JdClock clock;
+    JdAdmission admission;
+    JdWork running[2];
+    Refusal refusal;
+} HangingTarget;
+
+static const JdAdmissionOps hanging_ops = {ignore_start, note_refusal};
+
+/* Starts a target with two slots, in which work runs on and on. */
+static void
+start_hanging(HangingTarget *ht)
+{
+    memset(ht, 0, sizeof(*ht));
+    JdClock_Init(&ht->clock, NULL, NULL);
+    ht->refusal.clock = &ht->clock;
+    JdAdmission_Init(&ht->admission, 2, 8, &ht->clock, &hanging_ops,
+                     &ht->refusal);
+    for (int i = 0; i < 2; i++) {
+        ht->running[i].deadline = 9 * JD_US_PER_S;
+        ht->running[i].expected_time = 300 * JD_US_PER_MS;
+        CU_ASSERT(JdAdmission_Offer(&ht->admission, &ht->running[i]) ==
+                  JD_REASON_NONE);
+    }
+}
+
 /* One request runs on and on, another one waits behind it: it is refused once
  * it cannot end in time, so that the refusal reaches its caller before the
  * caller's own deadline, when it could only say that the outcome is unknown.
+ * The other slot becomes free meanwhile, for more urgent work.
  */
 static void
 test_refused_before_deadline(void)
 {
-    static const JdAdmissionOps ops = {ignore_start, note_refusal};
-    JdWork running = {.deadline = 9 * JD_US_PER_S,
-                      .expected_time = 300 * JD_US_PER_MS};
     JdWork waiting = {.deadline = 1500 * JD_US_PER_MS,
-                      .expected_time = 200 * JD_US_PER_MS};
-    Refusal rf = {.at = 0};
-    JdAdmission ad;
-    JdClock clk;
+                      .expected_time = 200 * JD_US_PER_MS,
+                      .rank = 3};
+    JdWork urgent = {.deadline = 9 * JD_US_PER_S,
+                     .expected_time = 300 * JD_US_PER_MS};
+    HangingTarget ht;
+
+    start_hanging(&ht);
+    ht.admission.has_ranks = true;
+    CU_ASSERT(JdAdmission_Offer(&ht.admission, &waiting) == JD_REASON_NONE);
+    CU_ASSERT(JdAdmission_Offer(&ht.admission, &urgent) == JD_REASON_NONE);
+    JdClock_Advance(&ht.clock, 700 * JD_US_PER_MS);
+    JdAdmission_FreeSlot(&ht.admission, &ht.running[0], true);
+    CU_ASSERT(urgent.is_running);
+    JdClock_Advance(&ht.clock, 3 * JD_US_PER_S);
+    CU_ASSERT(ht.refusal.reason == JD_REASON_TOO_LATE);
+    CU_ASSERT(ht.refusal.at > 1250 * JD_US_PER_MS &&
+              ht.refusal.at < 1450 * JD_US_PER_MS);
+    JdAdmission_Finish(&ht.admission);
+}
+
+/* No slot becomes free: what waits is given back after half of its time, so
+ * that it can run at another target. */
+static void
+test_given_back_when_stuck(void)
+{
+    JdWork waiting = {.deadline = 1500 * JD_US_PER_MS,
+                      .expected_time = 20 * JD_US_PER_MS};
+    HangingTarget ht;
 
-    JdClock_Init(&clk, NULL, NULL);
-    rf.clock = &clk;
-    JdAdmission_Init(&ad, 1, 8, &clk, &ops, &rf);
-    ad.has_ranks = true;
-    CU_ASSERT(JdAdmission_Offer(&ad, &running) == JD_REASON_NONE);
-    CU_ASSERT(JdAdmission_Offer(&ad, &waiting) == JD_REASON_NONE);
-    JdClock_Advance(&clk, 3 * JD_US_PER_S);
-    CU_ASSERT(rf.reason == JD_REASON_TOO_LATE);
-    CU_ASSERT(rf.at > 1250 * JD_US_PER_MS && rf.at < 1450 * JD_US_PER_MS);
-    JdAdmission_Finish(&ad);
+    start_hanging(&ht);
+    CU_ASSERT(JdAdmission_Offer(&ht.admission, &waiting) == JD_REASON_NONE);
+    JdClock_Advance(&ht.clock, 740 * JD_US_PER_MS);
+    CU_ASSERT(ht.refusal.at == 0);
+    JdClock_Advance(&ht.clock, 3 * JD_US_PER_S);
+    CU_ASSERT(ht.refusal.reason == JD_REASON_TOO_LATE);
+    CU_ASSERT(ht.refusal.at >= 750 * JD_US_PER_MS &&
+              ht.refusal.at < 760 * JD_US_PER_MS);
+    JdAdmission_Finish(&ht.admission);
 }
 
 /* Work of which the first one's refusal makes a caller send others, as a
@@ -602,6 +650,7 @@
     CU_add_test(s, "transit", test_transit);
     CU_add_test(s, "transit drift", test_transit_drift);
     CU_add_test(s, "refused before deadline", test_refused_before_deadline);
+    CU_add_test(s, "given back when stuck", test_given_back_when_stuck);
     CU_add_test(s, "offered while refusing", test_offered_while_refusing);
     CU_add_test(s, "refused is not charged", test_refused_is_not_charged);
     CU_add_test(s, "hot account", test_hot_account);
