One function asks the kernel about a connection

What was seen: JdSocket_Quiet() wrote again how JdSocket_Acked() reads tcp_info, and the time at which work was queued had no comment. Change: both call one function; behaviour is the same. Result: unit tests 172 of 172, lint.

--- a/base/loop.c
+++ b/base/loop.c
@@ -298,16 +298,23 @@
                : 0;
 }
 
-/* Returns the number of bytes of a connection that the other side has received
- * so far. */
-uint64_t
-JdSocket_Acked(h2o_socket_t *sock)
+/* Returns what the kernel knows of a connection. */
+static struct tcp_info
+get_info(h2o_socket_t *sock)
 {
     struct tcp_info info = {0};
     socklen_t len = sizeof(info);
 
     getsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_INFO, &info, &len);
-    return info.tcpi_bytes_acked;
+    return info;
+}
+
+/* Returns the number of bytes of a connection that the other side has received
+ * so far. */
+uint64_t
+JdSocket_Acked(h2o_socket_t *sock)
+{
+    return get_info(sock).tcpi_bytes_acked;
 }
 
 /* Returns the time in us since bytes came on a connection, or since it was
@@ -316,10 +323,8 @@
 uint64_t
 JdSocket_Quiet(h2o_socket_t *sock, bool *is_answered)
 {
-    struct tcp_info info = {0};
-    socklen_t len = sizeof(info);
+    struct tcp_info info = get_info(sock);
 
-    getsockopt(h2o_socket_get_fd(sock), IPPROTO_TCP, TCP_INFO, &info, &len);
     *is_answered = info.tcpi_bytes_received == 0 ||
                    (info.tcpi_bytes_sent > 0 &&
                     info.tcpi_last_data_sent <= info.tcpi_last_data_recv);
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -85,7 +85,7 @@
     /* time by which the caller wants the answer, 0: same as `deadline` */
     uint64_t soft_deadline;
     uint64_t expected_time; /* us that it will run, 0: use the mean */
-    uint64_t queued_at;
+    uint64_t queued_at;     /* when it was offered and found no slot */
     uint64_t started_at;
     unsigned priority;   /* of its route, 0 is served first */
     unsigned rank;       /* JdRank_Make; set by admission if it has no ranks */
