Starts of frames from what may be no node are bounded

What was seen: 960 connections at the port for nodes, each with a frame of 60,000 bytes that stops one byte short, made a process of 64 MB hold 67 MB, for as long as they stayed.

Cause: only frames above 64 KiB were charged to the account and had a time limit; the start of a smaller one was kept for nothing.

Change: what is kept of an incomplete frame is charged. A connection that has carried frames gets the room in any case; any other is closed where the class of following requests finds none. 10 s without a byte of a frame end the connection, whatever its size.

--- a/peer/conn.c
+++ b/peer/conn.c
@@ -17,8 +17,8 @@
 #define READ_BYTES (64U << 10)
 #define MAX_READS 8
 #define LARGE_READ_BYTES (1U << 20)
-/* Time without a byte of a large frame after which the other node is taken for
- * dead. */
+/* Time without a byte of a frame after which the other node is taken for dead.
+ */
 #define FRAME_STALL_TIMEOUT (10 * JD_US_PER_S)
 /* Time after the last response in which the other node closes a connection
  * that it was asked to close, if it lives. */
@@ -87,6 +87,8 @@
     JdOutput_Finish(&conn->output);
     JdBody_Unref(conn->large);
     conn->large = NULL;
+    JdMemory_Give(conn->set->memory, conn->charged);
+    conn->charged = 0;
     JdTimer_Cancel(&conn->set->loop->clock, &conn->stall_timer);
     JdTimer_Arm(&conn->set->loop->clock, &conn->free_timer, 0);
 }
@@ -303,6 +305,48 @@
     return pos;
 }
 
+/* Takes room for the start of a frame.  A connection that has carried frames
+ * gets it in any case. */
+static bool
+charge_input(JdConn *conn, size_t n)
+{
+    JdMemory *mm = conn->set->memory;
+
+    if (n <= conn->charged) {
+        JdMemory_Give(mm, conn->charged - n);
+    }
+    else if (conn->has_frame) {
+        JdMemory_TakeAnyway(mm, n - conn->charged);
+    }
+    else if (!JdMemory_Take(mm, JD_MEMORY_FOLLOWING, n - conn->charged)) {
+        return false;
+    }
+    conn->charged = n;
+    return true;
+}
+
+/* Charges what is kept of an incomplete frame, and waits for the rest of it.
+ */
+static void
+await_rest(JdConn *conn)
+{
+    JdClock *clk = &conn->set->loop->clock;
+
+    if (conn->is_closing) {
+        return;
+    }
+    if (!charge_input(conn, conn->input->len)) {
+        conn->set->counters->value[JD_C_CLOSED_OTHER]++;
+        fail_conn(conn, JD_CONN_CLOSED);
+    }
+    else if (conn->input->len > 0) {
+        JdTimer_Arm(clk, &conn->stall_timer, FRAME_STALL_TIMEOUT);
+    }
+    else if (conn->large == NULL) {
+        JdTimer_Cancel(clk, &conn->stall_timer);
+    }
+}
+
 /* Handles bytes that were read, and keeps those of an incomplete frame. */
 static void
 take_input(JdConn *conn, const uint8_t *data, size_t n)
@@ -318,11 +362,15 @@
             g_byte_array_unref(conn->input);
             conn->input = g_byte_array_new();
         }
-        return;
     }
-    done = handle_frames(conn, data, n);
-    if (done < n) {
-        g_byte_array_append(conn->input, data + done, (guint)(n - done));
+    else {
+        done = handle_frames(conn, data, n);
+        if (done < n) {
+            g_byte_array_append(conn->input, data + done, (guint)(n - done));
+        }
+    }
+    if (conn->input->len > 0 || conn->charged > 0) {
+        await_rest(conn);
     }
 }
 
--- a/peer/conn.h
+++ b/peer/conn.h
@@ -48,6 +48,7 @@
     struct JdConnSet *set;
     JdOutput output;
     GByteArray *input; /* start of a frame that is not complete */
+    size_t charged;    /* room that it has */
     JdBody *large;     /* large frame that is being received, or NULL */
     size_t large_len;  /* length of that frame */
     size_t skipped;    /* bytes that are left of a frame that is not taken */
@@ -65,7 +66,7 @@
     uint64_t last_read_at; /* last input, or opening; 0: never opened */
     JdTransit transit;     /* of requests that come in */
     JdTimer free_timer;
-    JdTimer stall_timer; /* a large frame makes no progress */
+    JdTimer stall_timer; /* a frame makes no progress */
     JdCounters *counters;
 };
 
--- a/regress/stand/crowd.c
+++ b/regress/stand/crowd.c
@@ -18,6 +18,8 @@
  *   unread     --requests requests without a body behind each other; the
  *              answers are not read
  *   sipped     the same, and 1 KiB of the answers is read each 200 ms
+ *   frame      what a node sends, a frame of --body bytes, one byte short of
+ * it
  *
  * Of the bodies in `length` and `chunked` only the first --whole are sent to
  * their end; the others stop one byte short of it.
@@ -59,12 +61,13 @@
     SHAPE_BEHIND,
     SHAPE_UNREAD,
     SHAPE_SIPPED,
+    SHAPE_FRAME,
     SHAPE_MAX
 } Shape;
 
 static const char *const shape_names[SHAPE_MAX] = {
     "length", "trickled",  "chunked", "announced", "endless", "head",
-    "idle",   "pipelined", "behind",  "unread",    "sipped"};
+    "idle",   "pipelined", "behind",  "unread",    "sipped",  "frame"};
 
 typedef struct Client {
     int fd; /* -1: closed */
@@ -130,8 +133,9 @@
 bytes_to_send(const Client *cl)
 {
     bool stops_short =
-        (crowd.shape == SHAPE_LENGTH || crowd.shape == SHAPE_BEHIND) &&
-        (gint)cl->number >= crowd.whole;
+        crowd.shape == SHAPE_FRAME ||
+        ((crowd.shape == SHAPE_LENGTH || crowd.shape == SHAPE_BEHIND) &&
+         (gint)cl->number >= crowd.whole);
 
     if (crowd.shape == SHAPE_ENDLESS) {
         return UINT64_MAX;
@@ -195,6 +199,15 @@
     cl->is_done = true;
 }
 
+/* Appends the length in front of a frame. */
+static void
+append_frame_length(Client *cl)
+{
+    guint32 length = GUINT32_TO_BE((guint32)crowd.body);
+
+    g_byte_array_append(cl->output, (guint8 *)&length, sizeof(length));
+}
+
 /* Appends what comes first on a connection. */
 static void
 append_start(Client *cl)
@@ -221,6 +234,9 @@
     case SHAPE_IDLE:
         cl->is_done = true;
         break;
+    case SHAPE_FRAME:
+        append_frame_length(cl);
+        break;
     default:
         break;
     }
