Requests wait for targets that they may use while a node starts

Cause: while a node starts, and knows of no ready target, requests wait for a moment. A target of the version under test counted as ready, though nothing may be sent to it: a node that knows only its own target, of the new version, refused at once.

Change: whether there is a ready target is asked with the versions that the roll-out allows.

Evidence: a unit test of that question, which asks what the balancer could not be asked before.

--- a/caller/intake.c
+++ b/caller/intake.c
@@ -272,7 +272,7 @@
 
 /*
  * Returns whether a request may wait: this node has just started, and has no
- * configuration or knows of no ready target yet.
+ * configuration or knows of no ready target yet that may be used.
  */
 static bool
 may_wait(JdNode *nd, const JdServerRequest *req, const ParsedRequest *parsed,
@@ -281,8 +281,7 @@
     uint64_t timeout = ASSUMED_TIMEOUT;
     bool is_starting = reason == JD_REASON_NOT_READY ||
                        (reason == JD_REASON_NONE &&
-                        !JdBalancer_HasReadyTarget(
-                            &nd->balancer, parsed->route.endpoint_set));
+                        !JdPick_HasReadyTarget(nd, &parsed->route));
 
     if (!is_starting || nd->is_draining || nd->waiting_count >= WAITING_MAX ||
         !parse_timeout(nd->dialect, req, &timeout)) {
--- a/include/jacinthdyke_request.h
+++ b/include/jacinthdyke_request.h
@@ -406,7 +406,8 @@
                                 const JdExcludedTargets *excluded,
                                 uint64_t key, JdTier *tier);
 unsigned JdBalancer_RateLimit(const JdBalancer *lb, JdMember *mb);
-bool JdBalancer_HasReadyTarget(const JdBalancer *lb, const char *endpoint_set);
+bool JdBalancer_HasReadyTarget(const JdBalancer *lb, const char *endpoint_set,
+                               const JdVersionFilter *versions);
 
 /* outcome.c: statistics of the load balancer */
 void JdBalancer_RecordSend(const JdBalancer *lb, JdMember *mb);
--- a/lib/request/choice.c
+++ b/lib/request/choice.c
@@ -380,9 +380,11 @@
     return NULL;
 }
 
-/* Returns whether an endpoint set has a target that is ready. */
+/* Returns whether an endpoint set has a target that is ready and of a version
+ * that is allowed. */
 bool
-JdBalancer_HasReadyTarget(const JdBalancer *lb, const char *endpoint_set)
+JdBalancer_HasReadyTarget(const JdBalancer *lb, const char *endpoint_set,
+                          const JdVersionFilter *versions)
 {
     const JdMemberSet *set = JdMembers_FindSet(lb->members, endpoint_set);
     const JdMember *mb;
@@ -392,7 +394,8 @@
     }
     TAILQ_FOREACH(mb, &set->members, set_link)
     {
-        if (mb->state == JD_MEMBER_READY && !JdMember_HasTargetLeft(mb)) {
+        if (mb->state == JD_MEMBER_READY && !JdMember_HasTargetLeft(mb) &&
+            JdVersionFilter_Allows(versions, mb)) {
             return true;
         }
     }
--- a/peer/forward.h
+++ b/peer/forward.h
@@ -135,6 +135,7 @@
 /* pick.c */
 void JdPick_Init(JdNode *nd);
 bool JdPick_ExpectsChunks(const JdCall *call);
+bool JdPick_HasReadyTarget(JdNode *nd, const JdRoute *route);
 JdMember *JdPick_Target(JdCall *call, JdTier *tier);
 uint64_t JdPick_HedgeDelay(const JdCall *call);
 
--- a/peer/pick.c
+++ b/peer/pick.c
@@ -55,6 +55,27 @@
     return mb;
 }
 
+/* Returns whether a route has a ready target that its requests may be sent to:
+ * one that is under test does not count. */
+bool
+JdPick_HasReadyTarget(JdNode *nd, const JdRoute *route)
+{
+    const JdMemberSet *set =
+        JdMembers_FindSet(&nd->tree.members, route->endpoint_set);
+    JdRequestVersion rv = {.is_drawn = true};
+    JdVersionFilter vf;
+
+    JdVersionFilter_Init(&vf, &nd->tree.rollouts, route->service, set, &rv,
+                         false);
+    do {
+        if (JdBalancer_HasReadyTarget(&nd->balancer, route->endpoint_set,
+                                      &vf)) {
+            return true;
+        }
+    } while (JdVersionFilter_Widen(&vf, set));
+    return false;
+}
+
 /*
  * Returns the time in us after which a request that is sent now is sent to a
  * second target as well.  The second attempt has the same time as the first
--- a/regress/unit/rollout.c
+++ b/regress/unit/rollout.c
@@ -554,6 +554,28 @@
                          JdMembers_FindSet(&members, "kilns"), rv, may_test);
 }
 
+/* A node that knows of targets of the new version only has none that is ready:
+ * its requests wait for the others while it starts. */
+static void
+test_only_new_ready(void)
+{
+    static JdCounters ctr;
+    JdBalancer lb = {.members = &members};
+    JdRequestVersion rv = {.is_drawn = true};
+    JdVersionFilter vf;
+
+    start();
+    JdMembers_Finish(&members);
+    JdMembers_Init(&members, &clk, &ctr);
+    JdRollouts_Merge(&first.rollouts, &the_order, JD_ROLLOUT_HELD, 0, 1);
+    add_member(10, "v2", JD_MEMBER_READY);
+    choose(&first, &vf, &rv, false);
+    CU_ASSERT_FALSE(JdBalancer_HasReadyTarget(&lb, "kilns", &vf));
+    add_member(11, "v1", JD_MEMBER_READY);
+    CU_ASSERT_TRUE(JdBalancer_HasReadyTarget(&lb, "kilns", &vf));
+    finish();
+}
+
 /* Counts the requests that one node sends to the new version, and to how many
  * of its targets. */
 static unsigned
@@ -731,6 +753,7 @@
     CU_add_test(su, "answer lost", test_answer_lost);
     CU_add_test(su, "stale director", test_stale_director);
     CU_add_test(su, "steps never go back", test_steps_never_go_back);
+    CU_add_test(su, "only new targets ready", test_only_new_ready);
     CU_add_test(su, "share of all nodes", test_share_of_all_nodes);
     CU_add_test(su, "out of touch", test_out_of_touch);
     CU_add_test(su, "widening ends", test_widening_ends);
