A request asks for ready targets only while its node starts

What was seen, reading the change again: since each request, for as long as a node lives, set up the filter of versions to learn whether a target is ready; with a version under test that goes through all targets of the service, once more than the choice of the target does.

Change: the time is checked first. The conditions are the same, and none has an effect of its own.

--- a/caller/intake.c
+++ b/caller/intake.c
@@ -279,16 +279,18 @@
          JdReason reason, uint64_t arrived_at)
 {
     uint64_t timeout = ASSUMED_TIMEOUT;
-    bool is_starting = reason == JD_REASON_NOT_READY ||
-                       (reason == JD_REASON_NONE &&
-                        !JdPick_HasReadyTarget(nd, &parsed->route));
 
-    if (!is_starting || nd->is_draining || nd->waiting_count >= WAITING_MAX ||
+    if (nd->is_draining || nd->waiting_count >= WAITING_MAX ||
         !parse_timeout(nd->dialect, req, &timeout)) {
         return false;
     }
-    return JdClock_Now(&nd->loop.clock) <
-           JdStartup_WaitUntil(nd->started_at, arrived_at, timeout);
+    if (JdClock_Now(&nd->loop.clock) >=
+        JdStartup_WaitUntil(nd->started_at, arrived_at, timeout)) {
+        return false;
+    }
+    return reason == JD_REASON_NOT_READY ||
+           (reason == JD_REASON_NONE &&
+            !JdPick_HasReadyTarget(nd, &parsed->route));
 }
 
 /* Returns the time in ms after which the caller may try again, 0: never. */
